Evict the adapter with the least recent demand, keep a load for its caller

Plain LRU let a run of rare adapters push out a popular one, and evicted adapters before anybody had used them. Now the least demand (halved every 120 s) gives way, an unused load stays 5 s, and a member that holds half of an engine's slots makes room among its own.

--- a/bench/DecisionsBench.cpp
+++ b/bench/DecisionsBench.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <cstdio>
-#include <fstream>
+#include <future>
 #include <iostream>
 #include <numeric>
 
@@ -83,19 +83,29 @@
 
 } // namespace
 
-/// Writes one CSV row per deployment, scenario and policy to standard output. An argument names the only scenario.
+/// Writes one CSV row per deployment, scenario and policy to standard output. Arguments name the only scenario
+/// (empty for all) and the only policy.
 auto main(int argc, char** argv) -> int
 {
     const auto only = std::string(argc > 1 ? argv[1] : "");
+    const auto onlyPolicy = std::string(argc > 2 ? argv[2] : "");
     std::cout << header << '\n';
     for (const auto& size : sizes()) {
         for (const auto& scenario : scenarios(size)) {
             if (!only.empty() && only != scenario.name)
                 continue;
             for (const auto& policy : policies()) {
+                if (!onlyPolicy.empty() && onlyPolicy != policy.name)
+                    continue;
+                auto runs = std::vector<std::future<Outcome>>();
+                for (const auto seed : seeds) {
+                    runs.push_back(std::async(std::launch::async, [&size, &scenario, &policy, seed] {
+                        return Driver(size, scenario, policy, static_cast<std::uint64_t>(seed)).run();
+                    }));
+                }
                 auto whole = Outcome();
-                for (const auto seed : seeds)
-                    merge(whole, Driver(size, scenario, policy, static_cast<std::uint64_t>(seed)).run());
+                for (auto& run : runs)
+                    merge(whole, run.get());
                 std::cout << row(size, scenario, policy, whole) << std::endl;
             }
         }
--- a/bench/decisions.sh
+++ b/bench/decisions.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # The decisions under load, on a virtual clock: a table per scenario and policy, a CSV file and a plot in build/bench.
-# An argument names the only scenario to run.
+# Arguments name the only scenario to run (empty for all) and the only policy.
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 build=${EELGRASS_BUILD:-build}
--- a/bench/decisions/Driver.cpp
+++ b/bench/decisions/Driver.cpp
@@ -4,6 +4,8 @@
 
 namespace eelgrass::bench {
 
+using decisions::EvictionRule;
+
 namespace {
 
 constexpr auto entryCount = std::size_t(3);
@@ -24,7 +26,8 @@
         { "random", Placement::Random },
         { "least-loaded", Placement::LeastLoaded },
         { "rendezvous", Placement::Rendezvous },
-        { "eelgrass", Placement::Decided },
+        { "rendezvous+evict", Placement::Rendezvous, EvictionRule::LeastDemand },
+        { "eelgrass", Placement::Decided, EvictionRule::LeastDemand },
     };
 }
 
@@ -37,7 +40,7 @@
 {
     for (auto index = std::size_t(0); index < size.targets; ++index) {
         auto target = Target { .id = TargetId("t" + std::to_string(index)) };
-        target.slots = std::make_unique<decisions::AdapterSlots>(size.slots);
+        target.slots = std::make_unique<decisions::AdapterSlots>(size.slots, policy.eviction);
         for (auto& entry : entries_)
             entry.views.push_back({ .id = target.id, .serves = "base", .batchLimit = size.batch, .slots = size.slots });
         targets_.push_back(std::move(target));
@@ -115,6 +118,7 @@
 {
     if (targets_[target].queue.size() >= queueLimit)
         return refuse(work);
+    targets_[target].slots->asked(work.request->model, now_);
     targets_[target].queue.push_back(std::move(work));
 }
 
@@ -137,26 +141,27 @@
 {
     auto& target = targets_[index];
     const auto& model = work.request->model;
-    auto answer = target.slots->request(model, now_);
+    auto answer = target.slots->request(model, now_, work.request->member);
     if (const auto* evict = std::get_if<decisions::EvictFirst>(&answer)) {
         const auto victim = evict->victim;
         if (target.usesSinceLoad[victim] == 0)
             ++outcome_.wastedLoads;
         target.slots->unloadStarted(victim);
         target.slots->unloadEnded(victim, true);
-        answer = target.slots->request(model, now_);
+        answer = target.slots->request(model, now_, work.request->member);
     }
     if (std::holds_alternative<decisions::LoadNow>(answer))
-        startLoad(index, model);
+        startLoad(index, *work.request);
     if (!std::holds_alternative<decisions::UseNow>(answer))
         return false;
     target.slots->pin(model, now_);
     return true;
 }
 
-auto Driver::startLoad(std::size_t target, const ModelName& model) -> void
+auto Driver::startLoad(std::size_t target, const Request& request) -> void
 {
-    targets_[target].slots->loadStarted(model, now_);
+    const auto& model = request.model;
+    targets_[target].slots->loadStarted(model, now_, request.member);
     targets_[target].usesSinceLoad[model] = 0;
     loads_.push_back({ target, model });
     if (loads_.size() == 1)
--- a/bench/decisions/Driver.h
+++ b/bench/decisions/Driver.h
@@ -17,6 +17,7 @@
 struct Policy {
     std::string name;
     Placement placement = Placement::Decided;
+    decisions::EvictionRule eviction = decisions::EvictionRule::LeastRecentlyUsed;
 };
 
 [[nodiscard]] auto policies() -> std::vector<Policy>;
@@ -84,7 +85,7 @@
     auto record(const Work&) -> void;
     auto report() -> void;
     auto befall() -> void;
-    auto startLoad(std::size_t target, const ModelName&) -> void;
+    auto startLoad(std::size_t target, const Request&) -> void;
     [[nodiscard]] auto seconds() const -> double;
 
     const Size& size_;
--- a/packages/decisions/AdapterSlots.cpp
+++ b/packages/decisions/AdapterSlots.cpp
@@ -1,8 +1,28 @@
 #include "decisions/AdapterSlots.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace eelgrass::decisions {
 
-auto AdapterSlots::request(const ModelName& model, Moment) const -> SlotAnswer
+namespace {
+
+// Long enough to tell an adapter that is asked for every half minute from one that is asked for once.
+constexpr auto demandHalfLife = Duration(120s);
+constexpr auto demandLimit = std::size_t(512);
+// A load that nobody used yet is kept for its requests, which may be on their way; after this they will not come.
+constexpr auto unusedStay = Duration(5s);
+
+} // namespace
+
+AdapterSlots::AdapterSlots(std::size_t count, EvictionRule rule)
+    : count_(count)
+    , rule_(rule)
+    , demand_(demandHalfLife, demandLimit)
+{
+}
+
+auto AdapterSlots::request(const ModelName& model, Moment now, const MemberId& member) const -> SlotAnswer
 {
     const auto found = slots_.find(model);
     if (found != slots_.end()) {
@@ -19,29 +39,65 @@
         if (slot.state == State::Unloading)
             return AwaitOrder {};
     }
-    const auto chosen = victim();
+    const auto chosen = victim(now, member);
     if (chosen)
         return EvictFirst { *chosen };
     return NoSlot {};
 }
 
-auto AdapterSlots::victim() const -> std::optional<ModelName>
+auto AdapterSlots::victim(Moment now, const MemberId& member) const -> std::optional<ModelName>
 {
+    // A member that holds half of the slots makes room among its own adapters, so that its sudden popularity leaves the
+    // others the other half.
+    const auto onlyOwn = rule_ == EvictionRule::LeastDemand && !member.empty() && 2 * heldBy(member) >= count_;
     auto best = slots_.end();
     for (auto slot = slots_.begin(); slot != slots_.end(); ++slot) {
-        // An adapter that a running request uses is never chosen: its answer would come from other weights.
-        if (slot->second.state != State::Ready || slot->second.pins > 0)
+        if (!mayGiveWay(slot->second, now, member, onlyOwn))
             continue;
-        if (best == slots_.end() || slot->second.usedAt < best->second.usedAt)
+        if (best == slots_.end() || value(slot->first, slot->second, now) < value(best->first, best->second, now))
             best = slot;
     }
     return best == slots_.end() ? std::nullopt : std::optional(best->first);
 }
 
+auto AdapterSlots::mayGiveWay(const Slot& slot, Moment now, const MemberId& member, bool onlyOwn) const -> bool
+{
+    // An adapter that a running request uses is never chosen: its answer would come from other weights.
+    if (slot.state != State::Ready || slot.pins > 0)
+        return false;
+    if (rule_ == EvictionRule::LeastRecentlyUsed)
+        return true;
+    if (!slot.used && now - slot.loadedAt < unusedStay)
+        return false;
+    return !onlyOwn || slot.member == member;
+}
+
+auto AdapterSlots::value(const ModelName& model, const Slot& slot, Moment now) const -> double
+{
+    if (rule_ == EvictionRule::LeastRecentlyUsed)
+        return static_cast<double>(slot.usedAt.time_since_epoch().count());
+    return demand_.of(model, now);
+}
+
+auto AdapterSlots::heldBy(const MemberId& member) const -> std::size_t
+{
+    return static_cast<std::size_t>(
+        std::count_if(slots_.begin(), slots_.end(), [&](const auto& slot) { return slot.second.member == member; }));
+}
+
+auto AdapterSlots::evictionCost(Moment now) const -> double
+{
+    if (slots_.size() < count_)
+        return 0;
+    const auto chosen = victim(now, {});
+    return chosen ? demand_.of(*chosen, now) : std::numeric_limits<double>::infinity();
+}
+
 auto AdapterSlots::pin(const ModelName& model, Moment now) -> void
 {
     auto& slot = slots_.at(model);
     ++slot.pins;
+    slot.used = true;
     slot.usedAt = now;
 }
 
@@ -52,9 +108,9 @@
         --found->second.pins;
 }
 
-auto AdapterSlots::loadStarted(const ModelName& model, Moment now) -> void
+auto AdapterSlots::loadStarted(const ModelName& model, Moment now, const MemberId& member) -> void
 {
-    slots_[model] = { State::Loading, 0, now };
+    slots_[model] = { .usedAt = now, .loadedAt = now, .member = member };
 }
 
 auto AdapterSlots::loadEnded(const ModelName& model, bool loaded, Moment now) -> void
@@ -66,6 +122,7 @@
     auto& slot = slots_[model];
     slot.state = State::Ready;
     slot.usedAt = now;
+    slot.loadedAt = now;
 }
 
 auto AdapterSlots::unloadStarted(const ModelName& model) -> void { slots_.at(model).state = State::Unloading; }
@@ -83,8 +140,9 @@
     auto fresh = std::map<ModelName, Slot>();
     for (const auto& model : loaded) {
         const auto known = slots_.find(model);
-        const auto pins = known == slots_.end() ? 0 : known->second.pins;
-        fresh[model] = { State::Ready, pins, known == slots_.end() ? now : known->second.usedAt };
+        auto slot = known == slots_.end() ? Slot { .usedAt = now, .loadedAt = now, .used = true } : known->second;
+        slot.state = State::Ready;
+        fresh[model] = std::move(slot);
     }
     slots_ = std::move(fresh);
 }
--- a/packages/decisions/AdapterSlots.h
+++ b/packages/decisions/AdapterSlots.h
@@ -2,6 +2,7 @@
 
 #include "base/Clock.h"
 #include "base/Ids.h"
+#include "decisions/Demand.h"
 
 #include <cstddef>
 #include <map>
@@ -26,8 +27,20 @@
 struct NoSlot { };
 using SlotAnswer = std::variant<UseNow, AwaitOrder, LoadNow, EvictFirst, NoSlot>;
 
+/// Which unpinned adapter gives way.
+enum class EvictionRule {
+    /// The baseline that the measurements compare with.
+    LeastRecentlyUsed,
+    /// The one with the least recent demand; every reload costs the same, so demand alone tells the values apart.
+    LeastDemand,
+};
+
 /// The adapter slots of one engine, as their sole owner knows them.
 ///
+/// Load made for: skewed demand over far more adapters than slots, and a member whose adapters are all wanted at once.
+/// Harm prevented: popular adapters pushed out by a run of rare ones, adapters evicted before they were used, one
+/// member holding every slot.
+///
 /// ```cpp
 /// auto answer = slots.request(model, now);
 /// if (std::holds_alternative<UseNow>(answer))
@@ -37,18 +50,20 @@
 public:
     enum class State { Loading, Ready, Unloading };
 
-    explicit AdapterSlots(std::size_t count) noexcept
-        : count_(count)
-    {
-    }
+    explicit AdapterSlots(std::size_t count, EvictionRule rule = EvictionRule::LeastDemand);
 
     /// What to do so that a request for `model` can run. Changes nothing.
-    [[nodiscard]] auto request(const ModelName& model, Moment now) const -> SlotAnswer;
+    [[nodiscard]] auto request(const ModelName& model, Moment now, const MemberId& member = {}) const -> SlotAnswer;
+    /// Counts one request for `model` in its demand; once a request, when it is accepted.
+    auto asked(const ModelName& model, Moment now) -> void { demand_.add(model, now); }
+    /// Demand for the adapter that the next load would push out; 0 for a free slot, infinite if none can give way.
+    [[nodiscard]] auto evictionCost(Moment now) const -> double;
 
     auto pin(const ModelName& model, Moment now) -> void;
     auto unpin(const ModelName& model) -> void;
 
-    auto loadStarted(const ModelName& model, Moment now) -> void;
+    /// `member` is the one whose request asked for the load.
+    auto loadStarted(const ModelName& model, Moment now, const MemberId& member = {}) -> void;
     auto loadEnded(const ModelName& model, bool loaded, Moment now) -> void;
     auto unloadStarted(const ModelName& model) -> void;
     auto unloadEnded(const ModelName& model, bool unloaded) -> void;
@@ -64,10 +79,19 @@
         State state = State::Loading;
         std::size_t pins = 0;
         Moment usedAt {};
+        Moment loadedAt {};
+        /// Whether a request was pinned since the load.
+        bool used = false;
+        MemberId member;
     };
-    [[nodiscard]] auto victim() const -> std::optional<ModelName>;
+    [[nodiscard]] auto victim(Moment now, const MemberId& member) const -> std::optional<ModelName>;
+    [[nodiscard]] auto mayGiveWay(const Slot&, Moment now, const MemberId& member, bool onlyOwn) const -> bool;
+    [[nodiscard]] auto value(const ModelName&, const Slot&, Moment now) const -> double;
+    [[nodiscard]] auto heldBy(const MemberId&) const -> std::size_t;
 
     std::size_t count_;
+    EvictionRule rule_;
+    Demand demand_;
     std::map<ModelName, Slot> slots_;
 };
 
--- a/packages/router/controllers/AttemptsController.cpp
+++ b/packages/router/controllers/AttemptsController.cpp
@@ -53,6 +53,8 @@
     attempt->output.attach(kj::mv(sink), ChunkNumber(0));
     attempts_[attempt->order.attempt] = attempt;
     queue_.push_back(attempt);
+    if (slots_)
+        slots_->asked(attempt->order.model);
     // Started in the next turn, so that the acceptance is on its way before the first chunk.
     loop_.spawn(kj::evalLater([this] { pump(); }));
     return std::nullopt;
@@ -130,7 +132,7 @@
 
 auto AttemptsController::startable(Attempt& attempt) -> bool
 {
-    if (!slots_ || slots_->tryPin(attempt.order.model)) {
+    if (!slots_ || slots_->tryPin(attempt.order.model, attempt.order.member)) {
         if (attempt.stalledAt)
             attempt.loadStall = now() - *attempt.stalledAt;
         return true;
@@ -200,6 +202,8 @@
         else if (slots_ && slots_->failures(order.model) >= maxLoadFailures)
             giveUp(attempt, notRun(Step::Load, 503, "load_failed", "the adapter could not be loaded", 5s));
     }
+    // Some answers of the decisions change with time alone, as when a load that nobody used may be evicted.
+    pump();
 }
 
 } // namespace eelgrass::router
--- a/packages/router/controllers/SlotsController.cpp
+++ b/packages/router/controllers/SlotsController.cpp
@@ -11,15 +11,15 @@
 {
 }
 
-auto SlotsController::tryPin(const ModelName& model) -> bool
+auto SlotsController::tryPin(const ModelName& model, const MemberId& member) -> bool
 {
-    const auto answer = slots_.request(model, now());
+    const auto answer = slots_.request(model, now(), member);
     if (std::holds_alternative<decisions::UseNow>(answer)) {
         slots_.pin(model, now());
         return true;
     }
     if (std::holds_alternative<decisions::LoadNow>(answer))
-        load(model);
+        load(model, member);
     if (const auto* evict = std::get_if<decisions::EvictFirst>(&answer))
         unload(evict->victim);
     return false;
@@ -31,9 +31,9 @@
     changed();
 }
 
-auto SlotsController::load(const ModelName& model) -> void
+auto SlotsController::load(const ModelName& model, const MemberId& member) -> void
 {
-    slots_.loadStarted(model, now());
+    slots_.loadStarted(model, now(), member);
     loop_.spawn(
         engine_.load(model, epoch_)
             .then(
--- a/packages/router/controllers/SlotsController.h
+++ b/packages/router/controllers/SlotsController.h
@@ -19,7 +19,9 @@
     auto setEpoch(Epoch epoch) -> void { epoch_ = epoch; }
 
     /// Pins the adapter if it is there; otherwise starts what brings it nearer and returns false.
-    [[nodiscard]] auto tryPin(const ModelName& model) -> bool;
+    [[nodiscard]] auto tryPin(const ModelName& model, const MemberId& member) -> bool;
+    /// Counts an accepted request in its adapter's demand.
+    auto asked(const ModelName& model) -> void { slots_.asked(model, now()); }
     auto unpin(const ModelName& model) -> void;
     /// Reads the engine's own list and takes it as the truth.
     [[nodiscard]] auto refresh() -> kj::Promise<void>;
@@ -31,7 +33,7 @@
     auto forgetFailures(const ModelName& model) -> void { failures_.erase(model); }
 
 private:
-    auto load(const ModelName& model) -> void;
+    auto load(const ModelName& model, const MemberId& member) -> void;
     auto unload(const ModelName& model) -> void;
     auto loadEnded(const ModelName& model, bool loaded) -> void;
     auto changed() -> void;
--- a/tests/unit/AdapterSlots.cpp
+++ b/tests/unit/AdapterSlots.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 using namespace eelgrass;
 using namespace eelgrass::decisions;
 
@@ -60,3 +62,64 @@
     slots.unloadEnded(model("a"), true);
     BOOST_TEST(is<LoadNow>(slots.request(model("a"), at(2))));
 }
+
+// A run of requests for rare adapters comes in between two requests for a popular one.
+// By time of last use the popular adapter would go, and its many callers would wait for a load.
+BOOST_AUTO_TEST_CASE(a_popular_adapter_outlives_a_run_of_rare_ones)
+{
+    auto slots = AdapterSlots(2);
+    for (auto request = 0; request < 5; ++request)
+        slots.asked(model("popular"), at(request));
+    slots.asked(model("rare"), at(10));
+    loaded(slots, "popular", 20);
+    loaded(slots, "rare", 30);
+    for (const auto* name : { "popular", "rare" }) {
+        slots.pin(model(name), at(40));
+        slots.unpin(model(name));
+    }
+    const auto answer = slots.request(model("other"), at(50));
+    BOOST_REQUIRE(is<EvictFirst>(answer));
+    BOOST_TEST(std::get<EvictFirst>(answer).victim.str() == "rare");
+}
+
+// An adapter was loaded for a request that has not started yet, and a second adapter is asked for.
+// Evicting the first would waste its load and make its caller wait for another.
+BOOST_AUTO_TEST_CASE(a_load_that_nobody_used_yet_is_kept_for_its_caller)
+{
+    auto slots = AdapterSlots(1);
+    loaded(slots, "a", 0);
+    BOOST_TEST(is<NoSlot>(slots.request(model("b"), at(1))));
+    slots.pin(model("a"), at(2));
+    slots.unpin(model("a"));
+    BOOST_TEST(is<EvictFirst>(slots.request(model("b"), at(3))));
+}
+
+// Every adapter of one member is wanted at once. It may take half of the slots; then it makes room among its own, and
+// the callers of the other members find their adapters where they were.
+BOOST_AUTO_TEST_CASE(a_member_that_wakes_up_leaves_the_others_half_of_the_slots)
+{
+    const auto shifted = MemberId("shifted");
+    auto slots = AdapterSlots(4);
+    for (const auto* name : { "other1", "other2", "other3", "other4" }) {
+        slots.loadStarted(model(name), at(0), MemberId("other"));
+        slots.loadEnded(model(name), true, at(0));
+        slots.pin(model(name), at(0));
+        slots.unpin(model(name));
+    }
+    for (auto number = 0; number < 10; ++number) {
+        const auto name = ModelName("shifted" + std::to_string(number));
+        slots.asked(name, at(number));
+        const auto answer = slots.request(name, at(number), shifted);
+        BOOST_REQUIRE(is<EvictFirst>(answer));
+        slots.unloadStarted(std::get<EvictFirst>(answer).victim);
+        slots.unloadEnded(std::get<EvictFirst>(answer).victim, true);
+        slots.loadStarted(name, at(number), shifted);
+        slots.loadEnded(name, true, at(number));
+        slots.pin(name, at(number));
+        slots.unpin(name);
+    }
+    const auto resident = slots.resident();
+    BOOST_TEST(std::count_if(resident.begin(), resident.end(), [](const auto& name) {
+        return name.view().starts_with("other");
+    }) == 2);
+}
