Place by least expected start over an index of holders; holders grow and shrink

The placer looked at every view with ordered string sets and spread an adapter as soon as one target was fuller than the next. Fleet keeps an index by base and by adapter, with hashes beside it; Placer weighs the holders (queue wait, corrected by what was sent since the report) against the cost of one more load, takes two random ones of those in use, and lets all entries agree on the place of a first load: little demand pushed out, first in rendezvous order. Loads already asked for count as holders. A target that waits for loads says how many, and what the next one would push out.

--- a/bench/decisions/Driver.cpp
+++ b/bench/decisions/Driver.cpp
@@ -40,14 +40,15 @@
     , scenario_(scenario)
     , policy_(policy)
     , random_(seed)
-    , entries_(entryCount)
 {
+    for (auto entry = std::size_t(0); entry < entryCount; ++entry)
+        entries_.push_back({ {}, decisions::Placer(seed * entryCount + entry) });
     for (auto index = std::size_t(0); index < size.targets; ++index) {
         auto target = Target { .id = TargetId("t" + std::to_string(index)),
             .requests = decisions::RequestQueue(queueLimit, size.batch) };
         target.slots = std::make_unique<decisions::AdapterSlots>(size.slots, policy.eviction);
         for (auto& entry : entries_)
-            entry.views.push_back({ .id = target.id, .serves = "base", .batchLimit = size.batch, .slots = size.slots });
+            entry.fleet.put({ .id = target.id, .serves = "base", .batchLimit = size.batch, .slots = size.slots });
         targets_.push_back(std::move(target));
     }
 }
@@ -93,9 +94,10 @@
 {
     const auto& request = *work.request;
     const auto load = [&](const auto& view) { return view.queued + view.running + view.sentSinceReport; };
+    const auto key = decisions::nameHash(request.model.view());
     const auto score
-        = [&](const auto& view) { return decisions::rendezvousScore(request.model.view(), view.id.view()); };
-    auto& views = entry.views;
+        = [&](const auto& view) { return decisions::rendezvousScore(key, decisions::nameHash(view.id.view())); };
+    const auto& views = entry.fleet.views();
     auto chosen = std::optional<std::size_t>();
     switch (policy_.placement) {
     case Placement::Random:
@@ -114,11 +116,12 @@
               }) - views.begin());
         break;
     case Placement::Decided:
-        chosen = decisions::Placer().choose({ .model = request.model, .serves = "base", .tried = work.tried }, views);
+        chosen
+            = entry.placer.choose({ .model = request.model, .serves = "base", .tried = work.tried }, entry.fleet, now_);
         break;
     }
     if (chosen)
-        ++views[*chosen].sentSinceReport;
+        entry.fleet.sent(static_cast<decisions::Fleet::Index>(*chosen), request.model, now_);
     return chosen;
 }
 
@@ -344,23 +347,33 @@
         std::chrono::duration<double>(now_ - work.request->arrivedAt).count());
 }
 
+auto Driver::describe(Target& target) const -> decisions::TargetReport
+{
+    const auto isResident = resident(target);
+    const auto names = target.slots->resident();
+    const auto waiting = static_cast<std::size_t>(std::count_if(
+        target.queue.begin(), target.queue.end(), [&](const Work& work) { return !isResident(work.request->model); }));
+    return { .queued = target.queue.size(),
+        .running = target.running.size(),
+        .batchLimit = size_.batch,
+        .slots = size_.slots,
+        .awaitingLoad = waiting,
+        .loadsWaiting = target.requests.loadCandidates(isResident, now_).size(),
+        .evictionCost = target.slots->evictionCost(now_),
+        .placeTime = target.requests.placeTime(),
+        .resident = { names.begin(), names.end() } };
+}
+
 auto Driver::report() -> void
 {
     if (now_.time_since_epoch() % reportPeriod == Duration::zero()) {
-        for (auto index = std::size_t(0); index < targets_.size(); ++index) {
-            const auto& target = targets_[index];
-            auto view = entries_.front().views[index];
-            view.queued = target.queue.size();
-            view.running = target.running.size();
-            view.resident = target.slots->resident();
-            view.sentSinceReport = 0;
-            view.reportedAt = now_;
-            reports_.push_back({ now_ + reportDelay, index, std::move(view) });
-        }
+        for (auto index = std::size_t(0); index < targets_.size(); ++index)
+            reports_.push_back({ now_ + reportDelay, index, describe(targets_[index]) });
     }
     while (!reports_.empty() && reports_.front().arrivesAt <= now_) {
+        const auto& late = reports_.front();
         for (auto& entry : entries_)
-            entry.views[reports_.front().target] = reports_.front().view;
+            entry.fleet.report(targets_[late.target].id, late.report, now_);
         reports_.pop_front();
     }
 }
--- a/bench/decisions/Driver.h
+++ b/bench/decisions/Driver.h
@@ -73,14 +73,16 @@
     struct Report {
         Moment arrivesAt {};
         std::size_t target = 0;
-        decisions::TargetView view;
+        decisions::TargetReport report;
     };
     struct Entry {
-        std::vector<decisions::TargetView> views;
+        decisions::Fleet fleet;
+        decisions::Placer placer;
     };
 
     auto arrive(Work) -> void;
     auto place(Entry&, const Work&) -> std::optional<std::size_t>;
+    [[nodiscard]] auto describe(Target&) const -> decisions::TargetReport;
     auto enqueue(std::size_t target, Work) -> void;
     auto pump(std::size_t target) -> void;
     auto pumpFirstCome(std::size_t target) -> void;
--- a/packages/decisions/Decisions.h
+++ b/packages/decisions/Decisions.h
@@ -3,6 +3,7 @@
 /// Umbrella header of the decisions package: the policy under load, without sockets or a clock of its own.
 #include "decisions/AdapterSlots.h"
 #include "decisions/Demand.h"
+#include "decisions/Fleet.h"
 #include "decisions/LoadQueue.h"
 #include "decisions/Placer.h"
 #include "decisions/Rendezvous.h"
--- a/packages/decisions/Forward.h
+++ b/packages/decisions/Forward.h
@@ -4,7 +4,11 @@
 namespace eelgrass::decisions {
 
 class AdapterSlots;
+class Fleet;
+class LoadQueue;
 class Placer;
+class RequestQueue;
+class RetryBudget;
 struct TargetView;
 
 } // namespace eelgrass::decisions
--- a/packages/decisions/Rendezvous.cpp
+++ b/packages/decisions/Rendezvous.cpp
@@ -4,9 +4,6 @@
 
 namespace eelgrass::decisions {
 
-auto rendezvousScore(std::string_view key, std::string_view node) noexcept -> std::uint64_t
-{
-    return XXH3_64bits_withSeed(key.data(), key.size(), XXH3_64bits(node.data(), node.size()));
-}
+auto nameHash(std::string_view name) noexcept -> std::uint64_t { return XXH3_64bits(name.data(), name.size()); }
 
 } // namespace eelgrass::decisions
--- a/packages/decisions/RequestQueue.cpp
+++ b/packages/decisions/RequestQueue.cpp
@@ -194,6 +194,7 @@
 
 auto RequestQueue::ran(const RequestClass& requestClass, Duration time) -> void
 {
+    runTime_ = smoothed(runTime_, time);
     const auto known = runTimes_.find(requestClass);
     if (known == runTimes_.end())
         runTimes_[requestClass] = time;
@@ -201,6 +202,11 @@
         known->second = smoothed(known->second, time);
 }
 
+auto RequestQueue::placeTime() const -> Duration
+{
+    return runTime_ / static_cast<Duration::rep>(std::max(batch_, std::size_t(1)));
+}
+
 auto RequestQueue::loadTook(Duration time) -> void { loadTime_ = smoothed(loadTime_, time); }
 
 } // namespace eelgrass::decisions
--- a/packages/decisions/RequestQueue.h
+++ b/packages/decisions/RequestQueue.h
@@ -94,6 +94,8 @@
     /// A load ended this long after it was first wanted.
     auto loadTook(Duration) -> void;
 
+    /// Mean time between two places of the full batch becoming free.
+    [[nodiscard]] auto placeTime() const -> Duration;
     [[nodiscard]] auto size() const noexcept -> std::size_t { return requests_.size(); }
     [[nodiscard]] auto all() const noexcept -> const std::vector<QueuedRequest>& { return requests_; }
 
@@ -112,6 +114,8 @@
     std::map<MemberId, double> served_;
     double servedFloor_ = 0;
     std::map<RequestClass, Duration> runTimes_;
+    /// Of all classes together.
+    Duration runTime_ = 2s;
     Duration loadTime_ = 500ms;
     std::optional<Moment> interactiveAt_;
 };
--- a/packages/router/controllers/TargetsController.cpp
+++ b/packages/router/controllers/TargetsController.cpp
@@ -1,6 +1,7 @@
 #include "router/controllers/TargetsController.h"
 
 #include "base/Log.h"
+#include "decisions/Rendezvous.h"
 
 #include <algorithm>
 
@@ -19,6 +20,7 @@
     , platform_(platform)
     , secret_(std::move(secret))
     , name_(std::move(name))
+    , placer_(decisions::nameHash(name_))
 {
 }
 
@@ -50,9 +52,8 @@
 auto TargetsController::take(const std::vector<platform::HostRecord>& hosts) -> void
 {
     auto listed = std::map<TargetId, platform::HostRecord>();
-    auto views = std::vector<decisions::TargetView>();
     for (const auto& host : hosts) {
-        const auto* known = find(host.target);
+        const auto* known = fleet_.find(host.target);
         auto view = known ? *known : decisions::TargetView { .id = host.target };
         const auto before = hosts_.find(host.target);
         if (before != hosts_.end() && before->second.address == host.address && before->second.port == host.port) {
@@ -65,27 +66,24 @@
         }
         view.zone = host.zone;
         view.serves = host.serves;
-        views.push_back(std::move(view));
+        fleet_.put(std::move(view));
         listed.emplace(host.target, host);
     }
     std::erase_if(links_, [&](const auto& link) { return !listed.contains(link.first); });
+    for (const auto& [target, host] : hosts_) {
+        if (!listed.contains(target))
+            fleet_.remove(target);
+    }
     hosts_ = std::move(listed);
-    views_ = std::move(views);
-}
-
-auto TargetsController::find(const TargetId& target) -> decisions::TargetView*
-{
-    const auto found = std::find_if(views_.begin(), views_.end(), [&](const auto& view) { return view.id == target; });
-    return found == views_.end() ? nullptr : &*found;
 }
 
 auto TargetsController::place(const decisions::PlacementRequest& request) -> std::optional<TargetId>
 {
-    const auto chosen = decisions::Placer().choose(request, views_);
+    const auto chosen = placer_.choose(request, fleet_, now());
     if (!chosen)
         return std::nullopt;
-    ++views_[*chosen].sentSinceReport;
-    return views_[*chosen].id;
+    fleet_.sent(*chosen, request.model, now());
+    return fleet_.views()[*chosen].id;
 }
 
 auto TargetsController::link(const TargetId& target) -> std::shared_ptr<TargetLink>
@@ -107,13 +105,9 @@
 
 auto TargetsController::unreachable(const TargetId& target) -> void
 {
-    auto* view = find(target);
-    if (!view)
-        return;
-    view->reachable = false;
+    fleet_.setReachable(target, false);
     unreachable_[target] = loop_.timers().after(unreachableFor, [this, target] {
-        if (auto* known = find(target))
-            known->reachable = true;
+        fleet_.setReachable(target, true);
         unreachable_.erase(target);
     });
 }
@@ -121,20 +115,19 @@
 auto TargetsController::report(wire::schema::TargetState::Reader state) -> void
 {
     const auto target = TargetId(state.getTarget());
-    auto* view = find(target);
-    if (!view)
+    if (!fleet_.find(target))
         return;
     epochs_[target] = Epoch(state.getEpoch());
-    view->leaving = view->leaving || state.getLeaving();
-    view->queued = state.getQueued();
-    view->running = state.getRunning();
-    view->slots = state.getSlots();
-    view->batchLimit = std::max(1U, state.getBatchLimit());
-    view->sentSinceReport = 0;
-    view->reportedAt = now();
-    view->resident.clear();
+    auto report = decisions::TargetReport {
+        .leaving = state.getLeaving(),
+        .queued = state.getQueued(),
+        .running = state.getRunning(),
+        .batchLimit = state.getBatchLimit(),
+        .slots = state.getSlots(),
+    };
     for (auto name : state.getResidentAdapters())
-        view->resident.emplace(ModelName(name));
+        report.resident.emplace_back(ModelName(name));
+    fleet_.report(target, std::move(report), now());
 }
 
 } // namespace eelgrass::router
--- a/packages/router/controllers/TargetsController.h
+++ b/packages/router/controllers/TargetsController.h
@@ -19,10 +19,15 @@
     /// Follows the platform's list from here on.
     auto start() -> void;
     [[nodiscard]] auto ready() const noexcept -> bool { return ready_; }
-    [[nodiscard]] auto views() const noexcept -> const std::vector<decisions::TargetView>& { return views_; }
+    [[nodiscard]] auto views() const noexcept -> const std::vector<decisions::TargetView>& { return fleet_.views(); }
 
     /// Chooses a target and counts the request as sent to it.
     [[nodiscard]] auto place(const decisions::PlacementRequest& request) -> std::optional<TargetId>;
+    /// How `place` sees the targets of a request now.
+    [[nodiscard]] auto explain(const decisions::PlacementRequest& request) const -> std::vector<decisions::Explanation>
+    {
+        return placer_.explain(request, fleet_);
+    }
     /// Null for a target that is no longer listed.
     [[nodiscard]] auto link(const TargetId& target) -> std::shared_ptr<TargetLink>;
     [[nodiscard]] auto epoch(const TargetId& target) const -> Epoch;
@@ -33,13 +38,13 @@
 private:
     auto poll() -> kj::Promise<void>;
     auto take(const std::vector<platform::HostRecord>& hosts) -> void;
-    auto find(const TargetId& target) -> decisions::TargetView*;
 
     wire::MainLoop& loop_;
     platform::PlatformClient& platform_;
     std::string secret_;
     std::string name_;
-    std::vector<decisions::TargetView> views_;
+    decisions::Fleet fleet_;
+    decisions::Placer placer_;
     std::map<TargetId, platform::HostRecord> hosts_;
     std::map<TargetId, std::shared_ptr<TargetLink>> links_;
     std::map<TargetId, Epoch> epochs_;
