Loads in order of squared age, drafts nearer to interactive calls, cheaper further holders

Two things were left: a lone draft waited several times as long as the median caller, since the plain age grew too slowly against many fresh waiters, and with a deep load queue no adapter ever seemed worth a second holder, so that engines idled beside a full one. Age counts squared, drafts weigh 3 against 4, and no more than four loads count before a further holder's own.

--- a/packages/decisions/LoadQueue.cpp
+++ b/packages/decisions/LoadQueue.cpp
@@ -9,13 +9,14 @@
 // Counts for something from its first moment, so that many fresh waiters go before one.
 constexpr auto leastAge = Duration(200ms);
 
-auto priority(const LoadAsk& ask, Moment now) -> double
+} // namespace
+
+auto loadPriority(double weight, Moment oldestAt, Moment now) -> double
 {
-    return ask.weight * static_cast<double>((std::max(now - ask.oldestAt, Duration::zero()) + leastAge).count());
+    const auto age = std::chrono::duration<double>(std::max(now - oldestAt, Duration::zero()) + leastAge).count();
+    return weight * age * age;
 }
 
-} // namespace
-
 auto LoadQueue::ask(LoadAsk ask) -> void { asks_[ask.target] = ask; }
 
 auto LoadQueue::release(const TargetId& target) -> void
@@ -31,8 +32,10 @@
         grant_.reset();
     if (grant_ || asks_.empty())
         return {};
-    const auto best = std::max_element(asks_.begin(), asks_.end(),
-        [&](const auto& a, const auto& b) { return priority(a.second, now) < priority(b.second, now); });
+    const auto best = std::max_element(asks_.begin(), asks_.end(), [&](const auto& a, const auto& b) {
+        return loadPriority(a.second.weight, a.second.oldestAt, now)
+            < loadPriority(b.second.weight, b.second.oldestAt, now);
+    });
     const auto target = best->first;
     asks_.erase(best);
     grant_ = Grant { target, now + grantLasts };
--- a/packages/decisions/LoadQueue.h
+++ b/packages/decisions/LoadQueue.h
@@ -18,6 +18,10 @@
     Moment oldestAt {};
 };
 
+/// Worth of a load: the weights of those who wait, times the square of the longest wait. Squared, because with the
+/// plain age a lone draft waited several times as long as the median caller.
+[[nodiscard]] auto loadPriority(double weight, Moment oldestAt, Moment now) -> double;
+
 /// The order of loads from one weight store, as the entry that holds the queue decides it.
 ///
 /// Load made for: many targets that miss at once, while the store runs only one load at full speed.
--- a/packages/decisions/Placer.cpp
+++ b/packages/decisions/Placer.cpp
@@ -12,6 +12,9 @@
 constexpr auto loadTime = Duration(500ms);
 // A further holder must be worth half as much again as its load, or entries with late views load for nothing.
 constexpr auto growthMargin = 1.5;
+// Loads counted as waiting before a further holder's own. A popular adapter's load overtakes most of them, so counting
+// all would keep it on one full target while others idle.
+constexpr auto mostLoadsBefore = std::size_t(4);
 // A holder that was not needed for this long is left to fade: longer than the gaps of an ordinary burst.
 constexpr auto holderHalfLife = Duration(30s);
 // Candidates for a first load: enough to step around a full target, few enough that entries agree on them.
@@ -48,7 +51,8 @@
 
 auto loadCost(const Fleet& fleet) -> Duration
 {
-    return scaled(loadTime * static_cast<Duration::rep>(fleet.loadsWaiting() + 1), growthMargin);
+    const auto turns = std::min(fleet.loadsWaiting(), mostLoadsBefore) + 1;
+    return scaled(loadTime * static_cast<Duration::rep>(turns), growthMargin);
 }
 
 /// Cost of a first load there: the wait, what it pushes out, and the loads that wait there already.
--- a/packages/decisions/RequestQueue.cpp
+++ b/packages/decisions/RequestQueue.cpp
@@ -1,5 +1,7 @@
 #include "decisions/RequestQueue.h"
 
+#include "decisions/LoadQueue.h"
+
 #include <algorithm>
 #include <set>
 #include <tuple>
@@ -36,7 +38,7 @@
     if (requestClass.view() == "interactive" || requestClass.view() == "lookup")
         return { .weight = 4 };
     if (requestClass.view() == "draft")
-        return { .weight = 1, .background = true };
+        return { .weight = 3, .background = true };
     return {};
 }
 
@@ -163,9 +165,8 @@
     auto candidates = std::vector<LoadCandidate>();
     for (auto& [model, candidate] : byModel)
         candidates.push_back(std::move(candidate));
-    const auto worth = [&](const LoadCandidate& candidate) {
-        return candidate.weight * std::chrono::duration<double>(now - candidate.oldestAt + 200ms).count();
-    };
+    const auto worth
+        = [&](const LoadCandidate& candidate) { return loadPriority(candidate.weight, candidate.oldestAt, now); };
     std::sort(candidates.begin(), candidates.end(),
         [&](const LoadCandidate& a, const LoadCandidate& b) { return worth(a) > worth(b); });
     return candidates;
--- /dev/null
+++ b/tests/unit/Placer.cpp
@@ -0,0 +1,141 @@
+#include "decisions/Placer.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <set>
+
+using namespace eelgrass;
+using namespace eelgrass::decisions;
+
+namespace {
+
+auto at(int milliseconds) -> Moment { return Moment(std::chrono::milliseconds(milliseconds)); }
+
+auto fleetOf(std::size_t targets) -> Fleet
+{
+    auto fleet = Fleet();
+    for (auto index = std::size_t(0); index < targets; ++index)
+        fleet.put({ .id = TargetId("t" + std::to_string(index)), .serves = "base", .batchLimit = 8, .slots = 4 });
+    return fleet;
+}
+
+auto request(const char* model) -> PlacementRequest { return { .model = ModelName(model), .serves = "base" }; }
+
+auto holding(const char* model, std::size_t running = 0) -> TargetReport
+{
+    return { .running = running, .batchLimit = 8, .slots = 4, .resident = { ModelName(model) } };
+}
+
+/// Places one request and counts it as sent.
+auto place(Placer& placer, Fleet& fleet, const char* model, Moment now) -> TargetId
+{
+    const auto chosen = placer.choose(request(model), fleet, now).value();
+    fleet.sent(chosen, ModelName(model), now);
+    return fleet.views()[chosen].id;
+}
+
+} // namespace
+
+// An adapter that nobody asked for yesterday is wanted by many callers of many entries at once.
+// Each entry knows only its own requests. All must come to one target, where one load serves them.
+BOOST_AUTO_TEST_CASE(a_burst_for_a_new_adapter_loads_it_once)
+{
+    auto chosen = std::set<TargetId>();
+    for (auto entry = 0; entry < 3; ++entry) {
+        auto fleet = fleetOf(9);
+        auto placer = Placer(static_cast<std::uint64_t>(entry));
+        for (auto call = 0; call < 6; ++call)
+            chosen.insert(place(placer, fleet, "new", at(call)));
+    }
+    BOOST_TEST(chosen.size() == 1);
+}
+
+// A whole member asks for one adapter, more than its target can run. The wait there exceeds the price of a load, so a
+// second holder comes; and when the demand is over, callers use one holder again and the other fades.
+BOOST_AUTO_TEST_CASE(holders_grow_with_the_demand_and_shrink_after_it)
+{
+    auto fleet = fleetOf(9);
+    auto placer = Placer(1);
+    fleet.report(TargetId("t3"), holding("hot"), at(0));
+    auto used = std::set<TargetId>();
+    for (auto call = 0; call < 60; ++call)
+        used.insert(place(placer, fleet, "hot", at(call)));
+    BOOST_TEST(used.size() > 1);
+    BOOST_TEST(placer.wantedHolders(ModelName("hot")) > 1);
+    for (const auto& target : used)
+        fleet.report(target, holding("hot"), at(1000));
+    used.clear();
+    for (auto now = 2000; now < 400000; now += 1000) {
+        const auto target = place(placer, fleet, "hot", at(now));
+        fleet.report(target, holding("hot"), at(now));
+        if (now > 390000)
+            used.insert(target);
+    }
+    BOOST_TEST(placer.wantedHolders(ModelName("hot")) == 1);
+    BOOST_TEST(used.size() == 1);
+}
+
+// Reports are late. A target that looked idle must not get every request until its next report.
+BOOST_AUTO_TEST_CASE(what_was_sent_since_the_report_counts_as_load)
+{
+    auto fleet = fleetOf(2);
+    auto placer = Placer(1);
+    auto calls = std::map<TargetId, int>();
+    for (auto call = 0; call < 40; ++call) {
+        const auto chosen = placer.choose({ .serves = "base" }, fleet, at(0)).value();
+        fleet.sent(chosen, {}, at(0));
+        ++calls[fleet.views()[chosen].id];
+    }
+    BOOST_TEST(calls.size() == 2);
+    for (const auto& [target, count] : calls)
+        BOOST_TEST(count > 10);
+}
+
+// One target answers five times as slowly as its peers. Callers wait there for nothing, so the adapter gets a holder
+// elsewhere, and the slow one keeps nothing but what nobody else can take.
+BOOST_AUTO_TEST_CASE(a_slow_target_loses_its_share)
+{
+    auto fleet = fleetOf(3);
+    auto placer = Placer(1);
+    fleet.report(TargetId("t0"), holding("a"), at(0));
+    fleet.setSlowness(TargetId("t0"), 5);
+    auto there = 0;
+    for (auto call = 0; call < 20; ++call)
+        there += place(placer, fleet, "a", at(call)) == TargetId("t0") ? 1 : 0;
+    BOOST_TEST(there < 10);
+}
+
+// A target that refused the request, that is leaving or not reachable is never chosen, however well it fits.
+BOOST_AUTO_TEST_CASE(targets_that_may_not_take_the_request_are_passed_over)
+{
+    auto fleet = fleetOf(4);
+    auto placer = Placer(1);
+    for (const auto* target : { "t0", "t1", "t2" })
+        fleet.report(TargetId(target), holding("a"), at(0));
+    fleet.setLeaving(TargetId("t0"), true);
+    fleet.setReachable(TargetId("t1"), false);
+    auto asked = request("a");
+    asked.tried = { TargetId("t2") };
+    BOOST_TEST(fleet.views()[placer.choose(asked, fleet, at(1)).value()].id.str() == "t3");
+    const auto explained = placer.explain(asked, fleet);
+    BOOST_REQUIRE(explained.size() == 4);
+    BOOST_TEST(explained.front().target.str() == "t3");
+    asked.tried.emplace_back("t3");
+    BOOST_TEST(!placer.choose(asked, fleet, at(1)).has_value());
+}
+
+// A target leaves the list while others hold the same adapter; what is known of the others must stay theirs.
+BOOST_AUTO_TEST_CASE(removing_a_target_keeps_the_index_of_the_others)
+{
+    auto fleet = fleetOf(4);
+    auto placer = Placer(1);
+    fleet.report(TargetId("t3"), holding("a"), at(0));
+    fleet.remove(TargetId("t0"));
+    BOOST_REQUIRE(fleet.holders(ModelName("a")).size() == 1);
+    BOOST_TEST(fleet.views()[fleet.holders(ModelName("a")).front()].id.str() == "t3");
+    BOOST_TEST(place(placer, fleet, "a", at(1)).str() == "t3");
+    fleet.remove(TargetId("t3"));
+    BOOST_TEST(fleet.holders(ModelName("a")).empty());
+    BOOST_TEST(fleet.serving("base").targets.size() == 2);
+}
