Fault proxy on every leg, and chunks that overtake one another

Cause: the promises had no proof under faults of the network. standins/FaultProxy is a TCP proxy (delay, cut, refuse, one-way silence, half-open, freeze, reorder of whole messages), set over HTTP; the harness puts it on the legs a test names (Deployment({ Leg::Target }); deployment.fault(...)).

Seen failing first: with reorder on, the entry refused a chunk that came early, the target process detached, and the caller heard nothing until its own timeout of 30 s. Now the entry keeps early chunks (bounded by the target process's high-water mark) and acknowledges them in their turn.

--- a/packages/router/entry/Relay.cpp
+++ b/packages/router/entry/Relay.cpp
@@ -23,12 +23,19 @@
     {
     }
 
-    auto chunk(ChunkContext context) -> kj::Promise<void> override { return current()->chunk(context.getParams()); }
+    auto chunk(ChunkContext context) -> kj::Promise<void> override
+    {
+        auto params = context.getParams();
+        auto piece = Piece { .status = params.getStatus(), .tokens = params.getTokens() };
+        piece.contentType = params.getContentType();
+        piece.data = textOf(params.getData());
+        return current()->receive(ChunkNumber(params.getNumber()), std::move(piece));
+    }
 
     auto end(EndContext context) -> kj::Promise<void> override
     {
-        current()->end(context.getParams());
-        return kj::READY_NOW;
+        auto params = context.getParams();
+        return current()->receive(ChunkNumber(params.getNumber()), Piece { .end = read(params.getEnd()) });
     }
 
     auto progress(ProgressContext context) -> kj::Promise<void> override
@@ -137,8 +144,9 @@
     attempt_ = AttemptId(call_->request.str() + "." + std::to_string(attempts_));
     target_ = target;
     nextChunk_ = ChunkNumber(0);
+    early_.clear();
     auto request = session.startRequest();
-    write(order(target), request.initRequest());
+    router::write(order(target), request.initRequest());
     request.setSink(kj::heap<Sink>(weak_from_this(), attempt_));
     return request.send().then(
         [self = shared_from_this(), target](auto&& answer) -> kj::Promise<void> {
@@ -186,6 +194,8 @@
     }
     return link->session()
         .then([self = shared_from_this()](wire::schema::TargetSession::Client session) {
+            // What came early on the lost session is sent again.
+            self->early_.clear();
             auto request = session.resumeRequest();
             request.setAttempt(self->attempt_.str());
             request.setNextChunk(self->nextChunk_.value());
@@ -205,30 +215,52 @@
             });
 }
 
-auto Relay::chunk(wire::schema::ChunkSink::ChunkParams::Reader params) -> kj::Promise<void>
+auto Relay::receive(ChunkNumber number, Piece piece) -> kj::Promise<void>
 {
-    const auto number = ChunkNumber(params.getNumber());
     // Sent again after a resume: the caller has it.
     if (number < nextChunk_)
         return kj::READY_NOW;
-    KJ_REQUIRE(number == nextChunk_, "a chunk is missing");
+    if (number == nextChunk_)
+        return take(std::move(piece));
+    // It overtook the chunks before it. Written now it would garble the answer, so it waits for its turn; it is
+    // acknowledged only then, because an acknowledgement stands for all before it. The target process stops at its
+    // own high-water mark, which bounds what can wait here.
+    auto pair = kj::newPromiseAndFulfiller<void>();
+    early_[number] = { std::move(piece), kj::mv(pair.fulfiller) };
+    return kj::mv(pair.promise);
+}
+
+auto Relay::take(Piece piece) -> kj::Promise<void>
+{
     nextChunk_ = nextChunk_.next();
-    if (params.getStatus() > 0)
-        writer_.head(params.getStatus(), params.getContentType());
-    if (params.getData().size() > 0) {
-        const auto first = !writer_.firstTokenAt();
-        writer_.text(std::string_view(params.getData().asChars().begin(), params.getData().size()), params.getTokens());
-        if (first)
-            metrics_.observe("eelgrass_time_to_first_token_seconds", call_->caller.member, call_->requestClass,
-                now() - call_->receivedAt);
+    if (piece.end) {
+        end(*piece.end);
+        return kj::READY_NOW;
     }
-    return writer_.writable();
+    write(piece);
+    const auto next = early_.find(nextChunk_);
+    if (next == early_.end())
+        return writer_.writable();
+    auto early = std::move(next->second);
+    early_.erase(next);
+    return take(std::move(early.piece)).then([fulfiller = kj::mv(early.fulfiller)]() mutable { fulfiller->fulfill(); });
+}
+
+auto Relay::write(const Piece& piece) -> void
+{
+    if (piece.status > 0)
+        writer_.head(piece.status, piece.contentType);
+    if (piece.data.empty())
+        return;
+    const auto first = !writer_.firstTokenAt();
+    writer_.text(piece.data, piece.tokens);
+    if (first)
+        metrics_.observe("eelgrass_time_to_first_token_seconds", call_->caller.member, call_->requestClass,
+            now() - call_->receivedAt);
 }
 
-auto Relay::end(wire::schema::ChunkSink::EndParams::Reader params) -> void
+auto Relay::end(const AnswerEnd& end) -> void
 {
-    KJ_REQUIRE(ChunkNumber(params.getNumber()) == nextChunk_, "a chunk is missing before the end");
-    const auto end = read(params.getEnd());
     const auto& member = call_->caller.member;
     metrics_.observe("eelgrass_load_stall_seconds", member, call_->requestClass, end.loadStall);
     metrics_.observe("eelgrass_queue_wait_seconds", member, call_->requestClass, end.queueWait);
--- a/packages/router/entry/Relay.h
+++ b/packages/router/entry/Relay.h
@@ -19,6 +19,18 @@
 private:
     class Sink;
     friend class Sink;
+    /// A chunk of the answer, or its end.
+    struct Piece {
+        std::uint16_t status = 0;
+        std::string contentType;
+        std::string data;
+        std::uint32_t tokens = 0;
+        std::optional<AnswerEnd> end;
+    };
+    struct EarlyPiece {
+        Piece piece;
+        kj::Own<kj::PromiseFulfiller<void>> fulfiller;
+    };
 
     auto tryNext() -> kj::Promise<void>;
     auto startAt(const TargetId& target) -> kj::Promise<void>;
@@ -29,8 +41,11 @@
     auto resume(const TargetId& target, int tries) -> kj::Promise<void>;
     auto giveUp(const Error& error) -> void;
     auto hungUp() -> void;
-    auto chunk(wire::schema::ChunkSink::ChunkParams::Reader params) -> kj::Promise<void>;
-    auto end(wire::schema::ChunkSink::EndParams::Reader params) -> void;
+    /// Kept when the piece is with the caller, or waits for it in a bounded buffer.
+    auto receive(ChunkNumber number, Piece piece) -> kj::Promise<void>;
+    auto take(Piece piece) -> kj::Promise<void>;
+    auto write(const Piece& piece) -> void;
+    auto end(const AnswerEnd& end) -> void;
     auto finish() -> void;
 
     wire::MainLoop& loop_;
@@ -43,6 +58,7 @@
     AttemptId attempt_;
     std::optional<TargetId> target_;
     ChunkNumber nextChunk_;
+    std::map<ChunkNumber, EarlyPiece> early_;
     bool done_ = false;
     kj::Own<kj::PromiseFulfiller<void>> finished_;
     kj::ForkedPromise<void> whenFinished_ = nullptr;
--- a/standins/StandinMain.cpp
+++ b/standins/StandinMain.cpp
@@ -1,5 +1,6 @@
 #include "base/Log.h"
 #include "standins/EngineStandin.h"
+#include "standins/FaultProxy.h"
 #include "standins/PlatformStandin.h"
 #include "standins/ServiceStandin.h"
 
@@ -10,7 +11,7 @@
 #include <iostream>
 
 // NOLINTBEGIN
-ABSL_FLAG(std::string, kind, "", "platform, engine or service");
+ABSL_FLAG(std::string, kind, "", "platform, engine, service or proxy");
 ABSL_FLAG(int, port, 0, "port to listen on; 0 lets the kernel choose");
 ABSL_FLAG(std::string, platform, "", "URL of the platform stand-in, for an engine's loads");
 ABSL_FLAG(int, slots, 4, "adapter slots of an engine");
@@ -18,6 +19,7 @@
 ABSL_FLAG(int, step_us, 5000, "time of one engine step, in microseconds");
 ABSL_FLAG(int, load_ms, 500, "time of one load from the weight store, in milliseconds");
 ABSL_FLAG(bool, fence, true, "whether the engine refuses an order with an old fencing number");
+ABSL_FLAG(int, upstream, 0, "port on loopback that a proxy passes connections to");
 // NOLINTEND
 
 namespace {
@@ -50,6 +52,16 @@
     return serve(loop, standins::EngineStandin(loop, options));
 }
 
+auto runProxy(wire::MainLoop& loop) -> int
+{
+    const auto upstream = static_cast<std::uint16_t>(absl::GetFlag(FLAGS_upstream));
+    auto proxy = standins::FaultProxy(loop, { .port = port(), .upstream = upstream });
+    log::info("listening",
+        { { "port", std::to_string(proxy.port()) }, { "control_port", std::to_string(proxy.controlPort()) } });
+    loop.onStopSignal([&] { loop.quit(); });
+    return loop.run();
+}
+
 } // namespace
 
 auto main(int argc, char** argv) -> int
@@ -65,6 +77,8 @@
         return runEngine(loop);
     if (kind == "service")
         return serve(loop, standins::ServiceStandin(loop, "127.0.0.1", port()));
-    std::cerr << "--kind must be platform, engine or service\n";
+    if (kind == "proxy")
+        return runProxy(loop);
+    std::cerr << "--kind must be platform, engine, service or proxy\n";
     return 2;
 }
--- a/tests/harness/Deployment.cpp
+++ b/tests/harness/Deployment.cpp
@@ -21,16 +21,11 @@
 
 auto loopback(std::uint16_t port) -> std::string { return "http://127.0.0.1:" + std::to_string(port); }
 
-auto common(const std::string& name, std::uint16_t platformPort) -> std::string
-{
-    return "name: " + name + "\navailability_zone: zone-1\nplatform: { address: 127.0.0.1, port: "
-        + std::to_string(platformPort) + " }\nsecret: " + sharedSecret + "\n";
-}
-
 } // namespace
 
-Deployment::Deployment()
-    : folder_(makeFolder())
+Deployment::Deployment(std::set<Leg> proxied)
+    : proxied_(std::move(proxied))
+    , folder_(makeFolder())
     , platform_(std::make_unique<Process>(
           "platform", "eelgrass-standin", std::vector<std::string> { "--kind=platform", "--load_ms=50" }))
 {
@@ -38,6 +33,34 @@
 
 auto Deployment::platformUrl() const -> std::string { return loopback(platform_->listeningPort()); }
 
+auto Deployment::through(const std::string& name, Leg leg, std::uint16_t upstream) -> std::uint16_t
+{
+    if (!proxied_.contains(leg))
+        return upstream;
+    auto& proxy = proxies_[{ name, leg }];
+    if (proxy.process) {
+        fault(name, leg, { { "upstream", upstream } });
+        return proxy.port;
+    }
+    proxy.process = std::make_unique<Process>(name + "-proxy", "eelgrass-standin",
+        std::vector<std::string> { "--kind=proxy", "--upstream=" + std::to_string(upstream) });
+    proxy.port = proxy.process->listeningPort();
+    proxy.controlUrl = loopback(proxy.process->listeningPort("control_port")) + "/standin/proxy";
+    return proxy.port;
+}
+
+auto Deployment::fault(const std::string& name, Leg leg, const Json& settings) -> Json
+{
+    return control(proxies_.at({ name, leg }).controlUrl, settings);
+}
+
+auto Deployment::common(const std::string& name) -> std::string
+{
+    const auto port = through(name, Leg::Platform, platform_->listeningPort());
+    return "name: " + name + "\navailability_zone: zone-1\nplatform: { address: 127.0.0.1, port: "
+        + std::to_string(port) + " }\nsecret: " + sharedSecret + "\n";
+}
+
 auto Deployment::writeFile(const std::string& name, const std::string& text) -> std::string
 {
     auto path = folder_ + "/" + name + ".yaml";
@@ -51,12 +74,12 @@
     auto flags = std::vector<std::string> { "--kind=engine", "--platform=" + platformUrl(), "--step_us=1000" };
     flags.insert(flags.end(), engineFlags.begin(), engineFlags.end());
     auto engine = std::make_unique<Process>(name + "-behind", "eelgrass-standin", flags);
-    const auto port = engine->listeningPort();
-    urls_[name + "-behind"] = loopback(port);
+    urls_[name + "-behind"] = loopback(engine->listeningPort());
+    const auto port = through(name, Leg::Behind, engine->listeningPort());
     processes_[name + "-behind"] = std::move(engine);
     auto place = "target: { kind: engine, serves: base, address: 127.0.0.1, port: " + std::to_string(port) + ", "
         + extra + " }\n";
-    targets_[name] = { common(name, platform_->listeningPort()) + place, "base", 0 };
+    targets_[name] = { common(name) + place, "base", 0 };
     startTarget(name);
 }
 
@@ -64,12 +87,12 @@
 {
     auto behind = std::make_unique<Process>(
         name + "-behind", "eelgrass-standin", std::vector<std::string> { "--kind=service" });
-    const auto port = behind->listeningPort();
-    urls_[name + "-behind"] = loopback(port);
+    urls_[name + "-behind"] = loopback(behind->listeningPort());
+    const auto port = through(name, Leg::Behind, behind->listeningPort());
     processes_[name + "-behind"] = std::move(behind);
     auto place = "target: { kind: service, serves: " + service + ", address: 127.0.0.1, port: " + std::to_string(port)
         + " }\n";
-    targets_[name] = { common(name, platform_->listeningPort()) + place, service, 0 };
+    targets_[name] = { common(name) + place, service, 0 };
     startTarget(name);
 }
 
@@ -79,7 +102,7 @@
     const auto file = writeFile(name, place.settings);
     auto process = std::make_unique<Process>(
         name, "eelgrassrouterd", std::vector<std::string> { "--role=target", "--settings=" + file });
-    place.port = process->listeningPort();
+    place.port = through(name, Leg::Target, process->listeningPort());
     process->waitForLog("ready");
     urls_[name] = loopback(process->listeningPort("metrics_port"));
     processes_[name] = std::move(process);
@@ -111,11 +134,11 @@
 auto Deployment::startEntry(const std::string& name) -> void
 {
     const auto file = writeFile(name,
-        common(name, platform_->listeningPort())
-            + "balancer_delay_ms: 100\noperators: [{ name: operator, key_sha256: " + sha256Hex(operatorKey) + " }]\n");
+        common(name) + "balancer_delay_ms: 100\noperators: [{ name: operator, key_sha256: " + sha256Hex(operatorKey)
+            + " }]\n");
     auto process = std::make_unique<Process>(
         name, "eelgrassrouterd", std::vector<std::string> { "--role=entry", "--settings=" + file });
-    urls_[name] = loopback(process->listeningPort());
+    urls_[name] = loopback(through(name, Leg::Caller, process->listeningPort()));
     processes_[name] = std::move(process);
     awaitReady(name);
 }
--- a/tests/harness/Deployment.h
+++ b/tests/harness/Deployment.h
@@ -8,7 +8,9 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace eelgrass::tests {
@@ -22,6 +24,10 @@
 inline constexpr auto operatorKey = "test-operator-key";
 inline constexpr auto sharedSecret = "test-shared-secret";
 
+/// A connection of the deployment that a fault proxy can sit on: caller to entry, entry to target process, target
+/// process to its engine or service, and any process to the platform.
+enum class Leg { Caller, Target, Behind, Platform };
+
 /// A small deployment on loopback: stand-ins and the system's own processes, each of them real.
 ///
 /// ```cpp
@@ -32,7 +38,8 @@
 /// ```
 class Deployment {
 public:
-    Deployment();
+    /// Puts a fault proxy on each of `proxied`; it works as a plain passage until `fault` says otherwise.
+    explicit Deployment(std::set<Leg> proxied = {});
 
     wire::MainLoop loop;
     wire::HttpClient http { 256, 30 };
@@ -74,6 +81,8 @@
     auto status(const std::string& entry) -> Json;
     /// Posts to a stand-in's controls.
     auto control(const std::string& url, const Json& body) -> Json;
+    /// Sets a fault on the leg of this entry or target; see `FaultProxy` for what `settings` may hold.
+    auto fault(const std::string& name, Leg leg, const Json& settings) -> Json;
     /// Lists, relists or removes (`state`: `live`, `leaving`, `gone`) a target with the platform.
     auto list(const std::string& target, const std::string& state = "live") -> void;
 
@@ -83,12 +92,22 @@
         std::string serves;
         std::uint16_t port = 0;
     };
+    struct Proxy {
+        ProcessPtr process;
+        std::uint16_t port = 0;
+        std::string controlUrl;
+    };
+    /// The port to use in place of `upstream` on this leg: the proxy's, or `upstream` where there is none.
+    auto through(const std::string& name, Leg leg, std::uint16_t upstream) -> std::uint16_t;
+    auto common(const std::string& name) -> std::string;
     auto startTarget(const std::string& name) -> void;
     auto startEntry(const std::string& name) -> void;
     auto writeFile(const std::string& name, const std::string& text) -> std::string;
 
+    std::set<Leg> proxied_;
     std::string folder_;
     ProcessPtr platform_;
+    std::map<std::pair<std::string, Leg>, Proxy> proxies_;
     std::map<std::string, ProcessPtr> processes_;
     std::map<std::string, std::string> urls_;
     std::map<std::string, TargetPlace> targets_;
