--- a/standins/PlatformStandin.cpp
+++ b/standins/PlatformStandin.cpp
@@ -160,10 +160,15 @@
     const auto body = bodyOf(exchange);
     const auto path = exchange->path();
     if (path == "/standin/hosts") {
-        if (body.value("state", "live") == "gone")
+        if (body.contains("hosts")) {
+            hosts_.clear();
+            for (const auto& host : body["hosts"])
+                hosts_[host.at("target").get<std::string>()] = host;
+        } else if (body.value("state", "live") == "gone") {
             hosts_.erase(body.at("target").get<std::string>());
-        else
+        } else {
             hosts_[body.at("target").get<std::string>()] = body;
+        }
         auto list = Json::array();
         for (const auto& [name, host] : hosts_)
             list.push_back(host);
