Configuration kept as compact text; a patch reads only what it names

Cause: each patch parsed the whole document again, and the document was held twice (JSON and records). Ruled out: sharing parsed records between versions (three times the text's memory); one map copied whole a change.

--- a/packages/router/Configuration.cpp
+++ b/packages/router/Configuration.cpp
@@ -2,11 +2,16 @@
 
 #include <charconv>
 #include <functional>
+#include <utility>
 
 namespace eelgrass::router {
 
 namespace {
 
+constexpr auto adaptersKey = "adapters";
+constexpr auto countKey = "adapter_count";
+constexpr auto restKey = "rest";
+
 /// Reads a configuration document and gathers what is wrong with it.
 class DocumentReader {
 public:
@@ -137,66 +142,175 @@
     return record;
 }
 
+auto invalid(std::string problems) -> boost::leaf::error_id
+{
+    return fail(Error(Step::Configure, 422, "invalid_configuration", std::move(problems)));
+}
+
 } // namespace
 
-auto Configuration::parse(ConfigVersion version, Json document) -> Result<Configuration>
+auto Configuration::readRest(Json document) -> Result<std::shared_ptr<const Rest>>
 {
     auto reader = DocumentReader();
-    auto result = Configuration();
-    result.version_ = version;
-    if (!document.is_object())
-        return fail(Error(Step::Configure, 422, "invalid_configuration", "the configuration must be an object"));
+    auto rest = std::make_shared<Rest>();
     reader.each(document, "members", "", [&](const std::string& name, const Json& member) {
         reader.each(member, "keys", "members." + name + ".", [&](const std::string& digest, const Json& key) {
             auto where = "members." + name + ".keys." + digest;
-            result.callers_[digest] = { MemberId(name), RequestClass(reader.text(key, "class", where)) };
+            rest->callers[digest] = { MemberId(name), RequestClass(reader.text(key, "class", where)) };
         });
     });
-    reader.each(document, "adapters", "", [&](const std::string& name, const Json& adapter) {
-        if (name.find_first_of("@#/") != std::string::npos)
-            reader.complain("adapters." + name, "must not contain @, # or /");
-        result.adapters_[AdapterId(name)] = readAdapter(reader, "adapters." + name, adapter);
-    });
     reader.each(document, "services", "", [&](const std::string& name, const Json& service) {
-        result.services_[name] = readService(reader, "services." + name, service);
+        rest->services[name] = readService(reader, "services." + name, service);
     });
     reader.each(document, "classes", "", [&](const std::string& name, const Json& json) {
-        result.classes_[RequestClass(name)] = readClass(reader, "classes." + name, json);
+        rest->classes[RequestClass(name)] = readClass(reader, "classes." + name, json);
     });
     if (!reader.problems().empty())
-        return fail(Error(Step::Configure, 422, "invalid_configuration", reader.problems()));
-    result.document_ = std::move(document);
+        return invalid(reader.problems());
+    rest->document = std::move(document);
+    return std::shared_ptr<const Rest>(std::move(rest));
+}
+
+Configuration::Configuration()
+    : rest_(std::make_shared<Rest>())
+{
+}
+
+auto Configuration::parse(ConfigVersion version, const Json& document) -> Result<Configuration>
+{
+    return Configuration().patched(version, document);
+}
+
+auto Configuration::patched(ConfigVersion version, const Json& patch) const -> Result<Configuration>
+{
+    if (!patch.is_object())
+        return invalid("the configuration must be an object");
+    auto next = *this;
+    next.version_ = version;
+    const auto adapters = patch.find(adaptersKey);
+    if (adapters != patch.end())
+        BOOST_LEAF_CHECK(next.patchAdapters(*adapters));
+    // Most changes touch adapters alone; the members, of whom there may be thousands, are then not read again.
+    if (patch.size() > (adapters == patch.end() ? 0 : 1)) {
+        auto others = patch;
+        others.erase(adaptersKey);
+        auto document = rest_->document;
+        document.merge_patch(others);
+        BOOST_LEAF_ASSIGN(next.rest_, readRest(std::move(document)));
+    }
+    return next;
+}
+
+auto Configuration::patchAdapters(const Json& patch) -> Result<void>
+{
+    if (patch.is_null()) {
+        adapters_ = {};
+        return {};
+    }
+    if (!patch.is_object())
+        return invalid("adapters must be an object");
+    auto reader = DocumentReader();
+    for (const auto& [name, change] : patch.items()) {
+        const auto where = "adapters." + name;
+        if (change.is_null()) {
+            adapters_.erase(AdapterId(name));
+            continue;
+        }
+        const auto* known = adapters_.find(name);
+        auto adapter = known ? Json::parse(*known) : Json::object();
+        adapter.merge_patch(change);
+        if (name.find_first_of("@#/") != std::string::npos)
+            reader.complain(where, "must not contain @, # or /");
+        if (adapter.is_object())
+            readAdapter(reader, where, adapter);
+        else
+            reader.complain(where, "must be an object");
+        adapters_.set(AdapterId(name), adapter.dump());
+    }
+    if (!reader.problems().empty())
+        return invalid(reader.problems());
+    return {};
+}
+
+auto Configuration::text() const -> std::string
+{
+    auto all = rest_->document.dump();
+    all.pop_back();
+    if (all.size() > 1)
+        all += ',';
+    all.append("\"").append(adaptersKey).append("\":{");
+    auto first = true;
+    adapters_.each([&](const AdapterId& name, const std::string& adapter) {
+        all.append(first ? "" : ",").append(Json(name.str()).dump()).append(":").append(adapter);
+        first = false;
+    });
+    return all + "}}";
+}
+
+auto Configuration::snapshot() const -> std::string
+{
+    auto lines = Json { { countKey, adapters_.size() }, { restKey, rest_->document } }.dump() + "\n";
+    adapters_.each([&](const AdapterId& name, const std::string& adapter) {
+        lines.append("{").append(Json(name.str()).dump()).append(":").append(adapter).append("}\n");
+    });
+    return lines;
+}
+
+auto Configuration::fromSnapshot(ConfigVersion version, std::string_view text) -> Result<Configuration>
+{
+    auto result = Configuration();
+    result.version_ = version;
+    auto first = true;
+    auto count = std::size_t(0);
+    for (auto rest = text; !rest.empty();) {
+        const auto end = rest.find('\n');
+        auto line = Json::parse(rest.substr(0, end), nullptr, false);
+        if (end == std::string_view::npos || !line.is_object())
+            return invalid("the snapshot is not whole");
+        rest.remove_prefix(end + 1);
+        if (std::exchange(first, false)) {
+            count = line.value(countKey, std::size_t(0));
+            BOOST_LEAF_ASSIGN(result.rest_, readRest(line.value(restKey, Json::object())));
+            continue;
+        }
+        for (const auto& [name, adapter] : line.items())
+            result.adapters_.set(AdapterId(name), adapter.dump());
+    }
+    // A text cut between two lines reads well, and would make this entry refuse callers of the adapters that are gone.
+    if (first || result.adapters_.size() != count)
+        return invalid("the snapshot is not whole");
     return result;
 }
 
 auto Configuration::callerByKeyDigest(const std::string& digest) const -> const Caller*
 {
-    const auto found = callers_.find(digest);
-    return found == callers_.end() ? nullptr : &found->second;
+    const auto found = rest_->callers.find(digest);
+    return found == rest_->callers.end() ? nullptr : &found->second;
 }
 
 auto Configuration::service(const std::string& name) const -> const ServiceRecord*
 {
-    const auto found = services_.find(name);
-    return found == services_.end() ? nullptr : &found->second;
+    const auto found = rest_->services.find(name);
+    return found == rest_->services.end() ? nullptr : &found->second;
 }
 
 auto Configuration::requestClass(const RequestClass& name) const -> ClassRecord
 {
-    const auto found = classes_.find(name);
-    return found == classes_.end() ? ClassRecord() : found->second;
+    const auto found = rest_->classes.find(name);
+    return found == rest_->classes.end() ? ClassRecord() : found->second;
 }
 
 auto Configuration::resolve(std::string_view model, const MemberId& member) const -> Result<ResolvedModel>
 {
     const auto at = model.find('@');
     const auto name = AdapterId(std::string(model.substr(0, at)));
-    const auto found = adapters_.find(name);
+    const auto* known = adapters_.find(name.view());
+    auto reader = DocumentReader();
+    const auto record = known ? readAdapter(reader, "adapters", Json::parse(*known)) : AdapterRecord();
     // An adapter of another member is told as absent, so that nobody learns what rivals have.
-    if (found == adapters_.end() || !found->second.allowed.contains(member))
+    if (!known || !record.allowed.contains(member))
         return fail(Error(
             Step::Resolve, 404, "unknown_model", "there is no model '" + std::string(model) + "' for this caller"));
-    const auto& record = found->second;
     const auto version
         = at == std::string_view::npos ? std::optional(record.inForce) : parseVersion(model.substr(at + 1));
     const auto digest = version ? record.digests.find(*version) : record.digests.end();
--- a/packages/router/Configuration.h
+++ b/packages/router/Configuration.h
@@ -2,11 +2,13 @@
 
 #include "base/Error.h"
 #include "base/Ids.h"
+#include "router/AdapterTable.h"
 
 #include <nlohmann/json.hpp>
 
 #include <chrono>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -53,20 +55,29 @@
     RequestClass requestClass;
 };
 
-/// One accepted configuration, read from its JSON document.
+/// One accepted configuration. It never changes; the next version shares with it whatever the patch left alone.
 ///
 /// ```cpp
 /// auto configuration = Configuration::parse(ConfigVersion(3), document);
+/// auto next = configuration->patched(ConfigVersion(4), patch);
 /// ```
 class Configuration {
 public:
     /// Fails with every reason in one message when the document is not a valid configuration.
-    [[nodiscard]] static auto parse(ConfigVersion version, Json document) -> Result<Configuration>;
+    [[nodiscard]] static auto parse(ConfigVersion version, const Json& document) -> Result<Configuration>;
+    /// Reads what `snapshot` wrote.
+    [[nodiscard]] static auto fromSnapshot(ConfigVersion version, std::string_view text) -> Result<Configuration>;
 
-    Configuration() = default;
+    Configuration();
+
+    /// The next version by a JSON merge patch (RFC 7396). Reads and checks only what the patch names.
+    [[nodiscard]] auto patched(ConfigVersion version, const Json& patch) const -> Result<Configuration>;
 
     [[nodiscard]] auto version() const noexcept -> ConfigVersion { return version_; }
-    [[nodiscard]] auto document() const noexcept -> const Json& { return document_; }
+    /// The whole document as JSON text.
+    [[nodiscard]] auto text() const -> std::string;
+    /// JSON lines: all but the adapters, then one adapter a line, so that no reader needs the whole as one document.
+    [[nodiscard]] auto snapshot() const -> std::string;
 
     [[nodiscard]] auto callerByKeyDigest(const std::string& digest) const -> const Caller*;
     [[nodiscard]] auto service(const std::string& name) const -> const ServiceRecord*;
@@ -77,12 +88,19 @@
     [[nodiscard]] auto resolve(std::string_view model, const MemberId& member) const -> Result<ResolvedModel>;
 
 private:
+    /// All but the adapters.
+    struct Rest {
+        Json document = Json::object();
+        std::map<std::string, Caller> callers;
+        std::map<std::string, ServiceRecord> services;
+        std::map<RequestClass, ClassRecord> classes;
+    };
+    [[nodiscard]] static auto readRest(Json document) -> Result<std::shared_ptr<const Rest>>;
+    [[nodiscard]] auto patchAdapters(const Json& patch) -> Result<void>;
+
     ConfigVersion version_;
-    Json document_ = Json::object();
-    std::map<std::string, Caller> callers_;
-    std::map<AdapterId, AdapterRecord, std::less<>> adapters_;
-    std::map<std::string, ServiceRecord> services_;
-    std::map<RequestClass, ClassRecord> classes_;
+    std::shared_ptr<const Rest> rest_;
+    AdapterTable adapters_;
 };
 
 } // namespace eelgrass::router
--- a/packages/router/EntryRole.cpp
+++ b/packages/router/EntryRole.cpp
@@ -122,7 +122,7 @@
     if (path == "/admin/v1/config" && method == "GET") {
         const auto& configuration = *config_.current();
         exchange->setHeader("ETag", '"' + std::to_string(configuration.version().value()) + '"');
-        return exchange->respond(200, "application/json", configuration.document().dump());
+        return exchange->respond(200, "application/json", configuration.text());
     }
     if (path == "/admin/v1/config" && method == "PATCH")
         return patchConfig(exchange, found->second);
--- a/packages/router/controllers/ConfigController.cpp
+++ b/packages/router/controllers/ConfigController.cpp
@@ -77,11 +77,9 @@
 {
     if (version != current_->version().next())
         return;
-    auto document = current_->document();
-    document.merge_patch(patch);
     orElse(
         [&]() -> Result<void> {
-            BOOST_LEAF_AUTO(parsed, Configuration::parse(version, std::move(document)));
+            BOOST_LEAF_AUTO(parsed, current_->patched(version, patch));
             current_ = std::make_shared<Configuration>(std::move(parsed));
             log::info("configuration in force", { { "version", std::to_string(version.value()) } });
             return {};
@@ -101,21 +99,19 @@
     return poll().then([this, patch = std::move(patch)]() mutable -> kj::Promise<Outcome> {
         if (patch.base != current_->version())
             return Outcome(stale(patch.base));
-        auto document = current_->document();
-        document.merge_patch(patch.patch);
         auto problem = orElse(
             [&]() -> Result<std::optional<Error>> {
-                BOOST_LEAF_CHECK(Configuration::parse(patch.base.next(), document));
+                BOOST_LEAF_CHECK(current_->patched(patch.base.next(), patch.patch));
                 return std::optional<Error>();
             },
             [](const Error& error) { return std::optional(error); });
         if (problem)
             return Outcome(std::move(*problem));
-        return commit(std::move(patch), std::move(document));
+        return commit(std::move(patch));
     });
 }
 
-auto ConfigController::commit(ConfigPatch patch, Json) -> kj::Promise<Outcome>
+auto ConfigController::commit(ConfigPatch patch) -> kj::Promise<Outcome>
 {
     const auto next = patch.base.next();
     auto transaction = platform::Transaction();
--- a/packages/router/controllers/ConfigController.h
+++ b/packages/router/controllers/ConfigController.h
@@ -43,7 +43,7 @@
     auto poll() -> kj::Promise<void>;
     auto catchUp(ConfigVersion head) -> kj::Promise<void>;
     auto apply(ConfigVersion version, const Json& patch) -> void;
-    auto commit(ConfigPatch patch, Json document) -> kj::Promise<Outcome>;
+    auto commit(ConfigPatch patch) -> kj::Promise<Outcome>;
     auto settle(const ConfigPatch& patch) -> kj::Promise<Outcome>;
     [[nodiscard]] auto stale(ConfigVersion base) const -> Error;
 
