--- a/packages/router/controllers/ConfigController.cpp
+++ b/packages/router/controllers/ConfigController.cpp
@@ -12,6 +12,15 @@
 
 constexpr auto headKey = "config/head";
 constexpr auto patchPrefix = "config/patch/";
+// Names the newest snapshot; it is written after the object, so that it never names one that is not there.
+constexpr auto snapshotKey = "config/snapshot";
+constexpr auto snapshotPrefix = "config/snapshots/";
+// Patches whose numbers differ only in the last two digits are read by one listing. A snapshot for each such group
+// leaves a fresh process one object and one or two listings to read: a whole zone may start at once.
+constexpr auto groupDigits = std::size_t(2);
+constexpr auto groupSize = std::uint64_t(100);
+// Fewer missing patches than this are read one by one: a listing brings the whole group.
+constexpr auto listFrom = std::uint64_t(5);
 // 400 entries reading one row a second stay far under the two thousand reads a second that the platform gives.
 constexpr auto pollPeriod = Duration(1s);
 
@@ -23,6 +32,11 @@
     return patchPrefix + std::string(width - std::min<std::size_t>(width, digits.size()), '0') + digits;
 }
 
+auto patchNumber(const std::string& key) -> ConfigVersion
+{
+    return ConfigVersion(std::stoull(key.substr(std::string_view(patchPrefix).size())));
+}
+
 auto versionIn(const platform::Row& row) -> ConfigVersion
 {
     return row.version == 0 ? ConfigVersion(0) : ConfigVersion(row.value.at("version").get<std::uint64_t>());
@@ -65,11 +79,76 @@
     // Versions only rise, by number and not by the order of arrival.
     if (head <= current_->version())
         return kj::READY_NOW;
+    const auto behind = head.value() - current_->version().value();
     const auto next = current_->version().next();
-    return platform_.read(patchKey(next)).then([this, next, head](platform::Row row) {
-        KJ_REQUIRE(row.version > 0, "an accepted patch is missing", next.value());
-        apply(next, row.value.at("patch"));
-        return catchUp(head);
+    auto step = behind < listFrom ? readPatch(next)
+        : behind < groupSize      ? readPatches(next)
+                                  : readSnapshot().then([this, next] {
+                                   const auto jumped = current_->version() >= next;
+                                   return jumped ? kj::Promise<void>(kj::READY_NOW) : readPatches(next);
+                               });
+    return step.then([this, head] { return catchUp(head); });
+}
+
+auto ConfigController::readPatch(ConfigVersion version) -> kj::Promise<void>
+{
+    return platform_.read(patchKey(version)).then([this, version](platform::Row row) {
+        KJ_REQUIRE(row.version > 0, "an accepted patch is missing", version.value());
+        apply(version, row.value.at("patch"));
+    });
+}
+
+auto ConfigController::readPatches(ConfigVersion first) -> kj::Promise<void>
+{
+    auto group = patchKey(first);
+    group.resize(group.size() - groupDigits);
+    return platform_.list(std::move(group)).then([this, first](std::vector<platform::Row> rows) {
+        for (const auto& row : rows)
+            apply(patchNumber(row.key), row.value.at("patch"));
+        KJ_REQUIRE(current_->version() >= first, "an accepted patch is missing", first.value());
+    });
+}
+
+auto ConfigController::readSnapshot() -> kj::Promise<void>
+{
+    return platform_.read(snapshotKey).then([this](platform::Row row) -> kj::Promise<void> {
+        const auto version = versionIn(row);
+        // The reader that is only a little behind the newest snapshot gains nothing from it.
+        if (version <= current_->version())
+            return kj::READY_NOW;
+        return platform_.getObject(snapshotPrefix + std::to_string(version.value()))
+            .then([this, version](std::optional<std::string> text) {
+                // A snapshot is a shortcut: without it, or with a damaged one, the patches say the same.
+                if (!text || version <= current_->version())
+                    return;
+                current_ = orElse(
+                    [&]() -> Result<ConfigurationPtr> {
+                        BOOST_LEAF_AUTO(read, Configuration::fromSnapshot(version, *text));
+                        return ConfigurationPtr(std::make_shared<Configuration>(std::move(read)));
+                    },
+                    [&](const Error& error) {
+                        log::warn("snapshot not used", { { "step", "configure" }, { "reason", error.message() } });
+                        return current_;
+                    });
+            });
+    });
+}
+
+auto ConfigController::keepSnapshot() -> kj::Promise<void>
+{
+    return platform_.read(snapshotKey).then([this](platform::Row row) -> kj::Promise<void> {
+        const auto configuration = current_;
+        const auto version = configuration->version().value();
+        if (version < versionIn(row).value() + groupSize)
+            return kj::READY_NOW;
+        return platform_.putObject(snapshotPrefix + std::to_string(version), configuration->snapshot())
+            .then([this, version, before = row.version] {
+                // Another entry may have kept a newer one meanwhile; then this write is refused and nothing is lost.
+                auto transaction = platform::Transaction();
+                transaction.require = { { snapshotKey, before } };
+                transaction.write = { { snapshotKey, { { "version", version } } } };
+                return platform_.commit(std::move(transaction)).ignoreResult();
+            });
     });
 }
 
@@ -135,8 +214,14 @@
             return Outcome(
                 Error(Step::Configure, 503, "not_accepted", "the platform did not take the patch").retryAfter(1s));
         const auto ours = row.value.value("request_id", "") == patch.requestId;
-        return poll().then(
-            [this, ours, next, base = patch.base] { return ours ? Outcome(next) : Outcome(stale(base)); });
+        return poll().then([this, ours, next, base = patch.base] {
+            // Only the entry that had a patch accepted looks whether a snapshot is due: no extra reads elsewhere.
+            if (ours)
+                loop_.spawn(keepSnapshot().catch_([](kj::Exception&& lost) {
+                    log::warn("snapshot not kept", { { "reason", lost.getDescription().cStr() } });
+                }));
+            return ours ? Outcome(next) : Outcome(stale(base));
+        });
     });
 }
 
@@ -146,7 +231,7 @@
         auto list = Json::array();
         for (const auto& row : rows) {
             auto item = row.value;
-            item["version"] = std::stoull(row.key.substr(std::string_view(patchPrefix).size()));
+            item["version"] = patchNumber(row.key).value();
             list.push_back(std::move(item));
         }
         return list;
--- a/packages/router/controllers/ConfigController.h
+++ b/packages/router/controllers/ConfigController.h
@@ -23,6 +23,9 @@
 };
 
 /// Follows the accepted configuration and takes operators' patches. The version here only rises.
+///
+/// Each patch is a row of its own. Every hundredth version is also kept whole in the object store, so that a process
+/// that starts reads one object and at most one listing, however many patches were ever accepted.
 class ConfigController {
 public:
     ConfigController(wire::MainLoop& loop, platform::PlatformClient& platform);
@@ -42,6 +45,10 @@
 
     auto poll() -> kj::Promise<void>;
     auto catchUp(ConfigVersion head) -> kj::Promise<void>;
+    auto readPatch(ConfigVersion version) -> kj::Promise<void>;
+    auto readPatches(ConfigVersion first) -> kj::Promise<void>;
+    auto readSnapshot() -> kj::Promise<void>;
+    auto keepSnapshot() -> kj::Promise<void>;
     auto apply(ConfigVersion version, const Json& patch) -> void;
     auto commit(ConfigPatch patch) -> kj::Promise<Outcome>;
     auto settle(const ConfigPatch& patch) -> kj::Promise<Outcome>;
