Host list read conditionally; views found by an index

Cause: every entry read the whole list each second, and searched it once for each host in it (targets squared). Ruled out: a longer period (a target that vanished would be tried longer); lists by zone (an entry may place anywhere). Change: If-None-Match, 304 keeps the list; the platform stand-in gives an ETag; a map from target to its view.

--- a/packages/platform/PlatformClient.cpp
+++ b/packages/platform/PlatformClient.cpp
@@ -106,14 +106,21 @@
         });
 }
 
-auto PlatformClient::hosts() -> kj::Promise<std::vector<HostRecord>>
+auto PlatformClient::hosts() -> kj::Promise<std::optional<std::vector<HostRecord>>>
 {
-    return http_.fetch({ .url = url("/hosts") }).then([](wire::HttpResponse response) {
+    auto request = wire::HttpRequest { .url = url("/hosts") };
+    if (!hostsTag_.empty())
+        request.headers.emplace_back("If-None-Match", hostsTag_);
+    return http_.fetch(std::move(request)).then([this](wire::HttpResponse response) {
+        constexpr auto notModified = 304;
+        if (response.status == notModified)
+            return std::optional<std::vector<HostRecord>>();
         auto hosts = std::vector<HostRecord>();
         const auto body = parsed(response);
         for (const auto& host : body.at("hosts"))
             hosts.push_back(hostFrom(host));
-        return hosts;
+        hostsTag_ = response.etag;
+        return std::optional(std::move(hosts));
     });
 }
 
--- a/packages/platform/PlatformClient.h
+++ b/packages/platform/PlatformClient.h
@@ -66,12 +66,15 @@
     [[nodiscard]] auto putObject(std::string key, std::string data) -> kj::Promise<void>;
     /// Empty when there is no such object.
     [[nodiscard]] auto getObject(std::string key) -> kj::Promise<std::optional<std::string>>;
-    [[nodiscard]] auto hosts() -> kj::Promise<std::vector<HostRecord>>;
+    /// Empty when the list is still the one that `hosts` returned last: the read is conditional (`If-None-Match`),
+    /// since the whole list is a hundred bytes a host and changes far less often than it is read.
+    [[nodiscard]] auto hosts() -> kj::Promise<std::optional<std::vector<HostRecord>>>;
 
 private:
     [[nodiscard]] auto url(const std::string& path) const -> std::string { return base_ + path; }
 
     std::string base_;
+    std::string hostsTag_;
     wire::HttpClient http_;
 };
 
--- a/packages/router/controllers/TargetsController.cpp
+++ b/packages/router/controllers/TargetsController.cpp
@@ -41,8 +41,9 @@
 
 auto TargetsController::poll() -> kj::Promise<void>
 {
-    return platform_.hosts().then([this](std::vector<platform::HostRecord> hosts) {
-        take(hosts);
+    return platform_.hosts().then([this](std::optional<std::vector<platform::HostRecord>> hosts) {
+        if (hosts)
+            take(*hosts);
         ready_ = true;
     });
 }
@@ -71,12 +72,15 @@
     std::erase_if(links_, [&](const auto& link) { return !listed.contains(link.first); });
     hosts_ = std::move(listed);
     views_ = std::move(views);
+    index_.clear();
+    for (auto index = std::size_t(0); index < views_.size(); ++index)
+        index_.emplace(views_[index].id, index);
 }
 
 auto TargetsController::find(const TargetId& target) -> decisions::TargetView*
 {
-    const auto found = std::find_if(views_.begin(), views_.end(), [&](const auto& view) { return view.id == target; });
-    return found == views_.end() ? nullptr : &*found;
+    const auto found = index_.find(target);
+    return found == index_.end() ? nullptr : &views_[found->second];
 }
 
 auto TargetsController::place(const decisions::PlacementRequest& request) -> std::optional<TargetId>
--- a/packages/router/controllers/TargetsController.h
+++ b/packages/router/controllers/TargetsController.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <unordered_map>
 #include <vector>
 
 namespace eelgrass::router {
@@ -40,6 +41,8 @@
     std::string secret_;
     std::string name_;
     std::vector<decisions::TargetView> views_;
+    /// Place in `views_`: a search through the whole list for each report would cost targets x reports.
+    std::unordered_map<TargetId, std::size_t> index_;
     std::map<TargetId, platform::HostRecord> hosts_;
     std::map<TargetId, std::shared_ptr<TargetLink>> links_;
     std::map<TargetId, Epoch> epochs_;
--- a/packages/wire/HttpClient.cpp
+++ b/packages/wire/HttpClient.cpp
@@ -134,7 +134,8 @@
     return open(std::move(request)).then([](kj::Own<HttpStream> stream) {
         auto& open = *stream;
         return open.readAll(wholeAnswerLimit).then([stream = kj::mv(stream)](std::string body) {
-            return HttpResponse { stream->status(), stream->header("Content-Type"), std::move(body) };
+            return HttpResponse { stream->status(), stream->header("Content-Type"), std::move(body),
+                stream->header("ETag") };
         });
     });
 }
--- a/packages/wire/HttpClient.h
+++ b/packages/wire/HttpClient.h
@@ -27,6 +27,8 @@
     int status = 0;
     std::string contentType;
     std::string body;
+    /// Names this state of the resource; empty where the peer gives none.
+    std::string etag;
 };
 
 /// An answer read piece by piece; destroying it closes the connection, which cancels the work behind it.
--- a/standins/PlatformStandin.cpp
+++ b/standins/PlatformStandin.cpp
@@ -124,6 +124,11 @@
 auto PlatformStandin::hosts(const wire::HttpExchangePtr& exchange) -> void
 {
     ++readCount_;
+    const auto tag = '"' + std::to_string(shownVersion_) + '"';
+    exchange->setHeader("ETag", tag);
+    if (exchange->header("If-None-Match") == tag)
+        return exchange->respond(304, "application/json", "");
+    ++listCount_;
     answer(exchange, 200, { { "hosts", shownHosts_ } });
 }
 
@@ -172,7 +177,10 @@
         auto list = Json::array();
         for (const auto& [name, host] : hosts_)
             list.push_back(host);
-        loop_.spawn(loop_.sleep(faults_.hostLag).then([this, list] { shownHosts_ = list; }));
+        loop_.spawn(loop_.sleep(faults_.hostLag).then([this, list] {
+            shownHosts_ = list;
+            ++shownVersion_;
+        }));
         return answer(exchange, 200, Json::object());
     }
     if (path == "/standin/faults") {
@@ -183,7 +191,8 @@
         faults_.weightsFail = body.value("weights_fail", faults_.weightsFail);
         return answer(exchange, 200, Json::object());
     }
-    answer(exchange, 200, { { "loads", loadCount_ }, { "writes", writeCount_ }, { "reads", readCount_ } });
+    answer(exchange, 200,
+        { { "loads", loadCount_ }, { "writes", writeCount_ }, { "reads", readCount_ }, { "lists", listCount_ } });
 }
 
 } // namespace eelgrass::standins
--- a/standins/PlatformStandin.h
+++ b/standins/PlatformStandin.h
@@ -11,6 +11,8 @@
 
 /// Takes the platform's place: tables with transactions, objects, the host list and the weight store.
 ///
+/// The host list has an `ETag`; a read with `If-None-Match` of the list shown gets 304 without a body.
+///
 /// Faults are set through `POST /standin/faults`: `down` refuses everything, `slow_ms` delays every answer,
 /// `lose_answers` drops that many answers after the write took effect, `host_lag_ms` keeps the list old,
 /// `weights_fail` fails that many loads.
@@ -62,6 +64,8 @@
     std::map<std::string, std::string> objects_;
     std::map<std::string, Json> hosts_;
     Json shownHosts_ = Json::array();
+    std::uint64_t shownVersion_ = 0;
+    std::uint64_t listCount_ = 0;
     Faults faults_;
     std::deque<Load> loads_;
     bool loading_ = false;
