--- a/packages/router/target/Runner.cpp
+++ b/packages/router/target/Runner.cpp
@@ -14,7 +14,6 @@
 constexpr auto maxResumes = 3;
 constexpr auto resumeDelay = Duration(100ms);
 constexpr auto defaultMaxTokens = 256U;
-constexpr auto duplicateOrder = std::string_view("duplicate_request_id");
 
 auto promptOf(const StartOrder& order, const Json& body) -> std::string
 {
@@ -36,7 +35,6 @@
         .maxTokens = body.value("max_tokens", defaultMaxTokens),
         .skipTokens = body.value("skip_tokens", 0U),
         .cacheSalt = order.member.str(),
-        .repeatable = !order.neverRepeat,
     };
     for (const auto* name : { "temperature", "top_p", "seed", "stop", "presence_penalty", "frequency_penalty" }) {
         if (body.contains(name))
@@ -77,20 +75,15 @@
         return pump(attempt, std::make_shared<kj::Own<targets::CompletionStream>>(kj::mv(stream)), resumes);
     const auto status = stream->status();
     auto& open = *stream;
-    return open.refusal().then(
-        [this, attempt, status, resumes, stream = kj::mv(stream)](std::string type) -> kj::Promise<void> {
-            // The order reached the engine on a connection that broke, and was sent again: the first one runs.
-            if (type == duplicateOrder)
-                return resume(attempt, resumes + 1, type);
-            // A refusal of the first try proves that the engine did not run it; a refused resume proves nothing.
-            const auto run = resumes == 0      ? RunState::NotRun
-                : attempt->output.tokens() > 0 ? RunState::Partial
-                                               : RunState::Unknown;
-            const auto told = status == 400 || status == 413 || status == 422 ? status : 503;
-            endedBy(attempt,
-                Error(Step::Engine, told, type, "the engine refused with status " + std::to_string(status)).run(run));
-            return kj::READY_NOW;
-        });
+    return open.refusal().then([attempt, status, resumes, stream = kj::mv(stream)](std::string type) {
+        // A refusal of the first try proves that the engine did not run it; a refused resume proves nothing.
+        const auto run = resumes == 0      ? RunState::NotRun
+            : attempt->output.tokens() > 0 ? RunState::Partial
+                                           : RunState::Unknown;
+        const auto told = status == 400 || status == 413 || status == 422 ? status : 503;
+        endedBy(attempt,
+            Error(Step::Engine, told, type, "the engine refused with status " + std::to_string(status)).run(run));
+    });
 }
 
 auto EngineRunner::pump(const AttemptPtr& attempt, const StreamPtr& stream, int resumes) -> kj::Promise<void>
@@ -105,9 +98,6 @@
                     attempt->finishReason = piece.finishReason;
                 if (piece.done) {
                     endedWell(attempt, attempt->finishReason);
-                    // Read to its end, a connection serves the next order too.
-                    loop_.spawn((*stream)->next().ignoreResult().catch_([](kj::Exception&&) {}).attach(
-                        kj::heap(StreamPtr(stream))));
                     return kj::READY_NOW;
                 }
                 if (piece.closed)
--- a/packages/targets/EngineClient.cpp
+++ b/packages/targets/EngineClient.cpp
@@ -133,7 +133,6 @@
     body["cache_salt"] = order.cacheSalt;
     body["fence"] = epoch.value();
     auto request = wire::HttpRequest { .method = "POST", .url = base_ + "/v1/completions", .body = body.dump() };
-    request.idempotent = order.repeatable;
     return http_.open(std::move(request))
         .then([attempt = order.attempt, model = order.model](kj::Own<wire::HttpStream> stream) {
             return kj::heap<CompletionStream>(kj::mv(stream), attempt, model);
--- a/packages/targets/EngineClient.h
+++ b/packages/targets/EngineClient.h
@@ -71,8 +71,6 @@
     std::uint32_t skipTokens = 0;
     /// The member's own salt, so that no prefix cache is shared between members.
     std::string cacheSalt;
-    /// Whether the engine may get this order twice: it then comes on a connection that is open already.
-    bool repeatable = false;
     /// Sampling parameters of the caller, passed on as they are.
     nlohmann::json sampling = nlohmann::json::object();
 };
--- a/packages/wire/HttpClient.cpp
+++ b/packages/wire/HttpClient.cpp
@@ -102,8 +102,8 @@
 
 auto HttpStream::readAll(std::size_t limit) -> kj::Promise<std::string> { return gather({}, limit); }
 
-// Peers are named by IP number and stand on the same network. The system's proxy settings are not asked: GLib would
-// look them up in a thread and in files, once for each connection.
+// Peers are named by IP number and stand on the same network. The system's proxy settings are not asked: GLib would look
+// them up in a thread and in files, once for each connection.
 HttpClient::HttpClient(unsigned connections, unsigned timeout)
     : session_(soup_session_new_with_options("max-conns", static_cast<int>(connections), "max-conns-per-host",
         static_cast<int>(connections), "timeout", timeout, "idle-timeout", 60U, "proxy-resolver", nullptr, nullptr))
@@ -122,8 +122,6 @@
         soup_message_set_request_body_from_bytes(message.get(), request.contentType.c_str(), bytes);
         g_bytes_unref(bytes);
     }
-    if (request.idempotent)
-        soup_message_add_flags(message.get(), SOUP_MESSAGE_IDEMPOTENT);
     auto pair = kj::newPromiseAndFulfiller<kj::Own<HttpStream>>();
     auto cancellable = ObjectPtr<GCancellable>(g_cancellable_new());
     auto* raw = message.get();
--- a/packages/wire/HttpClient.h
+++ b/packages/wire/HttpClient.h
@@ -20,9 +20,6 @@
     std::string body;
     std::string contentType = "application/json";
     std::vector<std::pair<std::string, std::string>> headers;
-    /// The peer may get it twice without harm. It then goes out on a connection that is open already, and once more on
-    /// another if that one turns out to be closed; any other POST gets a connection of its own.
-    bool idempotent = false;
 };
 
 /// A whole answer.
