--- a/bench/PathBench.cpp
+++ b/bench/PathBench.cpp
@@ -236,6 +236,8 @@
     {
         std::printf("%-34s %8.0f tokens/s %8.0f answers/s, %llu failed\n", what, result.tokensPerSecond(),
             result.answersPerSecond(), static_cast<unsigned long long>(result.failed));
+        if (result.failed > 0)
+            std::printf("  the first that failed: %s\n", result.firstFailure.c_str());
     }
 
     auto times() -> std::vector<Duration>
--- a/bench/StreamLoad.cpp
+++ b/bench/StreamLoad.cpp
@@ -96,6 +96,8 @@
         return;
     const auto whole = size > 0 && connection.reader.good();
     ++(whole ? result.answers : result.failed);
+    if (!whole && result.firstFailure.empty())
+        result.firstFailure = size > 0 ? buffer.substr(0, static_cast<std::size_t>(size)) : "the connection was closed";
     connection.reader = {};
     if (whole) {
         result.tokens += connection.place->tokens;
--- a/bench/StreamLoad.h
+++ b/bench/StreamLoad.h
@@ -19,6 +19,7 @@
     /// Tokens of whole answers.
     std::uint64_t tokens = 0;
     Duration elapsed {};
+    std::string firstFailure;
 
     [[nodiscard]] auto tokensPerSecond() const noexcept -> double;
     [[nodiscard]] auto answersPerSecond() const noexcept -> double;
