--- a/bench/slopes/Bed.cpp
+++ b/bench/slopes/Bed.cpp
@@ -105,11 +105,12 @@
 {
     constexpr auto port = 9;
     auto hosts = Json::array();
-    for (auto index = 0; index < count; ++index)
+    for (auto index = 0; index < count; ++index) {
         hosts.push_back(
             { { "target", "target-" + padded(index) }, { "availability_zone", "zone-" + std::to_string(index % zones) },
                 { "serves", "base-" + std::to_string(index % bases) }, { "address", "127.0.0.1" }, { "port", port },
                 { "state", "live" } });
+    }
     return hosts;
 }
 
--- a/packages/router/controllers/ConfigController.cpp
+++ b/packages/router/controllers/ConfigController.cpp
@@ -216,10 +216,11 @@
         const auto ours = row.value.value("request_id", "") == patch.requestId;
         return poll().then([this, ours, next, base = patch.base] {
             // Only the entry that had a patch accepted looks whether a snapshot is due: no extra reads elsewhere.
-            if (ours)
+            if (ours) {
                 loop_.spawn(keepSnapshot().catch_([](kj::Exception&& lost) {
                     log::warn("snapshot not kept", { { "reason", lost.getDescription().cStr() } });
                 }));
+            }
             return ours ? Outcome(next) : Outcome(stale(base));
         });
     });
--- a/standins/FaultProxy.cpp
+++ b/standins/FaultProxy.cpp
@@ -76,8 +76,8 @@
 auto FaultProxy::carryBoth(Link& link) -> kj::Promise<void>
 {
     auto both = kj::heapArrayBuilder<kj::Promise<void>>(2);
-    both.add(carry(link, up));
-    both.add(carry(link, down));
+    both.add(carry(link, Up));
+    both.add(carry(link, Down));
     auto broken = kj::newPromiseAndFulfiller<void>();
     auto fulfiller = kj::heap(kj::mv(broken.fulfiller));
     auto watched = kj::heapArrayBuilder<kj::Promise<void>>(2);
@@ -100,7 +100,7 @@
 
 auto FaultProxy::carry(Link& link, Direction direction) -> kj::Promise<void>
 {
-    auto& from = direction == up ? *link.near : *link.far;
+    auto& from = direction == Up ? *link.near : *link.far;
     auto& buffer = link.buffer.at(direction);
     buffer.resize(bufferSize);
     auto pause = link.reordered ? loop_.sleep(gatherTime) : kj::Promise<void>(kj::READY_NOW);
@@ -111,7 +111,7 @@
                     return deliver(link, direction, std::string(buffer.data(), size));
                 if (silentOn(link, direction))
                     return kj::NEVER_DONE;
-                return thawed().then([&link, direction] { (direction == up ? link.far : link.near)->shutdownWrite(); });
+                return thawed().then([&link, direction] { (direction == Up ? link.far : link.near)->shutdownWrite(); });
             },
             [this, &link, direction](kj::Exception&& lost) -> kj::Promise<void> {
                 if (silentOn(link, direction))
@@ -130,9 +130,9 @@
             // What went silent meanwhile swallows this piece too.
             if (silentOn(link, direction))
                 return kj::READY_NOW;
-            if (link.reordered && direction == down)
+            if (link.reordered && direction == Down)
                 bytes = reorder(link, bytes);
-            auto& to = direction == up ? *link.far : *link.near;
+            auto& to = direction == Up ? *link.far : *link.near;
             auto owned = kj::heap<std::string>(std::move(bytes));
             auto& text = *owned;
             return to.write(text.data(), text.size()).attach(kj::mv(owned));
@@ -142,7 +142,7 @@
 
 auto FaultProxy::reorder(Link& link, const std::string& bytes) -> std::string
 {
-    auto& partial = link.partial.at(down);
+    auto& partial = link.partial.at(Down);
     partial += bytes;
     auto messages = std::vector<std::string>();
     for (auto size = messageSize(partial); size > 0; size = messageSize(partial)) {
--- a/standins/FaultProxy.h
+++ b/standins/FaultProxy.h
@@ -36,7 +36,7 @@
     [[nodiscard]] auto controlPort() const noexcept -> std::uint16_t { return server_.port(); }
 
 private:
-    enum Direction : std::size_t { up, down };
+    enum Direction : std::size_t { Up, Down };
     struct Link {
         kj::Own<wire::GlibStream> near;
         kj::Own<wire::GlibStream> far;
