Polls of the platform with jitter and back-off

Cause: 400 entries started by one event polled in step, once a second, also while the platform was failing. Ruled out: jitter at the start only (an outage puts them back in step). Change: PollSchedule in decisions (period +- 25 %, doubling to 4 s while failing), Poller shared by both controllers. Test: unit-PollSchedule, 400 pollers that start together: 400 reads in the first tenth of a second; after 20 s, and after an outage of a minute, fewer than 80 in any tenth (even share: 40).

--- a/packages/decisions/Decisions.h
+++ b/packages/decisions/Decisions.h
@@ -3,5 +3,6 @@
 /// Umbrella header of the decisions package: the policy under load, without sockets or a clock of its own.
 #include "decisions/AdapterSlots.h"
 #include "decisions/Placer.h"
+#include "decisions/PollSchedule.h"
 #include "decisions/Rendezvous.h"
 #include "decisions/TargetView.h"
--- a/packages/decisions/Forward.h
+++ b/packages/decisions/Forward.h
@@ -5,6 +5,7 @@
 
 class AdapterSlots;
 class Placer;
+class PollSchedule;
 struct TargetView;
 
 } // namespace eelgrass::decisions
--- a/packages/router/controllers/ConfigController.cpp
+++ b/packages/router/controllers/ConfigController.cpp
@@ -47,25 +47,11 @@
 ConfigController::ConfigController(wire::MainLoop& loop, platform::PlatformClient& platform)
     : loop_(loop)
     , platform_(platform)
+    , poller_(loop, "configuration", pollPeriod, [this] { return poll(); })
 {
 }
 
-auto ConfigController::start() -> void
-{
-    auto tick = [this] {
-        if (polling_)
-            return;
-        polling_ = true;
-        loop_.spawn(poll()
-                        .catch_([](kj::Exception&& lost) {
-                            log::warn("configuration not read",
-                                { { "step", "platform" }, { "reason", lost.getDescription().cStr() } });
-                        })
-                        .then([this] { polling_ = false; }));
-    };
-    timer_ = loop_.timers().every(pollPeriod, tick);
-    tick();
-}
+auto ConfigController::start() -> void { poller_.start(); }
 
 auto ConfigController::poll() -> kj::Promise<void>
 {
--- a/packages/router/controllers/ConfigController.h
+++ b/packages/router/controllers/ConfigController.h
@@ -2,6 +2,7 @@
 
 #include "platform/PlatformClient.h"
 #include "router/Configuration.h"
+#include "router/Poller.h"
 #include "wire/MainLoop.h"
 
 #include <memory>
@@ -58,8 +59,7 @@
     platform::PlatformClient& platform_;
     ConfigurationPtr current_ = std::make_shared<Configuration>();
     bool ready_ = false;
-    bool polling_ = false;
-    Timer timer_;
+    Poller poller_;
 };
 
 } // namespace eelgrass::router
--- a/packages/router/controllers/TargetsController.cpp
+++ b/packages/router/controllers/TargetsController.cpp
@@ -19,25 +19,11 @@
     , platform_(platform)
     , secret_(std::move(secret))
     , name_(std::move(name))
+    , poller_(loop, "host list", pollPeriod, [this] { return poll(); })
 {
 }
 
-auto TargetsController::start() -> void
-{
-    auto tick = [this] {
-        if (polling_)
-            return;
-        polling_ = true;
-        loop_.spawn(poll()
-                        .catch_([](kj::Exception&& lost) {
-                            log::warn("host list not read",
-                                { { "step", "platform" }, { "reason", lost.getDescription().cStr() } });
-                        })
-                        .then([this] { polling_ = false; }));
-    };
-    timer_ = loop_.timers().every(pollPeriod, tick);
-    tick();
-}
+auto TargetsController::start() -> void { poller_.start(); }
 
 auto TargetsController::poll() -> kj::Promise<void>
 {
--- a/packages/router/controllers/TargetsController.h
+++ b/packages/router/controllers/TargetsController.h
@@ -2,6 +2,7 @@
 
 #include "decisions/Placer.h"
 #include "platform/PlatformClient.h"
+#include "router/Poller.h"
 #include "router/entry/TargetLink.h"
 #include "wire/MainLoop.h"
 
@@ -48,8 +49,7 @@
     std::map<TargetId, Epoch> epochs_;
     std::map<TargetId, Timer> unreachable_;
     bool ready_ = false;
-    bool polling_ = false;
-    Timer timer_;
+    Poller poller_;
 };
 
 } // namespace eelgrass::router
