Idle sessions close after a minute and beat slowly; a stale one is asked before a start

Cause: a session stayed for ever once used and beat every second, also beside the chunks of a running answer. Ruled out: no heartbeat on idle sessions (what lies between forgets the connection, and the next start is lost in it). Change: heartbeats each second only while an answer is awaited and nothing else is heard, each 20 s otherwise; a session not heard for 3 s is probed for at most 500 ms before it takes a start; unused for a minute, it closes.

--- a/packages/router/controllers/TargetsController.cpp
+++ b/packages/router/controllers/TargetsController.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+// An entry serves some 1,800 requests a minute at the size to come. Sessions beyond those it used in the last minute
+// would grow towards one to each target of the fleet, each with heartbeats and reports to be paid for on both sides.
+constexpr auto idleLimit = Duration(60s);
+constexpr auto closingPeriod = Duration(5s);
 constexpr auto pollPeriod = Duration(1s);
 constexpr auto unreachableFor = Duration(1s);
 
@@ -23,7 +27,27 @@
 {
 }
 
-auto TargetsController::start() -> void { poller_.start(); }
+auto TargetsController::start() -> void
+{
+    poller_.start();
+    closing_ = loop_.timers().every(closingPeriod, [this] { closeIdle(); });
+}
+
+auto TargetsController::closeIdle() -> void
+{
+    const auto unused = [](const TargetLink& link) { return !link.awaited() && now() - link.lastUsed() > idleLimit; };
+    for (const auto& [target, link] : links_) {
+        auto* view = unused(*link) ? find(target) : nullptr;
+        if (!view)
+            continue;
+        // Nothing will correct these any more: a queue that was long when the session closed would keep requests off
+        // the target for ever.
+        view->queued = 0;
+        view->running = 0;
+        view->sentSinceReport = 0;
+    }
+    std::erase_if(links_, [&](const auto& link) { return unused(*link.second); });
+}
 
 auto TargetsController::poll() -> kj::Promise<void>
 {
--- a/packages/router/controllers/TargetsController.h
+++ b/packages/router/controllers/TargetsController.h
@@ -35,6 +35,7 @@
 private:
     auto poll() -> kj::Promise<void>;
     auto take(const std::vector<platform::HostRecord>& hosts) -> void;
+    auto closeIdle() -> void;
     auto find(const TargetId& target) -> decisions::TargetView*;
 
     wire::MainLoop& loop_;
@@ -50,6 +51,7 @@
     std::map<TargetId, Timer> unreachable_;
     bool ready_ = false;
     Poller poller_;
+    Timer closing_;
 };
 
 } // namespace eelgrass::router
--- a/packages/router/entry/Relay.cpp
+++ b/packages/router/entry/Relay.cpp
@@ -233,6 +233,8 @@
 auto Relay::take(Piece piece) -> kj::Promise<void>
 {
     nextChunk_ = nextChunk_.next();
+    if (auto link = targets_.link(*target_))
+        link->heard();
     if (piece.end) {
         end(*piece.end);
         return kj::READY_NOW;
--- a/packages/router/entry/TargetLink.cpp
+++ b/packages/router/entry/TargetLink.cpp
@@ -10,7 +10,12 @@
 // Three missed heartbeats: fewer would drop sessions of a process that is merely busy, more would leave callers in
 // silence on a connection that something in between has forgotten.
 constexpr auto silenceLimit = Duration(3s);
+// A round trip between regions takes a tenth of this; more would cost the caller, who waits, his first token.
+constexpr auto probeLimit = Duration(500ms);
 constexpr auto connectLimit = Duration(2s);
+// Nobody waits on an idle session, and an entry holds some hundreds of them: at a heartbeat a second they alone would
+// pass an entry's budget of 16 KB a second. A slow heartbeat keeps what lies between from forgetting the connection.
+constexpr auto idleHeartbeatPeriod = Duration(20s);
 
 } // namespace
 
@@ -25,8 +30,10 @@
 
     auto targetChanged(TargetChangedContext context) -> kj::Promise<void> override
     {
-        if (alive_.lock())
+        if (alive_.lock()) {
+            link_.heard();
             link_.onState_(context.getParams().getState());
+        }
         return kj::READY_NOW;
     }
 
@@ -50,8 +57,15 @@
 auto TargetLink::session() -> kj::Promise<wire::schema::TargetSession::Client>
 {
     lastUsed_ = now();
-    if (session_)
+    if (session_ && now() - heardAt_ <= silenceLimit)
         return *session_;
+    // An idle session may have gone silent unnoticed. A start sent into it would be lost for seconds, and whether it
+    // ran would be unknown; so the target is first asked for a sign of life, and connected anew without one.
+    if (session_)
+        return probe().then([this, alive = std::weak_ptr(alive_)] {
+            KJ_REQUIRE(!alive.expired(), "the link was closed");
+            return session();
+        });
     if (!connecting_)
         connecting_ = std::make_unique<kj::ForkedPromise<void>>(connect().fork());
     return connecting_->addBranch().then([this, alive = std::weak_ptr(alive_)] {
@@ -106,26 +120,72 @@
         if (alive.lock() && generation == generation_)
             drop("closed by the peer");
     }));
-    heartbeat_ = loop_.timers().every(heartbeatPeriod, [this] { beat(); });
+    nextBeat();
+}
+
+auto TargetLink::probe() -> kj::Promise<void>
+{
+    auto alive = std::weak_ptr(alive_);
+    const auto generation = generation_;
+    auto answered = session_->heartbeatRequest().send().then(
+        [this, alive, generation](auto&& answer) {
+            if (!alive.lock() || generation != generation_)
+                return;
+            heard();
+            nextBeat();
+            onState_(answer.getState());
+        },
+        [this, alive, generation](kj::Exception&&) {
+            if (alive.lock() && generation == generation_)
+                drop("lost while idle");
+        });
+    auto silent = loop_.sleep(probeLimit).then([this, alive, generation] {
+        if (alive.lock() && generation == generation_)
+            drop("silent while idle");
+    });
+    return answered.exclusiveJoin(kj::mv(silent));
+}
+
+auto TargetLink::nextBeat() -> void
+{
+    const auto period = awaited() ? heartbeatPeriod : idleHeartbeatPeriod;
+    heartbeat_ = loop_.timers().after(period, [this] { beat(); });
 }
 
 auto TargetLink::whenLost() -> kj::Promise<void>
 {
     if (!lost_)
         return kj::READY_NOW;
-    return lost_->promise.addBranch();
+    if (awaited_++ == 0) {
+        askedAt_ = {};
+        nextBeat();
+    }
+    return lost_->promise.addBranch().attach(kj::defer([this, alive = std::weak_ptr(alive_)] {
+        if (!alive.lock())
+            return;
+        --awaited_;
+        lastUsed_ = now();
+    }));
 }
 
 auto TargetLink::beat() -> void
 {
-    if (now() - heardAt_ > silenceLimit)
+    // Silence counts from the first question without an answer: an idle session is quiet by design.
+    const auto asked = askedAt_ > heardAt_;
+    if (asked && now() - askedAt_ > silenceLimit)
         return drop("silent");
+    nextBeat();
+    // The chunks of a running answer show that the target lives; a heartbeat beside them would say nothing more.
+    if (now() - heardAt_ < heartbeatPeriod)
+        return;
+    if (!asked)
+        askedAt_ = now();
     auto alive = std::weak_ptr(alive_);
     loop_.spawn(session_->heartbeatRequest().send().then(
         [this, alive, generation = generation_](auto&& answer) {
             if (!alive.lock() || generation != generation_)
                 return;
-            heardAt_ = now();
+            heard();
             onState_(answer.getState());
         },
         [](kj::Exception&&) {}));
--- a/packages/router/entry/TargetLink.h
+++ b/packages/router/entry/TargetLink.h
@@ -21,8 +21,11 @@
 
     /// The open session; opens one if there is none.
     [[nodiscard]] auto session() -> kj::Promise<wire::schema::TargetSession::Client>;
-    /// Kept when the session now open is lost.
+    /// Kept when the session now open is lost. Whoever holds the promise awaits an answer on this session.
     [[nodiscard]] auto whenLost() -> kj::Promise<void>;
+    [[nodiscard]] auto awaited() const noexcept -> bool { return awaited_ > 0; }
+    /// Something came from the target: as good as the answer to a heartbeat.
+    auto heard() noexcept -> void { heardAt_ = now(); }
     [[nodiscard]] auto host() const noexcept -> const platform::HostRecord& { return host_; }
     [[nodiscard]] auto open() const noexcept -> bool { return session_.has_value(); }
     [[nodiscard]] auto lastUsed() const noexcept -> Moment { return lastUsed_; }
@@ -37,6 +40,8 @@
     auto connect() -> kj::Promise<void>;
     auto opened(wire::schema::TargetSession::Client session) -> void;
     auto beat() -> void;
+    auto nextBeat() -> void;
+    auto probe() -> kj::Promise<void>;
     auto drop(const char* reason) -> void;
 
     wire::MainLoop& loop_;
@@ -51,6 +56,8 @@
     std::uint64_t generation_ = 0;
     Timer heartbeat_;
     Moment heardAt_ {};
+    Moment askedAt_ {};
+    std::size_t awaited_ = 0;
     Moment lastUsed_ {};
     std::shared_ptr<char> alive_ = std::make_shared<char>();
 };
