--- a/packages/decisions/Decisions.h
+++ b/packages/decisions/Decisions.h
@@ -5,6 +5,7 @@
 #include "decisions/Demand.h"
 #include "decisions/LoadQueue.h"
 #include "decisions/Placer.h"
+#include "decisions/PollSchedule.h"
 #include "decisions/Rendezvous.h"
 #include "decisions/RequestQueue.h"
 #include "decisions/RetryBudget.h"
--- a/packages/router/controllers/TargetsController.h
+++ b/packages/router/controllers/TargetsController.h
@@ -2,6 +2,7 @@
 
 #include "decisions/Placer.h"
 #include "platform/PlatformClient.h"
+#include "router/Poller.h"
 #include "router/entry/TargetLink.h"
 #include "wire/MainLoop.h"
 
@@ -34,6 +35,7 @@
 private:
     auto poll() -> kj::Promise<void>;
     auto take(const std::vector<platform::HostRecord>& hosts) -> void;
+    auto closeIdle() -> void;
     auto find(const TargetId& target) -> decisions::TargetView*;
 
     wire::MainLoop& loop_;
@@ -48,8 +50,8 @@
     std::map<TargetId, Epoch> epochs_;
     std::map<TargetId, Timer> unreachable_;
     bool ready_ = false;
-    bool polling_ = false;
-    Timer timer_;
+    Poller poller_;
+    Timer closing_;
 };
 
 } // namespace eelgrass::router
