--- a/packages/decisions/Forward.h
+++ b/packages/decisions/Forward.h
@@ -4,8 +4,12 @@
 namespace eelgrass::decisions {
 
 class AdapterSlots;
+class Fleet;
+class LoadQueue;
 class Placer;
 class PollSchedule;
+class RequestQueue;
+class RetryBudget;
 struct TargetView;
 
 } // namespace eelgrass::decisions
--- a/packages/router/controllers/TargetsController.h
+++ b/packages/router/controllers/TargetsController.h
@@ -21,10 +21,15 @@
     /// Follows the platform's list from here on.
     auto start() -> void;
     [[nodiscard]] auto ready() const noexcept -> bool { return ready_; }
-    [[nodiscard]] auto views() const noexcept -> const std::vector<decisions::TargetView>& { return views_; }
+    [[nodiscard]] auto views() const noexcept -> const std::vector<decisions::TargetView>& { return fleet_.views(); }
 
     /// Chooses a target and counts the request as sent to it.
     [[nodiscard]] auto place(const decisions::PlacementRequest& request) -> std::optional<TargetId>;
+    /// How `place` sees the targets of a request now.
+    [[nodiscard]] auto explain(const decisions::PlacementRequest& request) const -> std::vector<decisions::Explanation>
+    {
+        return placer_.explain(request, fleet_);
+    }
     /// Null for a target that is no longer listed.
     [[nodiscard]] auto link(const TargetId& target) -> std::shared_ptr<TargetLink>;
     [[nodiscard]] auto epoch(const TargetId& target) const -> Epoch;
@@ -36,15 +41,13 @@
     auto poll() -> kj::Promise<void>;
     auto take(const std::vector<platform::HostRecord>& hosts) -> void;
     auto closeIdle() -> void;
-    auto find(const TargetId& target) -> decisions::TargetView*;
 
     wire::MainLoop& loop_;
     platform::PlatformClient& platform_;
     std::string secret_;
     std::string name_;
-    std::vector<decisions::TargetView> views_;
-    /// Place in `views_`: a search through the whole list for each report would cost targets x reports.
-    std::unordered_map<TargetId, std::size_t> index_;
+    decisions::Fleet fleet_;
+    decisions::Placer placer_;
     std::map<TargetId, platform::HostRecord> hosts_;
     std::map<TargetId, std::shared_ptr<TargetLink>> links_;
     std::map<TargetId, Epoch> epochs_;
