What a turn of the loop writes to a peer goes out in one piece

Cause: one RPC message was two sends and two reads, a token is three messages, and each was a system call of its own (24 % of an entry's samples were in them, perf). Change: GatheredStream between Cap'n Proto and the socket gathers the writes of a turn and reads ahead; the end of the turn sends, so that no token waits. Ruled out: the same inside GlibStream, whose own tests hold that a write to a peer that is gone is rejected at once and that dropped reads stay in the socket.

--- a/packages/wire/Door.cpp
+++ b/packages/wire/Door.cpp
@@ -42,14 +42,16 @@
 
 Connection::Connection(kj::Own<GlibStream> stream, capnp::Capability::Client bootstrap)
     : stream_(kj::mv(stream))
-    , network_(*stream_, capnp::rpc::twoparty::Side::SERVER, readerOptions())
+    , gathered_(*stream_)
+    , network_(gathered_, capnp::rpc::twoparty::Side::SERVER, readerOptions())
     , rpc_(capnp::makeRpcServer(network_, kj::mv(bootstrap)))
 {
 }
 
 Connection::Connection(kj::Own<GlibStream> stream)
     : stream_(kj::mv(stream))
-    , network_(*stream_, capnp::rpc::twoparty::Side::CLIENT, readerOptions())
+    , gathered_(*stream_)
+    , network_(gathered_, capnp::rpc::twoparty::Side::CLIENT, readerOptions())
     , rpc_(capnp::makeRpcClient(network_))
 {
 }
--- a/packages/wire/Door.h
+++ b/packages/wire/Door.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "wire/GatheredStream.h"
 #include "wire/GlibStream.h"
 #include "wire/generated/Peer.capnp.h"
 
@@ -29,6 +30,7 @@
 
 private:
     kj::Own<GlibStream> stream_;
+    GatheredStream gathered_;
     capnp::TwoPartyVatNetwork network_;
     capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc_;
 };
