--- a/standins/PlatformStandin.cpp
+++ b/standins/PlatformStandin.cpp
@@ -124,6 +124,11 @@
 auto PlatformStandin::hosts(const wire::HttpExchangePtr& exchange) -> void
 {
     ++readCount_;
+    const auto tag = '"' + std::to_string(shownVersion_) + '"';
+    exchange->setHeader("ETag", tag);
+    if (exchange->header("If-None-Match") == tag)
+        return exchange->respond(304, "application/json", "");
+    ++listCount_;
     answer(exchange, 200, { { "hosts", shownHosts_ } });
 }
 
@@ -160,14 +165,22 @@
     const auto body = bodyOf(exchange);
     const auto path = exchange->path();
     if (path == "/standin/hosts") {
-        if (body.value("state", "live") == "gone")
+        if (body.contains("hosts")) {
+            hosts_.clear();
+            for (const auto& host : body["hosts"])
+                hosts_[host.at("target").get<std::string>()] = host;
+        } else if (body.value("state", "live") == "gone") {
             hosts_.erase(body.at("target").get<std::string>());
-        else
+        } else {
             hosts_[body.at("target").get<std::string>()] = body;
+        }
         auto list = Json::array();
         for (const auto& [name, host] : hosts_)
             list.push_back(host);
-        loop_.spawn(loop_.sleep(faults_.hostLag).then([this, list] { shownHosts_ = list; }));
+        loop_.spawn(loop_.sleep(faults_.hostLag).then([this, list] {
+            shownHosts_ = list;
+            ++shownVersion_;
+        }));
         return answer(exchange, 200, Json::object());
     }
     if (path == "/standin/faults") {
@@ -178,7 +191,8 @@
         faults_.weightsFail = body.value("weights_fail", faults_.weightsFail);
         return answer(exchange, 200, Json::object());
     }
-    answer(exchange, 200, { { "loads", loadCount_ }, { "writes", writeCount_ }, { "reads", readCount_ } });
+    answer(exchange, 200,
+        { { "loads", loadCount_ }, { "writes", writeCount_ }, { "reads", readCount_ }, { "lists", listCount_ } });
 }
 
 } // namespace eelgrass::standins
