Settings: every kind of problem is tested; lines and addresses put right

The new tests failed first for two faults: a short secret and an unknown log level were reported at line 0, and a target's address that is no IP number was accepted.

--- a/packages/router/Settings.cpp
+++ b/packages/router/Settings.cpp
@@ -86,6 +86,9 @@
         problems_.push_back({ file_, line, prefix_ + key, std::move(reason) });
     }
 
+    /// A problem with a key that was read.
+    auto noteAt(const std::string& key, std::string reason) -> void { note(node_[key], key, std::move(reason)); }
+
     /// To be called when every known key was read.
     auto finish() -> void
     {
@@ -115,11 +118,11 @@
     reader.endpoint("platform", common.platform, true);
     reader.read("secret", common.secret, true);
     if (!common.secret.empty() && common.secret.size() < minSecret)
-        reader.note({}, "secret", "must have at least 16 characters");
+        reader.noteAt("secret", "must have at least 16 characters");
     reader.read("log_level", common.logLevel);
     static const auto levels = std::set<std::string> { "DEBUG", "INFO", "WARN", "ERROR" };
     if (!levels.contains(common.logLevel))
-        reader.note({}, "log_level", "must be DEBUG, INFO, WARN or ERROR");
+        reader.noteAt("log_level", "must be DEBUG, INFO, WARN or ERROR");
 }
 
 auto readOperators(MapReader& reader, EntrySettings& settings) -> void
@@ -172,6 +175,8 @@
     settings.kind = kind == "service" ? TargetSettings::Kind::Service : TargetSettings::Kind::Engine;
     inner.read("serves", settings.serves, true);
     inner.read("address", settings.target.address);
+    if (!g_hostname_is_ip_address(settings.target.address.c_str()))
+        inner.noteAt("address", "must be an IP address");
     inner.number("port", settings.target.port, 1, maxPort, true);
     inner.number("slots", settings.slots, 1, maxSlots);
     inner.number("batch", settings.batch, 1, maxBatch);
