eelgrassctl, and drain and explain at an entry

Operators' endpoints move out of EntryRole into OperatorApi. New: one adapter by its name, explain (the placer's own reasoning), drain and its undoing as a patch to the configuration, so that every entry keeps it and no further state is needed. A drained target is passed over at placement as one that refused. eelgrassctl: a command a function, exit codes that tell failures apart, the key from a file only. Each command has an integration test.

--- a/packages/decisions/Placer.h
+++ b/packages/decisions/Placer.h
@@ -31,6 +31,9 @@
     /// What one more holder of the adapter would cost all who wait for loads.
     Duration loadCost {};
     double slowness = 1;
+
+    /// Whether the request may go there.
+    [[nodiscard]] auto usable() const noexcept -> bool { return reason <= Reason::MustLoad; }
 };
 [[nodiscard]] auto toString(Explanation::Reason) noexcept -> std::string_view;
 
--- a/packages/router/Configuration.cpp
+++ b/packages/router/Configuration.cpp
@@ -165,6 +165,8 @@
     reader.each(document, "classes", "", [&](const std::string& name, const Json& json) {
         rest->classes[RequestClass(name)] = readClass(reader, "classes." + name, json);
     });
+    reader.each(
+        document, "drained", "", [&](const std::string& name, const Json&) { rest->drained.insert(TargetId(name)); });
     if (!reader.problems().empty())
         return invalid(reader.problems());
     rest->document = std::move(document);
@@ -300,6 +302,16 @@
     return found == rest_->classes.end() ? ClassRecord() : found->second;
 }
 
+auto Configuration::someMemberOf(std::string_view model) const -> MemberId
+{
+    const auto* known = adapters_.find(model.substr(0, model.find('@')));
+    if (!known)
+        return {};
+    auto reader = DocumentReader();
+    const auto record = readAdapter(reader, "adapters", Json::parse(*known));
+    return record.allowed.empty() ? MemberId() : *record.allowed.begin();
+}
+
 auto Configuration::resolve(std::string_view model, const MemberId& member) const -> Result<ResolvedModel>
 {
     const auto at = model.find('@');
--- a/packages/router/Configuration.h
+++ b/packages/router/Configuration.h
@@ -81,6 +81,12 @@
 
     [[nodiscard]] auto callerByKeyDigest(const std::string& digest) const -> const Caller*;
     [[nodiscard]] auto service(const std::string& name) const -> const ServiceRecord*;
+    /// Targets that get no new work.
+    [[nodiscard]] auto drained() const noexcept -> const std::set<TargetId>& { return rest_->drained; }
+    /// One adapter as JSON text; null when there is none of this name.
+    [[nodiscard]] auto adapterText(const std::string& name) const -> const std::string* { return adapters_.find(name); }
+    /// A member that may call the model; empty when nobody may.
+    [[nodiscard]] auto someMemberOf(std::string_view model) const -> MemberId;
     [[nodiscard]] auto requestClass(const RequestClass& name) const -> ClassRecord;
     [[nodiscard]] auto adapterCount() const noexcept -> std::size_t { return adapters_.size(); }
 
@@ -94,6 +100,7 @@
         std::map<std::string, Caller> callers;
         std::map<std::string, ServiceRecord> services;
         std::map<RequestClass, ClassRecord> classes;
+        std::set<TargetId> drained;
     };
     [[nodiscard]] static auto readRest(Json document) -> Result<std::shared_ptr<const Rest>>;
     [[nodiscard]] auto patchAdapters(const Json& patch) -> Result<void>;
--- a/packages/router/EntryRole.h
+++ b/packages/router/EntryRole.h
@@ -5,6 +5,7 @@
 #include "router/Settings.h"
 #include "router/controllers/ConfigController.h"
 #include "router/controllers/TargetsController.h"
+#include "router/entry/OperatorApi.h"
 #include "router/filters/RequestFilters.h"
 #include "wire/HttpServer.h"
 #include "wire/MainLoop.h"
@@ -25,10 +26,8 @@
 private:
     auto handle(const wire::HttpExchangePtr& exchange) -> void;
     auto serveCaller(const wire::HttpExchangePtr& exchange) -> void;
-    auto serveOperator(const wire::HttpExchangePtr& exchange) -> void;
-    auto patchConfig(const wire::HttpExchangePtr& exchange, const std::string& operatorName) -> void;
-    auto statusPage(const wire::HttpExchangePtr& exchange) -> void;
-    auto ready() const noexcept -> bool;
+    [[nodiscard]] auto status() const -> Json;
+    [[nodiscard]] auto ready() const noexcept -> bool;
 
     wire::MainLoop& loop_;
     EntrySettings settings_;
@@ -36,6 +35,7 @@
     platform::PlatformClient platform_;
     ConfigController config_;
     TargetsController targets_;
+    OperatorApi operators_;
     RequestChain chain_;
     std::size_t underWay_ = 0;
     bool stopping_ = false;
--- a/packages/router/controllers/TargetsController.cpp
+++ b/packages/router/controllers/TargetsController.cpp
@@ -80,7 +80,11 @@
 
 auto TargetsController::place(const decisions::PlacementRequest& request) -> std::optional<TargetId>
 {
-    const auto chosen = placer_.choose(request, fleet_, now());
+    // A drained target is passed over as one that refused: it keeps what it has and gets nothing new.
+    auto allowed = request;
+    if (drained_)
+        allowed.tried.insert(allowed.tried.end(), drained_().begin(), drained_().end());
+    const auto chosen = placer_.choose(allowed, fleet_, now());
     if (!chosen)
         return std::nullopt;
     fleet_.sent(*chosen, request.model, now());
--- a/packages/router/controllers/TargetsController.h
+++ b/packages/router/controllers/TargetsController.h
@@ -5,8 +5,10 @@
 #include "router/entry/TargetLink.h"
 #include "wire/MainLoop.h"
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace eelgrass::router {
@@ -21,6 +23,8 @@
     [[nodiscard]] auto ready() const noexcept -> bool { return ready_; }
     [[nodiscard]] auto views() const noexcept -> const std::vector<decisions::TargetView>& { return fleet_.views(); }
 
+    /// Targets named by `drained` get no new work; asked at each placement.
+    auto exclude(std::function<const std::set<TargetId>&()> drained) -> void { drained_ = std::move(drained); }
     /// Chooses a target and counts the request as sent to it.
     [[nodiscard]] auto place(const decisions::PlacementRequest& request) -> std::optional<TargetId>;
     /// How `place` sees the targets of a request now.
@@ -49,6 +53,7 @@
     std::map<TargetId, std::shared_ptr<TargetLink>> links_;
     std::map<TargetId, Epoch> epochs_;
     std::map<TargetId, Timer> unreachable_;
+    std::function<const std::set<TargetId>&()> drained_;
     bool ready_ = false;
     bool polling_ = false;
     Timer timer_;
--- a/tests/harness/Process.cpp
+++ b/tests/harness/Process.cpp
@@ -112,6 +112,13 @@
     return log_;
 }
 
+auto Process::output() -> std::string
+{
+    auto lock = std::unique_lock(mutex_);
+    more_.wait(lock, [this] { return ended_; });
+    return log_;
+}
+
 auto Process::wait() -> int
 {
     if (reaped_)
--- a/tests/harness/Process.h
+++ b/tests/harness/Process.h
@@ -27,6 +27,8 @@
     auto signal(int number) const -> void { ::kill(pid_, number); }
     /// Waits for the end; the exit code, or the negative number of the signal.
     auto wait() -> int;
+    /// Waits until the process has closed its output; all of it.
+    [[nodiscard]] auto output() -> std::string;
     [[nodiscard]] auto name() const noexcept -> const std::string& { return name_; }
     [[nodiscard]] auto pid() const noexcept -> int { return pid_; }
 
