The decisions in both roles: queue, order of loads and views at real processes

The target process queued first come, first served and sent loads as they came. Now AttemptsController offers every request to RequestQueue (a refusal carries the Retry-After that the queue expects), starts what it says, and SlotsController loads one adapter at a time in its turn. TargetState tells how many wait for loads, what a load would push out and how fast places become free.

--- a/packages/decisions/RequestQueue.h
+++ b/packages/decisions/RequestQueue.h
@@ -88,6 +88,11 @@
     /// Takes out the requests that can no longer be answered in time.
     [[nodiscard]] auto expire(const IsResident& resident, Moment now) -> std::vector<Expired>;
     auto remove(const AttemptId&) -> void;
+    /// Drops the requests that wait no more, as after a cancel.
+    template <typename Predicate> auto keepOnly(Predicate&& waits) -> void
+    {
+        std::erase_if(requests_, [&](const QueuedRequest& request) { return !waits(request.attempt); });
+    }
 
     /// A started request ended after this time on the engine.
     auto ran(const RequestClass&, Duration) -> void;
--- a/packages/router/TargetRole.cpp
+++ b/packages/router/TargetRole.cpp
@@ -1,6 +1,9 @@
 #include "router/TargetRole.h"
 
 #include "base/Log.h"
+#include "decisions/Rendezvous.h"
+
+#include <algorithm>
 
 namespace eelgrass::router {
 
@@ -81,6 +84,8 @@
     if (settings_.kind == TargetSettings::Kind::Engine) {
         engine_ = std::make_unique<targets::EngineClient>(settings_.target.address, settings_.target.port);
         slots_ = std::make_unique<SlotsController>(loop_, *engine_, settings_.slots);
+        slots_->setTurns(
+            std::make_unique<LoadTurns>(loop_, settings_.common.name, [this] { return loadQueueHolder(); }));
         attempts_ = std::make_unique<AttemptsController>(
             loop_, EngineRunner(loop_, *engine_), slots_.get(), metrics_, limits);
     } else {
@@ -141,8 +146,15 @@
     into.setSlots(settings_.slots);
     into.setBatchLimit(settings_.batch);
     into.setEngineAlive(true);
+    into.setPlaceTimeUs(static_cast<std::uint32_t>(attempts_->requests().placeTime().count()));
     if (!slots_)
         return;
+    const auto isReady = [this](const ModelName& model) { return slots_->ready(model); };
+    const auto& waiting = attempts_->requests().all();
+    into.setAwaitingLoad(static_cast<std::uint32_t>(
+        std::count_if(waiting.begin(), waiting.end(), [&](const auto& request) { return !isReady(request.model); })));
+    into.setLoadsWaiting(static_cast<std::uint32_t>(attempts_->requests().loadCandidates(isReady, now()).size()));
+    into.setEvictionCost(slots_->evictionCost());
     const auto resident = slots_->resident();
     auto names = into.initResidentAdapters(static_cast<unsigned>(resident.size()));
     auto index = 0U;
@@ -150,6 +162,17 @@
         names.set(index++, name.str());
 }
 
+// Every target comes to the same entry among those connected, so that there is one queue; where they differ there are
+// two for a while, and loads are slower, not wrong.
+auto TargetRole::loadQueueHolder() -> std::optional<LoadTurns::Listener>
+{
+    static const auto key = decisions::nameHash("load queue");
+    const auto score = [](const Peer& peer) { return decisions::rendezvousScore(key, decisions::nameHash(peer.name)); };
+    const auto best = std::max_element(
+        peers_.begin(), peers_.end(), [&](const Peer& a, const Peer& b) { return score(a) < score(b); });
+    return best == peers_.end() ? std::nullopt : std::optional(best->listener);
+}
+
 auto TargetRole::changed() -> void
 {
     if (pushTimer_.active())
--- a/packages/router/TargetRole.h
+++ b/packages/router/TargetRole.h
@@ -41,6 +41,7 @@
     auto accept(kj::Own<wire::GlibStream> stream) -> void;
     auto admit(std::string name, wire::schema::EntryListener::Client listener) -> wire::schema::TargetSession::Client;
     auto describe(wire::schema::TargetState::Builder into) const -> void;
+    auto loadQueueHolder() -> std::optional<LoadTurns::Listener>;
     auto pushState() -> void;
     auto changed() -> void;
     auto metricsPage(const wire::HttpExchangePtr& exchange) -> void;
--- a/packages/router/controllers/AttemptsController.cpp
+++ b/packages/router/controllers/AttemptsController.cpp
@@ -30,9 +30,12 @@
     , slots_(slots)
     , metrics_(metrics)
     , limits_(limits)
+    , requests_(limits.queue, limits.batch)
 {
-    if (slots_)
+    if (slots_) {
         slots_->onChange([this] { pump(); });
+        slots_->onLoadTook([this](Duration time) { requests_.loadTook(time); });
+    }
     expiry_ = loop_.timers().every(expiryPeriod, [this] { expire(); });
 }
 
@@ -46,10 +49,9 @@
         return notRun(Step::Start, 409, "revoked", "this attempt was revoked", 0s);
     if (attempts_.contains(order.attempt))
         return Error(Step::Start, 409, "duplicate_attempt", "this attempt is known already").run(RunState::Unknown);
-    // Load made for: a surge. A queue longer than the engine can work off in time only makes more callers late.
-    if (queue_.size() >= limits_.queue)
-        return notRun(Step::Queue, 503, "queue_full", "this target's queue is full", 1s);
     auto attempt = std::make_shared<Attempt>(loop_, std::move(order), now());
+    if (auto refused = offer(attempt))
+        return refused;
     attempt->output.attach(kj::mv(sink), ChunkNumber(0));
     attempts_[attempt->order.attempt] = attempt;
     queue_.push_back(attempt);
@@ -60,6 +62,36 @@
     return std::nullopt;
 }
 
+auto AttemptsController::offer(const AttemptPtr& attempt) -> std::optional<Error>
+{
+    const auto& order = attempt->order;
+    const auto deadline = order.deadline.count() > 0 ? attempt->acceptedAt + order.deadline : Moment::max();
+    dropUnqueued();
+    const auto answer = requests_.offer(
+        { order.attempt, order.member, order.model, order.requestClass, attempt->acceptedAt, deadline }, resident(),
+        running_, now());
+    const auto* refused = std::get_if<decisions::Refused>(&answer);
+    if (!refused)
+        return std::nullopt;
+    const auto later = std::chrono::ceil<std::chrono::milliseconds>(refused->retryAfter);
+    if (refused->reason == decisions::Refused::Reason::Full)
+        return notRun(Step::Queue, 503, "queue_full", "this target's queue is full", later);
+    return notRun(Step::Queue, 503, "too_late", "the request could not be answered before its deadline", later);
+}
+
+auto AttemptsController::resident() const -> decisions::RequestQueue::IsResident
+{
+    return [slots = slots_](const ModelName& model) { return !slots || slots->ready(model); };
+}
+
+auto AttemptsController::dropUnqueued() -> void
+{
+    requests_.keepOnly([this](const AttemptId& id) {
+        const auto found = attempts_.find(id);
+        return found != attempts_.end() && found->second->state == Attempt::State::Queued;
+    });
+}
+
 auto AttemptsController::resume(const AttemptId& id, wire::schema::ChunkSink::Client sink, ChunkNumber from) -> bool
 {
     const auto found = attempts_.find(id);
@@ -118,30 +150,29 @@
     if (pumping_)
         return;
     pumping_ = true;
-    // A copy: starting an attempt changes the queue. Those whose adapter is there overtake those that wait for a load.
-    for (const auto& attempt : std::deque<AttemptPtr>(queue_)) {
-        if (running_ >= limits_.batch)
-            break;
-        if (startable(*attempt))
-            run(attempt);
+    dropUnqueued();
+    while (const auto next = requests_.next(running_, resident(), now())) {
+        if (slots_)
+            slots_->pin(next->model);
+        run(attempts_.at(next->attempt));
+    }
+    if (slots_) {
+        noteStalls();
+        slots_->want(requests_.loadCandidates(resident(), now()));
     }
     pumping_ = false;
     if (onChange_)
         onChange_();
 }
 
-auto AttemptsController::startable(Attempt& attempt) -> bool
+auto AttemptsController::noteStalls() -> void
 {
-    if (!slots_ || slots_->tryPin(attempt.order.model, attempt.order.member)) {
-        if (attempt.stalledAt)
-            attempt.loadStall = now() - *attempt.stalledAt;
-        return true;
+    for (const auto& attempt : queue_) {
+        if (attempt->stalledAt || slots_->ready(attempt->order.model))
+            continue;
+        attempt->stalledAt = now();
+        attempt->output.progress("loading adapter");
     }
-    if (!attempt.stalledAt) {
-        attempt.stalledAt = now();
-        attempt.output.progress("loading adapter");
-    }
-    return false;
 }
 
 auto AttemptsController::run(const AttemptPtr& attempt) -> void
@@ -149,6 +180,8 @@
     std::erase(queue_, attempt);
     attempt->state = Attempt::State::Running;
     attempt->queueWait = now() - attempt->acceptedAt;
+    if (attempt->stalledAt)
+        attempt->loadStall = now() - *attempt->stalledAt;
     ++running_;
     metrics_.observeShare("eelgrass_batch_fill", static_cast<double>(running_) / static_cast<double>(limits_.batch));
     attempt->work
@@ -169,6 +202,8 @@
         return;
     attempt->state = Attempt::State::Ended;
     --running_;
+    if (!attempt->cancelled)
+        requests_.ran(attempt->order.requestClass, now() - attempt->acceptedAt - attempt->queueWait);
     metrics_.count("eelgrass_attempts_total", { { "outcome", attempt->cancelled ? "cancelled" : "ended" } });
     forgetLater(attempt);
     if (slots_)
@@ -195,11 +230,14 @@
 
 auto AttemptsController::expire() -> void
 {
+    dropUnqueued();
+    for (const auto& late : requests_.expire(resident(), now())) {
+        const auto later = std::chrono::ceil<std::chrono::milliseconds>(late.retryAfter);
+        giveUp(attempts_.at(late.attempt),
+            notRun(Step::Queue, 503, "deadline", "the request could not start in time", later));
+    }
     for (const auto& attempt : std::deque<AttemptPtr>(queue_)) {
-        const auto& order = attempt->order;
-        if (order.deadline.count() > 0 && now() - attempt->acceptedAt > order.deadline)
-            giveUp(attempt, notRun(Step::Queue, 503, "deadline", "the request could not start in time", 1s));
-        else if (slots_ && slots_->failures(order.model) >= maxLoadFailures)
+        if (slots_ && slots_->failures(attempt->order.model) >= maxLoadFailures)
             giveUp(attempt, notRun(Step::Load, 503, "load_failed", "the adapter could not be loaded", 5s));
     }
     // Some answers of the decisions change with time alone, as when a load that nobody used may be evicted.
--- a/packages/router/controllers/AttemptsController.h
+++ b/packages/router/controllers/AttemptsController.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decisions/RequestQueue.h"
 #include "router/Metrics.h"
 #include "router/controllers/SlotsController.h"
 #include "router/target/Runner.h"
@@ -40,6 +41,8 @@
     auto cancel(const AttemptId& id) -> void;
 
     [[nodiscard]] auto queued() const noexcept -> std::size_t { return queue_.size(); }
+    /// How the queue stands, for the entries' views.
+    [[nodiscard]] auto requests() const noexcept -> const decisions::RequestQueue& { return requests_; }
     [[nodiscard]] auto running() const noexcept -> std::size_t { return running_; }
     /// Nothing queued, nothing running, and no entry still waits for the rest of an answer.
     [[nodiscard]] auto idle() const noexcept -> bool;
@@ -49,7 +52,10 @@
     auto pump() -> void;
 
 private:
-    auto startable(Attempt& attempt) -> bool;
+    auto offer(const AttemptPtr& attempt) -> std::optional<Error>;
+    auto resident() const -> decisions::RequestQueue::IsResident;
+    auto dropUnqueued() -> void;
+    auto noteStalls() -> void;
     auto run(const AttemptPtr& attempt) -> void;
     auto finished(const AttemptPtr& attempt) -> void;
     auto giveUp(const AttemptPtr& attempt, Error error) -> void;
@@ -64,7 +70,9 @@
     Epoch epoch_;
     bool leaving_ = false;
     std::size_t running_ = 0;
+    /// Those that wait, by arrival; `requests_` says in which order they start.
     std::deque<AttemptPtr> queue_;
+    decisions::RequestQueue requests_;
     std::map<AttemptId, AttemptPtr> attempts_;
     std::map<AttemptId, Timer> forgetting_;
     std::map<AttemptId, Timer> revoked_;
--- /dev/null
+++ b/packages/router/controllers/LoadsController.cpp
@@ -0,0 +1,47 @@
+#include "router/controllers/LoadsController.h"
+
+namespace eelgrass::router {
+
+auto LoadsController::turn(const decisions::LoadAsk& ask) -> kj::Promise<bool>
+{
+    auto pair = kj::newPromiseAndFulfiller<bool>();
+    auto& waiting = waiting_[ask.target];
+    if (waiting)
+        waiting->fulfill(false);
+    waiting = kj::mv(pair.fulfiller);
+    queue_.ask(ask);
+    grant();
+    return kj::mv(pair.promise);
+}
+
+auto LoadsController::done(const TargetId& target) -> void
+{
+    queue_.withdraw(target);
+    if (const auto left = waiting_.find(target); left != waiting_.end()) {
+        left->second->fulfill(false);
+        waiting_.erase(left);
+    }
+    queue_.release(target);
+    grant();
+}
+
+auto LoadsController::grant() -> void
+{
+    for (const auto& target : queue_.grants(now())) {
+        const auto waiting = waiting_.find(target);
+        if (waiting == waiting_.end() || !waiting->second->isWaiting()) {
+            // Its session is gone, so nobody would use the turn.
+            queue_.release(target);
+            if (waiting != waiting_.end())
+                waiting_.erase(waiting);
+            return grant();
+        }
+        waiting->second->fulfill(true);
+        waiting_.erase(waiting);
+    }
+    expiry_ = {};
+    if (const auto ends = queue_.grantEnds())
+        expiry_ = loop_.timers().after(std::max(*ends - now(), Duration(1ms)), [this] { grant(); });
+}
+
+} // namespace eelgrass::router
--- a/packages/router/controllers/SlotsController.cpp
+++ b/packages/router/controllers/SlotsController.cpp
@@ -2,6 +2,8 @@
 
 #include "base/Log.h"
 
+#include <algorithm>
+
 namespace eelgrass::router {
 
 SlotsController::SlotsController(wire::MainLoop& loop, targets::EngineClient& engine, std::size_t slots)
@@ -11,18 +13,60 @@
 {
 }
 
-auto SlotsController::tryPin(const ModelName& model, const MemberId& member) -> bool
+auto SlotsController::setTurns(std::unique_ptr<LoadTurns> turns) -> void
+{
+    turns_ = std::move(turns);
+    turns_->onTurn([this] { useTurn(); });
+}
+
+auto SlotsController::want(std::vector<decisions::LoadCandidate> candidates) -> void
 {
-    const auto answer = slots_.request(model, now(), member);
-    if (std::holds_alternative<decisions::UseNow>(answer)) {
-        slots_.pin(model, now());
-        return true;
+    wanted_ = std::move(candidates);
+    std::erase_if(wantedAt_, [this](const auto& known) {
+        return std::none_of(
+            wanted_.begin(), wanted_.end(), [&](const auto& candidate) { return candidate.model == known.first; });
+    });
+    for (const auto& candidate : wanted_)
+        wantedAt_.try_emplace(candidate.model, now());
+    if (loading_)
+        return;
+    if (!turns_ || turns_->held())
+        return useTurn();
+    const auto worthy = std::find_if(wanted_.begin(), wanted_.end(), [this](const auto& candidate) {
+        const auto answer = slots_.request(candidate.model, now(), candidate.member);
+        return std::holds_alternative<decisions::LoadNow>(answer)
+            || std::holds_alternative<decisions::EvictFirst>(answer);
+    });
+    if (worthy == wanted_.end())
+        turns_->done();
+    else
+        turns_->ask(worthy->weight, worthy->oldestAt);
+}
+
+// The most worthy adapter that a slot can be had for. An eviction ends before its load begins; the turn is kept over
+// both.
+auto SlotsController::useTurn() -> void
+{
+    auto evicting = false;
+    for (const auto& candidate : wanted_) {
+        const auto answer = slots_.request(candidate.model, now(), candidate.member);
+        if (std::holds_alternative<decisions::LoadNow>(answer)) {
+            loading_ = candidate.model;
+            return load(candidate.model, candidate.member);
+        }
+        if (const auto* evict = std::get_if<decisions::EvictFirst>(&answer))
+            return unload(evict->victim);
+        evicting = evicting || std::holds_alternative<decisions::AwaitOrder>(answer);
     }
-    if (std::holds_alternative<decisions::LoadNow>(answer))
-        load(model, member);
-    if (const auto* evict = std::get_if<decisions::EvictFirst>(&answer))
-        unload(evict->victim);
-    return false;
+    if (!evicting)
+        endTurn();
+}
+
+auto SlotsController::endTurn() -> void
+{
+    loading_.reset();
+    if (turns_)
+        turns_->done();
 }
 
 auto SlotsController::unpin(const ModelName& model) -> void
@@ -58,6 +102,10 @@
     else
         ++failures_[model];
     slots_.loadEnded(model, loaded, now());
+    if (const auto wanted = wantedAt_.extract(model); wanted && onLoadTook_)
+        onLoadTook_(now() - wanted.mapped());
+    if (loading_ == model)
+        endTurn();
     changed();
 }
 
@@ -77,6 +125,9 @@
 {
     return engine_.state().then([this](targets::EngineState state) {
         slots_.reset(state.models, now());
+        // What was under way is settled by the engine's own list.
+        if (loading_)
+            endTurn();
         changed();
     });
 }
--- a/packages/router/controllers/SlotsController.h
+++ b/packages/router/controllers/SlotsController.h
@@ -2,10 +2,16 @@
 
 #include "base/Clock.h"
 #include "decisions/AdapterSlots.h"
+#include "decisions/RequestQueue.h"
+#include "router/target/LoadTurns.h"
 #include "targets/EngineClient.h"
 #include "wire/MainLoop.h"
 
 #include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
 
 namespace eelgrass::router {
 
@@ -18,8 +24,17 @@
     auto onChange(std::function<void()> callback) -> void { onChange_ = std::move(callback); }
     auto setEpoch(Epoch epoch) -> void { epoch_ = epoch; }
 
-    /// Pins the adapter if it is there; otherwise starts what brings it nearer and returns false.
-    [[nodiscard]] auto tryPin(const ModelName& model, const MemberId& member) -> bool;
+    /// Whether a request for the adapter can run at once.
+    [[nodiscard]] auto ready(const ModelName& model) const -> bool { return slots_.ready(model); }
+    /// Pins an adapter that is ready.
+    auto pin(const ModelName& model) -> void { slots_.pin(model, now()); }
+    /// The adapters that requests wait for, most worthy first: asks for a turn to load, and loads when it comes.
+    auto want(std::vector<decisions::LoadCandidate> candidates) -> void;
+    /// Without turns, as in a test, loads start as they are wanted.
+    auto setTurns(std::unique_ptr<LoadTurns> turns) -> void;
+    [[nodiscard]] auto evictionCost() const -> double { return slots_.evictionCost(now()); }
+    /// Told how long after it was first wanted a load ended.
+    auto onLoadTook(std::function<void(Duration)> callback) -> void { onLoadTook_ = std::move(callback); }
     /// Counts an accepted request in its adapter's demand.
     auto asked(const ModelName& model) -> void { slots_.asked(model, now()); }
     auto unpin(const ModelName& model) -> void;
@@ -33,6 +48,8 @@
     auto forgetFailures(const ModelName& model) -> void { failures_.erase(model); }
 
 private:
+    auto useTurn() -> void;
+    auto endTurn() -> void;
     auto load(const ModelName& model, const MemberId& member) -> void;
     auto unload(const ModelName& model) -> void;
     auto loadEnded(const ModelName& model, bool loaded) -> void;
@@ -43,6 +60,11 @@
     decisions::AdapterSlots slots_;
     Epoch epoch_;
     std::map<ModelName, int> failures_;
+    std::unique_ptr<LoadTurns> turns_;
+    std::vector<decisions::LoadCandidate> wanted_;
+    std::map<ModelName, Moment> wantedAt_;
+    std::optional<ModelName> loading_;
+    std::function<void(Duration)> onLoadTook_;
     std::function<void()> onChange_;
 };
 
--- a/packages/router/controllers/TargetsController.cpp
+++ b/packages/router/controllers/TargetsController.cpp
@@ -25,6 +25,7 @@
     , secret_(std::move(secret))
     , name_(std::move(name))
     , placer_(decisions::nameHash(name_))
+    , loads_(loop)
     , poller_(loop, "host list", pollPeriod, [this] { return poll(); })
 {
 }
@@ -110,7 +111,8 @@
         return nullptr;
     auto& link = links_[target];
     if (!link)
-        link = std::make_shared<TargetLink>(loop_, host->second, secret_, name_, [this](auto state) { report(state); });
+        link = std::make_shared<TargetLink>(
+            loop_, host->second, secret_, name_, [this](auto state) { report(state); }, &loads_);
     return link;
 }
 
@@ -141,6 +143,10 @@
         .running = state.getRunning(),
         .batchLimit = state.getBatchLimit(),
         .slots = state.getSlots(),
+        .awaitingLoad = state.getAwaitingLoad(),
+        .loadsWaiting = state.getLoadsWaiting(),
+        .evictionCost = state.getEvictionCost(),
+        .placeTime = Duration(std::max(1U, state.getPlaceTimeUs())),
     };
     for (auto name : state.getResidentAdapters())
         report.resident.emplace_back(ModelName(name));
--- a/packages/router/controllers/TargetsController.h
+++ b/packages/router/controllers/TargetsController.h
@@ -51,6 +51,7 @@
     std::string name_;
     decisions::Fleet fleet_;
     decisions::Placer placer_;
+    LoadsController loads_;
     std::map<TargetId, platform::HostRecord> hosts_;
     std::map<TargetId, std::shared_ptr<TargetLink>> links_;
     std::map<TargetId, Epoch> epochs_;
--- a/packages/router/entry/TargetLink.cpp
+++ b/packages/router/entry/TargetLink.cpp
@@ -37,18 +37,35 @@
         return kj::READY_NOW;
     }
 
+    auto loadTurn(LoadTurnContext context) -> kj::Promise<void> override
+    {
+        KJ_REQUIRE(!alive_.expired() && link_.loads_, "there is no load queue here");
+        auto params = context.getParams();
+        const auto oldest = now() - Duration(std::chrono::milliseconds(params.getWaitedMs()));
+        return link_.loads_->turn({ TargetId(params.getTarget()), params.getWeight(), oldest })
+            .then([context](bool granted) mutable { context.getResults().setGranted(granted); });
+    }
+
+    auto loadDone(LoadDoneContext context) -> kj::Promise<void> override
+    {
+        KJ_REQUIRE(!alive_.expired() && link_.loads_, "there is no load queue here");
+        link_.loads_->done(TargetId(context.getParams().getTarget()));
+        return kj::READY_NOW;
+    }
+
 private:
     TargetLink& link_;
     std::weak_ptr<char> alive_;
 };
 
-TargetLink::TargetLink(
-    wire::MainLoop& loop, platform::HostRecord host, std::string secret, std::string name, OnState onState)
+TargetLink::TargetLink(wire::MainLoop& loop, platform::HostRecord host, std::string secret, std::string name,
+    OnState onState, LoadsController* loads)
     : loop_(loop)
     , host_(std::move(host))
     , secret_(std::move(secret))
     , name_(std::move(name))
     , onState_(std::move(onState))
+    , loads_(loads)
 {
 }
 
--- a/packages/wire/Peer.capnp
+++ b/packages/wire/Peer.capnp
@@ -14,6 +14,13 @@
 interface EntryListener {
   # Pushed on a change, never on a timer.
   targetChanged @0 (state :TargetState) -> ();
+  # Answered by a session that is alive: asked after a pause, before orders that lay in the socket are carried out.
+  ping @1 () -> ();
+  # A target process asks for its turn to load from the weight store. Answered when the turn comes, or without one when
+  # the same target asks again. `weight` and `waitedMs` describe the requests that wait for the load.
+  loadTurn @2 (target :Text, weight :Float64, waitedMs :UInt32) -> (granted :Bool);
+  # The load of a granted turn ended.
+  loadDone @3 (target :Text) -> ();
 }
 
 struct TargetState {
@@ -27,6 +34,20 @@
   slots @7 :UInt32;
   batchLimit @8 :UInt32;
   engineAlive @9 :Bool;
+  # Requests that were running when an engine died.
+  suspects @10 :List(Suspect);
+  # Requests that wait for a load, and the adapters that they wait for.
+  awaitingLoad @11 :UInt32;
+  loadsWaiting @12 :UInt32;
+  # Demand for the adapter that the next load would push out.
+  evictionCost @13 :Float64;
+  # Mean time between two places of the full batch becoming free, in microseconds.
+  placeTimeUs @14 :UInt32;
+}
+
+struct Suspect {
+  digest @0 :Text;
+  crashes @1 :UInt32;
 }
 
 struct StartRequest {
