--- a/packages/router/EntryRole.cpp
+++ b/packages/router/EntryRole.cpp
@@ -24,6 +24,8 @@
     , config_(loop, platform_)
     , targets_(loop, platform_, settings_.common.secret, settings_.common.name)
     , operators_(loop, settings_, config_, targets_, [this] { return status(); })
+    , ledger_(loop, platform_)
+    , quarantine_(loop, platform_)
     , chain_(Authenticate(), Parse(), Resolve(), Authorize())
     , server_(settings_.listen.address, settings_.listen.port, settings_.bodyLimitKiB * kib,
           [this](auto& exchange) { handle(exchange); })
@@ -34,7 +36,10 @@
 {
     targets_.exclude([this]() -> const std::set<TargetId>& { return config_.current()->drained(); });
     config_.start();
+    targets_.onState([this](auto state) { quarantine_.learn(state); });
     targets_.start();
+    ledger_.start();
+    quarantine_.start();
     log::info("listening", { { "port", std::to_string(port()) } });
 }
 
@@ -79,7 +84,7 @@
     if (refused)
         return;
     ++underWay_;
-    auto relay = std::make_shared<Relay>(loop_, targets_, metrics_, call);
+    auto relay = std::make_shared<Relay>(loop_, RelayControllers { targets_, ledger_, quarantine_, metrics_ }, call);
     loop_.spawn(relay->run().then([this] { --underWay_; }));
 }
 
