An error that is changed and assigned to itself keeps its text

Cause: the setters returned a reference to their own object; a string moved onto itself comes out empty, and a refusal reached its caller without type and message. Ruled out: loss on the wire, since the value was empty before it was written. Change: the setters return a new value.

--- a/packages/base/Error.cpp
+++ b/packages/base/Error.cpp
@@ -65,19 +65,19 @@
 {
 }
 
-auto Error::at(std::string peer) && -> Error&&
+auto Error::at(std::string peer) && -> Error
 {
     peer_ = std::move(peer);
     return std::move(*this);
 }
 
-auto Error::run(RunState state) && -> Error&&
+auto Error::run(RunState state) && -> Error
 {
     run_ = state;
     return std::move(*this);
 }
 
-auto Error::retryAfter(std::chrono::milliseconds delay) && -> Error&&
+auto Error::retryAfter(std::chrono::milliseconds delay) && -> Error
 {
     retryAfter_ = delay;
     return std::move(*this);
--- a/packages/base/Error.h
+++ b/packages/base/Error.h
@@ -48,9 +48,10 @@
 public:
     Error(Step step, int status, std::string type, std::string message);
 
-    [[nodiscard]] auto at(std::string peer) && -> Error&&;
-    [[nodiscard]] auto run(RunState) && -> Error&&;
-    [[nodiscard]] auto retryAfter(std::chrono::milliseconds) && -> Error&&;
+    /// Each of these gives a new value, so that it may be assigned to the variable that it came from.
+    [[nodiscard]] auto at(std::string peer) && -> Error;
+    [[nodiscard]] auto run(RunState) && -> Error;
+    [[nodiscard]] auto retryAfter(std::chrono::milliseconds) && -> Error;
 
     [[nodiscard]] auto step() const noexcept -> Step { return step_; }
     /// HTTP status that fits.
