--- a/packages/router/controllers/AttemptsController.cpp
+++ b/packages/router/controllers/AttemptsController.cpp
@@ -13,7 +13,8 @@
 constexpr auto keptAfterEnd = Duration(60s);
 // How long a revoked attempt is remembered: longer than any start can lie in a frozen process's socket.
 constexpr auto revokedKept = Duration(600s);
-constexpr auto expiryPeriod = Duration(100ms);
+// A request that can no longer be answered in time is told within 50 ms of that moment.
+constexpr auto expiryPeriod = Duration(40ms);
 // Loads of one adapter that may fail before those who wait for it are told; a single failure is often passing.
 constexpr auto maxLoadFailures = 3;
 // How long an answer waits for an entry that lost its session: longer than the entry takes to notice (3 s) and to
--- a/packages/router/entry/Relay.cpp
+++ b/packages/router/entry/Relay.cpp
@@ -180,7 +180,10 @@
         return loop_.sleep(sameTargetDelay).then([self = shared_from_this()] { return self->tryNext(); });
     }
     auto error = refusal_ ? *refusal_ : Error(Step::Place, 503, "no_target", "no target can take the request now");
-    giveUp(std::move(error).retryAfter(1s));
+    // A target that refused says when it expects to have room; that is the honest time to come back.
+    if (!error.retryAfter() || *error.retryAfter() < 1s)
+        error = Error(std::move(error)).retryAfter(1s);
+    giveUp(error);
     return kj::READY_NOW;
 }
 
--- /dev/null
+++ b/tests/integration/Decisions.cpp
@@ -0,0 +1,39 @@
+#include "tests/harness/Deployment.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace eelgrass;
+using namespace eelgrass::tests;
+
+namespace {
+
+auto loadsOf(Deployment& deployment) -> int
+{
+    return deployment.control(deployment.platformUrl() + "/standin/counts", Json::object()).at("loads").get<int>();
+}
+
+auto completion(int tokens) -> std::string
+{
+    return Json { { "model", "life" }, { "prompt", "p" }, { "max_tokens", tokens } }.dump();
+}
+
+} // namespace
+
+// An adapter that is loaded nowhere is wanted by many callers of both entries at once. Each entry knows only its own
+// calls and late reports. All callers get their answer after one load at one target: any further load would have kept
+// somebody else's from the store.
+BOOST_AUTO_TEST_CASE(a_burst_for_a_new_adapter_at_two_entries_costs_one_load)
+{
+    auto deployment = Deployment();
+    for (const auto* target : { "t1", "t2", "t3" })
+        deployment.addEngineTarget(target);
+    deployment.addEntry("e1");
+    deployment.addEntry("e2");
+    deployment.configure({ "e1", "e2" });
+    auto answers = std::vector<kj::Promise<wire::HttpResponse>>();
+    for (const auto* entry : { "e1", "e2", "e1", "e2", "e1", "e2" })
+        answers.push_back(deployment.callLater(entry, "/v1/completions", completion(3)));
+    for (auto& answer : answers)
+        BOOST_TEST(deployment.loop.wait(kj::mv(answer)).status == 200);
+    BOOST_TEST(loadsOf(deployment) == 1);
+}
