State is pushed when it matters, once a second at most; closed sessions are forgotten

Cause: a target process pushed its whole state to each session at each change, ten times a second even with none; and it kept the listener of each closed session until a push to it failed, which would now be rarely. Ruled out: pushes to sessions used in the last seconds only (a target that leaves must reach all of them). Change: ReportGate in decisions: leaving, resident adapters, and free, nearly full or queue doubled; 1 s apart.

--- a/packages/decisions/Decisions.h
+++ b/packages/decisions/Decisions.h
@@ -7,6 +7,7 @@
 #include "decisions/Placer.h"
 #include "decisions/PollSchedule.h"
 #include "decisions/Rendezvous.h"
+#include "decisions/ReportGate.h"
 #include "decisions/RequestQueue.h"
 #include "decisions/RetryBudget.h"
 #include "decisions/TargetView.h"
--- a/packages/decisions/Forward.h
+++ b/packages/decisions/Forward.h
@@ -6,6 +6,7 @@
 class AdapterSlots;
 class Placer;
 class PollSchedule;
+class ReportGate;
 struct TargetView;
 
 } // namespace eelgrass::decisions
--- /dev/null
+++ b/packages/decisions/ReportGate.cpp
@@ -0,0 +1,42 @@
+#include "decisions/ReportGate.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace eelgrass::decisions {
+
+namespace {
+
+// Changes within this time go out together.
+constexpr auto gathering = Duration(50ms);
+constexpr auto spacing = Duration(1s);
+
+// Free, nearly full, and then one step for each doubling of the queue: more would not change where an entry sends.
+auto loadBand(const ReportGate::Summary& summary) -> int
+{
+    constexpr auto nearlyFull = 0.75;
+    const auto batch = std::max<std::size_t>(1, summary.batchLimit);
+    if (summary.work > batch)
+        return 2 + std::bit_width((summary.work - batch) / batch);
+    return static_cast<double>(summary.work) > nearlyFull * static_cast<double>(batch) ? 1 : 0;
+}
+
+} // namespace
+
+auto ReportGate::due(const Summary& summary, Moment now) const -> std::optional<Duration>
+{
+    const auto same = summary.leaving == last_.leaving && summary.resident == last_.resident
+        && loadBand(summary) == loadBand(last_);
+    if (same)
+        return std::nullopt;
+    const auto left = sentAt_ ? *sentAt_ + spacing - now : Duration(0);
+    return std::max(gathering, left);
+}
+
+auto ReportGate::sent(Summary summary, Moment now) -> void
+{
+    last_ = std::move(summary);
+    sentAt_ = now;
+}
+
+} // namespace eelgrass::decisions
--- a/packages/router/TargetRole.cpp
+++ b/packages/router/TargetRole.cpp
@@ -8,9 +8,6 @@
 
 constexpr auto metricMembers = std::size_t(100);
 constexpr auto metricsBodyLimit = std::size_t(1024);
-// Changes within this time go out in one push: an entry's view is a hint, and a push for each token would cost more
-// than the view is worth.
-constexpr auto pushDelay = Duration(50ms);
 constexpr auto stopPoll = Duration(50ms);
 
 } // namespace
@@ -18,10 +15,12 @@
 /// What an entry that proved the secret may ask of this target.
 class TargetRole::Session final : public wire::schema::TargetSession::Server {
 public:
-    explicit Session(TargetRole& role)
+    Session(TargetRole& role, std::uint64_t number)
         : role_(role)
+        , number_(number)
     {
     }
+    ~Session() noexcept { role_.forget(number_); }
 
     auto heartbeat(HeartbeatContext context) -> kj::Promise<void> override
     {
@@ -65,6 +64,7 @@
 
 private:
     TargetRole& role_;
+    std::uint64_t number_;
 };
 
 TargetRole::TargetRole(wire::MainLoop& loop, TargetSettings settings)
@@ -127,8 +127,18 @@
 {
     KJ_REQUIRE(ready_, "this target is not ready yet");
     log::info("session opened", { { "peer", name } });
-    peers_.push_back({ std::move(name), kj::mv(listener) });
-    return kj::heap<Session>(*this);
+    peers_.push_back({ ++lastSession_, std::move(name), kj::mv(listener) });
+    return kj::heap<Session>(*this, lastSession_);
+}
+
+auto TargetRole::forget(std::uint64_t session) -> void
+{
+    // Entries close sessions that they no longer use and open them again; each would stay here for ever. Forgotten in a
+    // later turn: the connection that holds the listener may be on the stack.
+    loop_.spawn(kj::evalLater([this, session, alive = std::weak_ptr(alive_)] {
+        if (alive.lock())
+            peers_.remove_if([&](const Peer& peer) { return peer.session == session; });
+    }));
 }
 
 auto TargetRole::describe(wire::schema::TargetState::Builder into) const -> void
@@ -150,24 +160,40 @@
         names.set(index++, name.str());
 }
 
+auto TargetRole::summary() const -> decisions::ReportGate::Summary
+{
+    auto summary = decisions::ReportGate::Summary { .leaving = attempts_->leaving(),
+        .work = attempts_->queued() + attempts_->running(),
+        .batchLimit = settings_.batch };
+    if (slots_) {
+        for (auto& name : slots_->resident())
+            summary.resident.insert(name);
+    }
+    return summary;
+}
+
 auto TargetRole::changed() -> void
 {
     if (pushTimer_.active())
         return;
-    pushTimer_ = loop_.timers().after(pushDelay, [this] {
+    const auto delay = reports_.due(summary(), now());
+    if (!delay)
+        return;
+    pushTimer_ = loop_.timers().after(*delay, [this] {
         pushTimer_ = {};
-        pushState();
+        if (reports_.due(summary(), now()))
+            pushState();
     });
 }
 
 auto TargetRole::pushState() -> void
 {
+    reports_.sent(summary(), now());
     for (auto peer = peers_.begin(); peer != peers_.end(); ++peer) {
         auto request = peer->listener.targetChangedRequest();
         describe(request.initState());
-        loop_.spawn(request.send().ignoreResult().then([] {},
-            [this, name = peer->name](
-                kj::Exception&&) { peers_.remove_if([&](const Peer& known) { return known.name == name; }); }));
+        loop_.spawn(request.send().ignoreResult().then(
+            [] {}, [this, session = peer->session](kj::Exception&&) { forget(session); }));
     }
 }
 
--- a/packages/router/TargetRole.h
+++ b/packages/router/TargetRole.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decisions/ReportGate.h"
 #include "platform/PlatformClient.h"
 #include "router/Metrics.h"
 #include "router/Settings.h"
@@ -34,6 +35,7 @@
     class Session;
     friend class Session;
     struct Peer {
+        std::uint64_t session = 0;
         std::string name;
         wire::schema::EntryListener::Client listener;
     };
@@ -41,6 +43,8 @@
     auto accept(kj::Own<wire::GlibStream> stream) -> void;
     auto admit(std::string name, wire::schema::EntryListener::Client listener) -> wire::schema::TargetSession::Client;
     auto describe(wire::schema::TargetState::Builder into) const -> void;
+    auto forget(std::uint64_t session) -> void;
+    [[nodiscard]] auto summary() const -> decisions::ReportGate::Summary;
     auto pushState() -> void;
     auto changed() -> void;
     auto metricsPage(const wire::HttpExchangePtr& exchange) -> void;
@@ -56,8 +60,11 @@
     std::unique_ptr<AttemptsController> attempts_;
     std::list<Peer> peers_;
     std::list<std::unique_ptr<wire::Connection>> connections_;
+    std::uint64_t lastSession_ = 0;
+    std::shared_ptr<char> alive_ = std::make_shared<char>();
     bool ready_ = false;
     bool stopping_ = false;
+    decisions::ReportGate reports_;
     Timer pushTimer_;
     Timer stopTimer_;
     wire::Listener listener_;
