All sockets between processes behind one epoll set

Cause: GLib polls every source in each turn of the loop, so each idle session cost a busy process with every token. Ruled out: a poll function of our own for GLib (it still builds the array of all descriptors each turn). Change: Readiness, one edge-triggered epoll set a thread as one GLib source; GlibStream waits on it, no source a wait. Conclusion: sessions that are idle no longer cost the tokens of others; HTTP connections still stand in GLib's poll.

--- a/packages/wire/GlibStream.cpp
+++ b/packages/wire/GlibStream.cpp
@@ -45,28 +45,24 @@
     g_socket_set_option(socket_.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
     auto remote = ObjectPtr<GSocketAddress>(g_socket_get_remote_address(socket_.get(), nullptr));
     peer_ = describe(remote.get());
+    watch_ = std::make_unique<Watch>(g_socket_get_fd(socket_.get()));
 }
 
 GlibStream::~GlibStream() noexcept(false) { close(); }
 
-auto GlibStream::close() -> void { g_socket_close(socket_.get(), nullptr); }
+auto GlibStream::close() -> void
+{
+    watch_.reset();
+    g_socket_close(socket_.get(), nullptr);
+}
 
 auto GlibStream::ready(GIOCondition condition) -> kj::Promise<void>
 {
-    using Fulfiller = kj::Own<kj::PromiseFulfiller<void>>;
-    auto pair = kj::newPromiseAndFulfiller<void>();
-    auto* source = g_socket_create_source(socket_.get(), condition, nullptr);
-    auto fire = +[](GSocket*, GIOCondition, gpointer fulfiller) -> gboolean {
-        (*static_cast<Fulfiller*>(fulfiller))->fulfill();
-        return G_SOURCE_REMOVE;
-    };
-    g_source_set_callback(source, G_SOURCE_FUNC(fire), new Fulfiller(kj::mv(pair.fulfiller)),
-        [](gpointer fulfiller) { delete static_cast<Fulfiller*>(fulfiller); });
-    g_source_attach(source, nullptr);
-    return pair.promise.attach(kj::defer([source] {
-        g_source_destroy(source);
-        g_source_unref(source);
-    }));
+    if (!watch_)
+        return kj::Exception(kj::Exception::Type::DISCONNECTED, __FILE__, __LINE__, kj::str(peer_.c_str(), ": closed"));
+    if (condition == G_IO_IN)
+        return watch_->readable();
+    return condition == G_IO_OUT ? watch_->writable() : watch_->hungUp();
 }
 
 auto GlibStream::tryRead(void* buffer, size_t minBytes, size_t maxBytes) -> kj::Promise<size_t>
--- a/packages/wire/GlibStream.h
+++ b/packages/wire/GlibStream.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "wire/Readiness.h"
+
 #include <gio/gio.h>
 #include <kj/async-io.h>
 
@@ -41,6 +43,7 @@
     auto ready(GIOCondition condition) -> kj::Promise<void>;
 
     ObjectPtr<GSocket> socket_;
+    std::unique_ptr<Watch> watch_;
     std::string peer_;
 };
 
--- /dev/null
+++ b/packages/wire/Readiness.cpp
@@ -0,0 +1,92 @@
+#include "wire/Readiness.h"
+
+#include <glib-unix.h>
+#include <kj/debug.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include <array>
+
+namespace eelgrass::wire {
+
+namespace {
+
+constexpr auto eventsPerCall = std::size_t(64);
+
+auto keep(kj::Maybe<kj::Own<kj::PromiseFulfiller<void>>>& waiter) -> void
+{
+    KJ_IF_MAYBE (fulfiller, waiter)
+        (*fulfiller)->fulfill();
+    waiter = nullptr;
+}
+
+} // namespace
+
+Watch::Watch(int socket)
+    : socket_(socket)
+{
+    // Edge-triggered: registered once, no call to the kernel for each wait. Safe since a socket is always tried before
+    // it is waited for, so that a report that nobody waited for is never missed.
+    auto event = epoll_event { .events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET, .data = { .ptr = this } };
+    KJ_SYSCALL(epoll_ctl(Readiness::ofThread().epoll_, EPOLL_CTL_ADD, socket_, &event));
+}
+
+Watch::~Watch() { epoll_ctl(Readiness::ofThread().epoll_, EPOLL_CTL_DEL, socket_, nullptr); }
+
+auto Watch::wait(Waiter& waiter) -> kj::Promise<void>
+{
+    // After the end or an error no further report comes; the socket itself says which it was.
+    if (over_)
+        return kj::READY_NOW;
+    auto pair = kj::newPromiseAndFulfiller<void>();
+    waiter = kj::mv(pair.fulfiller);
+    return kj::mv(pair.promise);
+}
+
+auto Watch::hungUp() -> kj::Promise<void> { return wait(hangup_); }
+
+auto Watch::report(std::uint32_t events) -> void
+{
+    over_ = over_ || (events & (EPOLLHUP | EPOLLERR));
+    if (over_ || (events & (EPOLLIN | EPOLLRDHUP)))
+        keep(reader_);
+    if (over_ || (events & EPOLLOUT))
+        keep(writer_);
+    if (over_)
+        keep(hangup_);
+}
+
+auto Readiness::ofThread() -> Readiness&
+{
+    static thread_local auto set = Readiness();
+    return set;
+}
+
+Readiness::Readiness()
+    : epoll_(epoll_create1(EPOLL_CLOEXEC))
+    , source_(g_unix_fd_add(epoll_, G_IO_IN, dispatch, this))
+{
+    KJ_REQUIRE(epoll_ >= 0, "no epoll set");
+}
+
+Readiness::~Readiness()
+{
+    g_source_remove(source_);
+    close(epoll_);
+}
+
+auto Readiness::dispatch(gint, GIOCondition, gpointer self) -> gboolean
+{
+    auto events = std::array<epoll_event, eventsPerCall>();
+    const auto epoll = static_cast<Readiness*>(self)->epoll_;
+    // What does not fit into one call is reported in the next turn. Promises are only armed here, never run, so no
+    // watch is destroyed while its event is at hand.
+    const auto count = epoll_wait(epoll, events.data(), static_cast<int>(events.size()), 0);
+    for (auto index = 0; index < count; ++index) {
+        const auto& event = events.at(static_cast<std::size_t>(index));
+        static_cast<Watch*>(event.data.ptr)->report(event.events);
+    }
+    return G_SOURCE_CONTINUE;
+}
+
+} // namespace eelgrass::wire
