--- a/packages/decisions/Forward.h
+++ b/packages/decisions/Forward.h
@@ -4,9 +4,13 @@
 namespace eelgrass::decisions {
 
 class AdapterSlots;
+class Fleet;
+class LoadQueue;
 class Placer;
 class PollSchedule;
 class ReportGate;
+class RequestQueue;
+class RetryBudget;
 struct TargetView;
 
 } // namespace eelgrass::decisions
