--- a/packages/router/controllers/AttemptsController.cpp
+++ b/packages/router/controllers/AttemptsController.cpp
@@ -199,6 +199,12 @@
     return !attempt.output.attached() && now() - attempt.output.detachedAt() > readerGrace;
 }
 
+auto AttemptsController::awaited(const AttemptId& id) const -> bool
+{
+    const auto found = attempts_.find(id);
+    return found != attempts_.end() && found->second->output.attached() && !found->second->output.delivered();
+}
+
 auto AttemptsController::idle() const noexcept -> bool
 {
     return std::all_of(
