--- a/packages/wire/HttpClient.cpp
+++ b/packages/wire/HttpClient.cpp
@@ -106,8 +106,8 @@
 
 auto HttpStream::readAll(std::size_t limit) -> kj::Promise<std::string> { return gather({}, limit); }
 
-// Peers are named by IP number and stand on the same network. The system's proxy settings are not asked: GLib would look
-// them up in a thread and in files, once for each connection.
+// Peers are named by IP number and stand on the same network. The system's proxy settings are not asked: GLib would
+// look them up in a thread and in files, once for each connection.
 HttpClient::HttpClient(unsigned connections, unsigned timeout)
     : session_(soup_session_new_with_options("max-conns", static_cast<int>(connections), "max-conns-per-host",
         static_cast<int>(connections), "timeout", timeout, "idle-timeout", 60U, "proxy-resolver", nullptr, nullptr))
--- a/tests/harness/Deployment.cpp
+++ b/tests/harness/Deployment.cpp
@@ -79,7 +79,7 @@
     processes_[name + "-behind"] = std::move(engine);
     auto place = "target: { kind: engine, serves: base, address: 127.0.0.1, port: " + std::to_string(port) + ", "
         + extra + " }\n";
-    targets_[name] = { common(name) + place, "base", 0 };
+    targets_[name] = { common(name) + place, "base", 0, flags, processes_[name + "-behind"]->listeningPort() };
     startTarget(name);
 }
 
@@ -123,6 +123,22 @@
     startTarget(name);
 }
 
+auto Deployment::replaceTarget(const std::string& name) -> void
+{
+    processes_[name + "-old"] = std::move(processes_.at(name));
+    startTarget(name);
+}
+
+auto Deployment::restartEngine(const std::string& target) -> void
+{
+    const auto& place = targets_.at(target);
+    auto flags = place.engineFlags;
+    flags.push_back("--port=" + std::to_string(place.enginePort));
+    processes_.erase(target + "-behind");
+    processes_[target + "-behind"] = std::make_unique<Process>(target + "-behind", "eelgrass-standin", flags);
+    processes_[target + "-behind"]->listeningPort();
+}
+
 auto Deployment::addEntry(const std::string& name) -> void { startEntry(name); }
 
 auto Deployment::restartEntry(const std::string& name) -> void
--- a/tests/harness/Deployment.h
+++ b/tests/harness/Deployment.h
@@ -54,6 +54,11 @@
     /// Starts a target process again before the engine or service that it had.
     auto restartTarget(const std::string& name) -> void;
     auto restartEntry(const std::string& name) -> void;
+    /// Starts the engine of a target again on the port that it had, with nothing loaded.
+    auto restartEngine(const std::string& target) -> void;
+    /// Starts a second process for a target beside the one that it has, as a replacement does whose predecessor is only
+    /// frozen; the one it has goes on under the name `<name>-old`.
+    auto replaceTarget(const std::string& name) -> void;
 
     auto target(const std::string& name) -> Process& { return *processes_.at(name); }
     auto entry(const std::string& name) -> Process& { return *processes_.at(name); }
@@ -91,6 +96,8 @@
         std::string settings;
         std::string serves;
         std::uint16_t port = 0;
+        std::vector<std::string> engineFlags;
+        std::uint16_t enginePort = 0;
     };
     struct Proxy {
         ProcessPtr process;
--- a/tests/harness/Process.cpp
+++ b/tests/harness/Process.cpp
@@ -112,6 +112,12 @@
     return log_;
 }
 
+auto Process::ended() -> bool
+{
+    auto lock = std::lock_guard(mutex_);
+    return ended_;
+}
+
 auto Process::wait() -> int
 {
     if (reaped_)
--- a/tests/harness/Process.h
+++ b/tests/harness/Process.h
@@ -25,6 +25,8 @@
     [[nodiscard]] auto log() -> std::string;
 
     auto signal(int number) const -> void { ::kill(pid_, number); }
+    /// Whether it ended by itself: its output is closed.
+    [[nodiscard]] auto ended() -> bool;
     /// Waits for the end; the exit code, or the negative number of the signal.
     auto wait() -> int;
     [[nodiscard]] auto name() const noexcept -> const std::string& { return name_; }
