--- a/packages/router/TargetRole.cpp
+++ b/packages/router/TargetRole.cpp
@@ -238,7 +238,9 @@
         if (now() - peer->heard->at > sessionSilence)
             drop(peer);
     }
-    pausesSeen_ = pauses;
+    // A process that was replaced while it stood still ends soon, also when nobody asks anything of it.
+    if (std::exchange(pausesSeen_, pauses) != pauses)
+        loop_.spawn(fence_.confirm().ignoreResult());
 }
 
 auto TargetRole::admit(std::string name, wire::schema::EntryListener::Client listener, std::shared_ptr<Heard> heard)
--- a/packages/router/controllers/TargetsController.cpp
+++ b/packages/router/controllers/TargetsController.cpp
@@ -92,6 +92,11 @@
     return views_[*chosen].id;
 }
 
+auto TargetsController::canPlace(const decisions::PlacementRequest& request) const -> bool
+{
+    return decisions::Placer().choose(request, views_).has_value();
+}
+
 auto TargetsController::link(const TargetId& target) -> std::shared_ptr<TargetLink>
 {
     const auto host = hosts_.find(target);
--- a/packages/router/controllers/TargetsController.h
+++ b/packages/router/controllers/TargetsController.h
@@ -24,6 +24,8 @@
 
     /// Chooses a target and counts the request as sent to it.
     [[nodiscard]] auto place(const decisions::PlacementRequest& request) -> std::optional<TargetId>;
+    /// Whether some target can take the request. Counts nothing.
+    [[nodiscard]] auto canPlace(const decisions::PlacementRequest& request) const -> bool;
     /// Null for a target that is no longer listed.
     [[nodiscard]] auto link(const TargetId& target) -> std::shared_ptr<TargetLink>;
     [[nodiscard]] auto epoch(const TargetId& target) const -> Epoch;
--- a/packages/router/entry/Relay.cpp
+++ b/packages/router/entry/Relay.cpp
@@ -10,9 +10,11 @@
 // Targets tried for one request; more would spend a caller's patience on a system that has no room.
 constexpr auto maxAttempts = 3;
 constexpr auto resumeDelay = Duration(200ms);
-// A target process that restarts is back within this; a repeatable request goes elsewhere sooner than that.
-constexpr auto repeatablePatience = 5;
-constexpr auto patience = 75;
+// A target process that restarts is back within this.
+constexpr auto patience = Duration(15s);
+// A new connection to a target process that lives is there within milliseconds. A repeatable request that finds another
+// target goes there after this, since a frozen process takes connections and never answers on them.
+constexpr auto repeatablePatience = Duration(1s);
 // Before the only target is tried again: its process or engine has just started anew.
 constexpr auto sameTargetDelay = Duration(300ms);
 constexpr auto suspectPoll = Duration(50ms);
@@ -143,7 +145,7 @@
     epoch_ = claim.epoch;
     nextChunk_ = ChunkNumber(0);
     early_.clear();
-    return resume(claim.target, 0);
+    return resume(claim.target, now());
 }
 
 auto Relay::tryNext() -> kj::Promise<void>
@@ -160,17 +162,22 @@
         if (!suspect_)
             return loop_.sleep(suspectPoll).then([self = shared_from_this()] { return self->tryNext(); });
     }
-    auto request
-        = decisions::PlacementRequest { .model = call_->model.name, .serves = call_->model.base, .tried = tried_ };
-    if (call_->kind == StartOrder::Kind::Service)
-        request.serves = call_->service;
-    const auto target = attempts_ < maxAttempts ? targets_.place(request) : std::nullopt;
+    const auto target = attempts_ < maxAttempts ? targets_.place(placement()) : std::nullopt;
     if (!target)
         return noTarget();
     tried_.push_back(*target);
     return startAt(*target);
 }
 
+auto Relay::placement() const -> decisions::PlacementRequest
+{
+    auto request
+        = decisions::PlacementRequest { .model = call_->model.name, .serves = call_->model.base, .tried = tried_ };
+    if (call_->kind == StartOrder::Kind::Service)
+        request.serves = call_->service;
+    return request;
+}
+
 auto Relay::noTarget() -> kj::Promise<void>
 {
     // A target that lost its engine, or changed hands, can take the request again in a moment.
@@ -268,7 +275,7 @@
         },
         [self = shared_from_this(), target](kj::Exception&&) {
             // The start may have arrived: the target process is asked, never passed over.
-            return self->resume(target, 0);
+            return self->resume(target, now());
         });
 }
 
@@ -297,19 +304,24 @@
 {
     auto link = targets_.link(target);
     auto lost = link ? link->whenLost() : kj::Promise<void>(kj::READY_NOW);
-    return lost.then([self = shared_from_this(), target] { return self->resume(target, 0); });
+    return lost.then([self = shared_from_this(), target] { return self->resume(target, now()); });
 }
 
-auto Relay::resume(const TargetId& target, int tries) -> kj::Promise<void>
+auto Relay::resume(const TargetId& target, Moment lostAt) -> kj::Promise<void>
 {
     if (done_ || target_ != target)
         return kj::READY_NOW;
-    if (tries >= (repeatable() ? repeatablePatience : patience))
+    const auto waited = now() - lostAt;
+    if (waited > patience || (waited > repeatablePatience && repeatable() && targets_.canPlace(placement())))
         return elsewhere(lostError(target));
     auto link = targets_.link(target);
     if (!link)
-        return resumeLater(target, tries);
+        return resumeLater(target, lostAt);
+    auto late = loop_.sleep(repeatablePatience).then([]() -> wire::schema::TargetSession::Client {
+        KJ_FAIL_REQUIRE("the target process does not answer");
+    });
     return link->session()
+        .exclusiveJoin(kj::mv(late))
         .then([self = shared_from_this()](wire::schema::TargetSession::Client session) {
             // What came early on the lost session is sent again.
             self->early_.clear();
@@ -323,13 +335,13 @@
         })
         .then([self = shared_from_this(), target](
                   auto&& answer) { return answer.getKnown() ? self->follow(target) : self->unknownAt(target); },
-            [self = shared_from_this(), target, tries](kj::Exception&&) { return self->resumeLater(target, tries); });
+            [self = shared_from_this(), target, lostAt](kj::Exception&&) { return self->resumeLater(target, lostAt); });
 }
 
-auto Relay::resumeLater(const TargetId& target, int tries) -> kj::Promise<void>
+auto Relay::resumeLater(const TargetId& target, Moment lostAt) -> kj::Promise<void>
 {
-    return loop_.sleep(resumeDelay).then([self = shared_from_this(), target, tries] {
-        return self->resume(target, tries + 1);
+    return loop_.sleep(resumeDelay).then([self = shared_from_this(), target, lostAt] {
+        return self->resume(target, lostAt);
     });
 }
 
@@ -355,7 +367,7 @@
                 return self->refusedBy(
                     target, Error(Step::Start, 503, "not_started", "the start did not reach the target"));
             },
-            [self = shared_from_this(), target](kj::Exception&&) { return self->resumeLater(target, 0); });
+            [self = shared_from_this(), target](kj::Exception&&) { return self->resumeLater(target, now()); });
 }
 
 auto Relay::elsewhere(const Error& error) -> kj::Promise<void>
--- a/packages/router/entry/Relay.h
+++ b/packages/router/entry/Relay.h
@@ -51,6 +51,7 @@
     /// Reads the answer of an attempt that another call started.
     auto join(const Claim& claim) -> kj::Promise<void>;
     auto tryNext() -> kj::Promise<void>;
+    [[nodiscard]] auto placement() const -> decisions::PlacementRequest;
     auto noTarget() -> kj::Promise<void>;
     auto startAt(const TargetId& target) -> kj::Promise<void>;
     auto claimAt(const TargetId& target, wire::schema::TargetSession::Client session) -> kj::Promise<void>;
@@ -58,8 +59,8 @@
     auto order() -> StartOrder;
     auto refusedBy(const TargetId& target, const Error& error) -> kj::Promise<void>;
     auto follow(const TargetId& target) -> kj::Promise<void>;
-    auto resume(const TargetId& target, int tries) -> kj::Promise<void>;
-    auto resumeLater(const TargetId& target, int tries) -> kj::Promise<void>;
+    auto resume(const TargetId& target, Moment lostAt) -> kj::Promise<void>;
+    auto resumeLater(const TargetId& target, Moment lostAt) -> kj::Promise<void>;
     /// The target process does not know the attempt: finds out whether it can still start.
     auto unknownAt(const TargetId& target) -> kj::Promise<void>;
     /// The attempt is lost with what it had begun.
