--- a/packages/router/EntryRole.h
+++ b/packages/router/EntryRole.h
@@ -7,6 +7,7 @@
 #include "router/controllers/LedgerController.h"
 #include "router/controllers/QuarantineController.h"
 #include "router/controllers/TargetsController.h"
+#include "router/entry/OperatorApi.h"
 #include "router/filters/RequestFilters.h"
 #include "wire/HttpServer.h"
 #include "wire/MainLoop.h"
@@ -27,10 +28,8 @@
 private:
     auto handle(const wire::HttpExchangePtr& exchange) -> void;
     auto serveCaller(const wire::HttpExchangePtr& exchange) -> void;
-    auto serveOperator(const wire::HttpExchangePtr& exchange) -> void;
-    auto patchConfig(const wire::HttpExchangePtr& exchange, const std::string& operatorName) -> void;
-    auto statusPage(const wire::HttpExchangePtr& exchange) -> void;
-    auto ready() const noexcept -> bool;
+    [[nodiscard]] auto status() const -> Json;
+    [[nodiscard]] auto ready() const noexcept -> bool;
 
     wire::MainLoop& loop_;
     EntrySettings settings_;
@@ -40,6 +39,7 @@
     TargetsController targets_;
     LedgerController ledger_;
     QuarantineController quarantine_;
+    OperatorApi operators_;
     RequestChain chain_;
     std::size_t underWay_ = 0;
     bool stopping_ = false;
--- a/packages/router/TargetRole.cpp
+++ b/packages/router/TargetRole.cpp
@@ -15,9 +15,10 @@
 constexpr auto pushDelay = Duration(50ms);
 constexpr auto stopPoll = Duration(50ms);
 constexpr auto superseded = 3;
-// An entry beats every second and gives a session up after three; one that is silent for longer is gone, and what it
-// reads would wait for it for ever.
-constexpr auto sessionSilence = Duration(5s);
+// An entry that does not even beat slowly (20 s) is asked for a sign of life, and given up without one: what it read
+// would wait for it for ever, and hold an adapter slot.
+constexpr auto sessionSilence = Duration(25s);
+constexpr auto sessionLimit = Duration(30s);
 constexpr auto sessionLook = Duration(1s);
 // How soon an engine that restarted unnoticed is seen; the look is one small request on the same host.
 constexpr auto engineLook = Duration(500ms);
@@ -187,6 +188,8 @@
         return;
     auto look = engine_->state().then(
         [this](const targets::EngineState& state) {
+            if (!attempts_->engineAlive())
+                changed();
             attempts_->setEngineAlive(true);
             attempts_->engineRuns(state.streams);
             if (state.incarnation == incarnation_)
@@ -208,7 +211,7 @@
 
 auto TargetRole::accept(kj::Own<wire::GlibStream> stream) -> void
 {
-    auto heard = std::make_shared<Heard>(Heard { now() });
+    auto heard = std::make_shared<Heard>(Heard { now(), std::nullopt });
     auto door = kj::heap<wire::Door>(settings_.common.secret,
         [this, heard](auto name, auto listener) { return admit(std::move(name), kj::mv(listener), heard); });
     auto peer = std::make_shared<Connected>();
@@ -235,8 +238,12 @@
         // After a pause of this process nobody could be heard: the entries get their time anew.
         if (pauses != pausesSeen_)
             peer->heard->at = now();
-        if (now() - peer->heard->at > sessionSilence)
+        const auto silence = now() - peer->heard->at;
+        if (silence > sessionLimit)
             drop(peer);
+        else if (silence > sessionSilence && peer->heard->listener)
+            loop_.spawn(peer->heard->listener->pingRequest().send().ignoreResult().then(
+                [heard = peer->heard] { heard->at = now(); }, [](kj::Exception&&) {}));
     }
     // A process that was replaced while it stood still ends soon, also when nobody asks anything of it.
     if (std::exchange(pausesSeen_, pauses) != pauses)
@@ -248,6 +255,7 @@
 {
     KJ_REQUIRE(ready_, "this target is not ready yet");
     log::info("session opened", { { "peer", name } });
+    heard->listener = listener;
     peers_.push_back({ ++lastPeer_, listener });
     return kj::heap<Session>(*this, std::move(heard), kj::mv(listener));
 }
--- a/packages/router/TargetRole.h
+++ b/packages/router/TargetRole.h
@@ -12,6 +12,7 @@
 
 #include <list>
 #include <memory>
+#include <optional>
 
 namespace eelgrass::router {
 
@@ -42,6 +43,8 @@
     /// When an entry was last heard on a connection.
     struct Heard {
         Moment at;
+        /// Empty before the entry proved the secret.
+        std::optional<wire::schema::EntryListener::Client> listener;
     };
     struct Connected {
         std::shared_ptr<Heard> heard;
--- a/packages/router/controllers/TargetsController.cpp
+++ b/packages/router/controllers/TargetsController.cpp
@@ -1,6 +1,7 @@
 #include "router/controllers/TargetsController.h"
 
 #include "base/Log.h"
+#include "decisions/Rendezvous.h"
 
 #include <algorithm>
 
@@ -8,6 +9,10 @@
 
 namespace {
 
+// An entry serves some 1,800 requests a minute at the size to come. Sessions beyond those it used in the last minute
+// would grow towards one to each target of the fleet, each with heartbeats and reports to be paid for on both sides.
+constexpr auto idleLimit = Duration(60s);
+constexpr auto closingPeriod = Duration(5s);
 constexpr auto pollPeriod = Duration(1s);
 constexpr auto unreachableFor = Duration(1s);
 
@@ -19,24 +24,27 @@
     , platform_(platform)
     , secret_(std::move(secret))
     , name_(std::move(name))
+    , placer_(decisions::nameHash(name_))
+    , poller_(loop, "host list", pollPeriod, [this] { return poll(); })
 {
 }
 
 auto TargetsController::start() -> void
 {
-    auto tick = [this] {
-        if (polling_)
-            return;
-        polling_ = true;
-        loop_.spawn(poll()
-                        .catch_([](kj::Exception&& lost) {
-                            log::warn("host list not read",
-                                { { "step", "platform" }, { "reason", lost.getDescription().cStr() } });
-                        })
-                        .then([this] { polling_ = false; }));
-    };
-    timer_ = loop_.timers().every(pollPeriod, tick);
-    tick();
+    poller_.start();
+    closing_ = loop_.timers().every(closingPeriod, [this] { closeIdle(); });
+}
+
+auto TargetsController::closeIdle() -> void
+{
+    const auto unused = [](const TargetLink& link) { return !link.awaited() && now() - link.lastUsed() > idleLimit; };
+    for (const auto& [target, link] : links_) {
+        // Nothing will correct the last report any more: a queue that was long when the session closed would keep
+        // requests off the target for ever.
+        if (unused(*link))
+            fleet_.forgetLoad(target);
+    }
+    std::erase_if(links_, [&](const auto& link) { return unused(*link.second); });
 }
 
 auto TargetsController::poll() -> kj::Promise<void>
@@ -51,9 +59,8 @@
 auto TargetsController::take(const std::vector<platform::HostRecord>& hosts) -> void
 {
     auto listed = std::map<TargetId, platform::HostRecord>();
-    auto views = std::vector<decisions::TargetView>();
     for (const auto& host : hosts) {
-        const auto* known = find(host.target);
+        const auto* known = fleet_.find(host.target);
         auto view = known ? *known : decisions::TargetView { .id = host.target };
         const auto before = hosts_.find(host.target);
         if (before != hosts_.end() && before->second.address == host.address && before->second.port == host.port) {
@@ -66,35 +73,35 @@
         }
         view.zone = host.zone;
         view.serves = host.serves;
-        views.push_back(std::move(view));
+        fleet_.put(std::move(view));
         listed.emplace(host.target, host);
     }
     std::erase_if(links_, [&](const auto& link) { return !listed.contains(link.first); });
+    for (const auto& [target, host] : hosts_) {
+        if (!listed.contains(target))
+            fleet_.remove(target);
+    }
     hosts_ = std::move(listed);
-    views_ = std::move(views);
-    index_.clear();
-    for (auto index = std::size_t(0); index < views_.size(); ++index)
-        index_.emplace(views_[index].id, index);
-}
-
-auto TargetsController::find(const TargetId& target) -> decisions::TargetView*
-{
-    const auto found = index_.find(target);
-    return found == index_.end() ? nullptr : &views_[found->second];
 }
 
 auto TargetsController::place(const decisions::PlacementRequest& request) -> std::optional<TargetId>
 {
-    const auto chosen = decisions::Placer().choose(request, views_);
+    // A drained target is passed over as one that refused: it keeps what it has and gets nothing new.
+    auto allowed = request;
+    if (drained_)
+        allowed.tried.insert(allowed.tried.end(), drained_().begin(), drained_().end());
+    const auto chosen = placer_.choose(allowed, fleet_, now());
     if (!chosen)
         return std::nullopt;
-    ++views_[*chosen].sentSinceReport;
-    return views_[*chosen].id;
+    fleet_.sent(*chosen, request.model, now());
+    return fleet_.views()[*chosen].id;
 }
 
 auto TargetsController::canPlace(const decisions::PlacementRequest& request) const -> bool
 {
-    return decisions::Placer().choose(request, views_).has_value();
+    // Explained, not chosen: a choice would move the placer's own state on.
+    const auto seen = explain(request);
+    return std::any_of(seen.begin(), seen.end(), [](const auto& target) { return target.usable(); });
 }
 
 auto TargetsController::link(const TargetId& target) -> std::shared_ptr<TargetLink>
@@ -116,13 +123,9 @@
 
 auto TargetsController::unreachable(const TargetId& target) -> void
 {
-    auto* view = find(target);
-    if (!view)
-        return;
-    view->reachable = false;
+    fleet_.setReachable(target, false);
     unreachable_[target] = loop_.timers().after(unreachableFor, [this, target] {
-        if (auto* known = find(target))
-            known->reachable = true;
+        fleet_.setReachable(target, true);
         unreachable_.erase(target);
     });
 }
@@ -132,21 +135,22 @@
     const auto target = TargetId(state.getTarget());
     if (onState_)
         onState_(state);
-    auto* view = find(target);
-    if (!view)
+    if (!fleet_.find(target))
         return;
-    view->reachable = state.getEngineAlive() && !unreachable_.contains(target);
+    // For a short while only: nobody would hear of the engine's return on a session that is closed meanwhile.
+    if (!state.getEngineAlive())
+        unreachable(target);
     epochs_[target] = Epoch(state.getEpoch());
-    view->leaving = view->leaving || state.getLeaving();
-    view->queued = state.getQueued();
-    view->running = state.getRunning();
-    view->slots = state.getSlots();
-    view->batchLimit = std::max(1U, state.getBatchLimit());
-    view->sentSinceReport = 0;
-    view->reportedAt = now();
-    view->resident.clear();
+    auto report = decisions::TargetReport {
+        .leaving = state.getLeaving(),
+        .queued = state.getQueued(),
+        .running = state.getRunning(),
+        .batchLimit = state.getBatchLimit(),
+        .slots = state.getSlots(),
+    };
     for (auto name : state.getResidentAdapters())
-        view->resident.emplace(ModelName(name));
+        report.resident.emplace_back(ModelName(name));
+    fleet_.report(target, std::move(report), now());
 }
 
 } // namespace eelgrass::router
--- a/packages/router/entry/Relay.cpp
+++ b/packages/router/entry/Relay.cpp
@@ -266,17 +266,27 @@
     auto request = session.startRequest();
     router::write(order(), request.initRequest());
     request.setSink(kj::heap<Sink>(weak_from_this(), attempt_));
-    return request.send().then(
-        [self = shared_from_this(), target](auto&& answer) -> kj::Promise<void> {
-            self->targets_.report(answer.getState());
-            if (!answer.getAccepted())
-                return self->refusedBy(target, read(answer.getRefusal()));
-            return self->follow(target);
-        },
-        [self = shared_from_this(), target](kj::Exception&&) {
-            // The start may have arrived: the target process is asked, never passed over.
-            return self->resume(target, now());
-        });
+    return request.send()
+        .attach(watch(target))
+        .then(
+            [self = shared_from_this(), target](auto&& answer) -> kj::Promise<void> {
+                self->targets_.report(answer.getState());
+                if (!answer.getAccepted())
+                    return self->refusedBy(target, read(answer.getRefusal()));
+                return self->follow(target);
+            },
+            [self = shared_from_this(), target](kj::Exception&&) {
+                // The start may have arrived: the target process is asked, never passed over.
+                return self->resume(target, now());
+            });
+}
+
+auto Relay::watch(const TargetId& target) -> kj::Own<kj::Promise<void>>
+{
+    // While someone holds this, the session is watched by quick heartbeats: a question into a session that went silent
+    // would otherwise wait for the slow ones.
+    auto link = targets_.link(target);
+    return kj::heap(link ? link->whenLost() : kj::Promise<void>(kj::READY_NOW));
 }
 
 auto Relay::refusedBy(const TargetId& target, const Error& error) -> kj::Promise<void>
@@ -322,7 +332,7 @@
     });
     return link->session()
         .exclusiveJoin(kj::mv(late))
-        .then([self = shared_from_this()](wire::schema::TargetSession::Client session) {
+        .then([self = shared_from_this(), target](wire::schema::TargetSession::Client session) {
             // What came early on the lost session is sent again.
             self->early_.clear();
             auto request = session.resumeRequest();
@@ -331,7 +341,7 @@
             request.setNextToken(self->writer_.written());
             request.setModel(self->call_->model.name.str());
             request.setSink(kj::heap<Sink>(self->weak_from_this(), self->attempt_));
-            return request.send();
+            return request.send().attach(self->watch(target));
         })
         .then([self = shared_from_this(), target](
                   auto&& answer) { return answer.getKnown() ? self->follow(target) : self->unknownAt(target); },
@@ -354,10 +364,10 @@
     if (!link)
         return elsewhere(lostError(target));
     return link->session()
-        .then([attempt = attempt_](wire::schema::TargetSession::Client session) {
+        .then([self = shared_from_this(), target](wire::schema::TargetSession::Client session) {
             auto request = session.revokeRequest();
-            request.setAttempt(attempt.str());
-            return request.send();
+            request.setAttempt(self->attempt_.str());
+            return request.send().attach(self->watch(target));
         })
         .then(
             [self = shared_from_this(), target](auto&& answer) {
@@ -374,6 +384,15 @@
 {
     if (done_)
         return kj::READY_NOW;
+    if (record_ && !begun_) {
+        // It may have been answered meanwhile, and its output let go: the ledger then has it.
+        return record_->lookUp().then([self = shared_from_this(), error](Standing standing) {
+            if (const auto* answered = std::get_if<Answered>(&standing))
+                self->replay(answered->answer);
+            else
+                self->giveUp(error);
+        });
+    }
     if (!repeatable()) {
         giveUp(error);
         return kj::READY_NOW;
@@ -411,6 +430,8 @@
 auto Relay::take(Piece piece) -> kj::Promise<void>
 {
     nextChunk_ = nextChunk_.next();
+    if (auto link = targets_.link(*target_))
+        link->heard();
     if (piece.end) {
         end(*piece.end);
         return kj::READY_NOW;
@@ -426,6 +447,7 @@
 
 auto Relay::write(const Piece& piece) -> void
 {
+    begun_ = true;
     if (piece.status > 0) {
         writer_.head(piece.status, piece.contentType);
         if (record_)
--- a/packages/router/entry/Relay.h
+++ b/packages/router/entry/Relay.h
@@ -57,6 +57,7 @@
     auto claimAt(const TargetId& target, wire::schema::TargetSession::Client session) -> kj::Promise<void>;
     auto send(const TargetId& target, wire::schema::TargetSession::Client session) -> kj::Promise<void>;
     auto order() -> StartOrder;
+    auto watch(const TargetId& target) -> kj::Own<kj::Promise<void>>;
     auto refusedBy(const TargetId& target, const Error& error) -> kj::Promise<void>;
     auto follow(const TargetId& target) -> kj::Promise<void>;
     auto resume(const TargetId& target, Moment lostAt) -> kj::Promise<void>;
@@ -105,6 +106,8 @@
     bool mayReturn_ = false;
     /// An attempt was lost after it was started.
     bool mayHaveRun_ = false;
+    /// The caller was given some of the answer.
+    bool begun_ = false;
     bool suspect_ = false;
     std::uint32_t crashes_ = 0;
     bool done_ = false;
--- a/tests/harness/Process.cpp
+++ b/tests/harness/Process.cpp
@@ -118,6 +118,13 @@
     return ended_;
 }
 
+auto Process::output() -> std::string
+{
+    auto lock = std::unique_lock(mutex_);
+    more_.wait(lock, [this] { return ended_; });
+    return log_;
+}
+
 auto Process::wait() -> int
 {
     if (reaped_)
