--- a/packages/router/TargetRole.h
+++ b/packages/router/TargetRole.h
@@ -13,6 +13,7 @@
 
 #include <list>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace eelgrass::router {
@@ -46,6 +47,8 @@
         Moment at;
         /// Those whose answers the entry still waits for.
         std::set<AttemptId> awaited;
+        /// Empty before the entry proved the secret.
+        std::optional<wire::schema::EntryListener::Client> listener;
     };
     struct Connected {
         std::shared_ptr<Heard> heard;
@@ -81,7 +84,6 @@
     bool watchingEngine_ = false;
     std::uint64_t pausesSeen_ = 0;
     std::uint64_t lastSession_ = 0;
-    std::shared_ptr<char> alive_ = std::make_shared<char>();
     bool ready_ = false;
     bool stopping_ = false;
     decisions::ReportGate reports_;
@@ -91,6 +93,8 @@
     Timer engineTimer_;
     wire::Listener listener_;
     wire::HttpServer metricsServer_;
+    /// Last, so that it goes first: what outlives the role sees by it that the role is gone.
+    std::shared_ptr<char> alive_ = std::make_shared<char>();
 };
 
 } // namespace eelgrass::router
