--- a/packages/router/TargetRole.h
+++ b/packages/router/TargetRole.h
@@ -35,15 +35,31 @@
     class Session;
     friend class Session;
     struct Peer {
-        std::uint64_t session = 0;
-        std::string name;
+        /// Not the entry's name, since an entry that reconnects has two of these for a while.
+        std::uint64_t id = 0;
         wire::schema::EntryListener::Client listener;
     };
 
+    /// What a connection shows of its entry.
+    struct Heard {
+        Moment at;
+        /// Attempts whose answers may still be on their way over it.
+        std::vector<AttemptId> attempts;
+    };
+    struct Connected {
+        std::shared_ptr<Heard> heard;
+        std::unique_ptr<wire::Connection> connection;
+    };
+
+    auto readEngine() -> kj::Promise<void>;
+    auto watchEngine() -> void;
     auto accept(kj::Own<wire::GlibStream> stream) -> void;
-    auto admit(std::string name, wire::schema::EntryListener::Client listener) -> wire::schema::TargetSession::Client;
+    auto drop(const std::shared_ptr<Connected>& peer) -> void;
+    auto dropSilent() -> void;
+    auto admit(std::string name, wire::schema::EntryListener::Client listener, std::shared_ptr<Heard> heard)
+        -> wire::schema::TargetSession::Client;
     auto describe(wire::schema::TargetState::Builder into) const -> void;
-    auto forget(std::uint64_t session) -> void;
+    auto forget(std::uint64_t peer) -> void;
     [[nodiscard]] auto summary() const -> decisions::ReportGate::Summary;
     auto pushState() -> void;
     auto changed() -> void;
@@ -59,14 +75,19 @@
     std::unique_ptr<SlotsController> slots_;
     std::unique_ptr<AttemptsController> attempts_;
     std::list<Peer> peers_;
-    std::list<std::unique_ptr<wire::Connection>> connections_;
-    std::uint64_t lastSession_ = 0;
+    std::uint64_t lastPeer_ = 0;
     std::shared_ptr<char> alive_ = std::make_shared<char>();
+    std::list<std::shared_ptr<Connected>> connections_;
+    std::string incarnation_;
+    bool watchingEngine_ = false;
+    std::uint64_t pausesSeen_ = 0;
     bool ready_ = false;
     bool stopping_ = false;
     decisions::ReportGate reports_;
     Timer pushTimer_;
     Timer stopTimer_;
+    Timer sessionTimer_;
+    Timer engineTimer_;
     wire::Listener listener_;
     wire::HttpServer metricsServer_;
 };
--- a/packages/wire/GlibStream.cpp
+++ b/packages/wire/GlibStream.cpp
@@ -81,6 +81,7 @@
         return ready(G_IO_IN).then([=, this] { return readSome(buffer, minBytes, maxBytes, got); });
     }
     const auto size = static_cast<size_t>(count);
+    heardAt_ = now();
     if (size == 0 || size >= minBytes)
         return got + size;
     return readSome(buffer + size, minBytes - size, maxBytes - size, got + size);
