--- a/packages/decisions/ReportGate.cpp
+++ b/packages/decisions/ReportGate.cpp
@@ -17,7 +17,7 @@
     constexpr auto nearlyFull = 0.75;
     const auto batch = std::max<std::size_t>(1, summary.batchLimit);
     if (summary.work > batch)
-        return 2 + std::bit_width((summary.work - batch) / batch);
+        return 2 + static_cast<int>(std::bit_width((summary.work - batch) / batch));
     return static_cast<double>(summary.work) > nearlyFull * static_cast<double>(batch) ? 1 : 0;
 }
 
