--- a/packages/wire/GlibStream.h
+++ b/packages/wire/GlibStream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/Clock.h"
 #include "wire/Readiness.h"
 
 #include <gio/gio.h>
@@ -37,6 +38,8 @@
     auto close() -> void;
     /// `address:port` of the other end.
     [[nodiscard]] auto peer() const -> const std::string& { return peer_; }
+    /// When bytes last came from the other end; the moment of opening before any did.
+    [[nodiscard]] auto heardAt() const noexcept -> Moment { return heardAt_; }
 
 private:
     auto readSome(char* buffer, size_t minBytes, size_t maxBytes, size_t got) -> kj::Promise<size_t>;
@@ -45,6 +48,7 @@
     ObjectPtr<GSocket> socket_;
     std::unique_ptr<Watch> watch_;
     std::string peer_;
+    Moment heardAt_ = now();
 };
 
 /// Connects to an IP address; rejects with the peer named.
