Callers that misbehave: bounded, refused at once, cut off, and never in the way

Found by the new tests, each of which failed first: - a body announced or sent over the limit was refused only when all of it had come; the refusal now goes out past libsoup, with a request id - a connection that stops halfway was kept for ever; caller_silence_s (60) closes it - a caller that reads slowly: two chunks waiting for room lost the first one's acknowledgement, and the answer stopped for good (the test hangs with the old writer); now all of them wait Found by reading: the writer was told of drained bytes after its end (freed memory), and a stream could be silent between tokens; comment lines now come whenever nothing else was sent for two seconds. The entry keeps one copy of a body, not two.

--- a/packages/router/EntryRole.cpp
+++ b/packages/router/EntryRole.cpp
@@ -25,8 +25,9 @@
     , targets_(loop, platform_, settings_.common.secret, settings_.common.name)
     , operators_(loop, settings_, config_, targets_, [this] { return status(); })
     , chain_(Authenticate(), Parse(), Resolve(), Authorize())
-    , server_(settings_.listen.address, settings_.listen.port, settings_.bodyLimitKiB * kib,
-          [this](auto& exchange) { handle(exchange); })
+    , server_(
+          settings_.listen.address, settings_.listen.port, settings_.bodyLimitKiB * kib,
+          [this](auto& exchange) { handle(exchange); }, std::chrono::seconds(settings_.callerSilenceS))
 {
 }
 
--- a/packages/router/Settings.cpp
+++ b/packages/router/Settings.cpp
@@ -150,9 +150,11 @@
     constexpr auto maxBodyKiB = 65536U;
     constexpr auto maxDelayMs = 60000U;
     constexpr auto maxMembers = 10000U;
+    constexpr auto maxSilenceS = 3600U;
     reader.endpoint("listen", settings.listen, false);
     readOperators(reader, settings);
     reader.number("body_limit_kib", settings.bodyLimitKiB, 1, maxBodyKiB);
+    reader.number("caller_silence_s", settings.callerSilenceS, 1, maxSilenceS);
     reader.number("balancer_delay_ms", settings.balancerDelayMs, 0, maxDelayMs);
     reader.number("metric_members", settings.metricMembers, 1, maxMembers);
 }
--- a/packages/router/Settings.h
+++ b/packages/router/Settings.h
@@ -35,6 +35,8 @@
     /// Operators by the digest of their key.
     std::map<std::string, std::string> operatorsByKeyDigest;
     std::uint32_t bodyLimitKiB = 4096;
+    /// After this long without a byte either way a caller's connection is closed.
+    std::uint32_t callerSilenceS = 60;
     /// How long the balancer takes to notice that this entry is not ready.
     std::uint32_t balancerDelayMs = 2000;
     /// Members with metrics of their own; the rest share one bucket.
--- a/packages/router/entry/AnswerWriter.cpp
+++ b/packages/router/entry/AnswerWriter.cpp
@@ -41,12 +41,7 @@
         exchange.setHeader("X-Eelgrass-Adapter", call_->model.adapter.str());
         exchange.setHeader("X-Eelgrass-Version", std::to_string(call_->model.version.value()));
     }
-    exchange.onDrained([this] {
-        KJ_IF_MAYBE (fulfiller, writable_) {
-            (*fulfiller)->fulfill();
-            writable_ = nullptr;
-        }
-    });
+    exchange.onDrained([this] { drained(); });
     if (call_->stream)
         commentTimer_ = loop_.timers().every(commentPeriod, [this] { comment(); });
     const auto chat = call_->kind == StartOrder::Kind::Chat;
@@ -56,6 +51,18 @@
     prefix_.pop_back();
 }
 
+// The exchange outlives the writer until its last bytes are sent.
+AnswerWriter::~AnswerWriter() { call_->exchange->onDrained({}); }
+
+auto AnswerWriter::drained() -> void
+{
+    if (call_->exchange->backlog() >= backlogLimit)
+        return;
+    auto waiting = kj::mv(waiting_);
+    for (auto& fulfiller : waiting)
+        fulfiller->fulfill();
+}
+
 auto AnswerWriter::begin() -> void
 {
     if (begun_)
@@ -67,6 +74,8 @@
 
 auto AnswerWriter::comment() -> void
 {
+    if (std::exchange(spoke_, false))
+        return;
     begin();
     call_->exchange->send(": " + note_ + "\n\n");
 }
@@ -102,7 +111,8 @@
         gathered_ += text;
         return;
     }
-    commentTimer_ = {};
+    spoke_ = true;
+    note_ = "generating";
     begin();
     call_->exchange->send(event(text, ""));
 }
@@ -158,7 +168,7 @@
     if (call_->exchange->over() || call_->exchange->backlog() < backlogLimit)
         return kj::READY_NOW;
     auto pair = kj::newPromiseAndFulfiller<void>();
-    writable_ = kj::mv(pair.fulfiller);
+    waiting_.add(kj::mv(pair.fulfiller));
     return kj::mv(pair.promise);
 }
 
--- a/packages/router/entry/AnswerWriter.h
+++ b/packages/router/entry/AnswerWriter.h
@@ -3,6 +3,8 @@
 #include "router/entry/Call.h"
 #include "wire/MainLoop.h"
 
+#include <kj/vector.h>
+
 #include <optional>
 #include <string>
 #include <string_view>
@@ -16,6 +18,9 @@
 class AnswerWriter {
 public:
     AnswerWriter(wire::MainLoop& loop, CallPtr call);
+    ~AnswerWriter();
+    AnswerWriter(const AnswerWriter&) = delete;
+    auto operator=(const AnswerWriter&) -> AnswerWriter& = delete;
 
     /// What the caller waits for, told in the next comment line.
     auto progress(std::string note) -> void { note_ = std::move(note); }
@@ -34,6 +39,7 @@
 private:
     auto begin() -> void;
     auto comment() -> void;
+    auto drained() -> void;
     auto event(std::string_view text, const std::string& finishReason) -> std::string;
     [[nodiscard]] auto wholeBody(const AnswerEnd& end) const -> std::string;
 
@@ -48,7 +54,10 @@
     bool begun_ = false;
     std::optional<Moment> firstTokenAt_;
     Timer commentTimer_;
-    kj::Maybe<kj::Own<kj::PromiseFulfiller<void>>> writable_;
+    /// Whether anything was sent since the last look.
+    bool spoke_ = false;
+    /// Several chunks may wait at once: a target does not wait for the first before it sends the second.
+    kj::Vector<kj::Own<kj::PromiseFulfiller<void>>> waiting_;
 };
 
 /// Answers a request with an error as the interface describes it: status, `Retry-After`, and JSON.
--- a/packages/wire/HttpServer.cpp
+++ b/packages/wire/HttpServer.cpp
@@ -1,5 +1,7 @@
 #include "wire/HttpServer.h"
 
+#include "base/Secrets.h"
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
@@ -11,10 +13,19 @@
 
 namespace {
 
-constexpr auto tooLarge
-    = std::string_view(R"({"error":{"type":"body_too_large","message":"the body is larger than this service takes",)"
-                       R"("step":"parse","peer":"","run":"not_run","request_id":""}})");
 constexpr auto gatheredKey = "eelgrass-gathered";
+constexpr auto requestIdBytes = std::size_t(12);
+
+auto tooLarge() -> std::string
+{
+    const auto id = randomHex(requestIdBytes);
+    const auto body = R"({"error":{"type":"body_too_large","message":"the body is larger than this service takes",)"
+                      R"("step":"parse","peer":"","run":"not_run","request_id":")"
+        + id + R"("}})";
+    return "HTTP/1.1 413 Request Entity Too Large\r\nContent-Type: application/json\r\nConnection: "
+           "close\r\nX-Request-Id: "
+        + id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
 
 } // namespace
 
@@ -32,6 +43,8 @@
     const auto* data = static_cast<const char*>(g_bytes_get_data(bytes, &size));
     body_.assign(data ? data : "", size);
     g_bytes_unref(bytes);
+    // libsoup's own copy would live as long as the answer.
+    soup_message_body_truncate(request);
     g_signal_connect(message, "wrote-chunk", G_CALLBACK(wroteChunk), this);
     g_signal_connect(message, "wrote-headers", G_CALLBACK(wroteChunk), this);
     g_signal_connect(message, "finished", G_CALLBACK(finished), this);
@@ -234,10 +247,12 @@
         over(whole);
 }
 
-HttpServer::HttpServer(const std::string& address, std::uint16_t port, std::size_t bodyLimit, Handler handler)
+HttpServer::HttpServer(const std::string& address, std::uint16_t port, std::size_t bodyLimit, Handler handler,
+    std::chrono::seconds silence)
     : server_(soup_server_new("server-header", nullptr, nullptr))
     , bodyLimit_(bodyLimit)
     , handler_(std::move(handler))
+    , silence_(silence)
 {
     g_signal_connect(server_.get(), "request-started", G_CALLBACK(started), this);
     soup_server_add_handler(server_.get(), nullptr, handle, this, nullptr);
@@ -265,6 +280,9 @@
 
 auto HttpServer::started(SoupServer*, SoupServerMessage* message, gpointer self) -> void
 {
+    const auto silence = static_cast<HttpServer*>(self)->silence_;
+    if (auto* socket = soup_server_message_get_socket(message); socket && silence.count() > 0)
+        g_socket_set_timeout(socket, static_cast<guint>(silence.count()));
     g_signal_connect(message, "got-headers", G_CALLBACK(gotHeaders), self);
     g_signal_connect(message, "got-chunk", G_CALLBACK(gotChunk), self);
 }
@@ -272,8 +290,13 @@
 auto HttpServer::refuse(SoupServerMessage* message) -> void
 {
     soup_server_message_set_status(message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, nullptr);
-    soup_server_message_set_response(message, "application/json", SOUP_MEMORY_STATIC, tooLarge.data(), tooLarge.size());
-    soup_message_headers_replace(soup_server_message_get_response_headers(message), "Connection", "close");
+    soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
+    // libsoup answers only when it has read the whole body, which may never end. So the refusal goes out past it, and
+    // the writing side is closed; the reading side stays open, since a reset could overtake the refusal.
+    auto* socket = soup_server_message_get_socket(message);
+    const auto answer = tooLarge();
+    g_socket_send(socket, answer.data(), answer.size(), nullptr, nullptr);
+    g_socket_shutdown(socket, FALSE, TRUE, nullptr);
 }
 
 auto HttpServer::gotHeaders(SoupServerMessage* message, gpointer self) -> void
@@ -288,10 +311,9 @@
 {
     auto so = GPOINTER_TO_SIZE(g_object_get_data(G_OBJECT(message), gatheredKey)) + g_bytes_get_size(chunk);
     g_object_set_data(G_OBJECT(message), gatheredKey, GSIZE_TO_POINTER(so));
-    if (so <= static_cast<HttpServer*>(self)->bodyLimit_)
-        return;
-    soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
-    refuse(message);
+    const auto refused = soup_server_message_get_status(message) == SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE;
+    if (!refused && so > static_cast<HttpServer*>(self)->bodyLimit_)
+        refuse(message);
 }
 
 auto HttpServer::handle(SoupServer*, SoupServerMessage* message, const char*, GHashTable*, gpointer self) -> void
--- a/packages/wire/HttpServer.h
+++ b/packages/wire/HttpServer.h
@@ -4,6 +4,7 @@
 
 #include <libsoup/soup.h>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -79,12 +80,14 @@
 
 using HttpExchangePtr = std::shared_ptr<HttpExchange>;
 
-/// Serves HTTP/1.1 on one address; bodies over the limit get 413 before they are gathered.
+/// Serves HTTP/1.1 on one address; bodies over the limit get 413 before they are gathered, and a connection on which
+/// nothing moves for `silence` is closed, so that callers which stop halfway hold no more than that.
 class HttpServer {
 public:
     using Handler = std::function<void(const HttpExchangePtr&)>;
 
-    HttpServer(const std::string& address, std::uint16_t port, std::size_t bodyLimit, Handler handler);
+    HttpServer(const std::string& address, std::uint16_t port, std::size_t bodyLimit, Handler handler,
+        std::chrono::seconds silence = std::chrono::seconds(0));
     ~HttpServer();
     HttpServer(const HttpServer&) = delete;
     auto operator=(const HttpServer&) -> HttpServer& = delete;
@@ -103,6 +106,8 @@
     ObjectPtr<SoupServer> server_;
     std::size_t bodyLimit_;
     Handler handler_;
+    /// Zero for no limit.
+    std::chrono::seconds silence_;
     std::uint16_t port_ = 0;
 };
 
--- a/tests/harness/Deployment.cpp
+++ b/tests/harness/Deployment.cpp
@@ -123,7 +123,7 @@
     startTarget(name);
 }
 
-auto Deployment::addEntry(const std::string& name) -> void { startEntry(name); }
+auto Deployment::addEntry(const std::string& name, const std::string& extra) -> void { startEntry(name, extra); }
 
 auto Deployment::restartEntry(const std::string& name) -> void
 {
@@ -131,11 +131,11 @@
     startEntry(name);
 }
 
-auto Deployment::startEntry(const std::string& name) -> void
+auto Deployment::startEntry(const std::string& name, const std::string& extra) -> void
 {
     const auto file = writeFile(name,
         common(name) + "balancer_delay_ms: 100\noperators: [{ name: operator, key_sha256: " + sha256Hex(operatorKey)
-            + " }]\n");
+            + " }]\n" + extra);
     auto process = std::make_unique<Process>(
         name, "eelgrassrouterd", std::vector<std::string> { "--role=entry", "--settings=" + file });
     urls_[name] = loopback(through(name, Leg::Caller, process->listeningPort()));
--- a/tests/harness/Deployment.h
+++ b/tests/harness/Deployment.h
@@ -50,7 +50,8 @@
     auto addEngineTarget(const std::string& name, const std::vector<std::string>& engineFlags = {},
         const std::string& extra = "") -> void;
     auto addServiceTarget(const std::string& name, const std::string& service) -> void;
-    auto addEntry(const std::string& name) -> void;
+    /// `extra` is added to the settings file.
+    auto addEntry(const std::string& name, const std::string& extra = "") -> void;
     /// Starts a target process again before the engine or service that it had.
     auto restartTarget(const std::string& name) -> void;
     auto restartEntry(const std::string& name) -> void;
@@ -101,7 +102,7 @@
     auto through(const std::string& name, Leg leg, std::uint16_t upstream) -> std::uint16_t;
     auto common(const std::string& name) -> std::string;
     auto startTarget(const std::string& name) -> void;
-    auto startEntry(const std::string& name) -> void;
+    auto startEntry(const std::string& name, const std::string& extra = "") -> void;
     auto writeFile(const std::string& name, const std::string& text) -> std::string;
 
     std::set<Leg> proxied_;
