--- a/packages/router/controllers/TargetsController.cpp
+++ b/packages/router/controllers/TargetsController.cpp
@@ -39,10 +39,12 @@
 {
     const auto unused = [](const TargetLink& link) { return !link.awaited() && now() - link.lastUsed() > idleLimit; };
     for (const auto& [target, link] : links_) {
-        // Nothing will correct the last report any more: a queue that was long when the session closed would keep
-        // requests off the target for ever.
-        if (unused(*link))
-            fleet_.forgetLoad(target);
+        // Without a session nothing corrects the last report: a queue that was long, or an engine that was down, when
+        // the session ended would keep requests off the target for ever.
+        if (!unused(*link) && link->open())
+            continue;
+        fleet_.forgetLoad(target);
+        fleet_.setReachable(target, !unreachable_.contains(target));
     }
     std::erase_if(links_, [&](const auto& link) { return unused(*link.second); });
 }
@@ -126,8 +128,11 @@
 auto TargetsController::report(wire::schema::TargetState::Reader state) -> void
 {
     const auto target = TargetId(state.getTarget());
+    if (onState_)
+        onState_(state);
     if (!fleet_.find(target))
         return;
+    fleet_.setReachable(target, state.getEngineAlive() && !unreachable_.contains(target));
     epochs_[target] = Epoch(state.getEpoch());
     auto report = decisions::TargetReport {
         .leaving = state.getLeaving(),
--- a/tests/harness/Deployment.cpp
+++ b/tests/harness/Deployment.cpp
@@ -57,8 +57,9 @@
 auto Deployment::common(const std::string& name) -> std::string
 {
     const auto port = through(name, Leg::Platform, platform_->listeningPort());
-    return "name: " + name + "\navailability_zone: zone-1\nplatform: { address: 127.0.0.1, port: "
-        + std::to_string(port) + " }\nsecret: " + sharedSecret + "\n";
+    return "name: " + name + "\nlog_level: " + logLevel
+        + "\navailability_zone: zone-1\nplatform: { address: 127.0.0.1, port: " + std::to_string(port)
+        + " }\nsecret: " + sharedSecret + "\n";
 }
 
 auto Deployment::writeFile(const std::string& name, const std::string& text) -> std::string
--- a/tests/harness/Deployment.h
+++ b/tests/harness/Deployment.h
@@ -43,6 +43,8 @@
 
     wire::MainLoop loop;
     wire::HttpClient http { 256, 30 };
+    /// Of the processes that are started from here on.
+    std::string logLevel = "INFO";
 
     auto platform() -> Process& { return *platform_; }
     [[nodiscard]] auto platformUrl() const -> std::string;
--- a/tests/integration/BadInput.cpp
+++ b/tests/integration/BadInput.cpp
@@ -22,6 +22,7 @@
     {
         const auto answer = deployment.call("e1", "/v1/completions", body, std::move(headers));
         const auto json = Json::parse(answer.body, nullptr, false);
+        BOOST_REQUIRE_MESSAGE(json.is_object() && json.contains("error"), body + " got " + answer.body);
         BOOST_TEST(json["error"]["run"] == "not_run");
         BOOST_TEST(!json["error"]["request_id"].get<std::string>().empty());
         BOOST_TEST(!json["error"]["step"].get<std::string>().empty());
