--- a/packages/router/entry/Relay.cpp
+++ b/packages/router/entry/Relay.cpp
@@ -461,9 +461,15 @@
         record_->text(piece.data, piece.tokens);
     else if (repeatable())
         given_ += piece.data;
-    if (first)
-        metrics_.observe("eelgrass_time_to_first_token_seconds", call_->caller.member, call_->requestClass,
-            now() - call_->receivedAt);
+    const auto at = now();
+    if (first) {
+        const auto& member = call_->caller.member;
+        metrics_.observe("eelgrass_time_to_first_token_seconds", member, call_->requestClass, at - call_->receivedAt);
+        betweenTokens_ = &metrics_.series("eelgrass_between_tokens_seconds", member, call_->requestClass);
+    } else {
+        Metrics::observe(*betweenTokens_, at - lastTokenAt_);
+    }
+    lastTokenAt_ = at;
 }
 
 auto Relay::end(const AnswerEnd& end) -> void
@@ -531,6 +537,11 @@
     done_ = true;
     endSuspect();
     metrics_.observe("eelgrass_answer_seconds", call_->caller.member, call_->requestClass, now() - call_->receivedAt);
+    if (log::debugs())
+        log::debug("request over",
+            { { "step", "relay" }, { "peer", target_ ? target_->str() : "" }, { "request_id", call_->request.str() },
+                { "member", call_->caller.member.str() }, { "adapter", call_->model.adapter.str() },
+                { "attempt", attempt_.str() } });
     finished_->fulfill();
 }
 
--- a/tests/harness/Deployment.cpp
+++ b/tests/harness/Deployment.cpp
@@ -57,8 +57,9 @@
 auto Deployment::common(const std::string& name) -> std::string
 {
     const auto port = through(name, Leg::Platform, platform_->listeningPort());
-    return "name: " + name + "\navailability_zone: zone-1\nplatform: { address: 127.0.0.1, port: "
-        + std::to_string(port) + " }\nsecret: " + sharedSecret + "\n";
+    return "name: " + name + "\nlog_level: " + logLevel
+        + "\navailability_zone: zone-1\nplatform: { address: 127.0.0.1, port: " + std::to_string(port)
+        + " }\nsecret: " + sharedSecret + "\n";
 }
 
 auto Deployment::writeFile(const std::string& name, const std::string& text) -> std::string
@@ -139,7 +140,7 @@
     processes_[target + "-behind"]->listeningPort();
 }
 
-auto Deployment::addEntry(const std::string& name) -> void { startEntry(name); }
+auto Deployment::addEntry(const std::string& name, const std::string& extra) -> void { startEntry(name, extra); }
 
 auto Deployment::restartEntry(const std::string& name) -> void
 {
@@ -147,11 +148,11 @@
     startEntry(name);
 }
 
-auto Deployment::startEntry(const std::string& name) -> void
+auto Deployment::startEntry(const std::string& name, const std::string& extra) -> void
 {
     const auto file = writeFile(name,
         common(name) + "balancer_delay_ms: 100\noperators: [{ name: operator, key_sha256: " + sha256Hex(operatorKey)
-            + " }]\n");
+            + " }]\n" + extra);
     auto process = std::make_unique<Process>(
         name, "eelgrassrouterd", std::vector<std::string> { "--role=entry", "--settings=" + file });
     urls_[name] = loopback(through(name, Leg::Caller, process->listeningPort()));
