--- a/standins/EngineStandin.cpp
+++ b/standins/EngineStandin.cpp
@@ -1,5 +1,6 @@
 #include "standins/EngineStandin.h"
 
+#include "base/Log.h"
 #include "base/Secrets.h"
 
 #include <algorithm>
@@ -13,6 +14,10 @@
 constexpr auto crashWord = "crash-the-engine";
 constexpr auto finishedKept = std::size_t(1000);
 constexpr auto startedKept = std::size_t(200000);
+constexpr auto eventsKept = std::size_t(10000);
+constexpr auto loadsKept = std::size_t(1000);
+
+auto timeNow() -> std::string { return std::to_string(now().time_since_epoch().count()); }
 
 } // namespace
 
@@ -47,6 +52,10 @@
         return models(exchange);
     if (path.starts_with("/v1/streams"))
         return streams(exchange);
+    if (path == "/v1/cache_events")
+        return cacheEvents(exchange);
+    if (path == "/v1/load")
+        return loadReport(exchange);
     if (path.starts_with("/standin/"))
         return control(exchange);
     answer(exchange, 404, { { "error", { { "type", "not_found" } } } });
@@ -83,14 +92,23 @@
     sequence->produced = body.value("skip_tokens", std::size_t(0));
     sequence->priority = body.value("priority", 0);
     known_[sequence->id] = sequence;
+    log::info("run",
+        { { "attempt", sequence->id }, { "model", model }, { "prompt", sequence->prompt }, { "at", timeNow() } });
     if (started_.size() < startedKept)
         started_.push_back({ { "id", sequence->id }, { "model", model } });
-    attach(sequence, exchange, sequence->produced);
+    sequence->misnamed = spend(faults_.wrongName);
     waiting_.push_back(sequence);
+    if (spend(faults_.loseAnswers))
+        return exchange->abort();
+    if (!spend(faults_.hang))
+        attach(sequence, exchange, sequence->produced);
 }
 
 auto EngineStandin::attach(const SequencePtr& sequence, const wire::HttpExchangePtr& exchange, std::size_t from) -> void
 {
+    // A stream has one reader: who resumes it takes it over.
+    if (sequence->exchange)
+        sequence->exchange->abort();
     sequence->exchange = exchange;
     exchange->setHeader("X-Request-Id", sequence->id);
     exchange->begin(200, "text/event-stream");
@@ -107,8 +125,8 @@
     auto choice = Json { { "index", 0 }, { "text", expectedToken(sequence.model, sequence.prompt, index) } };
     if (index + 1 == sequence.limit)
         choice["finish_reason"] = "length";
-    auto body
-        = Json { { "id", sequence.id }, { "model", sequence.model }, { "token", index }, { "choices", { choice } } };
+    const auto model = sequence.misnamed ? "misnamed@1#00" : sequence.model;
+    auto body = Json { { "id", sequence.id }, { "model", model }, { "token", index }, { "choices", { choice } } };
     return "data: " + body.dump() + "\n\n";
 }
 
@@ -118,6 +136,7 @@
         running_.push_back(waiting_.front());
         waiting_.pop_front();
     }
+    noteLoad();
     if (running_.empty())
         return;
     ++steps_;
@@ -138,13 +157,15 @@
         std::_Exit(EXIT_FAILURE);
     if (sequence.cancelled || sequence.produced >= sequence.limit)
         return;
-    sequence.exchange->send(event(sequence, sequence.produced));
+    if (sequence.exchange)
+        sequence.exchange->send(event(sequence, sequence.produced));
     ++sequence.produced;
 }
 
 auto EngineStandin::retire(const SequencePtr& sequence) -> void
 {
-    if (!sequence->cancelled) {
+    publish(*sequence);
+    if (!sequence->cancelled && sequence->exchange) {
         sequence->exchange->send("data: [DONE]\n\n");
         sequence->exchange->finish();
     }
@@ -163,10 +184,8 @@
     const auto model = body.value("lora_name", "");
     if (adapters_.contains(model))
         return answer(exchange, 200, { { "lora_name", model } });
-    if (failLoads_ > 0) {
-        --failLoads_;
+    if (spend(faults_.failLoads))
         return answer(exchange, 500, { { "error", { { "type", "load_failed" } } } });
-    }
     if (adapters_.size() + loading_.size() >= options_.slots)
         return answer(exchange, 409, { { "error", { { "type", "no_free_slot" } } } });
     loading_.insert(model);
@@ -184,7 +203,7 @@
     if (got.status != 200)
         return answer(exchange, 502, { { "error", { { "type", "weight_store_failed" } } } });
     adapters_.insert(model);
-    answer(exchange, 200, { { "lora_name", model } });
+    ordered(exchange, 200, { { "lora_name", model } });
 }
 
 auto EngineStandin::unloadAdapter(const wire::HttpExchangePtr& exchange) -> void
@@ -194,10 +213,12 @@
         return;
     const auto model = body.value("lora_name", "");
     auto uses = [&](auto& sequence) { return sequence->model == model; };
-    if (std::any_of(running_.begin(), running_.end(), uses) || std::any_of(waiting_.begin(), waiting_.end(), uses))
+    if (std::any_of(running_.begin(), running_.end(), uses) || std::any_of(waiting_.begin(), waiting_.end(), uses)) {
+        log::warn("unload of an adapter in use", { { "model", model }, { "at", timeNow() } });
         return answer(exchange, 409, { { "error", { { "type", "adapter_in_use" } } } });
+    }
     adapters_.erase(model);
-    answer(exchange, 200, { { "lora_name", model } });
+    ordered(exchange, 200, { { "lora_name", model } });
 }
 
 auto EngineStandin::streams(const wire::HttpExchangePtr& exchange) -> void
@@ -235,7 +256,7 @@
 auto EngineStandin::control(const wire::HttpExchangePtr& exchange) -> void
 {
     const auto body = bodyOf(exchange);
-    failLoads_ = body.value("fail_loads", failLoads_);
+    playFaults(body);
     if (body.contains("step_ms")) {
         options_.step = std::chrono::milliseconds(body["step_ms"].get<int>());
         stepTimer_ = loop_.timers().every(options_.step, [this] { step(); });
@@ -244,8 +265,79 @@
         adapters_.clear();
         incarnation_ = randomHex(8);
     }
+    if (exchange->path() == "/standin/faults")
+        return answer(exchange, 200, Json::object());
     answer(exchange, 200,
         { { "started", started_ }, { "steps", steps_ }, { "filled", filled_ }, { "batch", options_.batch } });
 }
 
+auto EngineStandin::playFaults(const Json& body) -> void
+{
+    faults_.failLoads = body.value("fail_loads", faults_.failLoads);
+    faults_.loseAnswers = body.value("lose_answers", faults_.loseAnswers);
+    faults_.hang = body.value("hang", faults_.hang);
+    faults_.wrongName = body.value("wrong_name", faults_.wrongName);
+    faults_.dropEvery = body.value("drop_every", faults_.dropEvery);
+    if (body.contains("report_lag_ms"))
+        faults_.reportLag = std::chrono::milliseconds(body["report_lag_ms"].get<int>());
+    options_.honoursFence = body.value("honours_fence", options_.honoursFence);
+}
+
+auto EngineStandin::spend(int& count) -> bool
+{
+    if (count <= 0)
+        return false;
+    --count;
+    return true;
+}
+
+auto EngineStandin::ordered(const wire::HttpExchangePtr& exchange, int status, const Json& body) -> void
+{
+    if (spend(faults_.loseAnswers))
+        return exchange->abort();
+    answer(exchange, status, body);
+}
+
+auto EngineStandin::publish(const Sequence& sequence) -> void
+{
+    ++eventCount_;
+    // The number is used up, so that a reader can see the gap.
+    if (faults_.dropEvery > 0 && eventCount_ % static_cast<std::uint64_t>(faults_.dropEvery) == 0)
+        return;
+    events_.push_back({ now(), eventCount_, sequence.model, sequence.prompt });
+    if (events_.size() > eventsKept)
+        events_.pop_front();
+}
+
+auto EngineStandin::cacheEvents(const wire::HttpExchangePtr& exchange) -> void
+{
+    const auto after = std::strtoull(exchange->query("after").c_str(), nullptr, 10);
+    const auto until = now() - faults_.reportLag;
+    auto list = Json::array();
+    for (const auto& event : events_) {
+        if (event.number > after && event.at <= until)
+            list.push_back({ { "number", event.number }, { "kind", "stored" }, { "model", event.model },
+                { "prefix", sha256Hex(event.prompt) } });
+    }
+    answer(exchange, 200, { { "incarnation", incarnation_ }, { "events", list } });
+}
+
+auto EngineStandin::noteLoad() -> void
+{
+    loads_.push_back({ now(), running_.size(), waiting_.size() });
+    if (loads_.size() > loadsKept)
+        loads_.pop_front();
+}
+
+auto EngineStandin::loadReport(const wire::HttpExchangePtr& exchange) -> void
+{
+    const auto until = now() - faults_.reportLag;
+    auto shown = LoadReport();
+    for (const auto& report : loads_) {
+        if (report.at <= until)
+            shown = report;
+    }
+    answer(exchange, 200, { { "running", shown.running }, { "waiting", shown.waiting } });
+}
+
 } // namespace eelgrass::standins
--- a/standins/EngineStandin.h
+++ b/standins/EngineStandin.h
@@ -19,6 +19,9 @@
 /// Takes a model engine's place: batches continuously, holds few adapters, streams, resumes and cancels.
 ///
 /// A prompt that contains `crash-the-engine` ends the process when its first step runs.
+///
+/// Each start, and each refused unload of an adapter in use, is logged before it takes effect, so that a test's record
+/// outlives a killed engine. Faults are set through `POST /standin/faults`, see `Faults`.
 class EngineStandin {
 public:
     struct Options {
@@ -45,9 +48,37 @@
         std::size_t produced = 0;
         int priority = 0;
         bool cancelled = false;
+        /// Claims to come from another model.
+        bool misnamed = false;
         wire::HttpExchangePtr exchange;
     };
     using SequencePtr = std::shared_ptr<Sequence>;
+    /// What the engine does wrong; counts say how many more times.
+    struct Faults {
+        /// Loads that are refused.
+        int failLoads = 0;
+        /// Orders and completions that take effect while their answers get lost.
+        int loseAnswers = 0;
+        /// Completions whose connection stays open and silent for good; the stream can still be resumed.
+        int hang = 0;
+        /// Answers that name another model than the one that ran.
+        int wrongName = 0;
+        /// Every so many-th cache event is never published; 0 for none.
+        int dropEvery = 0;
+        /// Age at which cache events and load reports are published.
+        Duration reportLag {};
+    };
+    struct CacheEvent {
+        Moment at;
+        std::uint64_t number = 0;
+        std::string model;
+        std::string prompt;
+    };
+    struct LoadReport {
+        Moment at;
+        std::size_t running = 0;
+        std::size_t waiting = 0;
+    };
 
     auto handle(const wire::HttpExchangePtr& exchange) -> void;
     auto complete(const wire::HttpExchangePtr& exchange) -> void;
@@ -57,6 +88,14 @@
     auto streams(const wire::HttpExchangePtr& exchange) -> void;
     auto models(const wire::HttpExchangePtr& exchange) -> void;
     auto control(const wire::HttpExchangePtr& exchange) -> void;
+    auto playFaults(const Json& body) -> void;
+    auto cacheEvents(const wire::HttpExchangePtr& exchange) -> void;
+    auto loadReport(const wire::HttpExchangePtr& exchange) -> void;
+    auto publish(const Sequence& sequence) -> void;
+    auto noteLoad() -> void;
+    /// Answers an order, unless the answer is to be lost.
+    auto ordered(const wire::HttpExchangePtr& exchange, int status, const Json& body) -> void;
+    static auto spend(int& count) -> bool;
     auto fenced(const wire::HttpExchangePtr& exchange, const Json& body) -> bool;
     auto attach(const SequencePtr& sequence, const wire::HttpExchangePtr& exchange, std::size_t from) -> void;
     [[nodiscard]] auto event(const Sequence& sequence, std::size_t index) const -> std::string;
@@ -79,7 +118,10 @@
     Json started_ = Json::array();
     std::uint64_t steps_ = 0;
     std::uint64_t filled_ = 0;
-    int failLoads_ = 0;
+    Faults faults_;
+    std::deque<CacheEvent> events_;
+    std::uint64_t eventCount_ = 0;
+    std::deque<LoadReport> loads_;
     Timer stepTimer_;
     wire::HttpServer server_;
 };
--- a/standins/ServiceStandin.cpp
+++ b/standins/ServiceStandin.cpp
@@ -1,5 +1,7 @@
 #include "standins/ServiceStandin.h"
 
+#include "base/Log.h"
+
 #include <cstdlib>
 
 namespace eelgrass::standins {
@@ -19,11 +21,23 @@
 
 auto ServiceStandin::handle(const wire::HttpExchangePtr& exchange) -> void
 {
-    if (exchange->path() == "/standin/runs")
-        return answer(exchange, 200, { { "runs", runs_ } });
+    if (exchange->path().starts_with("/standin/"))
+        return control(exchange);
     const auto body = std::string(exchange->body());
+    log::info("run",
+        { { "attempt", exchange->header("X-Attempt-Id") }, { "prompt", body },
+            { "at", std::to_string(now().time_since_epoch().count()) } });
     runs_.push_back(
         { { "path", exchange->path() }, { "attempt", exchange->header("X-Attempt-Id") }, { "body", body } });
+    if (loseAnswers_ > 0) {
+        --loseAnswers_;
+        return exchange->abort();
+    }
+    if (hang_ > 0) {
+        --hang_;
+        hanging_.push_back(exchange);
+        return;
+    }
     const auto found = body.find(sleepWord);
     if (found == std::string::npos)
         return run(exchange);
@@ -31,6 +45,16 @@
     loop_.spawn(loop_.sleep(delay).then([this, exchange] { run(exchange); }));
 }
 
+auto ServiceStandin::control(const wire::HttpExchangePtr& exchange) -> void
+{
+    if (exchange->path() == "/standin/runs")
+        return answer(exchange, 200, { { "runs", runs_ } });
+    const auto body = bodyOf(exchange);
+    loseAnswers_ = body.value("lose_answers", loseAnswers_);
+    hang_ = body.value("hang", hang_);
+    answer(exchange, 200, Json::object());
+}
+
 auto ServiceStandin::run(const wire::HttpExchangePtr& exchange) -> void
 {
     if (exchange->over())
--- a/tests/harness/Deployment.cpp
+++ b/tests/harness/Deployment.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr auto pollPeriod = Duration(10ms);
+
 auto makeFolder() -> std::string
 {
     auto name = (std::filesystem::temp_directory_path() / "eelgrass-XXXXXX").string();
@@ -50,10 +52,7 @@
 {
     auto flags = std::vector<std::string> { "--kind=engine", "--platform=" + platformUrl(), "--step_us=1000" };
     flags.insert(flags.end(), engineFlags.begin(), engineFlags.end());
-    auto engine = std::make_unique<Process>(name + "-behind", "eelgrass-standin", flags);
-    const auto port = engine->listeningPort();
-    urls_[name + "-behind"] = loopback(port);
-    processes_[name + "-behind"] = std::move(engine);
+    const auto port = startBehind(name + "-behind", std::move(flags));
     auto place = "target: { kind: engine, serves: base, address: 127.0.0.1, port: " + std::to_string(port) + ", "
         + extra + " }\n";
     targets_[name] = { common(name, platform_->listeningPort()) + place, "base", 0 };
@@ -62,11 +61,7 @@
 
 auto Deployment::addServiceTarget(const std::string& name, const std::string& service) -> void
 {
-    auto behind = std::make_unique<Process>(
-        name + "-behind", "eelgrass-standin", std::vector<std::string> { "--kind=service" });
-    const auto port = behind->listeningPort();
-    urls_[name + "-behind"] = loopback(port);
-    processes_[name + "-behind"] = std::move(behind);
+    const auto port = startBehind(name + "-behind", { "--kind=service" });
     auto place = "target: { kind: service, serves: " + service + ", address: 127.0.0.1, port: " + std::to_string(port)
         + " }\n";
     targets_[name] = { common(name, platform_->listeningPort()) + place, service, 0 };
@@ -77,21 +72,108 @@
 {
     auto& place = targets_.at(name);
     const auto file = writeFile(name, place.settings);
-    auto process = std::make_unique<Process>(
-        name, "eelgrassrouterd", std::vector<std::string> { "--role=target", "--settings=" + file });
-    place.port = process->listeningPort();
-    process->waitForLog("ready");
-    urls_[name] = loopback(process->listeningPort("metrics_port"));
-    processes_[name] = std::move(process);
+    launches_[name] = { "eelgrassrouterd", { "--role=target", "--settings=" + file } };
+    auto& process = launch(name);
+    place.port = process.listeningPort();
+    process.waitForLog("ready");
+    urls_[name] = loopback(process.listeningPort("metrics_port"));
     list(name);
 }
 
+auto Deployment::launch(const std::string& name) -> Process&
+{
+    const auto& [program, arguments] = launches_.at(name);
+    auto& place = processes_[name];
+    place = std::make_unique<Process>(name, program, arguments);
+    return *place;
+}
+
+auto Deployment::startBehind(const std::string& name, std::vector<std::string> flags) -> std::uint16_t
+{
+    launches_[name] = { "eelgrass-standin", std::move(flags) };
+    const auto port = launch(name).listeningPort();
+    // It comes back at the place that its target's settings name.
+    launches_[name].arguments.push_back("--port=" + std::to_string(port));
+    urls_[name] = loopback(port);
+    return port;
+}
+
+auto Deployment::relaunch(const std::string& name) -> kj::Promise<void>
+{
+    launch(name);
+    return becomeReady(name);
+}
+
+auto Deployment::becomeReady(const std::string& name) -> kj::Promise<void>
+{
+    auto* process = find(name);
+    // It was ended again meanwhile; who ended it starts it.
+    if (!process)
+        return kj::READY_NOW;
+    // The port of an engine or service may be held by a passing connection for a moment. Any other end is a fault,
+    // which is left for the test to find.
+    if (!process->running() && !name.ends_with("-behind"))
+        return kj::READY_NOW;
+    if (!process->running())
+        return loop.sleep(pollPeriod).then([this, name] { return find(name) ? relaunch(name) : kj::READY_NOW; });
+    const auto isTarget = targets_.contains(name);
+    if (!process->logged(isTarget ? "ready" : "listening"))
+        return loop.sleep(pollPeriod).then([this, name] { return becomeReady(name); });
+    if (isTarget) {
+        targets_.at(name).port = process->listeningPort();
+        urls_[name] = loopback(process->listeningPort("metrics_port"));
+        return controlLater(platformUrl() + "/standin/hosts", hostRow(name, "live")).ignoreResult();
+    }
+    if (name.ends_with("-behind"))
+        return kj::READY_NOW;
+    urls_[name] = loopback(process->listeningPort());
+    return entered(name);
+}
+
+auto Deployment::entered(const std::string& name) -> kj::Promise<void>
+{
+    auto again = [this, name]() -> kj::Promise<void> {
+        return loop.sleep(pollPeriod).then([this, name] { return find(name) ? entered(name) : kj::READY_NOW; });
+    };
+    return callLater(name, "/readyz", "", {}, "GET")
+        .then([again](wire::HttpResponse got) -> kj::Promise<void> {
+            if (got.status == 200)
+                return kj::READY_NOW;
+            return again();
+        })
+        .catch_([again](kj::Exception&&) { return again(); });
+}
+
+auto Deployment::take(const std::string& name) -> ProcessPtr
+{
+    auto node = processes_.extract(name);
+    return node.empty() ? nullptr : std::move(node.mapped());
+}
+
+auto Deployment::find(const std::string& name) -> Process*
+{
+    const auto found = processes_.find(name);
+    return found == processes_.end() ? nullptr : found->second.get();
+}
+
+auto Deployment::names() const -> std::vector<std::string>
+{
+    auto list = std::vector<std::string>();
+    for (const auto& [name, process] : processes_)
+        list.push_back(name);
+    return list;
+}
+
 auto Deployment::list(const std::string& target, const std::string& state) -> void
+{
+    control(platformUrl() + "/standin/hosts", hostRow(target, state));
+}
+
+auto Deployment::hostRow(const std::string& target, const std::string& state) const -> Json
 {
     const auto& place = targets_.at(target);
-    control(platformUrl() + "/standin/hosts",
-        { { "target", target }, { "availability_zone", "zone-1" }, { "serves", place.serves },
-            { "address", "127.0.0.1" }, { "port", place.port }, { "state", state } });
+    return { { "target", target }, { "availability_zone", "zone-1" }, { "serves", place.serves },
+        { "address", "127.0.0.1" }, { "port", place.port }, { "state", state } };
 }
 
 auto Deployment::restartTarget(const std::string& name) -> void
@@ -113,10 +195,8 @@
     const auto file = writeFile(name,
         common(name, platform_->listeningPort())
             + "balancer_delay_ms: 100\noperators: [{ name: operator, key_sha256: " + sha256Hex(operatorKey) + " }]\n");
-    auto process = std::make_unique<Process>(
-        name, "eelgrassrouterd", std::vector<std::string> { "--role=entry", "--settings=" + file });
-    urls_[name] = loopback(process->listeningPort());
-    processes_[name] = std::move(process);
+    launches_[name] = { "eelgrassrouterd", { "--role=entry", "--settings=" + file } };
+    urls_[name] = loopback(launch(name).listeningPort());
     awaitReady(name);
 }
 
@@ -192,7 +272,14 @@
 
 auto Deployment::control(const std::string& url, const Json& body) -> Json
 {
-    return Json::parse(loop.wait(http.fetch({ .method = "POST", .url = url, .body = body.dump() })).body);
+    return loop.wait(controlLater(url, body));
+}
+
+auto Deployment::controlLater(const std::string& url, const Json& body) -> kj::Promise<Json>
+{
+    return http.fetch({ .method = "POST", .url = url, .body = body.dump() }).then([](wire::HttpResponse got) {
+        return Json::parse(got.body);
+    });
 }
 
 } // namespace eelgrass::tests
--- a/tests/harness/Deployment.h
+++ b/tests/harness/Deployment.h
@@ -48,6 +48,13 @@
     auto restartTarget(const std::string& name) -> void;
     auto restartEntry(const std::string& name) -> void;
 
+    /// Starts a process, engine or service that ended again, on its old place; kept when it is ready to serve.
+    auto relaunch(const std::string& name) -> kj::Promise<void>;
+    /// Takes an ended process out and returns it, so that what it logged can be read.
+    auto take(const std::string& name) -> ProcessPtr;
+    [[nodiscard]] auto find(const std::string& name) -> Process*;
+    [[nodiscard]] auto names() const -> std::vector<std::string>;
+
     auto target(const std::string& name) -> Process& { return *processes_.at(name); }
     auto entry(const std::string& name) -> Process& { return *processes_.at(name); }
     auto engine(const std::string& target) -> Process& { return *processes_.at(target + "-behind"); }
@@ -74,15 +81,25 @@
     auto status(const std::string& entry) -> Json;
     /// Posts to a stand-in's controls.
     auto control(const std::string& url, const Json& body) -> Json;
+    auto controlLater(const std::string& url, const Json& body) -> kj::Promise<Json>;
     /// Lists, relists or removes (`state`: `live`, `leaving`, `gone`) a target with the platform.
     auto list(const std::string& target, const std::string& state = "live") -> void;
 
 private:
+    struct Launch {
+        std::string program;
+        std::vector<std::string> arguments;
+    };
     struct TargetPlace {
         std::string settings;
         std::string serves;
         std::uint16_t port = 0;
     };
+    auto launch(const std::string& name) -> Process&;
+    auto startBehind(const std::string& name, std::vector<std::string> flags) -> std::uint16_t;
+    auto becomeReady(const std::string& name) -> kj::Promise<void>;
+    auto entered(const std::string& name) -> kj::Promise<void>;
+    auto hostRow(const std::string& target, const std::string& state) const -> Json;
     auto startTarget(const std::string& name) -> void;
     auto startEntry(const std::string& name) -> void;
     auto writeFile(const std::string& name, const std::string& text) -> std::string;
@@ -90,6 +107,7 @@
     std::string folder_;
     ProcessPtr platform_;
     std::map<std::string, ProcessPtr> processes_;
+    std::map<std::string, Launch> launches_;
     std::map<std::string, std::string> urls_;
     std::map<std::string, TargetPlace> targets_;
 };
--- a/tests/harness/Process.cpp
+++ b/tests/harness/Process.cpp
@@ -81,17 +81,10 @@
 
 auto Process::waitForLog(const std::string& message) -> std::string
 {
-    const auto wanted = "\"message\": \"" + message + "\"";
     auto line = std::string();
     auto found = [&] {
-        const auto at = log_.find(wanted);
-        const auto end = at == std::string::npos ? at : log_.find('\n', at);
-        if (end == std::string::npos)
-            return ended_;
-        const auto start = log_.rfind('\n', at);
-        const auto from = start == std::string::npos ? 0 : start + 1;
-        line = log_.substr(from, end - from);
-        return true;
+        line = find(message);
+        return !line.empty() || ended_;
     };
     auto lock = std::unique_lock(mutex_);
     more_.wait(lock, found);
@@ -100,6 +93,24 @@
     return line;
 }
 
+auto Process::find(const std::string& message) const -> std::string
+{
+    const auto at = log_.find("\"message\": \"" + message + "\"");
+    const auto end = at == std::string::npos ? at : log_.find('\n', at);
+    if (end == std::string::npos)
+        return {};
+    const auto start = log_.rfind('\n', at);
+    const auto from = start == std::string::npos ? 0 : start + 1;
+    return log_.substr(from, end - from);
+}
+
+auto Process::logged(const std::string& message) -> std::optional<std::string>
+{
+    auto lock = std::unique_lock(mutex_);
+    auto line = find(message);
+    return line.empty() ? std::nullopt : std::optional(std::move(line));
+}
+
 auto Process::listeningPort(const std::string& field) -> std::uint16_t
 {
     const auto line = nlohmann::json::parse(waitForLog("listening"));
@@ -118,9 +129,32 @@
         return exitCode_;
     auto status = 0;
     waitpid(pid_, &status, 0);
+    reaped(status);
+    return exitCode_;
+}
+
+auto Process::reaped(int status) -> void
+{
     reaped_ = true;
     exitCode_ = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
-    return exitCode_;
+}
+
+auto Process::running() -> bool
+{
+    auto status = 0;
+    if (!reaped_ && waitpid(pid_, &status, WNOHANG) == pid_)
+        reaped(status);
+    return !reaped_;
+}
+
+auto Process::end(int number) -> std::string
+{
+    if (running())
+        signal(number);
+    wait();
+    auto lock = std::unique_lock(mutex_);
+    more_.wait(lock, [this] { return ended_; });
+    return log_;
 }
 
 } // namespace eelgrass::tests
--- a/tests/harness/Process.h
+++ b/tests/harness/Process.h
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <cstdint>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -23,15 +24,24 @@
     /// A field of the line `listening`.
     auto listeningPort(const std::string& field = "port") -> std::uint16_t;
     [[nodiscard]] auto log() -> std::string;
+    /// The line with this message, if it was logged by now.
+    [[nodiscard]] auto logged(const std::string& message) -> std::optional<std::string>;
 
     auto signal(int number) const -> void { ::kill(pid_, number); }
     /// Waits for the end; the exit code, or the negative number of the signal.
     auto wait() -> int;
+    /// Whether it still runs; a process that ended is reaped.
+    [[nodiscard]] auto running() -> bool;
+    /// Ends it by a signal and returns all that it logged.
+    auto end(int number) -> std::string;
+    [[nodiscard]] auto exitCode() const noexcept -> int { return exitCode_; }
     [[nodiscard]] auto name() const noexcept -> const std::string& { return name_; }
     [[nodiscard]] auto pid() const noexcept -> int { return pid_; }
 
 private:
     auto drain(int fd) -> void;
+    [[nodiscard]] auto find(const std::string& message) const -> std::string;
+    auto reaped(int status) -> void;
 
     std::string name_;
     pid_t pid_ = 0;
--- /dev/null
+++ b/tests/unit/Http.cpp
@@ -0,0 +1,163 @@
+#include "tests/harness/StreamPair.h"
+#include "wire/HttpClient.h"
+#include "wire/HttpServer.h"
+#include "wire/MainLoop.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+
+using namespace eelgrass;
+using namespace eelgrass::tests;
+
+namespace {
+
+constexpr auto bodyLimit = std::size_t(1000);
+
+struct Fixture {
+    wire::MainLoop loop;
+    std::deque<wire::HttpExchangePtr> exchanges;
+    kj::Own<kj::PromiseFulfiller<void>> arrived;
+    wire::HttpServer server { "127.0.0.1", 0, bodyLimit, [this](const wire::HttpExchangePtr& exchange) {
+                                 exchanges.push_back(exchange);
+                                 if (arrived)
+                                     arrived->fulfill();
+                             } };
+    wire::HttpClient client { 4, 0 };
+
+    auto get(std::string body = {}) -> wire::HttpRequest
+    {
+        return {
+            .method = "POST", .url = "http://127.0.0.1:" + std::to_string(server.port()) + "/p?a=1", .body = body
+        };
+    }
+    auto nextExchange() -> wire::HttpExchangePtr
+    {
+        if (exchanges.empty()) {
+            auto pair = kj::newPromiseAndFulfiller<void>();
+            arrived = kj::mv(pair.fulfiller);
+            loop.wait(kj::mv(pair.promise));
+        }
+        auto first = exchanges.front();
+        exchanges.pop_front();
+        return first;
+    }
+    /// Kept when the exchange is over, with whether its caller got everything.
+    static auto over(const wire::HttpExchangePtr& exchange) -> kj::Promise<bool>
+    {
+        auto pair = kj::newPromiseAndFulfiller<bool>();
+        exchange->onOver([fulfiller = std::make_shared<decltype(pair.fulfiller)>(kj::mv(pair.fulfiller))](
+                             bool whole) { (*fulfiller)->fulfill(kj::cp(whole)); });
+        return kj::mv(pair.promise);
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(a_whole_answer_reaches_its_caller, Fixture)
+{
+    auto fetching = client.fetch(get("question"));
+    auto exchange = nextExchange();
+    BOOST_TEST(exchange->body() == "question");
+    BOOST_TEST(exchange->query("a") == "1");
+    auto ended = over(exchange);
+    exchange->respond(201, "text/plain", "answer");
+    const auto got = loop.wait(kj::mv(fetching));
+    BOOST_TEST(got.status == 201);
+    BOOST_TEST(got.body == "answer");
+    BOOST_TEST(loop.wait(kj::mv(ended)));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_caller_that_hangs_up_while_it_waits_is_noticed, Fixture)
+{
+    auto fetching = client.fetch(get());
+    auto ended = over(nextExchange());
+    fetching = nullptr;
+    BOOST_TEST(!loop.wait(kj::mv(ended)));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_caller_that_drops_a_stream_with_a_read_under_way_is_noticed, Fixture)
+{
+    auto opening = client.open(get());
+    auto exchange = nextExchange();
+    exchange->begin(200, "text/event-stream");
+    exchange->send("first");
+    auto stream = loop.wait(kj::mv(opening));
+    BOOST_TEST(loop.wait(stream->read()) == "first");
+    auto reading = stream->read();
+    auto ended = over(exchange);
+    reading = nullptr;
+    stream = nullptr;
+    BOOST_TEST(!loop.wait(kj::mv(ended)));
+    exchange->send("nobody reads this");
+    exchange->finish();
+    exchange->abort();
+}
+
+BOOST_FIXTURE_TEST_CASE(an_aborted_answer_is_seen_as_broken_and_not_as_whole, Fixture)
+{
+    auto opening = client.open(get());
+    auto exchange = nextExchange();
+    exchange->begin(200, "text/event-stream");
+    exchange->send("first");
+    auto stream = loop.wait(kj::mv(opening));
+    BOOST_TEST(loop.wait(stream->read()) == "first");
+    exchange->abort();
+    failureOf(loop, stream->read());
+    BOOST_TEST(exchange->over());
+}
+
+BOOST_FIXTURE_TEST_CASE(an_answer_aborted_before_it_began_is_a_failed_call, Fixture)
+{
+    auto fetching = client.fetch(get());
+    nextExchange()->abort();
+    failureOf(loop, kj::mv(fetching));
+    BOOST_TEST(true);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_slow_reader_holds_a_backlog_that_shrinks_as_it_reads, Fixture)
+{
+    constexpr auto size = std::size_t(16) << 20U;
+    auto opening = client.open(get());
+    auto exchange = nextExchange();
+    auto drained = kj::newPromiseAndFulfiller<void>();
+    exchange->onDrained([&] { drained.fulfiller->fulfill(); });
+    exchange->begin(200, "text/plain");
+    auto stream = loop.wait(kj::mv(opening));
+    exchange->send(std::string(size, 'a'));
+    exchange->send("end");
+    BOOST_TEST(exchange->backlog() == size + 3);
+    exchange->finish();
+    auto ended = over(exchange);
+    const auto got = loop.wait(stream->readAll(size + 3));
+    BOOST_TEST(got.size() == size + 3);
+    BOOST_TEST(got.ends_with("aend"));
+    loop.wait(kj::mv(drained.promise));
+    BOOST_TEST(loop.wait(kj::mv(ended)));
+    BOOST_TEST(exchange->backlog() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(an_answer_over_the_readers_limit_is_rejected, Fixture)
+{
+    auto opening = client.open(get());
+    nextExchange()->respond(200, "text/plain", "four");
+    auto stream = loop.wait(kj::mv(opening));
+    failureOf(loop, stream->readAll(3));
+    BOOST_TEST(true);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_body_over_the_limit_is_refused_without_a_handler, Fixture)
+{
+    const auto got = loop.wait(client.fetch(get(std::string(bodyLimit + 1, 'b'))));
+    BOOST_TEST(got.status == 413);
+    BOOST_TEST(exchanges.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_server_may_go_while_an_answer_is_under_way, Fixture)
+{
+    auto fetching = client.fetch(get());
+    auto exchange = nextExchange();
+    server.close();
+    exchange->respond(200, "text/plain", "still answered");
+    BOOST_TEST(loop.wait(kj::mv(fetching)).body == "still answered");
+}
