--- a/packages/targets/EngineClient.cpp
+++ b/packages/targets/EngineClient.cpp
@@ -87,7 +87,7 @@
 
 auto EngineClient::state() -> kj::Promise<EngineState>
 {
-    return http_.fetch({ .url = base_ + "/v1/models" }).then([](wire::HttpResponse response) {
+    return http_.fetch({ .url = base_ + "/v1/models", .resendable = true }).then([](wire::HttpResponse response) {
         const auto body = Json::parse(response.body, nullptr, false);
         KJ_REQUIRE(response.status == 200 && body.is_object(), "the engine gave no list of models");
         auto state = EngineState { .incarnation = body.value("incarnation", "") };
@@ -102,7 +102,7 @@
 auto EngineClient::order(const char* path, const ModelName& model, Epoch epoch) -> kj::Promise<OrderOutcome>
 {
     auto body = Json { { "lora_name", model.str() }, { "fence", epoch.value() } };
-    auto request = wire::HttpRequest { .method = "POST", .url = base_ + path, .body = body.dump() };
+    auto request = wire::HttpRequest { .method = "POST", .url = base_ + path, .body = body.dump(), .resendable = true };
     return orders_.fetch(std::move(request)).then([](wire::HttpResponse response) {
         if (response.status == 200)
             return OrderOutcome { 200, "" };
@@ -143,9 +143,10 @@
     -> kj::Promise<kj::Own<CompletionStream>>
 {
     auto url = base_ + "/v1/streams?id=" + attempt.str() + "&from=" + std::to_string(from);
-    return http_.open({ .url = std::move(url) }).then([attempt, model](kj::Own<wire::HttpStream> stream) {
-        return kj::heap<CompletionStream>(kj::mv(stream), attempt, model);
-    });
+    return http_.open({ .url = std::move(url), .resendable = true })
+        .then([attempt, model](kj::Own<wire::HttpStream> stream) {
+            return kj::heap<CompletionStream>(kj::mv(stream), attempt, model);
+        });
 }
 
 auto EngineClient::cancel(AttemptId attempt) -> kj::Promise<void>
--- a/packages/wire/HttpClient.cpp
+++ b/packages/wire/HttpClient.cpp
@@ -112,7 +112,12 @@
 {
     auto message = ObjectPtr<SoupMessage>(soup_message_new(request.method.c_str(), request.url.c_str()));
     KJ_REQUIRE(message != nullptr, "not a URL", request.url.c_str());
+    // A request on a kept connection that dies is sent again by libsoup, and nobody learns that it ran twice. On a
+    // connection of its own it is sent once; the connection is closed after it, so that none pile up.
+    soup_message_add_flags(message.get(), request.resendable ? SOUP_MESSAGE_IDEMPOTENT : SOUP_MESSAGE_NEW_CONNECTION);
     auto* headers = soup_message_get_request_headers(message.get());
+    if (!request.resendable)
+        soup_message_headers_replace(headers, "Connection", "close");
     for (const auto& [name, value] : request.headers)
         soup_message_headers_replace(headers, name.c_str(), value.c_str());
     if (!request.body.empty()) {
--- a/packages/wire/HttpClient.h
+++ b/packages/wire/HttpClient.h
@@ -20,6 +20,9 @@
     std::string body;
     std::string contentType = "application/json";
     std::vector<std::pair<std::string, std::string>> headers;
+    /// Whether it does no harm when the request arrives twice. Only such a one may use a kept connection, since the
+    /// library sends it again when that turns out to be dead.
+    bool resendable = false;
 };
 
 /// A whole answer.
--- a/tests/chaos/Plan.h
+++ b/tests/chaos/Plan.h
@@ -61,6 +61,11 @@
     EngineIgnoresFence,
     ServiceLosesAnswers,
     ServiceHangs,
+    CutTarget,
+    SilenceTarget,
+    HalfOpenTarget,
+    DelayTarget,
+    ReorderTarget,
     CrashRequest,
 };
 
