--- a/packages/platform/PlatformClient.cpp
+++ b/packages/platform/PlatformClient.cpp
@@ -53,7 +53,7 @@
 
 auto PlatformClient::read(std::string key) -> kj::Promise<Row>
 {
-    auto request = wire::HttpRequest { .url = url("/tables/row?key=" + escape(key)), .resendable = true };
+    auto request = wire::HttpRequest { .url = url("/tables/row?key=" + escape(key)) };
     return http_.fetch(std::move(request)).then([key = std::move(key)](wire::HttpResponse response) {
         if (response.status == 404)
             return Row { key, 0, nullptr };
@@ -63,14 +63,13 @@
 
 auto PlatformClient::list(std::string prefix) -> kj::Promise<std::vector<Row>>
 {
-    return http_.fetch({ .url = url("/tables/rows?prefix=" + escape(prefix)), .resendable = true })
-        .then([](wire::HttpResponse response) {
-            auto rows = std::vector<Row>();
-            const auto body = parsed(response);
-            for (const auto& row : body.at("rows"))
-                rows.push_back(rowFrom(row.at("key").get<std::string>(), row));
-            return rows;
-        });
+    return http_.fetch({ .url = url("/tables/rows?prefix=" + escape(prefix)) }).then([](wire::HttpResponse response) {
+        auto rows = std::vector<Row>();
+        const auto body = parsed(response);
+        for (const auto& row : body.at("rows"))
+            rows.push_back(rowFrom(row.at("key").get<std::string>(), row));
+        return rows;
+    });
 }
 
 auto PlatformClient::commit(Transaction transaction) -> kj::Promise<bool>
@@ -98,7 +97,7 @@
 
 auto PlatformClient::getObject(std::string key) -> kj::Promise<std::optional<std::string>>
 {
-    return http_.fetch({ .url = url("/objects?key=" + escape(key)), .resendable = true })
+    return http_.fetch({ .url = url("/objects?key=" + escape(key)) })
         .then([](wire::HttpResponse response) -> std::optional<std::string> {
             if (response.status == 404)
                 return std::nullopt;
@@ -107,14 +106,21 @@
         });
 }
 
-auto PlatformClient::hosts() -> kj::Promise<std::vector<HostRecord>>
+auto PlatformClient::hosts() -> kj::Promise<std::optional<std::vector<HostRecord>>>
 {
-    return http_.fetch({ .url = url("/hosts"), .resendable = true }).then([](wire::HttpResponse response) {
+    auto request = wire::HttpRequest { .url = url("/hosts") };
+    if (!hostsTag_.empty())
+        request.headers.emplace_back("If-None-Match", hostsTag_);
+    return http_.fetch(std::move(request)).then([this](wire::HttpResponse response) {
+        constexpr auto notModified = 304;
+        if (response.status == notModified)
+            return std::optional<std::vector<HostRecord>>();
         auto hosts = std::vector<HostRecord>();
         const auto body = parsed(response);
         for (const auto& host : body.at("hosts"))
             hosts.push_back(hostFrom(host));
-        return hosts;
+        hostsTag_ = response.etag;
+        return std::optional(std::move(hosts));
     });
 }
 
--- a/packages/router/controllers/TargetsController.h
+++ b/packages/router/controllers/TargetsController.h
@@ -2,11 +2,14 @@
 
 #include "decisions/Placer.h"
 #include "platform/PlatformClient.h"
+#include "router/Poller.h"
 #include "router/entry/TargetLink.h"
 #include "wire/MainLoop.h"
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace eelgrass::router {
@@ -19,34 +22,46 @@
     /// Follows the platform's list from here on.
     auto start() -> void;
     [[nodiscard]] auto ready() const noexcept -> bool { return ready_; }
-    [[nodiscard]] auto views() const noexcept -> const std::vector<decisions::TargetView>& { return views_; }
+    [[nodiscard]] auto views() const noexcept -> const std::vector<decisions::TargetView>& { return fleet_.views(); }
 
+    /// Targets named by `drained` get no new work; asked at each placement.
+    auto exclude(std::function<const std::set<TargetId>&()> drained) -> void { drained_ = std::move(drained); }
     /// Chooses a target and counts the request as sent to it.
     [[nodiscard]] auto place(const decisions::PlacementRequest& request) -> std::optional<TargetId>;
+    /// How `place` sees the targets of a request now.
+    [[nodiscard]] auto explain(const decisions::PlacementRequest& request) const -> std::vector<decisions::Explanation>
+    {
+        return placer_.explain(request, fleet_);
+    }
     /// Null for a target that is no longer listed.
     [[nodiscard]] auto link(const TargetId& target) -> std::shared_ptr<TargetLink>;
     [[nodiscard]] auto epoch(const TargetId& target) const -> Epoch;
     /// Keeps requests off a target that could not be reached, for a short while.
     auto unreachable(const TargetId& target) -> void;
     auto report(wire::schema::TargetState::Reader state) -> void;
+    /// Told of every state that a target reports.
+    auto onState(TargetLink::OnState callback) -> void { onState_ = std::move(callback); }
 
 private:
     auto poll() -> kj::Promise<void>;
     auto take(const std::vector<platform::HostRecord>& hosts) -> void;
-    auto find(const TargetId& target) -> decisions::TargetView*;
+    auto closeIdle() -> void;
 
     wire::MainLoop& loop_;
     platform::PlatformClient& platform_;
     std::string secret_;
     std::string name_;
-    std::vector<decisions::TargetView> views_;
+    decisions::Fleet fleet_;
+    decisions::Placer placer_;
     std::map<TargetId, platform::HostRecord> hosts_;
     std::map<TargetId, std::shared_ptr<TargetLink>> links_;
     std::map<TargetId, Epoch> epochs_;
     std::map<TargetId, Timer> unreachable_;
+    std::function<const std::set<TargetId>&()> drained_;
+    TargetLink::OnState onState_;
     bool ready_ = false;
-    bool polling_ = false;
-    Timer timer_;
+    Poller poller_;
+    Timer closing_;
 };
 
 } // namespace eelgrass::router
--- a/packages/targets/EngineClient.cpp
+++ b/packages/targets/EngineClient.cpp
@@ -87,14 +87,14 @@
 
 auto EngineClient::state() -> kj::Promise<EngineState>
 {
-    return http_.fetch({ .url = base_ + "/v1/models", .resendable = true }).then([](wire::HttpResponse response) {
+    return http_.fetch({ .url = base_ + "/v1/models" }).then([](wire::HttpResponse response) {
         const auto body = Json::parse(response.body, nullptr, false);
         KJ_REQUIRE(response.status == 200 && body.is_object(), "the engine gave no list of models");
         auto state = EngineState { .incarnation = body.value("incarnation", "") };
         for (const auto& model : body.at("data"))
             state.models.emplace_back(model.at("id").get<std::string>());
         for (const auto& stream : body.value("streams", Json::array()))
-            state.streams.emplace_back(stream.get<std::string>());
+            state.streams.push_back({ AttemptId(stream.value("id", "")), ModelName(stream.value("model", "")) });
         return state;
     });
 }
@@ -102,7 +102,7 @@
 auto EngineClient::order(const char* path, const ModelName& model, Epoch epoch) -> kj::Promise<OrderOutcome>
 {
     auto body = Json { { "lora_name", model.str() }, { "fence", epoch.value() } };
-    auto request = wire::HttpRequest { .method = "POST", .url = base_ + path, .body = body.dump(), .resendable = true };
+    auto request = wire::HttpRequest { .method = "POST", .url = base_ + path, .body = body.dump() };
     return orders_.fetch(std::move(request)).then([](wire::HttpResponse response) {
         if (response.status == 200)
             return OrderOutcome { 200, "" };
@@ -130,9 +130,16 @@
     body["request_id"] = order.attempt.str();
     body["priority"] = order.priority;
     body["skip_tokens"] = order.skipTokens;
+    if (!order.givenText.empty())
+        body["generated_text"] = order.givenText;
     body["cache_salt"] = order.cacheSalt;
     body["fence"] = epoch.value();
-    auto request = wire::HttpRequest { .method = "POST", .url = base_ + "/v1/completions", .body = body.dump() };
+    auto request = wire::HttpRequest {
+        .method = "POST",
+        .url = base_ + "/v1/completions",
+        .body = body.dump(-1, ' ', false, Json::error_handler_t::replace),
+        .once = true,
+    };
     return http_.open(std::move(request))
         .then([attempt = order.attempt, model = order.model](kj::Own<wire::HttpStream> stream) {
             return kj::heap<CompletionStream>(kj::mv(stream), attempt, model);
@@ -143,10 +150,9 @@
     -> kj::Promise<kj::Own<CompletionStream>>
 {
     auto url = base_ + "/v1/streams?id=" + attempt.str() + "&from=" + std::to_string(from);
-    return http_.open({ .url = std::move(url), .resendable = true })
-        .then([attempt, model](kj::Own<wire::HttpStream> stream) {
-            return kj::heap<CompletionStream>(kj::mv(stream), attempt, model);
-        });
+    return http_.open({ .url = std::move(url) }).then([attempt, model](kj::Own<wire::HttpStream> stream) {
+        return kj::heap<CompletionStream>(kj::mv(stream), attempt, model);
+    });
 }
 
 auto EngineClient::cancel(AttemptId attempt) -> kj::Promise<void>
--- a/packages/wire/HttpClient.cpp
+++ b/packages/wire/HttpClient.cpp
@@ -9,11 +9,13 @@
 // An answer that is not streamed is held in memory: no peer of the system has cause to send more.
 constexpr auto wholeAnswerLimit = std::size_t(64) << 20U;
 constexpr auto readSize = std::size_t(16384);
+constexpr auto unreachedMark = "not reached: ";
 
 auto brokenBy(const std::string& peer, GError* raw) -> kj::Exception
 {
     auto error = std::unique_ptr<GError, decltype(&g_error_free)>(raw, g_error_free);
-    return { kj::Exception::Type::DISCONNECTED, __FILE__, __LINE__, kj::str(peer.c_str(), ": ", error->message) };
+    const auto* mark = g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED) ? unreachedMark : "";
+    return { kj::Exception::Type::DISCONNECTED, __FILE__, __LINE__, kj::str(mark, peer.c_str(), ": ", error->message) };
 }
 
 struct PendingOpen {
@@ -57,6 +59,8 @@
 
 } // namespace
 
+auto neverReached(const kj::Exception& failure) -> bool { return failure.getDescription().startsWith(unreachedMark); }
+
 HttpStream::HttpStream(ObjectPtr<SoupMessage> message, ObjectPtr<GInputStream> input, std::string peer)
     : message_(std::move(message))
     , input_(std::move(input))
@@ -102,9 +106,11 @@
 
 auto HttpStream::readAll(std::size_t limit) -> kj::Promise<std::string> { return gather({}, limit); }
 
+// Peers are named by IP number and stand on the same network. The system's proxy settings are not asked: GLib would
+// look them up in a thread and in files, once for each connection.
 HttpClient::HttpClient(unsigned connections, unsigned timeout)
     : session_(soup_session_new_with_options("max-conns", static_cast<int>(connections), "max-conns-per-host",
-        static_cast<int>(connections), "timeout", timeout, "idle-timeout", 60U, nullptr))
+        static_cast<int>(connections), "timeout", timeout, "idle-timeout", 60U, "proxy-resolver", nullptr, nullptr))
 {
 }
 
@@ -112,14 +118,11 @@
 {
     auto message = ObjectPtr<SoupMessage>(soup_message_new(request.method.c_str(), request.url.c_str()));
     KJ_REQUIRE(message != nullptr, "not a URL", request.url.c_str());
-    // A request on a kept connection that dies is sent again by libsoup, and nobody learns that it ran twice. On a
-    // connection of its own it is sent once; the connection is closed after it, so that none pile up.
-    soup_message_add_flags(message.get(), request.resendable ? SOUP_MESSAGE_IDEMPOTENT : SOUP_MESSAGE_NEW_CONNECTION);
     auto* headers = soup_message_get_request_headers(message.get());
-    if (!request.resendable)
-        soup_message_headers_replace(headers, "Connection", "close");
     for (const auto& [name, value] : request.headers)
         soup_message_headers_replace(headers, name.c_str(), value.c_str());
+    if (request.once)
+        soup_message_add_flags(message.get(), SOUP_MESSAGE_NEW_CONNECTION);
     if (!request.body.empty()) {
         auto* bytes = g_bytes_new(request.body.data(), request.body.size());
         soup_message_set_request_body_from_bytes(message.get(), request.contentType.c_str(), bytes);
@@ -139,7 +142,8 @@
     return open(std::move(request)).then([](kj::Own<HttpStream> stream) {
         auto& open = *stream;
         return open.readAll(wholeAnswerLimit).then([stream = kj::mv(stream)](std::string body) {
-            return HttpResponse { stream->status(), stream->header("Content-Type"), std::move(body) };
+            return HttpResponse { stream->status(), stream->header("Content-Type"), std::move(body),
+                stream->header("ETag") };
         });
     });
 }
--- a/packages/wire/HttpClient.h
+++ b/packages/wire/HttpClient.h
@@ -20,16 +20,21 @@
     std::string body;
     std::string contentType = "application/json";
     std::vector<std::pair<std::string, std::string>> headers;
-    /// Whether it does no harm when the request arrives twice. Only such a one may use a kept connection, since the
-    /// library sends it again when that turns out to be dead.
-    bool resendable = false;
+    /// Must reach the peer at most once: it goes out on a connection of its own, since libsoup sends an idempotent
+    /// method again by itself when a reused connection turns out to be closed.
+    bool once = false;
 };
 
+/// Whether the peer was not even reached, so that it cannot have acted on the request.
+[[nodiscard]] auto neverReached(const kj::Exception& failure) -> bool;
+
 /// A whole answer.
 struct HttpResponse {
     int status = 0;
     std::string contentType;
     std::string body;
+    /// Names this state of the resource; empty where the peer gives none.
+    std::string etag;
 };
 
 /// An answer read piece by piece; destroying it closes the connection, which cancels the work behind it.
--- a/tests/harness/Process.h
+++ b/tests/harness/Process.h
@@ -35,6 +35,8 @@
     /// Ends it by a signal and returns all that it logged.
     auto end(int number) -> std::string;
     [[nodiscard]] auto exitCode() const noexcept -> int { return exitCode_; }
+    /// Waits until the process has closed its output; all of it.
+    [[nodiscard]] auto output() -> std::string;
     [[nodiscard]] auto name() const noexcept -> const std::string& { return name_; }
     [[nodiscard]] auto pid() const noexcept -> int { return pid_; }
 
--- a/tests/unit/Http.cpp
+++ b/tests/unit/Http.cpp
@@ -132,13 +132,12 @@
     // The caller sees a failed call, and decides itself. A library that sends a request again on another connection
     // runs a filed submission twice: it does so for methods that are called idempotent, on a kept connection.
     for (const auto* method : { "POST", "GET", "PUT", "DELETE" }) {
-        auto kept = get();
-        kept.resendable = true;
-        auto first = client.fetch(kj::mv(kept));
+        auto first = client.fetch(get());
         nextExchange()->respond(200, "text/plain", "kept alive");
         loop.wait(kj::mv(first));
         auto request = get();
         request.method = method;
+        request.once = true;
         auto second = client.fetch(kj::mv(request)).ignoreResult().exclusiveJoin(loop.sleep(1s));
         nextExchange()->abort();
         failureOf(loop, kj::mv(second));
