--- a/packages/router/TargetRole.h
+++ b/packages/router/TargetRole.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decisions/ReportGate.h"
 #include "platform/PlatformClient.h"
 #include "router/Metrics.h"
 #include "router/Settings.h"
@@ -12,6 +13,8 @@
 
 #include <list>
 #include <memory>
+#include <optional>
+#include <set>
 
 namespace eelgrass::router {
 
@@ -35,13 +38,17 @@
     friend class Session;
     struct Peer {
         /// Not the entry's name, since an entry that reconnects has two of these for a while.
-        std::uint64_t id = 0;
+        std::uint64_t session = 0;
         wire::schema::EntryListener::Client listener;
     };
 
-    /// When an entry was last heard on a connection.
+    /// When an entry was last heard on a connection, and what for.
     struct Heard {
         Moment at;
+        /// Those whose answers the entry still waits for.
+        std::set<AttemptId> awaited;
+        /// Empty before the entry proved the secret.
+        std::optional<wire::schema::EntryListener::Client> listener;
     };
     struct Connected {
         std::shared_ptr<Heard> heard;
@@ -56,6 +63,8 @@
     auto admit(std::string name, wire::schema::EntryListener::Client listener, std::shared_ptr<Heard> heard)
         -> wire::schema::TargetSession::Client;
     auto describe(wire::schema::TargetState::Builder into) const -> void;
+    auto forget(std::uint64_t session) -> void;
+    [[nodiscard]] auto summary() const -> decisions::ReportGate::Summary;
     auto pushState() -> void;
     auto changed() -> void;
     auto metricsPage(const wire::HttpExchangePtr& exchange) -> void;
@@ -70,19 +79,22 @@
     std::unique_ptr<SlotsController> slots_;
     std::unique_ptr<AttemptsController> attempts_;
     std::list<Peer> peers_;
-    std::uint64_t lastPeer_ = 0;
     std::list<std::shared_ptr<Connected>> connections_;
     std::string incarnation_;
     bool watchingEngine_ = false;
     std::uint64_t pausesSeen_ = 0;
+    std::uint64_t lastSession_ = 0;
     bool ready_ = false;
     bool stopping_ = false;
+    decisions::ReportGate reports_;
     Timer pushTimer_;
     Timer stopTimer_;
     Timer sessionTimer_;
     Timer engineTimer_;
     wire::Listener listener_;
     wire::HttpServer metricsServer_;
+    /// Last, so that it goes first: what outlives the role sees by it that the role is gone.
+    std::shared_ptr<char> alive_ = std::make_shared<char>();
 };
 
 } // namespace eelgrass::router
--- a/packages/router/controllers/TargetsController.h
+++ b/packages/router/controllers/TargetsController.h
@@ -28,6 +28,8 @@
     auto exclude(std::function<const std::set<TargetId>&()> drained) -> void { drained_ = std::move(drained); }
     /// Chooses a target and counts the request as sent to it.
     [[nodiscard]] auto place(const decisions::PlacementRequest& request) -> std::optional<TargetId>;
+    /// Whether some target can take the request. Counts nothing.
+    [[nodiscard]] auto canPlace(const decisions::PlacementRequest& request) const -> bool;
     /// How `place` sees the targets of a request now.
     [[nodiscard]] auto explain(const decisions::PlacementRequest& request) const -> std::vector<decisions::Explanation>
     {
--- a/tests/harness/Process.h
+++ b/tests/harness/Process.h
@@ -28,6 +28,8 @@
     [[nodiscard]] auto logged(const std::string& message) -> std::optional<std::string>;
 
     auto signal(int number) const -> void { ::kill(pid_, number); }
+    /// Whether it ended by itself: its output is closed.
+    [[nodiscard]] auto ended() -> bool;
     /// Waits for the end; the exit code, or the negative number of the signal.
     auto wait() -> int;
     /// Whether it still runs; a process that ended is reaped.
