--- a/packages/wire/Readiness.cpp
+++ b/packages/wire/Readiness.cpp
@@ -20,6 +20,13 @@
     waiter = nullptr;
 }
 
+// A waiter that is merely dropped looks like a fault of the program; a closed connection is what its peer must see.
+auto breakOff(kj::Maybe<kj::Own<kj::PromiseFulfiller<void>>>& waiter) -> void
+{
+    KJ_IF_MAYBE (fulfiller, waiter)
+        (*fulfiller)->reject(KJ_EXCEPTION(DISCONNECTED, "the connection was closed"));
+}
+
 } // namespace
 
 Watch::Watch(int socket)
@@ -31,7 +38,12 @@
     KJ_SYSCALL(epoll_ctl(Readiness::ofThread().epoll_, EPOLL_CTL_ADD, socket_, &event));
 }
 
-Watch::~Watch() { epoll_ctl(Readiness::ofThread().epoll_, EPOLL_CTL_DEL, socket_, nullptr); }
+Watch::~Watch()
+{
+    epoll_ctl(Readiness::ofThread().epoll_, EPOLL_CTL_DEL, socket_, nullptr);
+    for (auto* waiter : { &reader_, &writer_, &hangup_ })
+        breakOff(*waiter);
+}
 
 auto Watch::wait(Waiter& waiter) -> kj::Promise<void>
 {
