--- a/packages/router/TargetRole.cpp
+++ b/packages/router/TargetRole.cpp
@@ -12,12 +12,11 @@
 constexpr auto metricsBodyLimit = std::size_t(1024);
 constexpr auto stopPoll = Duration(50ms);
 constexpr auto superseded = 3;
-// An entry that waits for an answer beats every second and gives a session up after three; one that is silent for
-// longer is gone, and what it reads would wait for it for ever, and hold an adapter slot.
+// An entry that awaits an answer acknowledges chunks or beats every second, and gives a session up after three; one
+// that is silent for longer is gone, and what it reads would wait for it for ever.
 constexpr auto awaitedSilence = Duration(5s);
-// One that does not even beat slowly (20 s) is asked for a sign of life, and given up without one.
-constexpr auto idleSilence = Duration(25s);
-constexpr auto idleLimit = Duration(30s);
+// On a session without an answer under way an entry beats once a minute: two of these and some.
+constexpr auto idleSilence = Duration(150s);
 constexpr auto sessionLook = Duration(1s);
 // How soon an engine that restarted unnoticed is seen; the look is one small request on the same host.
 constexpr auto engineLook = Duration(500ms);
@@ -257,13 +256,10 @@
         if (pauses != pausesSeen_)
             peer->heard->at = now();
         std::erase_if(peer->heard->awaited, [this](const auto& attempt) { return !attempts_->awaited(attempt); });
-        const auto limit = peer->heard->awaited.empty() ? idleLimit : awaitedSilence;
-        const auto silence = now() - peer->heard->at;
-        if (silence > limit)
+        const auto limit = peer->heard->awaited.empty() ? idleSilence : awaitedSilence;
+        const auto heardAt = std::max(peer->heard->at, peer->connection->heardAt());
+        if (now() - heardAt > limit)
             drop(peer);
-        else if (silence > idleSilence && peer->heard->listener)
-            loop_.spawn(peer->heard->listener->pingRequest().send().ignoreResult().then(
-                [heard = peer->heard] { heard->at = now(); }, [](kj::Exception&&) {}));
     }
     // A process that was replaced while it stood still ends soon, also when nobody asks anything of it.
     if (std::exchange(pausesSeen_, pauses) != pauses)
@@ -275,7 +271,6 @@
 {
     KJ_REQUIRE(ready_, "this target is not ready yet");
     log::info("session opened", { { "peer", name } });
-    heard->listener = listener;
     peers_.push_back({ ++lastSession_, listener });
     return kj::heap<Session>(*this, std::move(heard), lastSession_, kj::mv(listener));
 }
@@ -284,9 +279,9 @@
 {
     // Entries close sessions that they no longer use and open them again; each would stay here for ever. Forgotten in a
     // later turn: the connection that holds the listener may be on the stack.
-    loop_.spawn(kj::evalLater([this, session, alive = std::weak_ptr(alive_)] {
+    loop_.spawn(kj::evalLater([this, peer, alive = std::weak_ptr(alive_)] {
         if (alive.lock())
-            peers_.remove_if([&](const Peer& peer) { return peer.session == session; });
+            peers_.remove_if([&](const Peer& known) { return known.id == peer; });
     }));
 }
 
--- a/packages/router/TargetRole.h
+++ b/packages/router/TargetRole.h
@@ -47,8 +47,6 @@
         Moment at;
         /// Those whose answers the entry still waits for.
         std::set<AttemptId> awaited;
-        /// Empty before the entry proved the secret.
-        std::optional<wire::schema::EntryListener::Client> listener;
     };
     struct Connected {
         std::shared_ptr<Heard> heard;
@@ -63,7 +61,7 @@
     auto admit(std::string name, wire::schema::EntryListener::Client listener, std::shared_ptr<Heard> heard)
         -> wire::schema::TargetSession::Client;
     auto describe(wire::schema::TargetState::Builder into) const -> void;
-    auto forget(std::uint64_t session) -> void;
+    auto forget(std::uint64_t peer) -> void;
     [[nodiscard]] auto summary() const -> decisions::ReportGate::Summary;
     auto pushState() -> void;
     auto changed() -> void;
--- a/packages/router/controllers/FenceController.cpp
+++ b/packages/router/controllers/FenceController.cpp
@@ -4,13 +4,17 @@
 #include "base/Secrets.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 namespace eelgrass::router {
 
 namespace {
 
+// A whole zone of target processes starts at once, perhaps while the platform is away: at a fixed half second 440 of
+// them would ask as much as the platform can read. They back off to one try in four seconds, out of step.
 constexpr auto retryDelay = Duration(500ms);
+constexpr auto longestRetryDelay = Duration(4s);
 constexpr auto ownerBytes = std::size_t(8);
 // An earlier owner may have sent an order just before it was stopped, and an engine that ignores the number would carry
 // it out. It sends none after a pause that it notices; so the newcomer waits out the longest pause that goes unnoticed
@@ -27,6 +31,7 @@
     , honoured_(honoured)
     , watch_(loop.timers())
     , owner_(randomHex(ownerBytes))
+    , retries_(retryDelay, longestRetryDelay, std::random_device()())
 {
 }
 
@@ -42,7 +47,9 @@
                 confirmed_ = watch_.count();
                 return honoured_ ? kj::Promise<void>(kj::READY_NOW) : loop_.sleep(unnoticedOrder);
             }
-            return loop_.sleep(retryDelay).then([this] { return raise(); });
+            return loop_.sleep(retries_.next(decisions::PollSchedule::Outcome::Failed)).then([this] {
+                return raise();
+            });
         });
 }
 
