--- a/packages/router/TargetRole.cpp
+++ b/packages/router/TargetRole.cpp
@@ -1,7 +1,9 @@
 #include "router/TargetRole.h"
 
 #include "base/Log.h"
+#include "decisions/Rendezvous.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace eelgrass::router {
@@ -144,6 +146,8 @@
     if (settings_.kind == TargetSettings::Kind::Engine) {
         engine_ = std::make_unique<targets::EngineClient>(settings_.target.address, settings_.target.port);
         slots_ = std::make_unique<SlotsController>(loop_, *engine_, settings_.slots);
+        slots_->setTurns(
+            std::make_unique<LoadTurns>(loop_, settings_.common.name, [this] { return loadQueueHolder(); }));
         slots_->setGate([this] { return fence_.confirm(); });
         auto runner = EngineRunner(loop_, *engine_);
         runner.onMissing([this] { watchEngine(); });
@@ -271,7 +275,7 @@
 {
     KJ_REQUIRE(ready_, "this target is not ready yet");
     log::info("session opened", { { "peer", name } });
-    peers_.push_back({ ++lastSession_, listener });
+    peers_.push_back({ ++lastSession_, name, listener });
     return kj::heap<Session>(*this, std::move(heard), lastSession_, kj::mv(listener));
 }
 
@@ -303,8 +307,15 @@
         suspects[place].setCrashes(crashes);
         ++place;
     }
+    into.setPlaceTimeUs(static_cast<std::uint32_t>(attempts_->requests().placeTime().count()));
     if (!slots_)
         return;
+    const auto isReady = [this](const ModelName& model) { return slots_->ready(model); };
+    const auto& waiting = attempts_->requests().all();
+    into.setAwaitingLoad(static_cast<std::uint32_t>(
+        std::count_if(waiting.begin(), waiting.end(), [&](const auto& request) { return !isReady(request.model); })));
+    into.setLoadsWaiting(static_cast<std::uint32_t>(attempts_->requests().loadCandidates(isReady, now()).size()));
+    into.setEvictionCost(slots_->evictionCost());
     const auto resident = slots_->resident();
     auto names = into.initResidentAdapters(static_cast<unsigned>(resident.size()));
     auto index = 0U;
@@ -312,6 +323,19 @@
         names.set(index++, name.str());
 }
 
+// Every target comes to the same entry among those connected, so that there is one queue; where they differ there are
+// two for a while, and loads are slower, not wrong. Of an entry's two connections the newer one counts.
+auto TargetRole::loadQueueHolder() -> std::optional<LoadTurns::Listener>
+{
+    static const auto key = decisions::nameHash("load queue");
+    const auto score = [](const Peer& peer) {
+        return std::pair(decisions::rendezvousScore(key, decisions::nameHash(peer.name)), peer.session);
+    };
+    const auto best = std::max_element(
+        peers_.begin(), peers_.end(), [&](const Peer& a, const Peer& b) { return score(a) < score(b); });
+    return best == peers_.end() ? std::nullopt : std::optional(best->listener);
+}
+
 auto TargetRole::summary() const -> decisions::ReportGate::Summary
 {
     auto summary = decisions::ReportGate::Summary { .leaving = attempts_->leaving(),
--- a/packages/router/entry/TargetLink.cpp
+++ b/packages/router/entry/TargetLink.cpp
@@ -45,18 +45,35 @@
         return kj::READY_NOW;
     }
 
+    auto loadTurn(LoadTurnContext context) -> kj::Promise<void> override
+    {
+        KJ_REQUIRE(!alive_.expired() && link_.loads_, "there is no load queue here");
+        auto params = context.getParams();
+        const auto oldest = now() - Duration(std::chrono::milliseconds(params.getWaitedMs()));
+        return link_.loads_->turn({ TargetId(params.getTarget()), params.getWeight(), oldest })
+            .then([context](bool granted) mutable { context.getResults().setGranted(granted); });
+    }
+
+    auto loadDone(LoadDoneContext context) -> kj::Promise<void> override
+    {
+        KJ_REQUIRE(!alive_.expired() && link_.loads_, "there is no load queue here");
+        link_.loads_->done(TargetId(context.getParams().getTarget()));
+        return kj::READY_NOW;
+    }
+
 private:
     TargetLink& link_;
     std::weak_ptr<char> alive_;
 };
 
-TargetLink::TargetLink(
-    wire::MainLoop& loop, platform::HostRecord host, std::string secret, std::string name, OnState onState)
+TargetLink::TargetLink(wire::MainLoop& loop, platform::HostRecord host, std::string secret, std::string name,
+    OnState onState, LoadsController* loads)
     : loop_(loop)
     , host_(std::move(host))
     , secret_(std::move(secret))
     , name_(std::move(name))
     , onState_(std::move(onState))
+    , loads_(loads)
 {
 }
 
@@ -67,8 +84,8 @@
     lastUsed_ = now();
     if (session_ && now() - heardAt_ <= silenceLimit)
         return *session_;
-    // An idle session may have gone silent unnoticed. A start sent into it would be lost for seconds, and whether it
-    // ran would be unknown; so the target is first asked for a sign of life, and connected anew without one.
+    // An idle session may have gone silent unnoticed. A start sent into it would be lost for seconds, and whether
+    // it ran would be unknown; so the target is first asked for a sign of life, and connected anew without one.
     if (session_)
         return probe().then([this, alive = std::weak_ptr(alive_)] {
             KJ_REQUIRE(!alive.expired(), "the link was closed");
