--- a/packages/router/EntryRole.h
+++ b/packages/router/EntryRole.h
@@ -37,9 +37,9 @@
     platform::PlatformClient platform_;
     ConfigController config_;
     TargetsController targets_;
+    OperatorApi operators_;
     LedgerController ledger_;
     QuarantineController quarantine_;
-    OperatorApi operators_;
     RequestChain chain_;
     std::size_t underWay_ = 0;
     bool stopping_ = false;
--- a/packages/router/controllers/TargetsController.h
+++ b/packages/router/controllers/TargetsController.h
@@ -59,8 +59,8 @@
     std::map<TargetId, std::shared_ptr<TargetLink>> links_;
     std::map<TargetId, Epoch> epochs_;
     std::map<TargetId, Timer> unreachable_;
-    TargetLink::OnState onState_;
     std::function<const std::set<TargetId>&()> drained_;
+    TargetLink::OnState onState_;
     bool ready_ = false;
     Poller poller_;
     Timer closing_;
