--- a/packages/router/TargetRole.cpp
+++ b/packages/router/TargetRole.cpp
@@ -35,13 +35,13 @@
         , listener_(kj::mv(listener))
         , number_(number)
         , pauses_(role.fence_.pauses())
-        , roleAlive_(role.alive_)
+        , alive_(role.alive_)
     {
     }
     ~Session() noexcept
     {
-        // A session may end with the process itself, after the role: there is nothing left to be told.
-        if (!roleAlive_.expired())
+        // A session may be freed with the loop's last tasks, after the role.
+        if (!alive_.expired())
             role_.forget(number_);
     }
 
@@ -127,9 +127,9 @@
     TargetRole& role_;
     std::shared_ptr<Heard> heard_;
     wire::schema::EntryListener::Client listener_;
-    std::uint64_t pauses_;
-    std::weak_ptr<char> roleAlive_;
     std::uint64_t number_;
+    std::uint64_t pauses_;
+    std::weak_ptr<char> alive_;
 };
 
 TargetRole::TargetRole(wire::MainLoop& loop, TargetSettings settings)
@@ -236,7 +236,7 @@
 
 auto TargetRole::accept(kj::Own<wire::GlibStream> stream) -> void
 {
-    auto heard = std::make_shared<Heard>(Heard { now(), std::nullopt });
+    auto heard = std::make_shared<Heard>(Heard { .at = now() });
     auto door = kj::heap<wire::Door>(settings_.common.secret,
         [this, heard](auto name, auto listener) { return admit(std::move(name), kj::mv(listener), heard); });
     auto peer = std::make_shared<Connected>();
--- a/packages/router/controllers/TargetsController.cpp
+++ b/packages/router/controllers/TargetsController.cpp
@@ -39,12 +39,10 @@
 {
     const auto unused = [](const TargetLink& link) { return !link.awaited() && now() - link.lastUsed() > idleLimit; };
     for (const auto& [target, link] : links_) {
-        // Without a session nothing corrects the last report: a queue that was long, or an engine that was down, when
-        // the session ended would keep requests off the target for ever.
-        if (!unused(*link) && link->open())
-            continue;
-        fleet_.forgetLoad(target);
-        fleet_.setReachable(target, !unreachable_.contains(target));
+        // Without a session nothing corrects the last report: a queue that was long when the session ended would keep
+        // requests off the target for ever.
+        if (unused(*link) || !link->open())
+            fleet_.forgetLoad(target);
     }
     std::erase_if(links_, [&](const auto& link) { return unused(*link.second); });
 }
