--- a/packages/router/TargetRole.cpp
+++ b/packages/router/TargetRole.cpp
@@ -20,6 +20,7 @@
 // A session that seems silent is asked for a sign of life first: beside the chunks of an answer an entry does not beat.
 constexpr auto pingLimit = Duration(3s);
 constexpr auto sessionLook = Duration(1s);
+constexpr auto retryDelay = Duration(500ms);
 // How soon an engine that restarted unnoticed is seen; the look is one small request on the same host.
 constexpr auto engineLook = Duration(500ms);
 
@@ -195,7 +196,6 @@
 
 auto TargetRole::readEngine() -> kj::Promise<void>
 {
-    constexpr auto retryDelay = Duration(500ms);
     return engine_->state().then(
         [this](const targets::EngineState& state) -> kj::Promise<void> {
             incarnation_ = state.incarnation;
--- a/packages/router/controllers/AttemptsController.h
+++ b/packages/router/controllers/AttemptsController.h
@@ -80,7 +80,7 @@
     auto readAdopted(const AttemptPtr& attempt, const ResumeOrder& order, wire::schema::ChunkSink::Client sink) -> void;
     auto remember(const AttemptId& id) -> void;
     auto cancelAbandoned() -> void;
-    auto settled(const Attempt& attempt) const -> bool;
+    [[nodiscard]] auto settled(const Attempt& attempt) const -> bool;
     auto finished(const AttemptPtr& attempt) -> void;
     auto giveUp(const AttemptPtr& attempt, Error error) -> void;
     auto forgetLater(const AttemptPtr& attempt) -> void;
--- a/packages/router/controllers/LedgerController.cpp
+++ b/packages/router/controllers/LedgerController.cpp
@@ -151,12 +151,12 @@
         auto result = rowFrom(row);
         if (!result.answer || !row.value["answer"].value("in_object", false))
             return kj::mv(result);
-        return platform_.getObject(objectKey(key, result.claim))
-            .then([result = std::move(result)](std::optional<std::string> text) mutable {
-                KJ_REQUIRE(text.has_value(), "the kept answer is missing");
-                result.answer->text = std::move(*text);
-                return std::move(result);
-            });
+        auto kept = platform_.getObject(objectKey(key, result.claim));
+        return kept.then([result = std::move(result)](std::optional<std::string> text) mutable {
+            KJ_REQUIRE(text.has_value(), "the kept answer is missing");
+            result.answer->text = std::move(*text);
+            return std::move(result);
+        });
     });
 }
 
--- a/packages/router/controllers/SlotsController.cpp
+++ b/packages/router/controllers/SlotsController.cpp
@@ -6,6 +6,12 @@
 
 namespace eelgrass::router {
 
+namespace {
+
+constexpr auto retryDelay = Duration(500ms);
+
+} // namespace
+
 SlotsController::SlotsController(wire::MainLoop& loop, targets::EngineClient& engine, std::size_t slots)
     : loop_(loop)
     , engine_(engine)
@@ -94,7 +100,6 @@
 
 auto SlotsController::refreshUntilRead() -> kj::Promise<void>
 {
-    constexpr auto retryDelay = Duration(500ms);
     return refresh().catch_(
         [this](kj::Exception&&) { return loop_.sleep(retryDelay).then([this] { return refreshUntilRead(); }); });
 }
--- a/tests/integration/PlannedStops.cpp
+++ b/tests/integration/PlannedStops.cpp
@@ -136,6 +136,8 @@
         return !busy.empty();
     });
     deployment.target(busy).signal(SIGTERM);
+    // The signal has arrived, and nothing may be started from here on.
+    deployment.target(busy).waitForLog("leaving");
     deployment.target(busy).signal(SIGTERM);
     for (auto turn = 0; turn < 5; ++turn)
         BOOST_TEST(
