--- a/packages/router/TargetRole.cpp
+++ b/packages/router/TargetRole.cpp
@@ -20,6 +20,7 @@
 // On a session without an answer under way an entry beats once a minute: two of these and some.
 constexpr auto idleSilence = Duration(150s);
 constexpr auto sessionLook = Duration(1s);
+constexpr auto retryDelay = Duration(500ms);
 // How soon an engine that restarted unnoticed is seen; the look is one small request on the same host.
 constexpr auto engineLook = Duration(500ms);
 
@@ -165,7 +166,13 @@
     });
 }
 
-TargetRole::~TargetRole() = default;
+TargetRole::~TargetRole()
+{
+    // First of all, so that what ends with the sessions finds no half-destroyed role.
+    alive_.reset();
+    connections_.clear();
+    peers_.clear();
+}
 
 auto TargetRole::start() -> void
 {
@@ -191,7 +198,6 @@
 
 auto TargetRole::readEngine() -> kj::Promise<void>
 {
-    constexpr auto retryDelay = Duration(500ms);
     return engine_->state().then(
         [this](const targets::EngineState& state) -> kj::Promise<void> {
             incarnation_ = state.incarnation;
