--- a/packages/router/TargetRole.cpp
+++ b/packages/router/TargetRole.cpp
@@ -12,11 +12,11 @@
 constexpr auto metricsBodyLimit = std::size_t(1024);
 constexpr auto stopPoll = Duration(50ms);
 constexpr auto superseded = 3;
-// An entry that awaits an answer acknowledges chunks or beats every second, and gives a session up after three; one
-// that is silent for longer is gone, and what it reads would wait for it for ever.
+// An entry beats every second and gives a session up after three; one that is silent for longer is gone, and what it
+// reads would wait for it for ever.
 constexpr auto sessionSilence = Duration(5s);
-// On a session without an answer under way an entry beats once a minute: two of these and some.
-constexpr auto idleSessionSilence = Duration(150s);
+// An entry that waits for nothing beats once a minute; two beats missed.
+constexpr auto idleSilence = Duration(150s);
 constexpr auto sessionLook = Duration(1s);
 // How soon an engine that restarted unnoticed is seen; the look is one small request on the same host.
 constexpr auto engineLook = Duration(500ms);
@@ -26,16 +26,16 @@
 /// What an entry that proved the secret may ask of this target.
 class TargetRole::Session final : public wire::schema::TargetSession::Server {
 public:
-    Session(
-        TargetRole& role, std::uint64_t id, std::shared_ptr<Heard> heard, wire::schema::EntryListener::Client listener)
+    Session(TargetRole& role, std::shared_ptr<Heard> heard, std::uint64_t number,
+        wire::schema::EntryListener::Client listener)
         : role_(role)
-        , id_(id)
         , heard_(std::move(heard))
         , listener_(kj::mv(listener))
+        , number_(number)
         , pauses_(role.fence_.pauses())
     {
     }
-    ~Session() noexcept { role_.forget(id_); }
+    ~Session() noexcept { role_.forget(number_); }
 
     auto heartbeat(HeartbeatContext context) -> kj::Promise<void> override
     {
@@ -52,13 +52,13 @@
     auto resume(ResumeContext context) -> kj::Promise<void> override
     {
         auto params = context.getParams();
+        await(AttemptId(params.getAttempt()));
         auto order = AttemptsController::ResumeOrder {
             .attempt = AttemptId(params.getAttempt()),
             .model = ModelName(params.getModel()),
             .chunk = ChunkNumber(params.getNextChunk()),
             .token = params.getNextToken(),
         };
-        heard_->attempts.push_back(order.attempt);
         return role_.attempts_->resume(std::move(order), params.getSink()).then([context](bool known) mutable {
             context.getResults().setKnown(known);
         });
@@ -98,24 +98,29 @@
         });
     }
 
+    auto await(AttemptId attempt) -> void
+    {
+        heard_->at = now();
+        heard_->awaited.insert(std::move(attempt));
+    }
+
     auto startNow(StartContext& context) -> void
     {
         auto params = context.getParams();
+        await(AttemptId(params.getRequest().getAttempt()));
         auto refused = role_.attempts_->start(read(params.getRequest()), params.getSink());
         auto results = context.getResults();
         results.setAccepted(!refused);
-        if (!refused)
-            heard_->attempts.emplace_back(params.getRequest().getAttempt());
         if (refused)
             write(std::move(*refused).at(role_.settings_.common.name), results.initRefusal());
         role_.describe(results.initState());
     }
 
     TargetRole& role_;
-    std::uint64_t id_;
     std::shared_ptr<Heard> heard_;
     wire::schema::EntryListener::Client listener_;
     std::uint64_t pauses_;
+    std::uint64_t number_;
 };
 
 TargetRole::TargetRole(wire::MainLoop& loop, TargetSettings settings)
@@ -241,10 +246,12 @@
         // After a pause of this process nobody could be heard: the entries get their time anew.
         if (pauses != pausesSeen_)
             peer->heard->at = now();
-        auto& attempts = peer->heard->attempts;
-        std::erase_if(attempts, [this](const AttemptId& id) { return !attempts_->awaited(id); });
+        std::erase_if(peer->heard->awaited, [this](const auto& attempt) { return !attempts_->awaited(attempt); });
+        const auto limit = peer->heard->awaited.empty() ? idleSilence : sessionSilence;
+        // Bytes count as well: beside the chunks of a running answer, which it acknowledges, an entry sends no
+        // heartbeats.
         const auto heardAt = std::max(peer->heard->at, peer->connection->heardAt());
-        if (now() - heardAt > (attempts.empty() ? idleSessionSilence : sessionSilence))
+        if (now() - heardAt > limit)
             drop(peer);
     }
     pausesSeen_ = pauses;
@@ -255,17 +262,17 @@
 {
     KJ_REQUIRE(ready_, "this target is not ready yet");
     log::info("session opened", { { "peer", name } });
-    peers_.push_back({ ++lastPeer_, listener });
-    return kj::heap<Session>(*this, lastPeer_, std::move(heard), kj::mv(listener));
+    peers_.push_back({ ++lastSession_, listener });
+    return kj::heap<Session>(*this, std::move(heard), lastSession_, kj::mv(listener));
 }
 
-auto TargetRole::forget(std::uint64_t peer) -> void
+auto TargetRole::forget(std::uint64_t session) -> void
 {
     // Entries close sessions that they no longer use and open them again; each would stay here for ever. Forgotten in a
     // later turn: the connection that holds the listener may be on the stack.
-    loop_.spawn(kj::evalLater([this, peer, alive = std::weak_ptr(alive_)] {
+    loop_.spawn(kj::evalLater([this, session, alive = std::weak_ptr(alive_)] {
         if (alive.lock())
-            peers_.remove_if([&](const Peer& known) { return known.id == peer; });
+            peers_.remove_if([&](const Peer& peer) { return peer.session == session; });
     }));
 }
 
@@ -328,7 +335,8 @@
     for (auto peer = peers_.begin(); peer != peers_.end(); ++peer) {
         auto request = peer->listener.targetChangedRequest();
         describe(request.initState());
-        loop_.spawn(request.send().ignoreResult().then([] {}, [this, id = peer->id](kj::Exception&&) { forget(id); }));
+        loop_.spawn(request.send().ignoreResult().then(
+            [] {}, [this, session = peer->session](kj::Exception&&) { forget(session); }));
     }
 }
 
--- a/packages/router/TargetRole.h
+++ b/packages/router/TargetRole.h
@@ -13,6 +13,7 @@
 
 #include <list>
 #include <memory>
+#include <set>
 
 namespace eelgrass::router {
 
@@ -36,15 +37,15 @@
     friend class Session;
     struct Peer {
         /// Not the entry's name, since an entry that reconnects has two of these for a while.
-        std::uint64_t id = 0;
+        std::uint64_t session = 0;
         wire::schema::EntryListener::Client listener;
     };
 
-    /// What a connection shows of its entry.
+    /// When an entry was last heard on a connection, and what for.
     struct Heard {
         Moment at;
-        /// Attempts whose answers may still be on their way over it.
-        std::vector<AttemptId> attempts;
+        /// Those whose answers the entry still waits for.
+        std::set<AttemptId> awaited;
     };
     struct Connected {
         std::shared_ptr<Heard> heard;
@@ -59,7 +60,7 @@
     auto admit(std::string name, wire::schema::EntryListener::Client listener, std::shared_ptr<Heard> heard)
         -> wire::schema::TargetSession::Client;
     auto describe(wire::schema::TargetState::Builder into) const -> void;
-    auto forget(std::uint64_t peer) -> void;
+    auto forget(std::uint64_t session) -> void;
     [[nodiscard]] auto summary() const -> decisions::ReportGate::Summary;
     auto pushState() -> void;
     auto changed() -> void;
@@ -75,12 +76,12 @@
     std::unique_ptr<SlotsController> slots_;
     std::unique_ptr<AttemptsController> attempts_;
     std::list<Peer> peers_;
-    std::uint64_t lastPeer_ = 0;
-    std::shared_ptr<char> alive_ = std::make_shared<char>();
     std::list<std::shared_ptr<Connected>> connections_;
     std::string incarnation_;
     bool watchingEngine_ = false;
     std::uint64_t pausesSeen_ = 0;
+    std::uint64_t lastSession_ = 0;
+    std::shared_ptr<char> alive_ = std::make_shared<char>();
     bool ready_ = false;
     bool stopping_ = false;
     decisions::ReportGate reports_;
--- a/packages/router/controllers/AttemptsController.cpp
+++ b/packages/router/controllers/AttemptsController.cpp
@@ -199,16 +199,16 @@
     return !attempt.output.attached() && now() - attempt.output.detachedAt() > readerGrace;
 }
 
-auto AttemptsController::idle() const noexcept -> bool
+auto AttemptsController::awaited(const AttemptId& id) const -> bool
 {
-    return std::all_of(
-        attempts_.begin(), attempts_.end(), [this](const auto& entry) { return settled(*entry.second); });
+    const auto found = attempts_.find(id);
+    return found != attempts_.end() && found->second->output.attached() && !found->second->output.delivered();
 }
 
-auto AttemptsController::awaited(const AttemptId& id) const -> bool
+auto AttemptsController::idle() const noexcept -> bool
 {
-    const auto found = attempts_.find(id);
-    return found != attempts_.end() && !settled(*found->second);
+    return std::all_of(
+        attempts_.begin(), attempts_.end(), [this](const auto& entry) { return settled(*entry.second); });
 }
 
 auto AttemptsController::cancelAbandoned() -> void
