--- a/packages/router/TargetRole.cpp
+++ b/packages/router/TargetRole.cpp
@@ -12,11 +12,12 @@
 constexpr auto metricsBodyLimit = std::size_t(1024);
 constexpr auto stopPoll = Duration(50ms);
 constexpr auto superseded = 3;
-// An entry beats every second and gives a session up after three; one that is silent for longer is gone, and what it
-// reads would wait for it for ever.
-constexpr auto sessionSilence = Duration(5s);
-// An entry that waits for nothing beats once a minute; two beats missed.
-constexpr auto idleSilence = Duration(150s);
+// An entry that waits for an answer acknowledges chunks or beats every second, and gives a session up after three; one
+// that is silent for longer is gone, and what it reads would wait for it for ever, and hold an adapter slot.
+constexpr auto awaitedSilence = Duration(5s);
+// One that does not even beat slowly (each minute) is asked for a sign of life, and given up without one.
+constexpr auto idleSilence = Duration(65s);
+constexpr auto idleLimit = Duration(70s);
 constexpr auto sessionLook = Duration(1s);
 // How soon an engine that restarted unnoticed is seen; the look is one small request on the same host.
 constexpr auto engineLook = Duration(500ms);
@@ -31,11 +32,17 @@
         : role_(role)
         , heard_(std::move(heard))
         , listener_(kj::mv(listener))
-        , number_(number)
         , pauses_(role.fence_.pauses())
+        , number_(number)
+        , alive_(role.alive_)
+    {
+    }
+    ~Session() noexcept
     {
+        // A session may be freed with the loop's last tasks, after the role.
+        if (!alive_.expired())
+            role_.forget(number_);
     }
-    ~Session() noexcept { role_.forget(number_); }
 
     auto heartbeat(HeartbeatContext context) -> kj::Promise<void> override
     {
@@ -119,8 +126,9 @@
     TargetRole& role_;
     std::shared_ptr<Heard> heard_;
     wire::schema::EntryListener::Client listener_;
-    std::uint64_t pauses_;
     std::uint64_t number_;
+    std::uint64_t pauses_;
+    std::weak_ptr<char> alive_;
 };
 
 TargetRole::TargetRole(wire::MainLoop& loop, TargetSettings settings)
@@ -198,6 +206,8 @@
         return;
     auto look = engine_->state().then(
         [this](const targets::EngineState& state) {
+            if (!attempts_->engineAlive())
+                changed();
             attempts_->setEngineAlive(true);
             attempts_->engineRuns(state.streams);
             if (state.incarnation == incarnation_)
@@ -219,7 +229,7 @@
 
 auto TargetRole::accept(kj::Own<wire::GlibStream> stream) -> void
 {
-    auto heard = std::make_shared<Heard>(Heard { now() });
+    auto heard = std::make_shared<Heard>(Heard { .at = now() });
     auto door = kj::heap<wire::Door>(settings_.common.secret,
         [this, heard](auto name, auto listener) { return admit(std::move(name), kj::mv(listener), heard); });
     auto peer = std::make_shared<Connected>();
@@ -247,14 +257,19 @@
         if (pauses != pausesSeen_)
             peer->heard->at = now();
         std::erase_if(peer->heard->awaited, [this](const auto& attempt) { return !attempts_->awaited(attempt); });
-        const auto limit = peer->heard->awaited.empty() ? idleSilence : sessionSilence;
+        const auto limit = peer->heard->awaited.empty() ? idleLimit : awaitedSilence;
         // Bytes count as well: beside the chunks of a running answer, which it acknowledges, an entry sends no
         // heartbeats.
-        const auto heardAt = std::max(peer->heard->at, peer->connection->heardAt());
-        if (now() - heardAt > limit)
+        const auto silence = now() - std::max(peer->heard->at, peer->connection->heardAt());
+        if (silence > limit)
             drop(peer);
+        else if (silence > idleSilence && peer->heard->listener)
+            loop_.spawn(peer->heard->listener->pingRequest().send().ignoreResult().then(
+                [heard = peer->heard] { heard->at = now(); }, [](kj::Exception&&) {}));
     }
-    pausesSeen_ = pauses;
+    // A process that was replaced while it stood still ends soon, also when nobody asks anything of it.
+    if (std::exchange(pausesSeen_, pauses) != pauses)
+        loop_.spawn(fence_.confirm().ignoreResult());
 }
 
 auto TargetRole::admit(std::string name, wire::schema::EntryListener::Client listener, std::shared_ptr<Heard> heard)
@@ -262,6 +277,7 @@
 {
     KJ_REQUIRE(ready_, "this target is not ready yet");
     log::info("session opened", { { "peer", name } });
+    heard->listener = listener;
     peers_.push_back({ ++lastSession_, listener });
     return kj::heap<Session>(*this, std::move(heard), lastSession_, kj::mv(listener));
 }
--- a/packages/router/entry/Relay.h
+++ b/packages/router/entry/Relay.h
@@ -51,15 +51,17 @@
     /// Reads the answer of an attempt that another call started.
     auto join(const Claim& claim) -> kj::Promise<void>;
     auto tryNext() -> kj::Promise<void>;
+    [[nodiscard]] auto placement() const -> decisions::PlacementRequest;
     auto noTarget() -> kj::Promise<void>;
     auto startAt(const TargetId& target) -> kj::Promise<void>;
     auto claimAt(const TargetId& target, wire::schema::TargetSession::Client session) -> kj::Promise<void>;
     auto send(const TargetId& target, wire::schema::TargetSession::Client session) -> kj::Promise<void>;
     auto order() -> StartOrder;
+    auto watch(const TargetId& target) -> kj::Own<kj::Promise<void>>;
     auto refusedBy(const TargetId& target, const Error& error) -> kj::Promise<void>;
     auto follow(const TargetId& target) -> kj::Promise<void>;
-    auto resume(const TargetId& target, int tries) -> kj::Promise<void>;
-    auto resumeLater(const TargetId& target, int tries) -> kj::Promise<void>;
+    auto resume(const TargetId& target, Moment lostAt) -> kj::Promise<void>;
+    auto resumeLater(const TargetId& target, Moment lostAt) -> kj::Promise<void>;
     /// The target process does not know the attempt: finds out whether it can still start.
     auto unknownAt(const TargetId& target) -> kj::Promise<void>;
     /// The attempt is lost with what it had begun.
@@ -104,6 +106,8 @@
     bool mayReturn_ = false;
     /// An attempt was lost after it was started.
     bool mayHaveRun_ = false;
+    /// The caller was given some of the answer.
+    bool begun_ = false;
     bool suspect_ = false;
     std::uint32_t crashes_ = 0;
     bool done_ = false;
