--- a/packages/router/TargetRole.cpp
+++ b/packages/router/TargetRole.cpp
@@ -126,8 +126,8 @@
     TargetRole& role_;
     std::shared_ptr<Heard> heard_;
     wire::schema::EntryListener::Client listener_;
-    std::uint64_t number_;
     std::uint64_t pauses_;
+    std::uint64_t number_;
     std::weak_ptr<char> alive_;
 };
 
