--- a/packages/base/Log.cpp
+++ b/packages/base/Log.cpp
@@ -39,6 +39,8 @@
     log4cxx::MDC::put("process", std::string(process));
 }
 
+auto debugs() -> bool { return logger()->isDebugEnabled(); }
+
 auto debug(std::string_view event, Fields fields) -> void { write(log4cxx::Level::getDebug(), event, fields); }
 auto info(std::string_view event, Fields fields) -> void { write(log4cxx::Level::getInfo(), event, fields); }
 auto warn(std::string_view event, Fields fields) -> void { write(log4cxx::Level::getWarn(), event, fields); }
--- a/packages/router/Metrics.h
+++ b/packages/router/Metrics.h
@@ -20,11 +20,17 @@
 public:
     explicit Metrics(std::size_t memberCap);
 
+    using Series = prometheus::Histogram;
+
+    /// The histogram of one member and class, to be kept by who observes often: finding it costs more than observing.
+    [[nodiscard]] auto series(const std::string& name, const MemberId& member, const RequestClass& requestClass)
+        -> Series&;
     /// A time for one member and class; `name` is a metric's whole name, ending in `_seconds`.
     auto observe(const std::string& name, const MemberId& member, const RequestClass& requestClass, Duration time)
         -> void;
     /// A share from 0 to 1, as how full an engine step was.
     auto observeShare(const std::string& name, double share) -> void;
+    static auto observe(Series& series, Duration time) -> void;
     auto count(const std::string& name, const std::map<std::string, std::string>& labels, double by = 1) -> void;
 
     [[nodiscard]] auto text() const -> std::string;
--- a/packages/router/TargetRole.h
+++ b/packages/router/TargetRole.h
@@ -39,6 +39,7 @@
     struct Peer {
         /// Not the entry's name, since an entry that reconnects has two of these for a while.
         std::uint64_t session = 0;
+        std::string name;
         wire::schema::EntryListener::Client listener;
     };
 
@@ -61,7 +62,8 @@
     auto admit(std::string name, wire::schema::EntryListener::Client listener, std::shared_ptr<Heard> heard)
         -> wire::schema::TargetSession::Client;
     auto describe(wire::schema::TargetState::Builder into) const -> void;
-    auto forget(std::uint64_t peer) -> void;
+    auto loadQueueHolder() -> std::optional<LoadTurns::Listener>;
+    auto forget(std::uint64_t session) -> void;
     [[nodiscard]] auto summary() const -> decisions::ReportGate::Summary;
     auto pushState() -> void;
     auto changed() -> void;
--- a/packages/router/controllers/AttemptsController.h
+++ b/packages/router/controllers/AttemptsController.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decisions/Quarantine.h"
+#include "decisions/RequestQueue.h"
 #include "router/Metrics.h"
 #include "router/controllers/SlotsController.h"
 #include "router/target/Runner.h"
@@ -63,6 +64,8 @@
     [[nodiscard]] auto suspects() const noexcept -> const decisions::Quarantine& { return suspects_; }
 
     [[nodiscard]] auto queued() const noexcept -> std::size_t { return queue_.size(); }
+    /// How the queue stands, for the entries' views.
+    [[nodiscard]] auto requests() const noexcept -> const decisions::RequestQueue& { return requests_; }
     [[nodiscard]] auto running() const noexcept -> std::size_t { return running_; }
     /// Nothing queued, nothing running, and no entry still waits for the rest of an answer.
     [[nodiscard]] auto idle() const noexcept -> bool;
@@ -74,7 +77,10 @@
     auto pump() -> void;
 
 private:
-    auto startable(Attempt& attempt) -> bool;
+    auto offer(const AttemptPtr& attempt) -> std::optional<Error>;
+    auto resident() const -> decisions::RequestQueue::IsResident;
+    auto dropUnqueued() -> void;
+    auto noteStalls() -> void;
     auto run(const AttemptPtr& attempt) -> void;
     auto work(const AttemptPtr& attempt, kj::Promise<void> task) -> void;
     auto readAdopted(const AttemptPtr& attempt, const ResumeOrder& order, wire::schema::ChunkSink::Client sink) -> void;
@@ -94,7 +100,9 @@
     Epoch epoch_;
     bool leaving_ = false;
     std::size_t running_ = 0;
+    /// Those that wait, by arrival; `requests_` says in which order they start.
     std::deque<AttemptPtr> queue_;
+    decisions::RequestQueue requests_;
     std::map<AttemptId, AttemptPtr> attempts_;
     std::map<AttemptId, Timer> forgetting_;
     std::map<AttemptId, Timer> revoked_;
--- a/packages/router/entry/Relay.h
+++ b/packages/router/entry/Relay.h
@@ -87,6 +87,9 @@
     CallPtr call_;
     std::string digest_;
     AnswerWriter writer_;
+    /// Time between the chunks of this answer; found once, since it is observed with each.
+    Metrics::Series* betweenTokens_ = nullptr;
+    Moment lastTokenAt_ {};
     /// Null for a request that may be repeated.
     std::unique_ptr<RunRecord> record_;
     bool claimed_ = false;
--- a/tests/harness/Deployment.h
+++ b/tests/harness/Deployment.h
@@ -43,6 +43,8 @@
 
     wire::MainLoop loop;
     wire::HttpClient http { 256, 30 };
+    /// Of the processes that are started from here on.
+    std::string logLevel = "INFO";
 
     auto platform() -> Process& { return *platform_; }
     [[nodiscard]] auto platformUrl() const -> std::string;
@@ -50,7 +52,8 @@
     auto addEngineTarget(const std::string& name, const std::vector<std::string>& engineFlags = {},
         const std::string& extra = "") -> void;
     auto addServiceTarget(const std::string& name, const std::string& service) -> void;
-    auto addEntry(const std::string& name) -> void;
+    /// `extra` is added to the settings file.
+    auto addEntry(const std::string& name, const std::string& extra = "") -> void;
     /// Starts a target process again before the engine or service that it had.
     auto restartTarget(const std::string& name) -> void;
     auto restartEntry(const std::string& name) -> void;
@@ -60,6 +63,13 @@
     /// frozen; the one it has goes on under the name `<name>-old`.
     auto replaceTarget(const std::string& name) -> void;
 
+    /// Starts a process, engine or service that ended again, on its old place; kept when it is ready to serve.
+    auto relaunch(const std::string& name) -> kj::Promise<void>;
+    /// Takes an ended process out and returns it, so that what it logged can be read.
+    auto take(const std::string& name) -> ProcessPtr;
+    [[nodiscard]] auto find(const std::string& name) -> Process*;
+    [[nodiscard]] auto names() const -> std::vector<std::string>;
+
     auto target(const std::string& name) -> Process& { return *processes_.at(name); }
     auto entry(const std::string& name) -> Process& { return *processes_.at(name); }
     auto engine(const std::string& target) -> Process& { return *processes_.at(target + "-behind"); }
@@ -86,12 +96,18 @@
     auto status(const std::string& entry) -> Json;
     /// Posts to a stand-in's controls.
     auto control(const std::string& url, const Json& body) -> Json;
+    auto controlLater(const std::string& url, const Json& body) -> kj::Promise<Json>;
     /// Sets a fault on the leg of this entry or target; see `FaultProxy` for what `settings` may hold.
     auto fault(const std::string& name, Leg leg, const Json& settings) -> Json;
+    auto faultLater(const std::string& name, Leg leg, const Json& settings) -> kj::Promise<void>;
     /// Lists, relists or removes (`state`: `live`, `leaving`, `gone`) a target with the platform.
     auto list(const std::string& target, const std::string& state = "live") -> void;
 
 private:
+    struct Launch {
+        std::string program;
+        std::vector<std::string> arguments;
+    };
     struct TargetPlace {
         std::string settings;
         std::string serves;
@@ -99,6 +115,11 @@
         std::vector<std::string> engineFlags;
         std::uint16_t enginePort = 0;
     };
+    auto launch(const std::string& name) -> Process&;
+    auto startBehind(const std::string& name, std::vector<std::string> flags) -> std::uint16_t;
+    auto becomeReady(const std::string& name) -> kj::Promise<void>;
+    auto entered(const std::string& name) -> kj::Promise<void>;
+    auto hostRow(const std::string& target, const std::string& state) const -> Json;
     struct Proxy {
         ProcessPtr process;
         std::uint16_t port = 0;
@@ -106,9 +127,11 @@
     };
     /// The port to use in place of `upstream` on this leg: the proxy's, or `upstream` where there is none.
     auto through(const std::string& name, Leg leg, std::uint16_t upstream) -> std::uint16_t;
+    /// The same for a process that started again; the proxy leads to its new port when the promise is kept.
+    auto throughAgain(const std::string& name, Leg leg, std::uint16_t upstream) -> kj::Promise<std::uint16_t>;
     auto common(const std::string& name) -> std::string;
     auto startTarget(const std::string& name) -> void;
-    auto startEntry(const std::string& name) -> void;
+    auto startEntry(const std::string& name, const std::string& extra = "") -> void;
     auto writeFile(const std::string& name, const std::string& text) -> std::string;
 
     std::set<Leg> proxied_;
@@ -116,6 +139,7 @@
     ProcessPtr platform_;
     std::map<std::pair<std::string, Leg>, Proxy> proxies_;
     std::map<std::string, ProcessPtr> processes_;
+    std::map<std::string, Launch> launches_;
     std::map<std::string, std::string> urls_;
     std::map<std::string, TargetPlace> targets_;
 };
