--- a/examples/StreamCompletion.cpp
+++ b/examples/StreamCompletion.cpp
@@ -38,8 +38,7 @@
     auto request = wire::HttpRequest { .method = "POST", .url = std::string(argv[1]) + "/v1/completions" };
     request.body = body.dump();
     request.headers = { { "Authorization", std::string("Bearer ") + argv[2] } };
-    loop.wait(client.open(std::move(request)).then([](kj::Own<wire::HttpStream> stream) {
-        return print(kj::mv(stream));
-    }));
+    loop.wait(
+        client.open(std::move(request)).then([](kj::Own<wire::HttpStream> stream) { return print(kj::mv(stream)); }));
     return 0;
 }
--- a/packages/router/controllers/AttemptsController.h
+++ b/packages/router/controllers/AttemptsController.h
@@ -62,6 +62,8 @@
     /// Requests that ran here when the engine died.
     [[nodiscard]] auto suspects() const noexcept -> const decisions::Quarantine& { return suspects_; }
 
+    /// Whether an entry still waits for more of this attempt's answer.
+    [[nodiscard]] auto awaited(const AttemptId& id) const -> bool;
     [[nodiscard]] auto queued() const noexcept -> std::size_t { return queue_.size(); }
     [[nodiscard]] auto running() const noexcept -> std::size_t { return running_; }
     /// Nothing queued, nothing running, and no entry still waits for the rest of an answer.
--- a/packages/router/controllers/TargetsController.cpp
+++ b/packages/router/controllers/TargetsController.cpp
@@ -39,12 +39,10 @@
 {
     const auto unused = [](const TargetLink& link) { return !link.awaited() && now() - link.lastUsed() > idleLimit; };
     for (const auto& [target, link] : links_) {
-        // Without a session nothing corrects the last report: a queue that was long, or an engine that was down, when
-        // the session ended would keep requests off the target for ever.
-        if (!unused(*link) && link->open())
-            continue;
-        fleet_.forgetLoad(target);
-        fleet_.setReachable(target, !unreachable_.contains(target));
+        // Without a session nothing corrects the last report: a queue that was long when the session ended would keep
+        // requests off the target for ever.
+        if (unused(*link) || !link->open())
+            fleet_.forgetLoad(target);
     }
     std::erase_if(links_, [&](const auto& link) { return unused(*link.second); });
 }
@@ -99,6 +97,13 @@
     return fleet_.views()[*chosen].id;
 }
 
+auto TargetsController::canPlace(const decisions::PlacementRequest& request) const -> bool
+{
+    // Explained, not chosen: a choice would move the placer's own state on.
+    const auto seen = explain(request);
+    return std::any_of(seen.begin(), seen.end(), [](const auto& target) { return target.usable(); });
+}
+
 auto TargetsController::link(const TargetId& target) -> std::shared_ptr<TargetLink>
 {
     const auto host = hosts_.find(target);
@@ -132,7 +137,9 @@
         onState_(state);
     if (!fleet_.find(target))
         return;
-    fleet_.setReachable(target, state.getEngineAlive() && !unreachable_.contains(target));
+    // For a short while only: nobody would hear of the engine's return on a session that is closed meanwhile.
+    if (!state.getEngineAlive())
+        unreachable(target);
     epochs_[target] = Epoch(state.getEpoch());
     auto report = decisions::TargetReport {
         .leaving = state.getLeaving(),
