--- a/packages/router/TargetRole.cpp
+++ b/packages/router/TargetRole.cpp
@@ -279,9 +279,9 @@
 {
     // Entries close sessions that they no longer use and open them again; each would stay here for ever. Forgotten in a
     // later turn: the connection that holds the listener may be on the stack.
-    loop_.spawn(kj::evalLater([this, peer, alive = std::weak_ptr(alive_)] {
+    loop_.spawn(kj::evalLater([this, session, alive = std::weak_ptr(alive_)] {
         if (alive.lock())
-            peers_.remove_if([&](const Peer& known) { return known.id == peer; });
+            peers_.remove_if([&](const Peer& known) { return known.session == session; });
     }));
 }
 
