--- a/packages/base/Log.h
+++ b/packages/base/Log.h
@@ -15,6 +15,9 @@
 /// Sends JSON lines to standard output. To be called once, before the first line.
 auto start(std::string_view process, std::string_view level) -> void;
 
+/// Whether `debug` writes anything; asked first where the fields alone would cost a request time.
+[[nodiscard]] auto debugs() -> bool;
+
 auto debug(std::string_view event, Fields = {}) -> void;
 auto info(std::string_view event, Fields = {}) -> void;
 auto warn(std::string_view event, Fields = {}) -> void;
--- a/packages/decisions/Fleet.h
+++ b/packages/decisions/Fleet.h
@@ -34,7 +34,7 @@
     auto report(const TargetId& target, TargetReport report, Moment now) -> void;
     /// A request for `model` was sent there.
     auto sent(Index index, const ModelName& model, Moment now) -> void;
-    /// No more reports come of this target: what was queued there by the last one is no longer believed.
+    /// No report will correct what is known of the target's load any more.
     auto forgetLoad(const TargetId& target) -> void;
     auto setLeaving(const TargetId& target, bool leaving) -> void;
     auto setReachable(const TargetId& target, bool reachable) -> void;
--- a/packages/router/EntryRole.cpp
+++ b/packages/router/EntryRole.cpp
@@ -27,8 +27,9 @@
     , ledger_(loop, platform_)
     , quarantine_(loop, platform_)
     , chain_(Authenticate(), Parse(), Resolve(), Authorize())
-    , server_(settings_.listen.address, settings_.listen.port, settings_.bodyLimitKiB * kib,
-          [this](auto& exchange) { handle(exchange); })
+    , server_(
+          settings_.listen.address, settings_.listen.port, settings_.bodyLimitKiB * kib,
+          [this](auto& exchange) { handle(exchange); }, std::chrono::seconds(settings_.callerSilenceS))
 {
 }
 
--- a/packages/wire/HttpClient.cpp
+++ b/packages/wire/HttpClient.cpp
@@ -18,6 +18,13 @@
     return { kj::Exception::Type::DISCONNECTED, __FILE__, __LINE__, kj::str(mark, peer.c_str(), ": ", error->message) };
 }
 
+// Path and query may hold what a caller asked for, and errors go into logs: the peer is named by its address alone.
+auto peerOf(const std::string& url) -> std::string
+{
+    const auto scheme = url.find("://");
+    return url.substr(0, scheme == std::string::npos ? scheme : url.find('/', scheme + 3));
+}
+
 struct PendingOpen {
     kj::Own<kj::PromiseFulfiller<kj::Own<HttpStream>>> fulfiller;
     ObjectPtr<SoupMessage> message;
@@ -132,7 +139,7 @@
     auto cancellable = ObjectPtr<GCancellable>(g_cancellable_new());
     auto* raw = message.get();
     auto pending = std::make_unique<PendingOpen>(
-        PendingOpen { kj::mv(pair.fulfiller), std::move(message), std::move(request.url) });
+        PendingOpen { kj::mv(pair.fulfiller), std::move(message), peerOf(request.url) });
     soup_session_send_async(session_.get(), raw, G_PRIORITY_DEFAULT, cancellable.get(), opened, pending.release());
     return pair.promise.attach(kj::defer([held = std::move(cancellable)] { g_cancellable_cancel(held.get()); }));
 }
