--- a/packages/router/entry/OperatorApi.cpp
+++ b/packages/router/entry/OperatorApi.cpp
@@ -32,6 +32,12 @@
     return ConfigVersion(number);
 }
 
+/// The name in `targets/NAME/drain`.
+auto targetOf(const std::string& path) -> std::string
+{
+    return path.substr(targetPrefix.size(), path.size() - targetPrefix.size() - drainSuffix.size());
+}
+
 auto milliseconds(Duration time) -> std::int64_t
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
@@ -96,6 +102,7 @@
     const auto method = request.exchange->method();
     const auto& path = request.path;
     const auto get = method == "GET";
+    const auto drains = path.starts_with(targetPrefix) && path.ends_with(drainSuffix);
     if (path == "config" && get)
         config(request);
     else if (path == "config" && method == "PATCH")
@@ -108,9 +115,8 @@
         explain(request);
     else if (path.starts_with(adapterPrefix) && get)
         adapter(request, path.substr(adapterPrefix.size()));
-    else if (path.starts_with(targetPrefix) && path.ends_with(drainSuffix) && (method == "POST" || method == "DELETE"))
-        drain(request, path.substr(targetPrefix.size(), path.size() - targetPrefix.size() - drainSuffix.size()),
-            method == "POST");
+    else if (drains && (method == "POST" || method == "DELETE"))
+        drain(request, targetOf(path), method == "POST");
     else
         return false;
     return true;
--- a/tests/integration/BadInput.cpp
+++ b/tests/integration/BadInput.cpp
@@ -128,7 +128,7 @@
 BOOST_FIXTURE_TEST_CASE(what_is_no_http_ends_its_own_connection_only, Fixture)
 {
     auto caller = RawCaller(deployment.entryUrl("e1"));
-    caller.send(std::string("\x16\x03\x01\x02 not http at all\r\n\r\n", 26));
+    caller.send("\x16\x03\x01\x02 not http at all\r\n\r\n");
     const auto answer = caller.receiveAll();
     BOOST_TEST(answer.find(" 200 ") == std::string::npos, answer);
     othersAreServed();
--- a/tests/integration/Callers.cpp
+++ b/tests/integration/Callers.cpp
@@ -17,7 +17,7 @@
         deployment.configure({ "e1" });
     }
 
-    auto longCall(bool stream) const -> std::string
+    [[nodiscard]] auto longCall(bool stream) const -> std::string
     {
         const auto body
             = Json { { "model", "life" }, { "prompt", "p" }, { "max_tokens", 100000 }, { "stream", stream } };
--- a/tests/integration/Control.cpp
+++ b/tests/integration/Control.cpp
@@ -26,35 +26,35 @@
     {
         auto name = (std::filesystem::temp_directory_path() / "eelgrass-ctl-XXXXXX").string();
         folder = mkdtemp(name.data());
-        write("key", std::string(operatorKey) + "\n");
+        static_cast<void>(write("key", std::string(operatorKey) + "\n"));
         deployment.addEngineTarget("t1");
         deployment.addEntry("e1");
         deployment.configure({ "e1" });
     }
     ~Fixture() { std::filesystem::remove_all(folder); }
 
-    auto write(const std::string& name, const std::string& text) const -> std::string
+    [[nodiscard]] auto write(const std::string& name, const std::string& text) const -> std::string
     {
         auto path = folder + "/" + name;
         std::ofstream(path) << text;
         return path;
     }
 
-    auto bare(const std::vector<std::string>& arguments) const -> Outcome
+    [[nodiscard]] auto bare(const std::vector<std::string>& arguments) const -> Outcome
     {
         auto process = Process("eelgrassctl", "eelgrassctl", arguments);
         const auto code = process.wait();
         return { static_cast<ExitCode>(code), process.output() };
     }
 
-    auto ctl(std::vector<std::string> arguments) const -> Outcome
+    [[nodiscard]] auto ctl(std::vector<std::string> arguments) const -> Outcome
     {
         arguments.push_back("--entry=" + deployment.entryUrl("e1"));
         arguments.push_back("--key-file=" + folder + "/key");
         return bare(arguments);
     }
 
-    auto contains(const Outcome& outcome, const std::string& text) const -> bool
+    [[nodiscard]] auto contains(const Outcome& outcome, const std::string& text) const -> bool
     {
         return outcome.output.find(text) != std::string::npos;
     }
@@ -159,7 +159,7 @@
 
 BOOST_FIXTURE_TEST_CASE(scripts_can_tell_the_failures_apart, Fixture)
 {
-    write("wrong", "not-the-key");
+    static_cast<void>(write("wrong", "not-the-key"));
     const auto entry = "--entry=" + deployment.entryUrl("e1");
     BOOST_TEST((bare({ "status", entry, "--key-file=" + folder + "/wrong" }).code == ExitCode::NotAllowed));
     BOOST_TEST((bare({ "status", entry }).code == ExitCode::Usage));
--- a/tests/integration/Golden.cpp
+++ b/tests/integration/Golden.cpp
@@ -20,7 +20,7 @@
         deployment.configure({ "e1" });
     }
 
-    auto session() const -> Session { return Session(deployment.entryUrl("e1")); }
+    [[nodiscard]] auto session() const -> Session { return Session(deployment.entryUrl("e1")); }
 
     Deployment deployment;
 };
