--- a/packages/decisions/Fleet.cpp
+++ b/packages/decisions/Fleet.cpp
@@ -116,17 +116,19 @@
 
 auto Fleet::forgetLoad(const TargetId& target) -> void
 {
-    const auto* known = indexOf(target);
-    if (!known)
+    const auto* index = indexOf(target);
+    if (!index)
         return;
-    auto& view = views_[*known];
+    auto& view = views_[*index];
     loadsWaiting_ -= loadsOf(view);
+    for (const auto& coming : view.coming)
+        removeHolder(coming.model, *index);
+    view.coming.clear();
     view.queued = 0;
     view.running = 0;
     view.awaitingLoad = 0;
     view.loadsWaiting = 0;
     view.sentSinceReport = 0;
-    loadsWaiting_ += loadsOf(view);
 }
 
 auto Fleet::setLeaving(const TargetId& target, bool leaving) -> void
--- a/packages/router/TargetRole.cpp
+++ b/packages/router/TargetRole.cpp
@@ -1,7 +1,9 @@
 #include "router/TargetRole.h"
 
 #include "base/Log.h"
+#include "decisions/Rendezvous.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace eelgrass::router {
@@ -12,13 +14,13 @@
 constexpr auto metricsBodyLimit = std::size_t(1024);
 constexpr auto stopPoll = Duration(50ms);
 constexpr auto superseded = 3;
-// An entry that waits for an answer beats every second and gives a session up after three; one that is silent for
-// longer is gone, and what it reads would wait for it for ever, and hold an adapter slot.
+// An entry that awaits an answer acknowledges chunks or beats every second, and gives a session up after three; one
+// that is silent for longer is gone, and what it reads would wait for it for ever.
 constexpr auto awaitedSilence = Duration(5s);
-// One that does not even beat slowly (20 s) is asked for a sign of life, and given up without one.
-constexpr auto idleSilence = Duration(25s);
-constexpr auto idleLimit = Duration(30s);
+// On a session without an answer under way an entry beats once a minute: two of these and some.
+constexpr auto idleSilence = Duration(150s);
 constexpr auto sessionLook = Duration(1s);
+constexpr auto retryDelay = Duration(500ms);
 // How soon an engine that restarted unnoticed is seen; the look is one small request on the same host.
 constexpr auto engineLook = Duration(500ms);
 
@@ -145,6 +147,8 @@
     if (settings_.kind == TargetSettings::Kind::Engine) {
         engine_ = std::make_unique<targets::EngineClient>(settings_.target.address, settings_.target.port);
         slots_ = std::make_unique<SlotsController>(loop_, *engine_, settings_.slots);
+        slots_->setTurns(
+            std::make_unique<LoadTurns>(loop_, settings_.common.name, [this] { return loadQueueHolder(); }));
         slots_->setGate([this] { return fence_.confirm(); });
         auto runner = EngineRunner(loop_, *engine_);
         runner.onMissing([this] { watchEngine(); });
@@ -162,7 +166,13 @@
     });
 }
 
-TargetRole::~TargetRole() = default;
+TargetRole::~TargetRole()
+{
+    // First of all, so that what ends with the sessions finds no half-destroyed role.
+    alive_.reset();
+    connections_.clear();
+    peers_.clear();
+}
 
 auto TargetRole::start() -> void
 {
@@ -188,7 +198,6 @@
 
 auto TargetRole::readEngine() -> kj::Promise<void>
 {
-    constexpr auto retryDelay = Duration(500ms);
     return engine_->state().then(
         [this](const targets::EngineState& state) -> kj::Promise<void> {
             incarnation_ = state.incarnation;
@@ -257,13 +266,10 @@
         if (pauses != pausesSeen_)
             peer->heard->at = now();
         std::erase_if(peer->heard->awaited, [this](const auto& attempt) { return !attempts_->awaited(attempt); });
-        const auto limit = peer->heard->awaited.empty() ? idleLimit : awaitedSilence;
-        const auto silence = now() - peer->heard->at;
-        if (silence > limit)
+        const auto limit = peer->heard->awaited.empty() ? idleSilence : awaitedSilence;
+        const auto heardAt = std::max(peer->heard->at, peer->connection->heardAt());
+        if (now() - heardAt > limit)
             drop(peer);
-        else if (silence > idleSilence && peer->heard->listener)
-            loop_.spawn(peer->heard->listener->pingRequest().send().ignoreResult().then(
-                [heard = peer->heard] { heard->at = now(); }, [](kj::Exception&&) {}));
     }
     // A process that was replaced while it stood still ends soon, also when nobody asks anything of it.
     if (std::exchange(pausesSeen_, pauses) != pauses)
@@ -275,8 +281,7 @@
 {
     KJ_REQUIRE(ready_, "this target is not ready yet");
     log::info("session opened", { { "peer", name } });
-    heard->listener = listener;
-    peers_.push_back({ ++lastSession_, listener });
+    peers_.push_back({ ++lastSession_, name, listener });
     return kj::heap<Session>(*this, std::move(heard), lastSession_, kj::mv(listener));
 }
 
@@ -286,7 +291,7 @@
     // later turn: the connection that holds the listener may be on the stack.
     loop_.spawn(kj::evalLater([this, session, alive = std::weak_ptr(alive_)] {
         if (alive.lock())
-            peers_.remove_if([&](const Peer& peer) { return peer.session == session; });
+            peers_.remove_if([&](const Peer& known) { return known.session == session; });
     }));
 }
 
@@ -308,8 +313,15 @@
         suspects[place].setCrashes(crashes);
         ++place;
     }
+    into.setPlaceTimeUs(static_cast<std::uint32_t>(attempts_->requests().placeTime().count()));
     if (!slots_)
         return;
+    const auto isReady = [this](const ModelName& model) { return slots_->ready(model); };
+    const auto& waiting = attempts_->requests().all();
+    into.setAwaitingLoad(static_cast<std::uint32_t>(
+        std::count_if(waiting.begin(), waiting.end(), [&](const auto& request) { return !isReady(request.model); })));
+    into.setLoadsWaiting(static_cast<std::uint32_t>(attempts_->requests().loadCandidates(isReady, now()).size()));
+    into.setEvictionCost(slots_->evictionCost());
     const auto resident = slots_->resident();
     auto names = into.initResidentAdapters(static_cast<unsigned>(resident.size()));
     auto index = 0U;
@@ -317,6 +329,19 @@
         names.set(index++, name.str());
 }
 
+// Every target comes to the same entry among those connected, so that there is one queue; where they differ there are
+// two for a while, and loads are slower, not wrong. Of an entry's two connections the newer one counts.
+auto TargetRole::loadQueueHolder() -> std::optional<LoadTurns::Listener>
+{
+    static const auto key = decisions::nameHash("load queue");
+    const auto score = [](const Peer& peer) {
+        return std::pair(decisions::rendezvousScore(key, decisions::nameHash(peer.name)), peer.session);
+    };
+    const auto best = std::max_element(
+        peers_.begin(), peers_.end(), [&](const Peer& a, const Peer& b) { return score(a) < score(b); });
+    return best == peers_.end() ? std::nullopt : std::optional(best->listener);
+}
+
 auto TargetRole::summary() const -> decisions::ReportGate::Summary
 {
     auto summary = decisions::ReportGate::Summary { .leaving = attempts_->leaving(),
--- a/packages/router/TargetRole.h
+++ b/packages/router/TargetRole.h
@@ -39,6 +39,7 @@
     struct Peer {
         /// Not the entry's name, since an entry that reconnects has two of these for a while.
         std::uint64_t session = 0;
+        std::string name;
         wire::schema::EntryListener::Client listener;
     };
 
@@ -47,8 +48,6 @@
         Moment at;
         /// Those whose answers the entry still waits for.
         std::set<AttemptId> awaited;
-        /// Empty before the entry proved the secret.
-        std::optional<wire::schema::EntryListener::Client> listener;
     };
     struct Connected {
         std::shared_ptr<Heard> heard;
@@ -63,6 +62,7 @@
     auto admit(std::string name, wire::schema::EntryListener::Client listener, std::shared_ptr<Heard> heard)
         -> wire::schema::TargetSession::Client;
     auto describe(wire::schema::TargetState::Builder into) const -> void;
+    auto loadQueueHolder() -> std::optional<LoadTurns::Listener>;
     auto forget(std::uint64_t session) -> void;
     [[nodiscard]] auto summary() const -> decisions::ReportGate::Summary;
     auto pushState() -> void;
--- a/packages/router/controllers/AttemptsController.cpp
+++ b/packages/router/controllers/AttemptsController.cpp
@@ -13,7 +13,8 @@
 constexpr auto keptAfterEnd = Duration(60s);
 // How long a revoked attempt is remembered: longer than any start can lie in a frozen process's socket.
 constexpr auto revokedKept = Duration(600s);
-constexpr auto expiryPeriod = Duration(100ms);
+// A request that can no longer be answered in time is told within 50 ms of that moment.
+constexpr auto expiryPeriod = Duration(40ms);
 // Loads of one adapter that may fail before those who wait for it are told; a single failure is often passing.
 constexpr auto maxLoadFailures = 3;
 // How long an answer waits for an entry that lost its session: longer than the entry takes to notice (3 s) and to
@@ -36,9 +37,12 @@
     , slots_(slots)
     , metrics_(metrics)
     , limits_(limits)
+    , requests_(limits.queue, limits.batch)
 {
-    if (slots_)
+    if (slots_) {
         slots_->onChange([this] { pump(); });
+        slots_->onLoadTook([this](Duration time) { requests_.loadTook(time); });
+    }
     expiry_ = loop_.timers().every(expiryPeriod, [this] { expire(); });
 }
 
@@ -54,10 +58,9 @@
         return notRun(Step::Start, 409, "revoked", "this attempt was revoked", 0s);
     if (attempts_.contains(order.attempt))
         return Error(Step::Start, 409, "duplicate_attempt", "this attempt is known already").run(RunState::Unknown);
-    // Load made for: a surge. A queue longer than the engine can work off in time only makes more callers late.
-    if (queue_.size() >= limits_.queue)
-        return notRun(Step::Queue, 503, "queue_full", "this target's queue is full", 1s);
     auto attempt = std::make_shared<Attempt>(loop_, std::move(order), now());
+    if (auto refused = offer(attempt))
+        return refused;
     attempt->output.attach(kj::mv(sink), ChunkNumber(0));
     attempts_[attempt->order.attempt] = attempt;
     queue_.push_back(attempt);
@@ -68,6 +71,36 @@
     return std::nullopt;
 }
 
+auto AttemptsController::offer(const AttemptPtr& attempt) -> std::optional<Error>
+{
+    const auto& order = attempt->order;
+    const auto deadline = order.deadline.count() > 0 ? attempt->acceptedAt + order.deadline : Moment::max();
+    dropUnqueued();
+    const auto answer = requests_.offer(
+        { order.attempt, order.member, order.model, order.requestClass, attempt->acceptedAt, deadline }, resident(),
+        running_, now());
+    const auto* refused = std::get_if<decisions::Refused>(&answer);
+    if (!refused)
+        return std::nullopt;
+    const auto later = std::chrono::ceil<std::chrono::milliseconds>(refused->retryAfter);
+    if (refused->reason == decisions::Refused::Reason::Full)
+        return notRun(Step::Queue, 503, "queue_full", "this target's queue is full", later);
+    return notRun(Step::Queue, 503, "too_late", "the request could not be answered before its deadline", later);
+}
+
+auto AttemptsController::resident() const -> decisions::RequestQueue::IsResident
+{
+    return [slots = slots_](const ModelName& model) { return !slots || slots->ready(model); };
+}
+
+auto AttemptsController::dropUnqueued() -> void
+{
+    requests_.keepOnly([this](const AttemptId& id) {
+        const auto found = attempts_.find(id);
+        return found != attempts_.end() && found->second->state == Attempt::State::Queued;
+    });
+}
+
 auto AttemptsController::resume(ResumeOrder order, wire::schema::ChunkSink::Client sink) -> kj::Promise<bool>
 {
     const auto found = attempts_.find(order.attempt);
@@ -199,18 +232,18 @@
     return !attempt.output.attached() && now() - attempt.output.detachedAt() > readerGrace;
 }
 
-auto AttemptsController::awaited(const AttemptId& id) const -> bool
-{
-    const auto found = attempts_.find(id);
-    return found != attempts_.end() && found->second->output.attached() && !found->second->output.delivered();
-}
-
 auto AttemptsController::idle() const noexcept -> bool
 {
     return std::all_of(
         attempts_.begin(), attempts_.end(), [this](const auto& entry) { return settled(*entry.second); });
 }
 
+auto AttemptsController::awaited(const AttemptId& id) const -> bool
+{
+    const auto found = attempts_.find(id);
+    return found != attempts_.end() && !settled(*found->second);
+}
+
 auto AttemptsController::cancelAbandoned() -> void
 {
     auto abandoned = std::vector<AttemptId>();
@@ -231,34 +264,36 @@
     if (pumping_)
         return;
     pumping_ = true;
-    // A copy: starting an attempt changes the queue. Those whose adapter is there overtake those that wait for a load.
-    for (const auto& attempt : std::deque<AttemptPtr>(queue_)) {
-        if (running_ >= limits_.batch)
-            break;
+    dropUnqueued();
+    while (const auto next = requests_.next(running_, resident(), now())) {
+        const auto attempt = attempts_.at(next->attempt);
         // Load made for: a request that crashes engines. What ran when an engine died runs alone, so that a second
         // crash names the culprit and takes no innocent request with it.
-        if (suspectRunning_ || (attempt->order.crashes > 0 && running_ > 0))
+        if (suspectRunning_ || (attempt->order.crashes > 0 && running_ > 0)) {
+            requests_.putBack(*next);
             break;
-        if (startable(*attempt))
-            run(attempt);
+        }
+        if (slots_)
+            slots_->pin(next->model);
+        run(attempt);
+    }
+    if (slots_) {
+        noteStalls();
+        slots_->want(requests_.loadCandidates(resident(), now()));
     }
     pumping_ = false;
     if (onChange_)
         onChange_();
 }
 
-auto AttemptsController::startable(Attempt& attempt) -> bool
+auto AttemptsController::noteStalls() -> void
 {
-    if (!slots_ || slots_->tryPin(attempt.order.model, attempt.order.member)) {
-        if (attempt.stalledAt)
-            attempt.loadStall = now() - *attempt.stalledAt;
-        return true;
-    }
-    if (!attempt.stalledAt) {
-        attempt.stalledAt = now();
-        attempt.output.progress("loading adapter");
+    for (const auto& attempt : queue_) {
+        if (attempt->stalledAt || slots_->ready(attempt->order.model))
+            continue;
+        attempt->stalledAt = now();
+        attempt->output.progress("loading adapter");
     }
-    return false;
 }
 
 auto AttemptsController::run(const AttemptPtr& attempt) -> void
@@ -266,6 +301,8 @@
     std::erase(queue_, attempt);
     attempt->state = Attempt::State::Running;
     attempt->queueWait = now() - attempt->acceptedAt;
+    if (attempt->stalledAt)
+        attempt->loadStall = now() - *attempt->stalledAt;
     ++running_;
     metrics_.observeShare("eelgrass_batch_fill", static_cast<double>(running_) / static_cast<double>(limits_.batch));
     attempt->started = true;
@@ -300,6 +337,8 @@
         return;
     attempt->state = Attempt::State::Ended;
     --running_;
+    if (!attempt->cancelled)
+        requests_.ran(attempt->order.requestClass, now() - attempt->acceptedAt - attempt->queueWait);
     suspectRunning_ = suspectRunning_ && running_ > 0;
     if (const auto* error = attempt->output.error(); error && error->type() == "engine_lost")
         suspects_.crashed(attempt->order.digest, attempt->order.crashes);
@@ -343,11 +382,14 @@
 auto AttemptsController::expire() -> void
 {
     cancelAbandoned();
+    dropUnqueued();
+    for (const auto& late : requests_.expire(resident(), now())) {
+        const auto later = std::chrono::ceil<std::chrono::milliseconds>(late.retryAfter);
+        giveUp(attempts_.at(late.attempt),
+            notRun(Step::Queue, 503, "deadline", "the request could not start in time", later));
+    }
     for (const auto& attempt : std::deque<AttemptPtr>(queue_)) {
-        const auto& order = attempt->order;
-        if (order.deadline.count() > 0 && now() - attempt->acceptedAt > order.deadline)
-            giveUp(attempt, notRun(Step::Queue, 503, "deadline", "the request could not start in time", 1s));
-        else if (slots_ && slots_->failures(order.model) >= maxLoadFailures)
+        if (slots_ && slots_->failures(attempt->order.model) >= maxLoadFailures)
             giveUp(attempt, notRun(Step::Load, 503, "load_failed", "the adapter could not be loaded", 5s));
     }
     // Some answers of the decisions change with time alone, as when a load that nobody used may be evicted.
--- a/packages/router/controllers/AttemptsController.h
+++ b/packages/router/controllers/AttemptsController.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decisions/Quarantine.h"
+#include "decisions/RequestQueue.h"
 #include "router/Metrics.h"
 #include "router/controllers/SlotsController.h"
 #include "router/target/Runner.h"
@@ -62,25 +63,30 @@
     /// Requests that ran here when the engine died.
     [[nodiscard]] auto suspects() const noexcept -> const decisions::Quarantine& { return suspects_; }
 
-    /// Whether an entry still waits for more of this attempt's answer.
-    [[nodiscard]] auto awaited(const AttemptId& id) const -> bool;
     [[nodiscard]] auto queued() const noexcept -> std::size_t { return queue_.size(); }
+    /// How the queue stands, for the entries' views.
+    [[nodiscard]] auto requests() const noexcept -> const decisions::RequestQueue& { return requests_; }
     [[nodiscard]] auto running() const noexcept -> std::size_t { return running_; }
     /// Nothing queued, nothing running, and no entry still waits for the rest of an answer.
     [[nodiscard]] auto idle() const noexcept -> bool;
+    /// Whether an entry still waits for the rest of this answer.
+    [[nodiscard]] auto awaited(const AttemptId& id) const -> bool;
     [[nodiscard]] auto leaving() const noexcept -> bool { return leaving_; }
 
     /// Starts what can be started.
     auto pump() -> void;
 
 private:
-    auto startable(Attempt& attempt) -> bool;
+    auto offer(const AttemptPtr& attempt) -> std::optional<Error>;
+    auto resident() const -> decisions::RequestQueue::IsResident;
+    auto dropUnqueued() -> void;
+    auto noteStalls() -> void;
     auto run(const AttemptPtr& attempt) -> void;
     auto work(const AttemptPtr& attempt, kj::Promise<void> task) -> void;
     auto readAdopted(const AttemptPtr& attempt, const ResumeOrder& order, wire::schema::ChunkSink::Client sink) -> void;
     auto remember(const AttemptId& id) -> void;
     auto cancelAbandoned() -> void;
-    auto settled(const Attempt& attempt) const -> bool;
+    [[nodiscard]] auto settled(const Attempt& attempt) const -> bool;
     auto finished(const AttemptPtr& attempt) -> void;
     auto giveUp(const AttemptPtr& attempt, Error error) -> void;
     auto forgetLater(const AttemptPtr& attempt) -> void;
@@ -94,7 +100,9 @@
     Epoch epoch_;
     bool leaving_ = false;
     std::size_t running_ = 0;
+    /// Those that wait, by arrival; `requests_` says in which order they start.
     std::deque<AttemptPtr> queue_;
+    decisions::RequestQueue requests_;
     std::map<AttemptId, AttemptPtr> attempts_;
     std::map<AttemptId, Timer> forgetting_;
     std::map<AttemptId, Timer> revoked_;
--- a/packages/router/controllers/FenceController.h
+++ b/packages/router/controllers/FenceController.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Ids.h"
+#include "decisions/PollSchedule.h"
 #include "platform/PlatformClient.h"
 #include "router/target/PauseWatch.h"
 #include "wire/MainLoop.h"
@@ -39,6 +40,7 @@
     std::uint64_t confirmed_ = 0;
     /// Marks this process's own write, so that a lost answer is settled by reading the row.
     std::string owner_;
+    decisions::PollSchedule retries_;
     Epoch epoch_;
     bool superseded_ = false;
     std::function<void()> onSuperseded_;
--- a/packages/router/controllers/TargetsController.cpp
+++ b/packages/router/controllers/TargetsController.cpp
@@ -25,6 +25,7 @@
     , secret_(std::move(secret))
     , name_(std::move(name))
     , placer_(decisions::nameHash(name_))
+    , loads_(loop)
     , poller_(loop, "host list", pollPeriod, [this] { return poll(); })
 {
 }
@@ -63,7 +64,9 @@
         const auto* known = fleet_.find(host.target);
         auto view = known ? *known : decisions::TargetView { .id = host.target };
         const auto before = hosts_.find(host.target);
-        if (before != hosts_.end() && before->second.address == host.address && before->second.port == host.port) {
+        const auto stayed
+            = before != hosts_.end() && before->second.address == host.address && before->second.port == host.port;
+        if (stayed) {
             // A target that said itself that it leaves stays so until it comes back elsewhere: the list is older.
             view.leaving = view.leaving || host.leaving;
         } else {
@@ -73,7 +76,11 @@
         }
         view.zone = host.zone;
         view.serves = host.serves;
-        fleet_.put(std::move(view));
+        const auto same = stayed && known && known->zone == view.zone && known->serves == view.serves
+            && known->leaving == view.leaving;
+        // The list names the whole fleet and changes by a few hosts: the index of the others is left as it is.
+        if (!same)
+            fleet_.put(std::move(view));
         listed.emplace(host.target, host);
     }
     std::erase_if(links_, [&](const auto& link) { return !listed.contains(link.first); });
@@ -111,7 +118,8 @@
         return nullptr;
     auto& link = links_[target];
     if (!link)
-        link = std::make_shared<TargetLink>(loop_, host->second, secret_, name_, [this](auto state) { report(state); });
+        link = std::make_shared<TargetLink>(
+            loop_, host->second, secret_, name_, [this](auto state) { report(state); }, &loads_);
     return link;
 }
 
@@ -147,6 +155,10 @@
         .running = state.getRunning(),
         .batchLimit = state.getBatchLimit(),
         .slots = state.getSlots(),
+        .awaitingLoad = state.getAwaitingLoad(),
+        .loadsWaiting = state.getLoadsWaiting(),
+        .evictionCost = state.getEvictionCost(),
+        .placeTime = Duration(std::max(1U, state.getPlaceTimeUs())),
     };
     for (auto name : state.getResidentAdapters())
         report.resident.emplace_back(ModelName(name));
