--- a/fuzz/Configuration.cpp
+++ b/fuzz/Configuration.cpp
@@ -9,18 +9,19 @@
 
 namespace {
 
-auto parse(Json document) -> void
+auto parse(const Json& document) -> void
 {
     orElse(
         [&]() -> Result<void> {
-            BOOST_LEAF_AUTO(configuration, Configuration::parse(ConfigVersion(1), std::move(document)));
-            for (const auto* model : { "life", "life@1", "life@x", "@" })
+            BOOST_LEAF_AUTO(configuration, Configuration::parse(ConfigVersion(1), document));
+            for (const auto* model : { "life", "life@1", "life@x", "@" }) {
                 (void)orElse(
                     [&]() -> Result<bool> {
                         BOOST_LEAF_CHECK(configuration.resolve(model, MemberId("armor-a")));
                         return true;
                     },
                     [](const Error&) { return false; });
+            }
             return {};
         },
         [](const Error&) {});
@@ -29,6 +30,7 @@
 } // namespace
 
 // A document and a patch onto it, parted by a line of their own: what parses is used, what does not is refused.
+// NOLINTNEXTLINE(readability-identifier-naming): libFuzzer calls it by this name.
 extern "C" auto LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) -> int
 {
     const auto text = std::string_view(reinterpret_cast<const char*>(data), size);
--- a/fuzz/Door.cpp
+++ b/fuzz/Door.cpp
@@ -8,6 +8,7 @@
 using namespace eelgrass;
 
 // What a stranger sends to a target process's port before it proved anything. Nobody is ever admitted.
+// NOLINTNEXTLINE(readability-identifier-naming): libFuzzer calls it by this name.
 extern "C" auto LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) -> int
 {
     static auto loop = wire::MainLoop();
--- a/fuzz/ReplayMain.cpp
+++ b/fuzz/ReplayMain.cpp
@@ -5,6 +5,7 @@
 #include <iterator>
 #include <string>
 
+// NOLINTNEXTLINE(readability-identifier-naming): libFuzzer calls it by this name.
 extern "C" auto LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) -> int;
 
 /// Plays the files of a corpus through a fuzz target, where the build has no fuzzer.
--- a/packages/router/controllers/AttemptsController.h
+++ b/packages/router/controllers/AttemptsController.h
@@ -78,7 +78,7 @@
 
 private:
     auto offer(const AttemptPtr& attempt) -> std::optional<Error>;
-    auto resident() const -> decisions::RequestQueue::IsResident;
+    [[nodiscard]] auto resident() const -> decisions::RequestQueue::IsResident;
     auto dropUnqueued() -> void;
     auto noteStalls() -> void;
     auto run(const AttemptPtr& attempt) -> void;
--- a/packages/router/entry/Relay.cpp
+++ b/packages/router/entry/Relay.cpp
@@ -486,10 +486,10 @@
     }
     const auto target = *target_;
     const auto lost = end.error->type() == "engine_lost";
-    if (lost && quarantine_.crashed(digest_, crashes_))
-        return answered({ .error = Error(Step::Engine, 422, "quarantined", "this request crashed two engines")
-                                       .at(target.str())
-                                       .run(end.error->run()) });
+    if (lost && quarantine_.crashed(digest_, crashes_)) {
+        auto error = Error(Step::Engine, 422, "quarantined", "this request crashed two engines");
+        return answered({ .error = std::move(error).at(target.str()).run(end.error->run()) });
+    }
     endSuspect();
     // Handed back unstarted: it goes elsewhere.
     if (end.error->run() == RunState::NotRun && end.error->status() >= 409)
@@ -540,11 +540,12 @@
     done_ = true;
     endSuspect();
     metrics_.observe("eelgrass_answer_seconds", call_->caller.member, call_->requestClass, now() - call_->receivedAt);
-    if (log::debugs())
+    if (log::debugs()) {
         log::debug("request over",
             { { "step", "relay" }, { "peer", target_ ? target_->str() : "" }, { "request_id", call_->request.str() },
                 { "member", call_->caller.member.str() }, { "adapter", call_->model.adapter.str() },
                 { "attempt", attempt_.str() } });
+    }
     finished_->fulfill();
 }
 
--- a/packages/router/entry/TargetLink.cpp
+++ b/packages/router/entry/TargetLink.cpp
@@ -86,11 +86,12 @@
         return *session_;
     // An idle session may have gone silent unnoticed. A start sent into it would be lost for seconds, and whether
     // it ran would be unknown; so the target is first asked for a sign of life, and connected anew without one.
-    if (session_)
+    if (session_) {
         return probe().then([this, alive = std::weak_ptr(alive_)] {
             KJ_REQUIRE(!alive.expired(), "the link was closed");
             return session();
         });
+    }
     if (!connecting_)
         connecting_ = std::make_unique<kj::ForkedPromise<void>>(connect().fork());
     return connecting_->addBranch().then([this, alive = std::weak_ptr(alive_)] {
--- a/tests/chaos/Checker.cpp
+++ b/tests/chaos/Checker.cpp
@@ -325,10 +325,11 @@
         auto highest = std::map<std::pair<std::string, int>, std::uint64_t>();
         for (const auto& status : history_.statuses) {
             auto& seen = highest[{ status.entry, status.entryLife }];
-            if (status.version < seen)
+            if (status.version < seen) {
                 note("configuration",
                     status.entry + " went back from version " + std::to_string(seen) + " to "
                         + std::to_string(status.version));
+            }
             seen = std::max(seen, status.version);
         }
     }
--- a/tests/chaos/Plan.cpp
+++ b/tests/chaos/Plan.cpp
@@ -21,7 +21,7 @@
     const auto engine = engineTarget(choices.below(static_cast<std::uint64_t>(size.engines)));
     const auto service = serviceTarget(choices.below(static_cast<std::uint64_t>(size.services)));
     const auto entry = entryName(choices.below(static_cast<std::uint64_t>(size.entries)));
-    const auto target = choices.chance(75) ? engine : service;
+    auto target = choices.chance(75) ? engine : service;
     switch (kind) {
     case FaultKind::KillEntry:
     case FaultKind::FreezeEntry:
--- a/tests/chaos/Run.cpp
+++ b/tests/chaos/Run.cpp
@@ -96,7 +96,8 @@
     deploy();
     auto work = std::vector<kj::Promise<void>>();
     const auto seedOf = [this](std::uint64_t index) { return plan_.seed * 1000 + index; };
-    const auto callers = static_cast<std::size_t>(plan_.size.entries * plan_.size.callersPerEntry);
+    const auto callers
+        = static_cast<std::size_t>(plan_.size.entries) * static_cast<std::size_t>(plan_.size.callersPerEntry);
     for (auto index = std::size_t(0); index < callers; ++index)
         work.push_back(caller(index, std::make_shared<Choices>(seedOf(index))));
     auto patchers = std::vector<kj::Promise<void>>();
@@ -566,7 +567,7 @@
         history_.notRecovered.push_back(entry);
         return kj::READY_NOW;
     }
-    auto again = [this, entry, tries] {
+    auto again = [this, entry, tries, pause] {
         return deployment_.loop.sleep(pause).then([this, entry, tries] { return probe(entry, tries + 1); });
     };
     if (!deployment_.find(entry) || unlisted_.contains(entry))
--- a/tests/chaos/Run.h
+++ b/tests/chaos/Run.h
@@ -40,7 +40,7 @@
     auto perform(const Call& call, std::shared_ptr<Choices> choices, int tries) -> kj::Promise<void>;
     auto send(const Call& call, bool hangUp) -> kj::Promise<void>;
     auto readOn(const Call& call, kj::Own<wire::HttpStream> stream, bool hangUp) -> kj::Promise<void>;
-    auto requestOf(const CallRecord& call) const -> wire::HttpRequest;
+    [[nodiscard]] auto requestOf(const CallRecord& call) const -> wire::HttpRequest;
     /// An entry that the balancer would choose; empty when there is none.
     auto pickEntry(Choices& choices) -> std::string;
 
--- a/tests/harness/Deployment.cpp
+++ b/tests/harness/Deployment.cpp
@@ -89,7 +89,7 @@
 {
     auto flags = std::vector<std::string> { "--kind=engine", "--platform=" + platformUrl(), "--step_us=1000" };
     flags.insert(flags.end(), engineFlags.begin(), engineFlags.end());
-    const auto port = through(name, Leg::Behind, startBehind(name + "-behind", std::move(flags)));
+    const auto port = through(name, Leg::Behind, startBehind(name + "-behind", flags));
     auto place = "target: { kind: engine, serves: base, address: 127.0.0.1, port: " + std::to_string(port) + ", "
         + extra + " }\n";
     targets_[name] = { common(name) + place, "base", 0, flags, processes_[name + "-behind"]->listeningPort() };
--- a/tests/harness/Deployment.h
+++ b/tests/harness/Deployment.h
@@ -119,7 +119,7 @@
     auto startBehind(const std::string& name, std::vector<std::string> flags) -> std::uint16_t;
     auto becomeReady(const std::string& name) -> kj::Promise<void>;
     auto entered(const std::string& name) -> kj::Promise<void>;
-    auto hostRow(const std::string& target, const std::string& state) const -> Json;
+    [[nodiscard]] auto hostRow(const std::string& target, const std::string& state) const -> Json;
     struct Proxy {
         ProcessPtr process;
         std::uint16_t port = 0;
--- a/tests/integration/PlannedStops.cpp
+++ b/tests/integration/PlannedStops.cpp
@@ -24,7 +24,7 @@
 
     /// Entries that the balancer passes calls to.
     auto use(std::vector<std::string> entries) -> void { entries_ = std::move(entries); }
-    auto answered() const -> int { return answered_; }
+    [[nodiscard]] auto answered() const -> int { return answered_; }
     auto runFor(int more) -> void
     {
         const auto until = answered_ + more;
--- a/tests/integration/PlatformAway.cpp
+++ b/tests/integration/PlatformAway.cpp
@@ -46,10 +46,11 @@
 {
     auto deployment = Deployment();
     deployment.addEngineTarget("t1");
-    for (auto index = 0; index < 2; ++index)
+    for (auto index = 0; index < 2; ++index) {
         deployment.control(deployment.platformUrl() + "/standin/hosts",
             { { "target", "lost-" + std::to_string(index) }, { "availability_zone", "zone-2" }, { "serves", "base" },
                 { "address", "127.0.0.1" }, { "port", 9 }, { "state", "live" } });
+    }
     deployment.addEntry("e1");
     deployment.configure({ "e1" });
     for (auto count = 0; count < 5; ++count)
--- a/tests/unit/ChaosChecker.cpp
+++ b/tests/unit/ChaosChecker.cpp
@@ -50,7 +50,7 @@
         refused.body = R"({"error":{"type":"no_target","run":")" + run + R"(","request_id":"r1"}})";
         return refused;
     }
-    auto promises() const -> std::vector<std::string>
+    [[nodiscard]] auto promises() const -> std::vector<std::string>
     {
         auto list = std::vector<std::string>();
         for (const auto& violation : check(history))
--- a/tests/unit/GlibStream.cpp
+++ b/tests/unit/GlibStream.cpp
@@ -18,7 +18,7 @@
     StreamPair pair;
     std::array<char, 16> buffer {};
 
-    auto text(std::size_t size) const -> std::string { return { buffer.data(), size }; }
+    [[nodiscard]] auto text(std::size_t size) const -> std::string { return { buffer.data(), size }; }
 };
 
 } // namespace
