A request goes to a busy holder when no other target could load its adapter

Cause: when the wait at the holders exceeded the price of a load the placer looked only among targets without the adapter, and with none left it refused: "no target can take the request now", with an idle holder a moment later. Change: holders are the last resort. Before: unit-Placer and integration-Callers red every time; after: both green.

--- a/fuzz/Configuration.cpp
+++ b/fuzz/Configuration.cpp
@@ -45,6 +45,6 @@
     if (!patch.is_object())
         return 0;
     document.merge_patch(patch);
-    parse(std::move(document));
+    parse(document);
     return 0;
 }
--- a/packages/decisions/Placer.cpp
+++ b/packages/decisions/Placer.cpp
@@ -118,7 +118,7 @@
         return holder->index;
     const auto candidates = newcomers(request, fleet);
     if (candidates.count == 0)
-        return std::nullopt;
+        return busyHolder(request, fleet);
     // A plain service holds no adapters, so any will do and two random ones keep entries from herding. For a load all
     // entries must come to the same choice, or each of them loads the adapter somewhere else.
     if (request.model.empty())
@@ -128,6 +128,16 @@
         ->index;
 }
 
+// Load made for: a surge for an adapter that every target holds. One more holder would be worth its load, but there is
+// nobody to become one; a request refused for that would be lost while a holder could take it.
+auto Placer::busyHolder(const PlacementRequest& request, const Fleet& fleet) -> std::optional<Fleet::Index>
+{
+    const auto candidates = holders(request, fleet);
+    if (candidates.count == 0)
+        return std::nullopt;
+    return pickOfTwo(candidates, candidates.count).index;
+}
+
 /// Empty when the adapter should be loaded at one more target.
 auto Placer::bestHolder(const PlacementRequest& request, const Fleet& fleet, Moment now) -> std::optional<Candidate>
 {
--- a/packages/decisions/Placer.h
+++ b/packages/decisions/Placer.h
@@ -84,6 +84,7 @@
     [[nodiscard]] auto holders(const PlacementRequest&, const Fleet&) const -> Candidates;
     [[nodiscard]] auto newcomers(const PlacementRequest&, const Fleet&) const -> Candidates;
     [[nodiscard]] auto bestHolder(const PlacementRequest&, const Fleet&, Moment now) -> std::optional<Candidate>;
+    [[nodiscard]] auto busyHolder(const PlacementRequest&, const Fleet&) -> std::optional<Fleet::Index>;
     auto updateWanted(const ModelName&, const Candidates&, Duration loadCost, Moment now) -> std::size_t;
     auto pickOfTwo(const Candidates&, std::size_t among) -> Candidate;
     auto next() noexcept -> std::uint64_t;
--- a/tests/unit/Placer.cpp
+++ b/tests/unit/Placer.cpp
@@ -51,6 +51,20 @@
     BOOST_TEST(chosen.size() == 1);
 }
 
+// A caller is refused for want of a target, although one that holds its adapter would take it.
+// The wait at the only target exceeds the price of a load, so another holder is wanted; but every target that serves
+// the base model holds the adapter already. The request must go to a holder, however long it waits there.
+BOOST_AUTO_TEST_CASE(a_request_goes_to_a_busy_holder_when_nobody_else_could_load)
+{
+    auto fleet = fleetOf(1);
+    auto placer = Placer(1);
+    auto busy = holding("hot", 8);
+    busy.queued = 40;
+    fleet.report(TargetId("t0"), std::move(busy), at(0));
+    for (auto call = 0; call < 30; ++call)
+        BOOST_TEST(place(placer, fleet, "hot", at(call)).str() == "t0");
+}
+
 // A whole member asks for one adapter, more than its target can run. The wait there exceeds the price of a load, so a
 // second holder comes; and when the demand is over, callers use one holder again and the other fades.
 BOOST_AUTO_TEST_CASE(holders_grow_with_the_demand_and_shrink_after_it)
