A joined or replayed answer is told under the version that it ran on

Ruled out: the engine and the target process, whose text was right for the model that ran. Change: the claim carries the model, and a call that joins or replays takes it over. Before: the new case of integration-AtMostOnce red; after: green, 11 of 11.

--- a/packages/router/Configuration.cpp
+++ b/packages/router/Configuration.cpp
@@ -332,4 +332,17 @@
     return ResolvedModel { name, *version, record.base, ModelName(std::move(qualified)), record.requestClass };
 }
 
+auto asRun(ResolvedModel model, const ModelName& name) -> ResolvedModel
+{
+    const auto text = name.view();
+    const auto at = text.find('@');
+    const auto version
+        = at == std::string_view::npos ? std::nullopt : parseVersion(text.substr(at + 1, text.find('#', at) - at - 1));
+    if (!version)
+        return model;
+    model.name = name;
+    model.version = *version;
+    return model;
+}
+
 } // namespace eelgrass::router
--- a/packages/router/Configuration.h
+++ b/packages/router/Configuration.h
@@ -55,6 +55,9 @@
     RequestClass requestClass;
 };
 
+/// The model of a call that turns out to run, or to have run, as `name`, whatever version is in force now.
+[[nodiscard]] auto asRun(ResolvedModel model, const ModelName& name) -> ResolvedModel;
+
 /// One accepted configuration. It never changes; the next version shares with it whatever the patch left alone.
 ///
 /// ```cpp
--- a/packages/router/controllers/LedgerController.cpp
+++ b/packages/router/controllers/LedgerController.cpp
@@ -53,7 +53,8 @@
 auto toJson(const Claim& claim) -> Json
 {
     return { { "state", "claimed" }, { "digest", claim.digest }, { "attempt", claim.attempt.str() },
-        { "target", claim.target.str() }, { "epoch", claim.epoch.value() }, { "at", wallClock() } };
+        { "target", claim.target.str() }, { "epoch", claim.epoch.value() }, { "model", claim.model.str() },
+        { "at", wallClock() } };
 }
 
 auto toJson(const Error& error) -> Json
@@ -104,6 +105,7 @@
         .attempt = AttemptId(value.value("attempt", "")),
         .target = TargetId(value.value("target", "")),
         .epoch = Epoch(value.value("epoch", std::uint64_t(0))),
+        .model = ModelName(value.value("model", "")),
     };
     auto result = LedgerRow { row.version, std::move(claim), std::nullopt };
     if (value.contains("answer"))
--- a/packages/router/controllers/LedgerController.h
+++ b/packages/router/controllers/LedgerController.h
@@ -19,6 +19,8 @@
     AttemptId attempt;
     TargetId target;
     Epoch epoch;
+    /// Adapter and version that it runs on; empty for a plain service.
+    ModelName model;
 };
 
 /// An answer as the ledger keeps it, to be given again to a caller that sends its request again.
--- a/packages/router/entry/AnswerWriter.cpp
+++ b/packages/router/entry/AnswerWriter.cpp
@@ -35,15 +35,19 @@
     : loop_(loop)
     , call_(std::move(call))
 {
-    auto& exchange = *call_->exchange;
-    exchange.setHeader("X-Request-Id", call_->request.str());
-    if (call_->kind != StartOrder::Kind::Service) {
-        exchange.setHeader("X-Eelgrass-Adapter", call_->model.adapter.str());
-        exchange.setHeader("X-Eelgrass-Version", std::to_string(call_->model.version.value()));
-    }
-    exchange.onDrained([this] { drained(); });
+    call_->exchange->setHeader("X-Request-Id", call_->request.str());
+    call_->exchange->onDrained([this] { drained(); });
     if (call_->stream)
         commentTimer_ = loop_.timers().every(commentPeriod, [this] { comment(); });
+    nameModel();
+}
+
+auto AnswerWriter::nameModel() -> void
+{
+    if (call_->kind == StartOrder::Kind::Service)
+        return;
+    call_->exchange->setHeader("X-Eelgrass-Adapter", call_->model.adapter.str());
+    call_->exchange->setHeader("X-Eelgrass-Version", std::to_string(call_->model.version.value()));
     const auto chat = call_->kind == StartOrder::Kind::Chat;
     auto head = Json { { "id", call_->request.str() }, { "object", chat ? "chat.completion.chunk" : "text_completion" },
         { "model", call_->model.adapter.str() + "@" + std::to_string(call_->model.version.value()) } };
--- a/packages/router/entry/AnswerWriter.h
+++ b/packages/router/entry/AnswerWriter.h
@@ -22,6 +22,8 @@
     AnswerWriter(const AnswerWriter&) = delete;
     auto operator=(const AnswerWriter&) -> AnswerWriter& = delete;
 
+    /// To be called when the call's model changed, as for an answer that another call started.
+    auto nameModel() -> void;
     /// What the caller waits for, told in the next comment line.
     auto progress(std::string note) -> void { note_ = std::move(note); }
     /// Status and type of a service's answer, before its bytes.
--- a/packages/router/entry/Relay.cpp
+++ b/packages/router/entry/Relay.cpp
@@ -116,7 +116,7 @@
     if (const auto* held = std::get_if<HeldBy>(&standing))
         return join(held->claim);
     if (const auto* answered = std::get_if<Answered>(&standing))
-        replay(answered->answer);
+        replay(*answered);
     else if (const auto* error = std::get_if<Error>(&standing))
         giveUp(*error);
     else
@@ -124,8 +124,18 @@
     return kj::READY_NOW;
 }
 
-auto Relay::replay(const KeptAnswer& answer) -> void
+auto Relay::runsAs(const ModelName& model) -> void
 {
+    // Failure: between two sends of a request another version came in force, and the first answer was told under it.
+    // The ledger says what ran, so the caller hears just that.
+    call_->model = asRun(std::move(call_->model), model);
+    writer_.nameModel();
+}
+
+auto Relay::replay(const Answered& answered) -> void
+{
+    runsAs(answered.model);
+    const auto& answer = answered.answer;
     writer_.head(answer.status, answer.contentType);
     if (!answer.text.empty())
         writer_.text(answer.text, answer.tokens);
@@ -140,6 +150,7 @@
     log::info("attempt joined",
         { { "step", "claim" }, { "peer", claim.target.str() }, { "attempt", claim.attempt.str() },
             { "request_id", call_->request.str() } });
+    runsAs(claim.model);
     attempt_ = claim.attempt;
     target_ = claim.target;
     epoch_ = claim.epoch;
@@ -391,7 +402,7 @@
         // It may have been answered meanwhile, and its output let go: the ledger then has it.
         return record_->lookUp().then([self = shared_from_this(), error](Standing standing) {
             if (const auto* answered = std::get_if<Answered>(&standing))
-                self->replay(answered->answer);
+                self->replay(*answered);
             else
                 self->giveUp(error);
         });
--- a/packages/router/entry/Relay.h
+++ b/packages/router/entry/Relay.h
@@ -47,7 +47,9 @@
 
     auto stand(Standing standing) -> kj::Promise<void>;
     /// Gives the caller the answer that the ledger has.
-    auto replay(const KeptAnswer& answer) -> void;
+    auto replay(const Answered& answered) -> void;
+    /// The answer comes from a run that began under this name.
+    auto runsAs(const ModelName& model) -> void;
     /// Reads the answer of an attempt that another call started.
     auto join(const Claim& claim) -> kj::Promise<void>;
     auto tryNext() -> kj::Promise<void>;
--- a/packages/router/entry/RunRecord.cpp
+++ b/packages/router/entry/RunRecord.cpp
@@ -28,6 +28,7 @@
     , key_(LedgerController::key(
           call.caller.member, call.idempotencyKey.empty() ? call.request.str() : call.idempotencyKey))
     , digest_(digestOf(call))
+    , model_(call.model.name)
 {
 }
 
@@ -47,7 +48,7 @@
 
 auto RunRecord::claim(const AttemptId& attempt, const TargetId& target, Epoch epoch) -> kj::Promise<Standing>
 {
-    return bounded(ledger_.claim(key_, { digest_, attempt, target, epoch }, row_.version), attempt);
+    return bounded(ledger_.claim(key_, { digest_, attempt, target, epoch, model_ }, row_.version), attempt);
 }
 
 auto RunRecord::judge(LedgerRow row, const AttemptId& own) -> Standing
@@ -58,7 +59,7 @@
     if (row_.claim.digest != digest_)
         return Error(Step::Claim, 422, "key_reused", "this Idempotency-Key names another request");
     if (row_.answer)
-        return Answered { *row_.answer };
+        return Answered { row_.claim.model, *row_.answer };
     if (row_.claim.attempt == own)
         return Claimed {};
     return HeldBy { row_.claim };
--- a/packages/router/entry/RunRecord.h
+++ b/packages/router/entry/RunRecord.h
@@ -17,6 +17,7 @@
 };
 /// The request is answered; its caller gets that answer again.
 struct Answered {
+    ModelName model;
     KeptAnswer answer;
 };
 using Standing = std::variant<Unclaimed, Claimed, HeldBy, Answered, Error>;
@@ -47,6 +48,7 @@
     LedgerController& ledger_;
     std::string key_;
     std::string digest_;
+    ModelName model_;
     LedgerRow row_;
     KeptAnswer answer_;
 };
--- a/tests/integration/AtMostOnce.cpp
+++ b/tests/integration/AtMostOnce.cpp
@@ -63,6 +63,23 @@
     BOOST_TEST(lookups.runs() == 2U);
 }
 
+// The caller sends a draft, an operator puts another version in force, and the caller sends the draft again.
+// The answer is that of the first send, so it must be told under the version that it ran on, not under the new one:
+// a joined or replayed answer that names another version would pass for that version's work.
+BOOST_AUTO_TEST_CASE(an_answer_given_again_names_the_version_that_it_ran_on)
+{
+    auto lookups = Lookups();
+    const auto brief = Json { { "model", "life" }, { "prompt", "p" }, { "max_tokens", 3 } };
+    const auto first = lookups.call("e1", "/v1/completions", brief.dump(), never);
+    BOOST_TEST(Json::parse(first.body)["model"] == "life@2");
+    BOOST_TEST(lookups.patch("e1", 1, { { "adapters", { { "life", { { "in_force", 1 } } } } } }).status == 200);
+    lookups.awaitVersion("e2", 2);
+    const auto again = lookups.call("e2", "/v1/completions", brief.dump(), never);
+    BOOST_TEST(again.status == 200);
+    BOOST_TEST(Json::parse(again.body)["choices"] == Json::parse(first.body)["choices"]);
+    BOOST_TEST(Json::parse(again.body)["model"] == "life@2");
+}
+
 // The caller gets a large answer again, whole, after it sends its request again.
 // The answer is too large for a row and lies in the object store.
 BOOST_AUTO_TEST_CASE(a_large_answer_is_kept_whole)
