--- a/tests/chaos/Plan.cpp
+++ b/tests/chaos/Plan.cpp
@@ -21,7 +21,7 @@
     auto engine = engineTarget(choices.below(static_cast<std::uint64_t>(size.engines)));
     auto service = serviceTarget(choices.below(static_cast<std::uint64_t>(size.services)));
     auto entry = entryName(choices.below(static_cast<std::uint64_t>(size.entries)));
-    auto target = choices.chance(75) ? std::move(engine) : std::move(service);
+    auto target = choices.chance(75) ? engine : service;
     switch (kind) {
     case FaultKind::KillEntry:
     case FaultKind::FreezeEntry:
