--- a/tests/chaos/Run.cpp
+++ b/tests/chaos/Run.cpp
@@ -572,9 +572,6 @@
     };
     if (!deployment_.find(entry) || unlisted_.contains(entry))
         return again();
-    auto highest = std::uint64_t(0);
-    for (const auto& patch : history_.patches)
-        highest = std::max(highest, patch.accepted.value_or(0));
     const auto body = Json { { "model", "a1" }, { "prompt", "probe" }, { "max_tokens", 1 } }.dump();
     auto answered = http_.fetch({ .method = "POST",
         .url = deployment_.entryUrl(entry) + "/v1/completions",
@@ -582,8 +579,9 @@
         .headers = { bearer(tests::callerKey) } });
     return answered.then([](wire::HttpResponse got) { KJ_REQUIRE(got.status == 200, got.body.c_str()); })
         .then([this, entry] { return finalVersions(entry); })
-        .then([entry, highest](std::uint64_t version) {
-            KJ_REQUIRE(version >= highest, "behind the last accepted version", entry.c_str());
+        .then([this, entry](std::uint64_t version) {
+            // Looked up now: a patch may have been accepted while the entry was asked.
+            KJ_REQUIRE(version >= highestAccepted(), "behind the last accepted version", entry.c_str());
         })
         .exclusiveJoin(deployment_.loop.sleep(patience).then([] { KJ_FAIL_REQUIRE("no answer to a probe"); }))
         .catch_([again, entry](kj::Exception&& failed) {
@@ -592,6 +590,14 @@
         });
 }
 
+auto Run::highestAccepted() const -> std::uint64_t
+{
+    auto highest = std::uint64_t(0);
+    for (const auto& patch : history_.patches)
+        highest = std::max(highest, patch.accepted.value_or(0));
+    return highest;
+}
+
 auto Run::finalVersions(const std::string& entry) -> kj::Promise<std::uint64_t>
 {
     return http_
--- a/tests/chaos/Run.h
+++ b/tests/chaos/Run.h
@@ -64,6 +64,7 @@
     auto recover() -> kj::Promise<void>;
     auto probe(const std::string& entry, int tries) -> kj::Promise<void>;
     /// Records what the entry holds and tells its version.
+    [[nodiscard]] auto highestAccepted() const -> std::uint64_t;
     auto finalVersions(const std::string& entry) -> kj::Promise<std::uint64_t>;
     auto gather(const std::string& process, const std::string& log) -> void;
 
