Random run: an entry's version is read before its document

Ruled out: operators' patches still under way, and the order in which the entry applies patches. Change: the number first; versions only rise, so the document holds at least that version.

--- a/tests/chaos/Run.cpp
+++ b/tests/chaos/Run.cpp
@@ -600,24 +600,29 @@
 
 auto Run::finalVersions(const std::string& entry) -> kj::Promise<std::uint64_t>
 {
-    return http_
-        .fetch({ .url = deployment_.entryUrl(entry) + "/admin/v1/config", .headers = { bearer(tests::operatorKey) } })
-        .then([this, entry](wire::HttpResponse got) {
-            const auto document = Json::parse(got.body);
-            auto& adapters = history_.finalVersions[entry];
-            for (const auto& [name, adapter] : document.at("adapters").items()) {
-                for (const auto& [version, record] : adapter.at("versions").items())
-                    adapters[name][version] = record.at("digest");
-            }
-            return http_.fetch(
-                { .url = deployment_.entryUrl(entry) + "/admin/v1/status", .headers = { bearer(tests::operatorKey) } });
-        })
-        .then([](wire::HttpResponse got) {
-            const auto json = Json::parse(got.body);
-            return json.at("config_version").get<std::uint64_t>();
+    const auto url = deployment_.entryUrl(entry);
+    // The number first: versions only rise, so that the document read after it holds at least that version. Read the
+    // other way round, an entry that caught up in between was blamed for a patch that its document was too early for.
+    return http_.fetch({ .url = url + "/admin/v1/status", .headers = { bearer(tests::operatorKey) } })
+        .then([this, entry, url](wire::HttpResponse status) {
+            const auto version = Json::parse(status.body).at("config_version").get<std::uint64_t>();
+            return http_.fetch({ .url = url + "/admin/v1/config", .headers = { bearer(tests::operatorKey) } })
+                .then([this, entry, version](wire::HttpResponse got) {
+                    keepFinalVersions(entry, Json::parse(got.body));
+                    return version;
+                });
         });
 }
 
+auto Run::keepFinalVersions(const std::string& entry, const Json& document) -> void
+{
+    auto& adapters = history_.finalVersions[entry];
+    for (const auto& [name, adapter] : document.at("adapters").items()) {
+        for (const auto& [version, record] : adapter.at("versions").items())
+            adapters[name][version] = record.at("digest");
+    }
+}
+
 auto Run::gather(const std::string& process, const std::string& log) -> void
 {
     if (!logFolder_.empty())
--- a/tests/chaos/Run.h
+++ b/tests/chaos/Run.h
@@ -66,6 +66,7 @@
     /// Records what the entry holds and tells its version.
     [[nodiscard]] auto highestAccepted() const -> std::uint64_t;
     auto finalVersions(const std::string& entry) -> kj::Promise<std::uint64_t>;
+    auto keepFinalVersions(const std::string& entry, const tests::Json& document) -> void;
     auto gather(const std::string& process, const std::string& log) -> void;
 
     Plan plan_;
