One way to tell a target process about an attempt; the slope bench writes its configuration once

Cancel and release of an attempt stood twice in the relay, alike but for the message; so did a configuration in the slope bench. Behaviour is the same. The slope bench was built, not run.

--- a/bench/slopes/SlopesMain.cpp
+++ b/bench/slopes/SlopesMain.cpp
@@ -195,18 +195,24 @@
     });
 }
 
-/// Sessions that a target process must tell of its changes while one caller keeps it busy.
-auto measureBusy(const std::string& folder, Report& report) -> void
+/// One caller and the adapter `life`, accepted as version 1.
+auto configureOneAdapter(Bed& bed) -> void
 {
-    auto bed = Bed(folder);
-    bed.deployment.addEngineTarget("t1");
-    bed.startEntry("entry");
     bed.patch("entry", 0,
         { { "members", { { "armor-a", { { "keys", { { sha256Hex(tests::callerKey), Json::object() } } } } } } },
             { "adapters",
                 { { "life",
                     { { "base", "base" }, { "in_force", 1 }, { "allow", { "armor-a" } },
                         { "versions", { { "1", { { "digest", "aa" } } } } } } } } } });
+}
+
+/// Sessions that a target process must tell of its changes while one caller keeps it busy.
+auto measureBusy(const std::string& folder, Report& report) -> void
+{
+    auto bed = Bed(folder);
+    bed.deployment.addEngineTarget("t1");
+    bed.startEntry("entry");
+    configureOneAdapter(bed);
     const auto target = bed.deployment.target("t1").pid();
     for (const auto count : sizes({ 50, 100, 200, 400 })) {
         auto sessions = Sessions(bed, count, targetPort(bed));
@@ -234,12 +240,7 @@
     bed.listHosts(Json::array({ { { "target", "t1" }, { "availability_zone", "zone-1" }, { "serves", "base" },
         { "address", "127.0.0.1" }, { "port", relay.port() }, { "state", "live" } } }));
     bed.startEntry("entry");
-    bed.patch("entry", 0,
-        { { "members", { { "armor-a", { { "keys", { { sha256Hex(tests::callerKey), Json::object() } } } } } } },
-            { "adapters",
-                { { "life",
-                    { { "base", "base" }, { "in_force", 1 }, { "allow", { "armor-a" } },
-                        { "versions", { { "1", { { "digest", "aa" } } } } } } } } } });
+    configureOneAdapter(bed);
     bed.deployment.loop.wait(bed.complete("entry", "life", 1, "warm"));
     const auto target = bed.deployment.target("t1").pid();
     for (const auto tokens : { 1, 32, 64, 128, 256 }) {
--- a/packages/router/entry/Relay.cpp
+++ b/packages/router/entry/Relay.cpp
@@ -566,32 +566,28 @@
         quarantine_.ended(digest_);
 }
 
-auto Relay::cancelAt(const std::optional<TargetId>& target) -> void
+template <typename MakeRequest> auto Relay::tell(const std::optional<TargetId>& target, MakeRequest makeRequest) -> void
 {
     auto link = target ? targets_.link(*target) : nullptr;
     if (!link || !link->open())
         return;
     loop_.spawn(link->session()
-                    .then([attempt = attempt_](wire::schema::TargetSession::Client session) {
-                        auto request = session.cancelRequest();
+                    .then([attempt = attempt_, makeRequest](wire::schema::TargetSession::Client session) {
+                        auto request = makeRequest(session);
                         request.setAttempt(attempt.str());
                         return request.send().ignoreResult();
                     })
                     .catch_([](kj::Exception&&) {}));
 }
 
+auto Relay::cancelAt(const std::optional<TargetId>& target) -> void
+{
+    tell(target, [](auto& session) { return session.cancelRequest(); });
+}
+
 auto Relay::releaseAt(const std::optional<TargetId>& target) -> void
 {
-    auto link = target ? targets_.link(*target) : nullptr;
-    if (!link || !link->open())
-        return;
-    loop_.spawn(link->session()
-                    .then([attempt = attempt_](wire::schema::TargetSession::Client session) {
-                        auto request = session.releaseRequest();
-                        request.setAttempt(attempt.str());
-                        return request.send().ignoreResult();
-                    })
-                    .catch_([](kj::Exception&&) {}));
+    tell(target, [](auto& session) { return session.releaseRequest(); });
 }
 
 auto Relay::hungUp() -> void
--- a/packages/router/entry/Relay.h
+++ b/packages/router/entry/Relay.h
@@ -79,6 +79,8 @@
     auto answered(const AnswerEnd& end) -> void;
     auto finish() -> void;
     auto endSuspect() -> void;
+    /// Sends a message about the attempt on an open session; what is lost there, the target process finds out itself.
+    template <typename MakeRequest> auto tell(const std::optional<TargetId>& target, MakeRequest makeRequest) -> void;
     auto cancelAt(const std::optional<TargetId>& target) -> void;
     auto releaseAt(const std::optional<TargetId>& target) -> void;
 
