--- a/packages/base/Base.h
+++ b/packages/base/Base.h
@@ -6,4 +6,5 @@
 #include "base/Ids.h"
 #include "base/Log.h"
 #include "base/Secrets.h"
+#include "base/SettingsReader.h"
 #include "base/TimerService.h"
--- /dev/null
+++ b/packages/decisions/AdmissionQueue.cpp
@@ -0,0 +1,172 @@
+#include "decisions/AdmissionQueue.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace eelgrass::decisions {
+
+namespace {
+
+// Prompt work granted ahead of the engine: some steps more than a grant takes to travel, so that it never runs dry.
+constexpr auto readAhead = Duration(250ms);
+// The rest is for output that runs longer than announced and for parts of prompts worth keeping.
+constexpr auto memoryShare = 0.9;
+// Nobody asks to come back sooner than a grant takes to travel.
+constexpr auto shortestRetry = Duration(50ms);
+
+auto memoryOf(const AdmissionRequest& request) -> TokenCount { return request.promptTokens + request.outputTokens; }
+
+/// What can still be on time goes first, by the moment at which it is late.
+auto before(const AdmissionRequest& left, const AdmissionRequest& right, Moment now) -> bool
+{
+    const auto leftLate = left.lateAt < now;
+    const auto rightLate = right.lateAt < now;
+    return std::tie(leftLate, left.lateAt, left.priority) < std::tie(rightLate, right.lateAt, right.priority);
+}
+
+} // namespace
+
+auto AdmissionQueue::readTime(TokenCount tokens) const -> Duration
+{
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(static_cast<double>(tokens) / limits_.readRate));
+}
+
+auto AdmissionQueue::tokensAhead() const noexcept -> TokenCount
+{
+    auto tokens = unstarted_;
+    for (const auto& request : waiting_)
+        tokens += request.unreadTokens;
+    return tokens;
+}
+
+auto AdmissionQueue::offer(AdmissionRequest request, Duration loadTime, Moment now) -> std::optional<AdmissionRefusal>
+{
+    auto ahead = unstarted_;
+    for (const auto& other : waiting_) {
+        if (!before(request, other, now))
+            ahead += other.unreadTokens;
+    }
+    const auto start = std::max(readTime(ahead), loadTime) + readTime(request.unreadTokens);
+    if (now + start >= request.gaveUpAt)
+        return AdmissionRefusal { request.attempt, std::max(readTime(ahead), shortestRetry) };
+    waiting_.push_back(std::move(request));
+    return std::nullopt;
+}
+
+auto AdmissionQueue::fits(const AdmissionRequest& request) const -> bool
+{
+    if (running_.empty())
+        return true;
+    if (running_.size() >= limits_.batch)
+        return false;
+    const auto most = static_cast<TokenCount>(memoryShare * static_cast<double>(limits_.memory));
+    if (memoryUsed_ + memoryOf(request) > most)
+        return false;
+    return unstarted_ == 0 || readTime(unstarted_ + request.unreadTokens) <= readAhead;
+}
+
+auto AdmissionQueue::grant(const Ready& ready, Moment now) -> std::vector<AdmissionRequest>
+{
+    auto granted = std::vector<AdmissionRequest>();
+    std::sort(waiting_.begin(), waiting_.end(),
+        [&](const AdmissionRequest& left, const AdmissionRequest& right) { return before(left, right, now); });
+    for (auto request = waiting_.begin(); request != waiting_.end();) {
+        if (!ready(request->adapter)) {
+            ++request;
+            continue;
+        }
+        // What does not fit holds up what is behind it: else short requests would pass a long one for ever.
+        if (!fits(*request))
+            break;
+        adopt(*request);
+        granted.push_back(std::move(*request));
+        request = waiting_.erase(request);
+    }
+    return granted;
+}
+
+auto AdmissionQueue::expire(Moment now) -> std::vector<AdmissionRefusal>
+{
+    auto refused = std::vector<AdmissionRefusal>();
+    std::erase_if(waiting_, [&](const AdmissionRequest& request) {
+        if (now + readTime(request.unreadTokens) < request.gaveUpAt)
+            return false;
+        refused.push_back({ request.attempt, std::max(readTime(unstarted_), shortestRetry) });
+        return true;
+    });
+    return refused;
+}
+
+auto AdmissionQueue::drain(Duration retryAfter) -> std::vector<AdmissionRefusal>
+{
+    auto refused = std::vector<AdmissionRefusal>();
+    for (const auto& request : waiting_)
+        refused.push_back({ request.attempt, retryAfter });
+    waiting_.clear();
+    return refused;
+}
+
+auto AdmissionQueue::adopt(const AdmissionRequest& request) -> void
+{
+    if (!running_.try_emplace(request.attempt, Running { request }).second)
+        return;
+    memoryUsed_ += memoryOf(request);
+    unstarted_ += request.unreadTokens;
+}
+
+auto AdmissionQueue::started(const AttemptId& attempt) -> void
+{
+    const auto found = running_.find(attempt);
+    if (found == running_.end() || std::exchange(found->second.started, true))
+        return;
+    unstarted_ -= found->second.request.unreadTokens;
+}
+
+auto AdmissionQueue::release(const AttemptId& attempt) -> void
+{
+    started(attempt);
+    const auto found = running_.find(attempt);
+    if (found != running_.end()) {
+        memoryUsed_ -= memoryOf(found->second.request);
+        running_.erase(found);
+        return;
+    }
+    std::erase_if(waiting_, [&](const AdmissionRequest& request) { return request.attempt == attempt; });
+}
+
+auto AdmissionQueue::wanted(const Ready& ready) const -> std::vector<AdapterId>
+{
+    auto urgent = std::vector<const AdmissionRequest*>();
+    for (const auto& request : waiting_) {
+        if (!request.adapter.empty() && !ready(request.adapter))
+            urgent.push_back(&request);
+    }
+    std::sort(urgent.begin(), urgent.end(), [](const auto* a, const auto* b) { return a->lateAt < b->lateAt; });
+    auto adapters = std::vector<AdapterId>();
+    for (const auto* request : urgent) {
+        if (std::find(adapters.begin(), adapters.end(), request->adapter) == adapters.end())
+            adapters.push_back(request->adapter);
+    }
+    return adapters;
+}
+
+auto AdmissionQueue::waits(const AdapterId& adapter) const -> bool
+{
+    return std::any_of(waiting_.begin(), waiting_.end(),
+        [&](const AdmissionRequest& request) { return request.adapter == adapter; });
+}
+
+auto AdmissionQueue::runs(const AdapterId& adapter) const -> bool
+{
+    return std::any_of(running_.begin(), running_.end(),
+        [&](const auto& running) { return running.second.request.adapter == adapter; });
+}
+
+auto AdmissionQueue::adapterOf(const AttemptId& attempt) const -> std::optional<AdapterId>
+{
+    const auto found = running_.find(attempt);
+    return found == running_.end() ? std::nullopt : std::optional(found->second.request.adapter);
+}
+
+} // namespace eelgrass::decisions
--- /dev/null
+++ b/packages/decisions/AdmissionQueue.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "base/Clock.h"
+#include "base/Ids.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace eelgrass::decisions {
+
+using TokenCount = std::uint64_t;
+
+/// A request that asks to be sent to one replica.
+struct AdmissionRequest {
+    AttemptId attempt;
+    /// Empty for the base model.
+    AdapterId adapter;
+    TokenCount promptTokens = 0;
+    /// Prompt tokens that the replica has still to read, by what is known of its cache.
+    TokenCount unreadTokens = 0;
+    TokenCount outputTokens = 0;
+    /// 0 is the most urgent.
+    std::uint32_t priority = 5;
+    Moment arrivedAt {};
+    /// When the first event is late.
+    Moment lateAt = Moment::max();
+    /// When nobody waits for it any more.
+    Moment gaveUpAt = Moment::max();
+};
+
+/// What one replica can take.
+struct ReplicaLimits {
+    std::size_t batch = 64;
+    /// Memory for prompts and answers, in tokens.
+    TokenCount memory = 200000;
+    /// Prompt tokens read in a millisecond.
+    double readRate = 40;
+};
+
+/// The request cannot be served in time; it has not been sent.
+struct AdmissionRefusal {
+    AttemptId attempt;
+    /// When the work ahead will be done.
+    Duration retryAfter {};
+};
+
+/// Which requests a replica gets, and in which order, as the process beside it decides.
+///
+/// Load made for: bursts of long prompts beside short ones, and a batch that is full.
+/// Harm prevented: a prompt of a thousand pages before which short questions wait in the engine's own queue, where
+/// nobody can reorder or refuse them; requests read in vain because their callers left; running streams preempted since
+/// more was admitted than the memory holds; callers told only at their deadline that it was hopeless.
+///
+/// Granted are at most `batch` requests, at most `memoryShare` of the memory, and prompt work for `readAhead`: less
+/// would leave the engine idle between two grants, more would take the order out of our hands.
+/// Order: what can still be on time by the moment it will be late; then what is late already, oldest first.
+///
+/// ```cpp
+/// if (auto refusal = queue.offer(request, ready, now)) answer(*refusal);
+/// for (auto& granted : queue.grant(ready, now)) send(granted);
+/// ```
+class AdmissionQueue {
+public:
+    /// Whether a request's adapter can be used now.
+    using Ready = std::function<bool(const AdapterId&)>;
+
+    auto setLimits(ReplicaLimits limits) -> void { limits_ = limits; }
+    [[nodiscard]] auto limits() const noexcept -> const ReplicaLimits& { return limits_; }
+
+    /// Takes the request in, unless what is ahead of it takes longer than its caller waits. `loadTime` is what its
+    /// adapter still needs.
+    [[nodiscard]] auto offer(AdmissionRequest request, Duration loadTime, Moment now)
+        -> std::optional<AdmissionRefusal>;
+    /// Takes out what may be sent now.
+    [[nodiscard]] auto grant(const Ready& ready, Moment now) -> std::vector<AdmissionRequest>;
+    /// Takes out what nobody can be served with any more.
+    [[nodiscard]] auto expire(Moment now) -> std::vector<AdmissionRefusal>;
+    /// Takes everything out, as when the replica is gone.
+    [[nodiscard]] auto drain(Duration retryAfter) -> std::vector<AdmissionRefusal>;
+
+    /// A request runs that no grant of ours allowed: it was granted before this process started.
+    auto adopt(const AdmissionRequest& request) -> void;
+    auto started(const AttemptId& attempt) -> void;
+    /// The request is over, or its caller left while it waited.
+    auto release(const AttemptId& attempt) -> void;
+
+    /// Adapters that waiting requests need and that are not ready, most urgent first.
+    [[nodiscard]] auto wanted(const Ready& ready) const -> std::vector<AdapterId>;
+    [[nodiscard]] auto waits(const AdapterId& adapter) const -> bool;
+    [[nodiscard]] auto running() const noexcept -> std::size_t { return running_.size(); }
+    [[nodiscard]] auto queued() const noexcept -> std::size_t { return waiting_.size(); }
+    [[nodiscard]] auto runs(const AdapterId& adapter) const -> bool;
+    /// The adapter of a granted request; empty when it is not granted.
+    [[nodiscard]] auto adapterOf(const AttemptId& attempt) const -> std::optional<AdapterId>;
+    /// Prompt tokens to be read before a request that comes now.
+    [[nodiscard]] auto tokensAhead() const noexcept -> TokenCount;
+    [[nodiscard]] auto memoryUsed() const noexcept -> TokenCount { return memoryUsed_; }
+
+private:
+    struct Running {
+        AdmissionRequest request;
+        bool started = false;
+    };
+    [[nodiscard]] auto readTime(TokenCount tokens) const -> Duration;
+    [[nodiscard]] auto fits(const AdmissionRequest& request) const -> bool;
+    [[nodiscard]] auto unstartedTokens() const noexcept -> TokenCount { return unstarted_; }
+
+    ReplicaLimits limits_;
+    std::vector<AdmissionRequest> waiting_;
+    std::map<AttemptId, Running> running_;
+    TokenCount memoryUsed_ = 0;
+    TokenCount unstarted_ = 0;
+};
+
+} // namespace eelgrass::decisions
--- /dev/null
+++ b/packages/decisions/ReplicaChoice.cpp
@@ -0,0 +1,79 @@
+#include "decisions/ReplicaChoice.h"
+
+#include "decisions/Rendezvous.h"
+
+#include <algorithm>
+
+namespace eelgrass::decisions {
+
+namespace {
+
+// From the order to the adapter's being there, measured by an engine's own report.
+constexpr auto loadTime = Duration(300ms);
+constexpr auto loadUnderWay = Duration(150ms);
+// A replica whose slots are all in use: it waits for a run to end.
+constexpr auto slotTime = Duration(900ms);
+// Each place of the batch that is taken slows all tokens a little; counted so that idle replicas come first.
+constexpr auto fullBatch = Duration(60ms);
+// How far the favourite of an adapter's name may be behind the soonest.
+constexpr auto favour = Duration(60ms);
+
+auto share(double fraction, Duration whole) -> Duration
+{
+    return std::chrono::duration_cast<Duration>(fraction * std::chrono::duration<double, std::micro>(whole));
+}
+
+auto readTime(std::uint64_t tokens, double rate) -> Duration
+{
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(static_cast<double>(tokens) / rate));
+}
+
+/// From 0 for the replica that the adapter's name favours most, up to 1.
+auto disfavour(std::string_view adapter, std::string_view replica) -> double
+{
+    const auto hash = rendezvousScore(nameHash(adapter), nameHash(replica));
+    constexpr auto shift = 11U;
+    return 1 - static_cast<double>(hash >> shift) / static_cast<double>(std::uint64_t(1) << (64U - shift));
+}
+
+} // namespace
+
+auto expectedStart(const ReplicaView& replica, const PlacementNeed& need) -> Duration
+{
+    auto load = Duration(0);
+    if (!replica.holds && replica.loading)
+        load = loadUnderWay;
+    else if (!replica.holds)
+        load = replica.spareSlots > replica.loadsWaiting ? loadTime : slotTime;
+    const auto ahead = readTime(replica.tokensAhead, need.readRate);
+    const auto full = static_cast<double>(replica.running) / static_cast<double>(std::max<std::size_t>(replica.batch, 1));
+    auto start = std::max(load, ahead) + share(full, fullBatch);
+    // A full batch starts nothing until a run ends.
+    if (full >= 1)
+        start += slotTime;
+    if (!replica.prompt)
+        start += readTime(need.sharedTokens, need.readRate);
+    if (replica.zone != need.zone)
+        start += need.zonePenalty;
+    return share(replica.slowness, start + Duration(1ms));
+}
+
+auto chooseReplica(std::span<const ReplicaView> replicas, const PlacementNeed& need) -> std::optional<std::size_t>
+{
+    auto best = std::optional<std::size_t>();
+    auto bestCost = Duration::max();
+    for (auto index = std::size_t(0); index < replicas.size(); ++index) {
+        const auto& replica = replicas[index];
+        if (!replica.usable || (!replica.holds && !replica.loading && !replica.canLoad))
+            continue;
+        const auto cost = expectedStart(replica, need) + share(disfavour(need.adapter, replica.id), favour);
+        if (cost < bestCost) {
+            best = index;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+} // namespace eelgrass::decisions
--- /dev/null
+++ b/packages/decisions/ReplicaChoice.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "base/Clock.h"
+#include "base/Ids.h"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace eelgrass::decisions {
+
+/// One replica as an entry believes it to be.
+struct ReplicaView {
+    std::string_view id;
+    AvailabilityZone zone;
+    /// Whether it may get new work at all.
+    bool usable = true;
+    /// Whether the request's adapter is there, or ordered.
+    bool holds = false;
+    bool loading = false;
+    /// Whether a process beside it can load what is missing.
+    bool canLoad = true;
+    std::size_t running = 0;
+    std::size_t batch = 1;
+    /// Prompt tokens to be read there first, with what this entry sent since the replica's last word.
+    std::uint64_t tokensAhead = 0;
+    /// Slots whose adapter gives way to a new one, and adapters that wait for one already.
+    std::size_t spareSlots = 0;
+    std::size_t loadsWaiting = 0;
+    /// Whether it has read the shared part of the prompt, as far as this entry knows.
+    bool prompt = false;
+    /// Answer time against its peers; 1 for as fast as they.
+    double slowness = 1;
+};
+
+/// What placement needs to know of a request.
+struct PlacementNeed {
+    std::string_view adapter;
+    AvailabilityZone zone;
+    std::uint64_t unreadTokens = 0;
+    std::uint64_t sharedTokens = 0;
+    /// Prompt tokens that a replica reads in a millisecond.
+    double readRate = 40;
+    /// What a request sent to another zone costs, as a time.
+    Duration zonePenalty = 20ms;
+};
+
+/// What the request would wait there, with the costs counted as times.
+[[nodiscard]] auto expectedStart(const ReplicaView& replica, const PlacementNeed& need) -> Duration;
+
+/// The replica at which the request begins soonest; empty when none may take it.
+///
+/// Load made for: skewed demand over far more adapters than slots, prompts that share long parts, and reports that are
+/// some hundred milliseconds old.
+/// Harm prevented: loads that nobody needed, the same adapter loaded at several replicas because several entries asked
+/// for it at the same moment, shared parts read anew at each replica, a popular adapter bound to one full replica.
+///
+/// An adapter that nobody holds goes to the replica that its name favours, among those that are about as soon: entries
+/// that do not know of each other then ask the same one.
+[[nodiscard]] auto chooseReplica(std::span<const ReplicaView> replicas, const PlacementNeed& need)
+    -> std::optional<std::size_t>;
+
+} // namespace eelgrass::decisions
--- a/packages/router/DaemonMain.cpp
+++ b/packages/router/DaemonMain.cpp
@@ -1,5 +1,6 @@
 #include "base/Base.h"
 #include "router/Router.h"
+#include "serving/Serving.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -7,10 +8,11 @@
 
 #include <fstream>
 #include <iostream>
+#include <set>
 #include <sstream>
 
 // NOLINTBEGIN
-ABSL_FLAG(std::string, role, "", "entry or target");
+ABSL_FLAG(std::string, role, "", "entry or target; gateway or agent on the users' machines");
 ABSL_FLAG(std::string, settings, "", "settings file (YAML)");
 ABSL_FLAG(bool, check, false, "check the settings file and exit: 0 good, 2 bad");
 // NOLINTEND
@@ -31,6 +33,37 @@
     return text.str();
 }
 
+/// A role of the users' machines: its settings file may be replaced while it runs.
+template <typename Role, typename Parse> auto serveReloadable(const std::string& file, const char* process, Parse parse)
+    -> int
+{
+    const auto checked = parse(readFile(file).value_or(std::string()), file);
+    for (const auto& problem : checked.problems)
+        std::cerr << problem << "\n";
+    if (!checked.ok())
+        return badUsage;
+    if (absl::GetFlag(FLAGS_check))
+        return 0;
+    log::start(std::string(process) + ":" + checked.value.host.name, checked.value.host.logLevel);
+    try {
+        auto loop = wire::MainLoop();
+        auto role = Role(loop, checked.value);
+        loop.onStopSignal([&] { role.stop(); });
+        loop.onReloadSignal([&] {
+            const auto fresh = parse(readFile(file).value_or(std::string()), file);
+            for (const auto& problem : fresh.problems)
+                log::error("settings not taken", { { "key", problem.key }, { "reason", problem.reason } });
+            if (fresh.ok())
+                role.reload(fresh.value);
+        });
+        role.start();
+        return loop.run();
+    } catch (const std::exception& error) {
+        log::error("not started", { { "step", "connect" }, { "reason", error.what() } });
+        return 1;
+    }
+}
+
 template <typename Role> auto serve(const auto& checked, const char* process) -> int
 {
     for (const auto& problem : checked.problems)
@@ -61,8 +94,9 @@
     absl::ParseCommandLine(argc, argv);
     const auto file = absl::GetFlag(FLAGS_settings);
     const auto role = absl::GetFlag(FLAGS_role);
-    if (role != "entry" && role != "target") {
-        std::cerr << "--role must be entry or target\n";
+    static const auto roles = std::set<std::string> { "entry", "target", "gateway", "agent" };
+    if (!roles.contains(role)) {
+        std::cerr << "--role must be entry, target, gateway or agent\n";
         return badUsage;
     }
     const auto text = readFile(file);
@@ -70,6 +104,10 @@
         std::cerr << file << ": cannot be read\n";
         return badUsage;
     }
+    if (role == "gateway")
+        return serveReloadable<serving::GatewayRole>(file, "gateway", serving::parseGatewaySettings);
+    if (role == "agent")
+        return serveReloadable<serving::AgentRole>(file, "agent", serving::parseAgentSettings);
     if (role == "entry")
         return serve<router::EntryRole>(router::parseEntrySettings(*text, file), "entry");
     return serve<router::TargetRole>(router::parseTargetSettings(*text, file), "target");
--- a/packages/router/Settings.cpp
+++ b/packages/router/Settings.cpp
@@ -16,98 +16,18 @@
 constexpr auto minSecret = std::size_t(16);
 constexpr auto digestSize = std::size_t(64);
 
-/// Reads the keys of one YAML map and notes what is wrong with them; a key that nobody read is unknown.
-class MapReader {
-public:
-    MapReader(const YAML::Node& node, std::string prefix, std::string file, std::vector<SettingsProblem>& problems)
-        : node_(node)
-        , prefix_(std::move(prefix))
-        , file_(std::move(file))
-        , problems_(problems)
-    {
-    }
-
-    template <typename T> auto read(const std::string& key, T& into, bool required = false) -> void
-    {
-        auto value = take(key, required);
-        if (!value)
-            return;
-        try {
-            into = value.as<T>();
-        } catch (const YAML::Exception&) {
-            note(value, key, "has the wrong type");
-        }
-    }
-
-    auto number(const std::string& key, auto& into, std::uint32_t least, std::uint32_t most, bool required = false)
-        -> void
-    {
-        auto wide = static_cast<std::int64_t>(into);
-        read(key, wide, required);
-        if (wide < least || wide > most) {
-            note(node_[key], key, "must lie between " + std::to_string(least) + " and " + std::to_string(most));
-            return;
-        }
-        into = static_cast<std::remove_reference_t<decltype(into)>>(wide);
-    }
-
-    auto endpoint(const std::string& key, Endpoint& into, bool portRequired) -> void
-    {
-        auto value = take(key, portRequired);
-        if (!value)
-            return;
-        auto inner = inside(value, key);
-        inner.read("address", into.address);
-        inner.number("port", into.port, 0, maxPort, portRequired);
-        if (!g_hostname_is_ip_address(into.address.c_str()))
-            note(value, key + ".address", "must be an IP address");
-        inner.finish();
-    }
-
-    auto inside(const YAML::Node& value, const std::string& key) -> MapReader
-    {
-        if (!value.IsMap())
-            note(value, key, "must be a map");
-        return { value, prefix_ + key + ".", file_, problems_ };
-    }
-
-    auto take(const std::string& key, bool required) -> YAML::Node
-    {
-        seen_.insert(key);
-        auto value = node_.IsMap() ? node_[key] : YAML::Node(YAML::NodeType::Undefined);
-        if (!value && required)
-            note(node_, key, "is missing");
-        return value;
-    }
-
-    auto note(const YAML::Node& at, const std::string& key, std::string reason) -> void
-    {
-        const auto line = at ? at.Mark().line + 1 : node_.Mark().line + 1;
-        problems_.push_back({ file_, line, prefix_ + key, std::move(reason) });
-    }
-
-    /// A problem with a key that was read.
-    auto noteAt(const std::string& key, std::string reason) -> void { note(node_[key], key, std::move(reason)); }
-
-    /// To be called when every known key was read.
-    auto finish() -> void
-    {
-        if (!node_.IsMap())
-            return;
-        for (const auto& item : node_) {
-            auto key = item.first.as<std::string>("?");
-            if (!seen_.contains(key))
-                note(item.first, key, "is not a known key");
-        }
-    }
-
-private:
-    YAML::Node node_;
-    std::string prefix_;
-    std::string file_;
-    std::vector<SettingsProblem>& problems_;
-    std::set<std::string> seen_;
-};
+auto readEndpoint(MapReader& reader, const std::string& key, Endpoint& into, bool portRequired) -> void
+{
+    auto value = reader.take(key, portRequired);
+    if (!value)
+        return;
+    auto inner = reader.inside(value, key);
+    inner.read("address", into.address);
+    inner.number("port", into.port, 0, maxPort, portRequired);
+    if (!g_hostname_is_ip_address(into.address.c_str()))
+        reader.note(value, key + ".address", "must be an IP address");
+    inner.finish();
+}
 
 auto readCommon(MapReader& reader, CommonSettings& common) -> void
 {
@@ -115,7 +35,7 @@
     reader.read("name", common.name, true);
     reader.read("availability_zone", zone, true);
     common.zone = AvailabilityZone(zone);
-    reader.endpoint("platform", common.platform, true);
+    readEndpoint(reader, "platform", common.platform, true);
     reader.read("secret", common.secret, true);
     if (!common.secret.empty() && common.secret.size() < minSecret)
         reader.noteAt("secret", "must have at least 16 characters");
@@ -151,7 +71,7 @@
     constexpr auto maxDelayMs = 60000U;
     constexpr auto maxMembers = 10000U;
     constexpr auto maxSilenceS = 3600U;
-    reader.endpoint("listen", settings.listen, false);
+    readEndpoint(reader, "listen", settings.listen, false);
     readOperators(reader, settings);
     reader.number("body_limit_kib", settings.bodyLimitKiB, 1, maxBodyKiB);
     reader.number("caller_silence_s", settings.callerSilenceS, 1, maxSilenceS);
@@ -164,8 +84,8 @@
     constexpr auto maxSlots = 1024U;
     constexpr auto maxBatch = 4096U;
     constexpr auto maxQueue = 100000U;
-    reader.endpoint("listen", settings.listen, false);
-    reader.endpoint("metrics", settings.metrics, false);
+    readEndpoint(reader, "listen", settings.listen, false);
+    readEndpoint(reader, "metrics", settings.metrics, false);
     auto value = reader.take("target", true);
     if (!value)
         return;
@@ -208,11 +128,6 @@
 
 } // namespace
 
-auto operator<<(std::ostream& out, const SettingsProblem& problem) -> std::ostream&
-{
-    return out << problem.file << ":" << problem.line << ": " << problem.key << ": " << problem.reason;
-}
-
 auto parseEntrySettings(const std::string& yaml, std::string_view file) -> Checked<EntrySettings>
 {
     return parse<EntrySettings>(yaml, file, readEntry);
--- a/packages/router/Settings.h
+++ b/packages/router/Settings.h
@@ -2,6 +2,7 @@
 
 #include "base/Error.h"
 #include "base/Ids.h"
+#include "base/SettingsReader.h"
 
 #include <cstdint>
 #include <map>
@@ -62,24 +63,6 @@
     std::uint32_t queueLimit = 256;
 };
 
-/// One thing wrong with a settings file.
-struct SettingsProblem {
-    std::string file;
-    int line = 0;
-    std::string key;
-    std::string reason;
-
-    friend auto operator<<(std::ostream&, const SettingsProblem&) -> std::ostream&;
-};
-
-/// Settings, or everything that is wrong with them.
-template <typename T> struct Checked {
-    T value;
-    std::vector<SettingsProblem> problems;
-
-    [[nodiscard]] auto ok() const noexcept -> bool { return problems.empty(); }
-};
-
 /// Reads and checks a whole file; `file` names it in the problems.
 ///
 /// ```cpp
--- /dev/null
+++ b/packages/serving/AgentLink.cpp
@@ -0,0 +1,207 @@
+#include "serving/AgentLink.h"
+
+#include "base/Log.h"
+
+namespace eelgrass::serving {
+
+namespace {
+
+// A new session is tried this often: a restarted process is back within a second.
+constexpr auto reconnectAfter = Duration(500ms);
+
+} // namespace
+
+class AgentLink::Listener final : public wire::schema::ReplicaListener::Server {
+public:
+    Listener(AgentLink& link, std::shared_ptr<bool> alive)
+        : link_(link)
+        , alive_(std::move(alive))
+    {
+    }
+
+    auto changed(ChangedContext context) -> kj::Promise<void> override
+    {
+        if (*alive_)
+            link_.learn(context.getParams().getState());
+        return kj::READY_NOW;
+    }
+
+private:
+    AgentLink& link_;
+    std::shared_ptr<bool> alive_;
+};
+
+AgentLink::AgentLink(wire::MainLoop& loop, Endpoint endpoint, std::string entry, Hooks hooks)
+    : loop_(loop)
+    , endpoint_(std::move(endpoint))
+    , entry_(std::move(entry))
+    , hooks_(std::move(hooks))
+{
+    connect();
+}
+
+AgentLink::~AgentLink() { *alive_ = false; }
+
+auto AgentLink::connect() -> void
+{
+    work_ = wire::connectTo(endpoint_.address, endpoint_.port)
+                .then([this](kj::Own<wire::GlibStream>&& stream) { return attach(kj::mv(stream)); })
+                .eagerlyEvaluate([this](kj::Exception&& error) { lost(error.getDescription().cStr()); });
+}
+
+auto AgentLink::attach(kj::Own<wire::GlibStream> stream) -> kj::Promise<void>
+{
+    session_ = std::make_unique<Session>(kj::mv(stream));
+    auto agent = session_->connection.bootstrap().castAs<wire::schema::Agent>();
+    auto request = agent.attachRequest();
+    request.setEntry(entry_);
+    request.setListener(kj::heap<Listener>(*this, alive_));
+    auto running = request.initRunning(static_cast<unsigned>(granted_.size()));
+    auto index = 0U;
+    for (const auto& [attempt, order] : granted_) {
+        auto item = running[index++];
+        item.setAttempt(attempt.str());
+        item.setAdapter(order.adapter.str());
+        item.setPromptTokens(order.promptTokens);
+        item.setOutputTokens(order.outputTokens);
+    }
+    return request.send()
+        .then([this](auto&& answer) {
+            session_->client = answer.getSession();
+            log::info("agent attached", { { "peer", endpoint_.str() } });
+            sendConfigured();
+            if (hooks_.onAttached)
+                hooks_.onAttached();
+            return session_->connection.closed();
+        })
+        .then([this] { lost("closed"); });
+}
+
+auto AgentLink::lost(const std::string& reason) -> void
+{
+    if (session_ && session_->client != nullptr)
+        log::warn("agent lost", { { "peer", endpoint_.str() }, { "reason", reason } });
+    state_.at = {};
+    // Not from within one of the session's own callbacks.
+    retry_ = loop_.timers().after(Duration(0), [this] {
+        work_ = nullptr;
+        session_.reset();
+        retry_ = loop_.timers().after(reconnectAfter, [this] { connect(); });
+        if (hooks_.onLost)
+            hooks_.onLost();
+    });
+}
+
+auto AgentLink::alive() const -> bool
+{
+    return session_ && session_->client != nullptr && state_.at != Moment()
+        && loop_.timers().now() - state_.at < silenceLimit;
+}
+
+auto AgentLink::learn(wire::schema::ReplicaState::Reader state) -> void
+{
+    state_.instance = InstanceId(state.getInstance().cStr());
+    state_.usable = state.getUsable();
+    state_.resident.clear();
+    for (auto adapter : state.getResident())
+        state_.resident.emplace(AdapterName(adapter.getName().cStr()), AdapterVersion(adapter.getVersion()));
+    state_.loading.clear();
+    for (auto adapter : state.getLoading())
+        state_.loading.emplace(adapter.cStr());
+    state_.running = state.getRunning();
+    state_.queued = state.getQueued();
+    state_.tokensAhead = state.getTokensAhead();
+    state_.memoryUsed = state.getMemoryUsed();
+    state_.spareSlots = state.getSpareSlots();
+    state_.loadsWaiting = state.getLoadsWaiting();
+    state_.configVersion = ConfigVersion(state.getConfigVersion());
+    state_.configHolder = state.getConfigHolder().cStr();
+    state_.at = loop_.timers().now();
+    hooks_.onState();
+}
+
+auto AgentLink::admit(const AdmitOrder& order) -> kj::Promise<AdmitResult>
+{
+    KJ_IF_MAYBE (client, session_->client) {
+        auto call = client->admitRequest();
+        auto request = call.initRequest();
+        request.setAttempt(order.attempt.str());
+        request.setAdapter(order.adapter.str());
+        request.setVersion(order.version.value());
+        request.setPromptTokens(order.promptTokens);
+        request.setSharedTokens(order.sharedTokens);
+        request.setSharedId(order.sharedId);
+        request.setOutputTokens(order.outputTokens);
+        request.setPriority(order.priority);
+        request.setAimMs(static_cast<std::uint32_t>(order.untilLate.count()));
+        request.setLeftMs(static_cast<std::uint32_t>(order.untilGone.count()));
+        return call.send().then([this, order, alive = alive_](auto&& response) {
+            const auto answer = response.getAnswer();
+            if (*alive && answer.getGranted())
+                granted_.emplace(order.attempt, order);
+            return AdmitResult { answer.getGranted(), AdapterVersion(answer.getVersion()),
+                milliseconds(answer.getRetryAfterMs()), answer.getReason().cStr() };
+        });
+    }
+    return KJ_EXCEPTION(DISCONNECTED, "no session with the agent");
+}
+
+auto AgentLink::started(const AttemptId& attempt) -> void
+{
+    if (!session_)
+        return;
+    KJ_IF_MAYBE (client, session_->client) {
+        auto call = client->startedRequest();
+        call.setAttempt(attempt.str());
+        loop_.spawn(call.send().ignoreResult().catch_([](kj::Exception&&) {}));
+    }
+}
+
+auto AgentLink::release(const AttemptId& attempt) -> void
+{
+    granted_.erase(attempt);
+    if (!session_)
+        return;
+    KJ_IF_MAYBE (client, session_->client) {
+        auto call = client->releaseRequest();
+        call.setAttempt(attempt.str());
+        // A lost session releases all that it granted.
+        loop_.spawn(call.send().ignoreResult().catch_([](kj::Exception&&) {}));
+    }
+}
+
+auto AgentLink::configured(std::shared_ptr<const ServingConfiguration> configuration, const std::string& holder)
+    -> void
+{
+    configuration_ = std::move(configuration);
+    holder_ = holder;
+    sendConfigured();
+}
+
+auto AgentLink::sendConfigured() -> void
+{
+    if (!session_ || !configuration_)
+        return;
+    KJ_IF_MAYBE (client, session_->client) {
+        auto call = client->configuredRequest();
+        call.setVersion(configuration_->version.value());
+        call.setHolder(holder_);
+        auto engines = std::vector<const ServiceRecord*>();
+        for (const auto& [name, service] : configuration_->services) {
+            if (service.engine)
+                engines.push_back(&service);
+        }
+        auto limits = call.initLimits(static_cast<unsigned>(engines.size()));
+        for (auto index = 0U; index < engines.size(); ++index) {
+            const auto& engine = *engines[index]->engine;
+            limits[index].setService(engines[index]->name.str());
+            limits[index].setBatch(engine.batch);
+            limits[index].setMemory(engine.memory);
+            limits[index].setAdapterSlots(engine.adapterSlots);
+            limits[index].setBaseModel(engine.models.empty() ? "" : engine.models.front().str());
+        }
+        loop_.spawn(call.send().ignoreResult().catch_([](kj::Exception&&) {}));
+    }
+}
+
+} // namespace eelgrass::serving
--- /dev/null
+++ b/packages/serving/AgentLink.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "serving/Types.h"
+#include "wire/Door.h"
+#include "wire/MainLoop.h"
+#include "wire/generated/Agent.capnp.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace eelgrass::serving {
+
+/// What the process beside a replica last said of it.
+struct ReplicaSnapshot {
+    InstanceId instance;
+    bool usable = false;
+    std::map<AdapterName, AdapterVersion> resident;
+    std::set<AdapterName> loading;
+    std::size_t running = 0;
+    std::size_t queued = 0;
+    Tokens tokensAhead = 0;
+    Tokens memoryUsed = 0;
+    std::size_t spareSlots = 0;
+    std::size_t loadsWaiting = 0;
+    /// The highest configuration that any entry told it of, and the entry to ask for it.
+    ConfigVersion configVersion;
+    std::string configHolder;
+    Moment at {};
+};
+
+/// A request for a place at a replica.
+struct AdmitOrder {
+    AttemptId attempt;
+    AdapterName adapter;
+    AdapterVersion version;
+    Tokens promptTokens = 0;
+    Tokens sharedTokens = 0;
+    std::uint64_t sharedId = 0;
+    Tokens outputTokens = 0;
+    std::uint32_t priority = 5;
+    /// Until the first event is late, and until nobody waits for it.
+    milliseconds untilLate { 0 };
+    milliseconds untilGone { 0 };
+};
+
+struct AdmitResult {
+    bool granted = false;
+    /// The version that the replica holds.
+    AdapterVersion version;
+    milliseconds retryAfter { 0 };
+    std::string reason;
+};
+
+/// An entry's session with the process beside one replica: admission there, and what it pushes about the replica.
+class AgentLink {
+public:
+    struct Hooks {
+        std::function<void()> onState;
+        /// The session was lost; calls under way are rejected.
+        std::function<void()> onLost;
+        std::function<void()> onAttached;
+    };
+    /// Without a word for this long the agent is taken for gone: two of its heartbeats and some.
+    static constexpr auto silenceLimit = Duration(1500ms);
+
+    AgentLink(wire::MainLoop& loop, Endpoint endpoint, std::string entry, Hooks hooks);
+    ~AgentLink();
+    KJ_DISALLOW_COPY(AgentLink);
+
+    /// Whether it can be asked now.
+    [[nodiscard]] auto alive() const -> bool;
+    [[nodiscard]] auto state() const noexcept -> const ReplicaSnapshot& { return state_; }
+    /// Rejects when the session is lost; drop the promise and call `release` to take the request back.
+    [[nodiscard]] auto admit(const AdmitOrder& order) -> kj::Promise<AdmitResult>;
+    auto started(const AttemptId& attempt) -> void;
+    auto release(const AttemptId& attempt) -> void;
+    /// Tells which configuration this entry has, where it can be asked for, and what it says of engines.
+    auto configured(std::shared_ptr<const ServingConfiguration> configuration, const std::string& holder) -> void;
+
+private:
+    class Listener;
+    auto connect() -> void;
+    auto attach(kj::Own<wire::GlibStream> stream) -> kj::Promise<void>;
+    auto lost(const std::string& reason) -> void;
+    auto learn(wire::schema::ReplicaState::Reader state) -> void;
+    auto sendConfigured() -> void;
+
+    struct Session {
+        Session(kj::Own<wire::GlibStream> stream)
+            : connection(kj::mv(stream))
+        {
+        }
+        wire::Connection connection;
+        kj::Maybe<wire::schema::AgentSession::Client> client;
+    };
+
+    wire::MainLoop& loop_;
+    Endpoint endpoint_;
+    std::string entry_;
+    Hooks hooks_;
+    std::unique_ptr<Session> session_;
+    kj::Maybe<kj::Promise<void>> work_;
+    ReplicaSnapshot state_;
+    std::map<AttemptId, AdmitOrder> granted_;
+    std::shared_ptr<const ServingConfiguration> configuration_;
+    std::string holder_;
+    Timer retry_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace eelgrass::serving
--- /dev/null
+++ b/packages/serving/AgentRole.cpp
@@ -0,0 +1,252 @@
+#include "serving/AgentRole.h"
+
+#include "base/Log.h"
+
+#include <set>
+
+namespace eelgrass::serving {
+
+namespace {
+
+constexpr auto metricClasses = std::size_t(10);
+// Entries take an agent for gone after three of these.
+constexpr auto heartbeat = Duration(500ms);
+// Changes are gathered for this long: an entry's view is this much older, and a burst costs no more than this many
+// messages a second.
+constexpr auto gather = Duration(10ms);
+
+} // namespace
+
+/// One entry's session. Its end takes back all that it was granted.
+class AgentRole::Session final : public wire::schema::AgentSession::Server {
+public:
+    Session(AgentRole& role, std::string entry)
+        : role_(role)
+        , entry_(std::move(entry))
+    {
+    }
+    ~Session() noexcept(false)
+    {
+        role_.listeners_.erase(this);
+        for (const auto& attempt : std::exchange(attempts_, {}))
+            role_.agent_.release(attempt);
+        log::info("entry detached", { { "peer", entry_ } });
+    }
+    KJ_DISALLOW_COPY(Session);
+
+    auto adopt(wire::schema::RunningRequest::Reader running) -> void
+    {
+        const auto attempt = AttemptId(running.getAttempt().cStr());
+        attempts_.insert(attempt);
+        role_.agent_.adopt({ .attempt = attempt,
+            .adapter = AdapterId(running.getAdapter().cStr()),
+            .promptTokens = running.getPromptTokens(),
+            .outputTokens = running.getOutputTokens() });
+    }
+
+    auto admit(AdmitContext context) -> kj::Promise<void> override
+    {
+        const auto request = context.getParams().getRequest();
+        const auto attempt = AttemptId(request.getAttempt().cStr());
+        const auto now = role_.loop_.timers().now();
+        auto pair = kj::newPromiseAndFulfiller<ReplicaAgent::Decision>();
+        role_.waiting_.erase(attempt);
+        role_.waiting_.emplace(attempt, Waiting { this, kj::mv(pair.fulfiller) });
+        attempts_.insert(attempt);
+        role_.agent_.admit({ .attempt = attempt,
+                               .adapter = AdapterId(request.getAdapter().cStr()),
+                               .promptTokens = request.getPromptTokens(),
+                               .outputTokens = request.getOutputTokens(),
+                               .priority = request.getPriority(),
+                               .arrivedAt = now,
+                               .lateAt = now + Duration(milliseconds(request.getAimMs())),
+                               .gaveUpAt = now + Duration(milliseconds(request.getLeftMs())) },
+            AdapterVersion(request.getVersion()), request.getSharedId(), request.getSharedTokens());
+        role_.pushSoon();
+        return pair.promise.then([this, context](ReplicaAgent::Decision&& decision) mutable {
+            auto answer = context.getResults().initAnswer();
+            answer.setGranted(decision.granted);
+            answer.setVersion(decision.version.value());
+            answer.setRetryAfterMs(static_cast<std::uint32_t>(
+                std::chrono::duration_cast<milliseconds>(decision.retryAfter).count()));
+            answer.setReason(decision.reason);
+            answer.setInstance(role_.agent_.instance().str());
+        });
+    }
+
+    auto started(StartedContext context) -> kj::Promise<void> override
+    {
+        role_.agent_.started(AttemptId(context.getParams().getAttempt().cStr()));
+        role_.pushSoon();
+        return kj::READY_NOW;
+    }
+
+    auto release(ReleaseContext context) -> kj::Promise<void> override
+    {
+        const auto attempt = AttemptId(context.getParams().getAttempt().cStr());
+        attempts_.erase(attempt);
+        role_.waiting_.erase(attempt);
+        role_.agent_.release(attempt);
+        role_.pushSoon();
+        return kj::READY_NOW;
+    }
+
+    auto configured(ConfiguredContext context) -> kj::Promise<void> override
+    {
+        const auto params = context.getParams();
+        role_.learnConfiguration(params.getVersion(), params.getHolder().cStr(), params.getLimits());
+        return kj::READY_NOW;
+    }
+
+private:
+    AgentRole& role_;
+    std::string entry_;
+    std::set<AttemptId> attempts_;
+};
+
+class AgentRole::Door final : public wire::schema::Agent::Server {
+public:
+    explicit Door(AgentRole& role)
+        : role_(role)
+    {
+    }
+
+    auto attach(AttachContext context) -> kj::Promise<void> override
+    {
+        const auto params = context.getParams();
+        auto session = kj::heap<Session>(role_, params.getEntry().cStr());
+        for (auto running : params.getRunning())
+            session->adopt(running);
+        role_.listeners_.emplace(session.get(), params.getListener());
+        log::info("entry attached", { { "peer", params.getEntry().cStr() } });
+        context.getResults().setSession(kj::mv(session));
+        role_.pushSoon();
+        return kj::READY_NOW;
+    }
+
+private:
+    AgentRole& role_;
+};
+
+AgentRole::AgentRole(wire::MainLoop& loop, AgentSettings settings)
+    : loop_(loop)
+    , settings_(std::move(settings))
+    , metrics_(metricClasses)
+    , deferred_(loop.timers())
+    , store_(loop.timers(), settings_.host.store)
+    , agent_(
+          loop, settings_, store_,
+          [this](const AttemptId& attempt, const ReplicaAgent::Decision& decision) { decided(attempt, decision); },
+          [this] { pushSoon(); })
+{
+}
+
+auto AgentRole::start() -> void
+{
+    listener_ = std::make_unique<wire::Listener>(
+        settings_.host.address, settings_.host.agentPort, [this](kj::Own<wire::GlibStream> stream) {
+            const auto id = ++lastConnection_;
+            auto connection = std::make_unique<wire::Connection>(kj::mv(stream), kj::heap<Door>(*this));
+            loop_.spawn(
+                connection->closed().then([this, id] { deferred_.add([this, id] { connections_.erase(id); }); }));
+            connections_.emplace(id, std::move(connection));
+        });
+    if (settings_.host.metricsPort != 0)
+        metricsServer_ = std::make_unique<TextServer>(loop_.timers(),
+            Endpoint { settings_.host.address, settings_.host.metricsPort },
+            [this](std::string_view) { return TextServer::Answer { 200, metrics_.text() }; });
+    agent_.start();
+    heartbeat_ = loop_.timers().every(heartbeat, [this] { push(); });
+    log::info("listening",
+        { { "port", std::to_string(listener_->port()) }, { "version", EELGRASS_VERSION },
+            { "peer", settings_.replica.str() } });
+}
+
+auto AgentRole::stop() -> void
+{
+    // Entries go on without: the replica serves what it holds.
+    log::info("stopped", { { "sessions", std::to_string(listeners_.size()) } });
+    loop_.quit();
+}
+
+auto AgentRole::reload(const AgentSettings& settings) -> void
+{
+    settings_.grace = settings.grace;
+    log::info("settings reloaded", {});
+}
+
+auto AgentRole::decided(const AttemptId& attempt, const ReplicaAgent::Decision& decision) -> void
+{
+    const auto found = waiting_.find(attempt);
+    log::info(decision.granted ? "granted" : "not granted",
+        { { "request", attempt.str() }, { "replica", agent_.instance().str() }, { "reason", decision.reason },
+            { "running", std::to_string(agent_.queue().running()) },
+            { "queued", std::to_string(agent_.queue().queued()) } });
+    metrics_.count("eelgrass_admissions_total", { { "granted", decision.granted ? "yes" : "no" } });
+    if (found == waiting_.end())
+        return;
+    auto waiting = std::move(found->second);
+    waiting_.erase(found);
+    waiting.fulfiller->fulfill(ReplicaAgent::Decision(decision));
+}
+
+auto AgentRole::learnConfiguration(std::uint64_t version, const std::string& holder,
+    capnp::List<wire::schema::EngineLimits>::Reader limits) -> void
+{
+    if (ConfigVersion(version) > configVersion_) {
+        configVersion_ = ConfigVersion(version);
+        configHolder_ = holder;
+        pushSoon();
+    }
+    for (auto item : limits) {
+        if (settings_.service.str() != item.getService().cStr())
+            continue;
+        agent_.configure({ .batch = item.getBatch(), .memory = item.getMemory() }, item.getAdapterSlots(),
+            BaseModel(item.getBaseModel().cStr()));
+    }
+}
+
+auto AgentRole::pushSoon() -> void
+{
+    if (!soon_.active())
+        soon_ = loop_.timers().after(gather, [this] {
+            soon_ = {};
+            push();
+        });
+}
+
+auto AgentRole::push() -> void
+{
+    for (auto& [session, listener] : listeners_) {
+        auto call = listener.changedRequest();
+        fill(call.initState());
+        loop_.spawn(call.send().ignoreResult().catch_([](kj::Exception&&) {}));
+    }
+}
+
+auto AgentRole::fill(wire::schema::ReplicaState::Builder state) const -> void
+{
+    state.setInstance(agent_.instance().str());
+    state.setUsable(agent_.usable());
+    const auto resident = agent_.resident();
+    auto list = state.initResident(static_cast<unsigned>(resident.size()));
+    auto index = 0U;
+    for (const auto& [adapter, version] : resident) {
+        list[index].setName(adapter.str());
+        list[index++].setVersion(version.value());
+    }
+    const auto coming = agent_.loading();
+    auto loading = state.initLoading(static_cast<unsigned>(coming.size()));
+    for (index = 0; index < coming.size(); ++index)
+        loading.set(index, coming[index].str());
+    state.setRunning(static_cast<std::uint32_t>(agent_.queue().running()));
+    state.setQueued(static_cast<std::uint32_t>(agent_.queue().queued()));
+    state.setTokensAhead(agent_.queue().tokensAhead());
+    state.setMemoryUsed(agent_.queue().memoryUsed());
+    state.setSpareSlots(static_cast<std::uint32_t>(agent_.spareSlots()));
+    state.setLoadsWaiting(static_cast<std::uint32_t>(coming.size()));
+    state.setConfigVersion(configVersion_.value());
+    state.setConfigHolder(configHolder_);
+}
+
+} // namespace eelgrass::serving
--- /dev/null
+++ b/packages/serving/AgentRole.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "base/DeferredCalls.h"
+#include "router/Metrics.h"
+#include "serving/ReplicaAgent.h"
+#include "serving/TextServer.h"
+#include "wire/Door.h"
+#include "wire/generated/Agent.capnp.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace eelgrass::serving {
+
+/// `--role=agent`: the process beside a replica, which entries ask for a place there.
+class AgentRole {
+public:
+    AgentRole(wire::MainLoop& loop, AgentSettings settings);
+    KJ_DISALLOW_COPY(AgentRole);
+
+    auto start() -> void;
+    auto stop() -> void;
+    auto reload(const AgentSettings& settings) -> void;
+
+private:
+    class Door;
+    class Session;
+    struct Waiting {
+        Session* session;
+        kj::Own<kj::PromiseFulfiller<ReplicaAgent::Decision>> fulfiller;
+    };
+
+    auto decided(const AttemptId& attempt, const ReplicaAgent::Decision& decision) -> void;
+    auto push() -> void;
+    auto pushSoon() -> void;
+    auto fill(wire::schema::ReplicaState::Builder state) const -> void;
+    auto learnConfiguration(std::uint64_t version, const std::string& holder,
+        capnp::List<wire::schema::EngineLimits>::Reader limits) -> void;
+
+    wire::MainLoop& loop_;
+    AgentSettings settings_;
+    router::Metrics metrics_;
+    DeferredCalls deferred_;
+    hosting::Store store_;
+    ReplicaAgent agent_;
+    std::map<AttemptId, Waiting> waiting_;
+    std::map<Session*, wire::schema::ReplicaListener::Client> listeners_;
+    ConfigVersion configVersion_;
+    std::string configHolder_;
+    std::unique_ptr<wire::Listener> listener_;
+    std::unique_ptr<TextServer> metricsServer_;
+    std::map<std::uint64_t, std::unique_ptr<wire::Connection>> connections_;
+    std::uint64_t lastConnection_ = 0;
+    Timer heartbeat_;
+    Timer soon_;
+};
+
+} // namespace eelgrass::serving
--- /dev/null
+++ b/packages/serving/ConfigurationFollower.cpp
@@ -0,0 +1,131 @@
+#include "serving/ConfigurationFollower.h"
+
+#include "base/Log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace eelgrass::serving {
+
+namespace {
+
+constexpr auto table = "op";
+constexpr auto configurationKey = "config";
+constexpr auto versionPrefix = std::string_view("version/");
+// A long poll that hears nothing ends after this long. Half of the time in which a configuration must be in force, so
+// that a connection gone silent costs no more than one poll and its time-out.
+constexpr auto pollWait = Duration(2500ms);
+// After a failure; a store that turns this host away is asked twice a second.
+constexpr auto retryAfter = Duration(500ms);
+
+} // namespace
+
+ConfigurationFollower::ConfigurationFollower(wire::MainLoop& loop, hosting::Store& store, OnChange onChange)
+    : loop_(loop)
+    , store_(store)
+    , onChange_(std::move(onChange))
+{
+}
+
+auto ConfigurationFollower::poll() -> void
+{
+    auto answer = known_ ? store_.follow(table, *known_, pollWait) : store_.read(table);
+    work_ = answer.then([this](hosting::StoreAnswer&& received) { take(std::move(received)); })
+                .eagerlyEvaluate([](kj::Exception&& error) {
+                    log::error("configuration poll failed", { { "reason", error.getDescription().cStr() } });
+                });
+}
+
+auto ConfigurationFollower::take(hosting::StoreAnswer answer) -> void
+{
+    auto wait = Duration(0);
+    if (answer.outcome == hosting::StoreOutcome::Done) {
+        if (!std::exchange(reachable_, true))
+            log::info("store regained", { { "step", "configure" } });
+        heardAt_ = loop_.timers().now();
+        known_ = std::max(answer.version, known_.value_or(0));
+        for (const auto& row : answer.rows)
+            takeRow(row);
+    } else if (answer.outcome == hosting::StoreOutcome::HistoryGone) {
+        log::warn("store forgot its history", { { "known", std::to_string(known_.value_or(0)) } });
+        known_.reset();
+    } else {
+        if (std::exchange(reachable_, false))
+            log::warn("store lost", { { "step", "configure" }, { "reason", answer.reason } });
+        wait = retryAfter;
+    }
+    retry_ = loop_.timers().after(wait, [this] { poll(); });
+}
+
+auto ConfigurationFollower::takeRow(const hosting::Row& row) -> void
+{
+    if (row.deleted)
+        return;
+    if (row.key == configurationKey)
+        offer(row.value, "store");
+    else if (row.key.starts_with(versionPrefix))
+        offerVersion(row.value, "store");
+}
+
+auto ConfigurationFollower::offer(std::string_view text, std::string_view source) -> void
+{
+    auto read = orElse([&]() -> Result<std::shared_ptr<const ServingConfiguration>> {
+        BOOST_LEAF_AUTO(configuration, hosting::readConfiguration(text));
+        return std::make_shared<const ServingConfiguration>(std::move(configuration));
+    }, [&](const Error& error) -> std::shared_ptr<const ServingConfiguration> {
+        log::error("configuration not understood", { { "source", std::string(source) }, { "reason", error.message() } });
+        return nullptr;
+    });
+    if (!read || (configuration_ && configuration_->version >= read->version))
+        return;
+    configuration_ = std::move(read);
+    routes_ = RouteTable(*configuration_);
+    log::info("configuration in force",
+        { { "version", std::to_string(configuration_->version.value()) }, { "source", std::string(source) },
+            { "routes", std::to_string(configuration_->routes.size()) } });
+    onChange_();
+}
+
+auto ConfigurationFollower::offerVersion(std::string_view text, std::string_view source) -> void
+{
+    const auto named = orElse([&]() -> Result<std::optional<hosting::NamedVersion>> {
+        BOOST_LEAF_AUTO(version, hosting::readVersion(text));
+        return std::optional(version);
+    }, [&](const Error& error) -> std::optional<hosting::NamedVersion> {
+        log::error("version not understood", { { "source", std::string(source) }, { "reason", error.message() } });
+        return std::nullopt;
+    });
+    if (!named)
+        return;
+    auto& known = versions_[{ named->model, named->adapter }];
+    if (known >= named->version)
+        return;
+    known = named->version;
+    log::info("adapter version in force",
+        { { "adapter", named->adapter.str() }, { "version", std::to_string(known.value()) },
+            { "source", std::string(source) } });
+}
+
+auto ConfigurationFollower::versionOf(const BaseModel& model, const AdapterName& adapter) const -> AdapterVersion
+{
+    const auto found = versions_.find({ model, adapter });
+    return found == versions_.end() ? AdapterVersion(1) : found->second;
+}
+
+auto ConfigurationFollower::versionsText() const -> std::string
+{
+    auto list = nlohmann::json::array();
+    for (const auto& [key, version] : versions_)
+        list.push_back({ { "model", key.first.str() }, { "adapter", key.second.str() }, { "version", version.value() } });
+    return list.dump();
+}
+
+auto ConfigurationFollower::offerVersions(std::string_view text, std::string_view source) -> void
+{
+    const auto list = nlohmann::json::parse(text, nullptr, false);
+    if (!list.is_array())
+        return log::error("versions not understood", { { "source", std::string(source) } });
+    for (const auto& item : list)
+        offerVersion(item.dump(), source);
+}
+
+} // namespace eelgrass::serving
--- /dev/null
+++ b/packages/serving/Forward.h
@@ -0,0 +1,18 @@
+#pragma once
+
+/// Forward declarations of the serving package.
+namespace eelgrass::serving {
+
+class AgentLink;
+class AgentRole;
+class CallerConnection;
+class ConfigurationFollower;
+class GatewayRole;
+class Replica;
+class ReplicaAgent;
+class ReplicaConnection;
+class ReplicaDirectory;
+class RequestRun;
+struct Gateway;
+
+} // namespace eelgrass::serving
--- /dev/null
+++ b/packages/serving/Gateway.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "base/DeferredCalls.h"
+#include "decisions/SharedRetryBudget.h"
+#include "router/Metrics.h"
+#include "serving/ConfigurationFollower.h"
+#include "serving/ReplicaDirectory.h"
+#include "serving/Settings.h"
+
+#include <map>
+
+namespace eelgrass::serving {
+
+/// What the requests of one entry share.
+struct Gateway {
+    wire::MainLoop& loop;
+    const GatewaySettings& settings;
+    ConfigurationFollower& configuration;
+    ReplicaDirectory& directory;
+    router::Metrics& metrics;
+    DeferredCalls& deferred;
+    std::map<ServiceName, decisions::SharedRetryBudget> budgets {};
+    /// Entries that share the retry budget, as far as is known.
+    std::size_t entries = 6;
+
+    [[nodiscard]] auto now() const -> Moment { return loop.timers().now(); }
+    [[nodiscard]] auto budget(const ServiceName& service) -> decisions::SharedRetryBudget&
+    {
+        return budgets.try_emplace(service, settings.retries).first->second;
+    }
+};
+
+} // namespace eelgrass::serving
--- /dev/null
+++ b/packages/serving/GatewayRole.cpp
@@ -0,0 +1,216 @@
+#include "serving/GatewayRole.h"
+
+#include "base/Log.h"
+
+namespace eelgrass::serving {
+
+namespace {
+
+constexpr auto metricClasses = std::size_t(100);
+// How often an entry looks whether it is behind its peers, or knows nothing yet.
+constexpr auto peerCheck = Duration(250ms);
+// The store tells of a configuration within one long poll; an entry that is behind for longer cannot hear it.
+constexpr auto behindTooLong = Duration(600ms);
+// The platform takes an entry out after two probes a second apart; then idle connections may be closed.
+constexpr auto balancerDelay = Duration(2500ms);
+// Left of the time for a stop when whatever still runs is broken off.
+constexpr auto stopMargin = Duration(500ms);
+constexpr auto stopCheck = Duration(100ms);
+
+} // namespace
+
+/// Tells other entries what this one knows.
+class GatewayRole::Peer final : public wire::schema::EntryPeer::Server {
+public:
+    explicit Peer(GatewayRole& role)
+        : role_(role)
+    {
+    }
+
+    auto snapshot(SnapshotContext context) -> kj::Promise<void> override
+    {
+        const auto& configuration = role_.configuration_.configuration();
+        auto results = context.getResults();
+        if (configuration && configuration->version.value() > context.getParams().getHaveConfig())
+            results.setConfig(configuration->text);
+        results.setReplicas(role_.directory_.text());
+        results.setAdapterVersions(role_.configuration_.versionsText());
+        return kj::READY_NOW;
+    }
+
+private:
+    GatewayRole& role_;
+};
+
+GatewayRole::GatewayRole(wire::MainLoop& loop, GatewaySettings settings)
+    : loop_(loop)
+    , settings_(std::move(settings))
+    , metrics_(metricClasses)
+    , deferred_(loop.timers())
+    , store_(loop.timers(), settings_.host.store)
+    , configuration_(loop, store_, [this] { onConfiguration(); })
+    , directory_(loop, store_, settings_.host.name, settings_.host.agentPort, { .onAgent = [this] { onAgent(); } })
+    , gateway_ { loop, settings_, configuration_, directory_, metrics_, deferred_ }
+{
+}
+
+auto GatewayRole::start() -> void
+{
+    clients_ = std::make_unique<wire::TcpListener>(
+        settings_.clients.address, settings_.clients.port, [this](auto socket) { accept(std::move(socket)); });
+    readiness_ = std::make_unique<TextServer>(loop_.timers(), settings_.readiness, [this](std::string_view) {
+        constexpr auto unavailable = 503;
+        return ready() ? TextServer::Answer { 200, "ready\n" } : TextServer::Answer { unavailable, "not ready\n" };
+    });
+    peers_ = std::make_unique<wire::Listener>(
+        settings_.peers.address, settings_.peers.port, [this](kj::Own<wire::GlibStream> stream) {
+            const auto id = ++lastSession_;
+            auto session = std::make_unique<wire::Connection>(kj::mv(stream), kj::heap<Peer>(*this));
+            loop_.spawn(
+                session->closed().then([this, id] { deferred_.add([this, id] { peerSessions_.erase(id); }); }));
+            peerSessions_.emplace(id, std::move(session));
+        });
+    serveMetrics();
+    configuration_.start();
+    directory_.start();
+    timer_ = loop_.timers().every(peerCheck, [this] { askSeeds(); });
+    log::info("listening",
+        { { "port", std::to_string(clients_->port()) }, { "version", EELGRASS_VERSION },
+            { "zone", settings_.host.zone.str() } });
+}
+
+auto GatewayRole::serveMetrics() -> void
+{
+    if (settings_.host.metricsPort == 0)
+        return;
+    metricsServer_ = std::make_unique<TextServer>(loop_.timers(),
+        Endpoint { settings_.host.address, settings_.host.metricsPort },
+        [this](std::string_view) { return TextServer::Answer { 200, metrics_.text() }; });
+}
+
+auto GatewayRole::accept(wire::ObjectPtr<GSocket> socket) -> void
+{
+    const auto& configuration = configuration_.configuration();
+    auto connection = std::make_shared<CallerConnection>(
+        loop_.timers(), std::move(socket), configuration ? configuration->limits : CallerLimits {},
+        [this](const std::shared_ptr<CallerConnection>& caller, wire::HttpRequestMessage request) {
+            std::make_shared<RequestRun>(gateway_, caller, std::move(request))->start();
+        },
+        [this](CallerConnection* closed) { connections_.erase(closed); });
+    connections_.emplace(connection.get(), connection);
+    if (stopping_)
+        connection->closeSoon();
+    connection->start();
+}
+
+auto GatewayRole::onConfiguration() -> void
+{
+    const auto& configuration = configuration_.configuration();
+    for (const auto& [raw, connection] : connections_)
+        connection->setLimits(configuration->limits);
+    directory_.configure(configuration, settings_.peers.str());
+}
+
+auto GatewayRole::onAgent() -> void
+{
+    const auto now = loop_.timers().now();
+    const auto mine = configuration_.configuration() ? configuration_.configuration()->version : ConfigVersion();
+    for (const auto& [instance, replica] : directory_.all()) {
+        const auto* agent = replica->agent();
+        if (!agent || !agent->alive() || agent->state().configVersion <= mine)
+            continue;
+        if (!behindSince_)
+            behindSince_ = now;
+        const auto holder = parseEndpoint(agent->state().configHolder);
+        if (now - *behindSince_ > behindTooLong && holder && *holder != settings_.peers)
+            askPeer(*holder, "behind");
+        return;
+    }
+    behindSince_.reset();
+}
+
+auto GatewayRole::askSeeds() -> void
+{
+    const auto knowsAll = configuration_.configuration() && directory_.known();
+    if (knowsAll || settings_.seeds.empty())
+        return;
+    const auto& seed = settings_.seeds[nextSeed_++ % settings_.seeds.size()];
+    if (seed != settings_.peers)
+        askPeer(seed, "nothing known");
+}
+
+auto GatewayRole::askPeer(const Endpoint& peer, std::string_view why) -> void
+{
+    if (std::exchange(asking_, true))
+        return;
+    log::info("peer asked", { { "peer", peer.str() }, { "reason", std::string(why) } });
+    const auto mine = configuration_.configuration() ? configuration_.configuration()->version : ConfigVersion();
+    auto asked
+        = wire::connectTo(peer.address, peer.port).then([this, mine, name = peer.str()](kj::Own<wire::GlibStream>&& s) {
+              auto session = std::make_unique<wire::Connection>(kj::mv(s));
+              auto call = session->bootstrap().castAs<wire::schema::EntryPeer>().snapshotRequest();
+              call.setHaveConfig(mine.value());
+              return call.send()
+                  .then([this, name](auto&& answer) { learnFromPeer(answer, name); })
+                  .attach(std::move(session));
+          });
+    constexpr auto peerTimeout = Duration(1s);
+    loop_.spawn(asked.exclusiveJoin(loop_.sleep(peerTimeout))
+                    .catch_([name = peer.str()](kj::Exception&& error) {
+                        log::warn(
+                            "peer not reached", { { "peer", name }, { "reason", error.getDescription().cStr() } });
+                    })
+                    .then([this] { asking_ = false; }));
+}
+
+auto GatewayRole::learnFromPeer(wire::schema::EntryPeer::SnapshotResults::Reader answer, const std::string& peer)
+    -> void
+{
+    if (answer.getConfig().size() > 0)
+        configuration_.offer(answer.getConfig().cStr(), peer);
+    configuration_.offerVersions(answer.getAdapterVersions().cStr(), peer);
+    if (!directory_.known())
+        directory_.offer(answer.getReplicas().cStr(), peer);
+}
+
+auto GatewayRole::ready() const -> bool
+{
+    return !stopping_ && configuration_.configuration() && directory_.known();
+}
+
+auto GatewayRole::reload(const GatewaySettings& settings) -> void
+{
+    settings_.seeds = settings.seeds;
+    settings_.retries = settings.retries;
+    settings_.grace = settings.grace;
+    settings_.zonePenalty = settings.zonePenalty;
+    log::info("settings reloaded", { { "seeds", std::to_string(settings_.seeds.size()) } });
+}
+
+auto GatewayRole::stop() -> void
+{
+    if (std::exchange(stopping_, true))
+        return;
+    stopBegan_ = loop_.timers().now();
+    log::info("stopping", { { "connections", std::to_string(connections_.size()) } });
+    for (const auto& [raw, connection] : connections_)
+        connection->closeSoon();
+    stopTimer_ = loop_.timers().every(stopCheck, [this] { endIfIdle(); });
+}
+
+auto GatewayRole::endIfIdle() -> void
+{
+    const auto age = loop_.timers().now() - stopBegan_;
+    if (age < balancerDelay)
+        return;
+    const auto held = connections_;
+    for (const auto& [raw, connection] : held)
+        connection->closeIfIdle();
+    if (!connections_.empty() && age < Duration(settings_.grace) - stopMargin)
+        return;
+    log::info("stopped", { { "cut", std::to_string(connections_.size()) } });
+    stopTimer_.cancel();
+    loop_.quit();
+}
+
+} // namespace eelgrass::serving
--- /dev/null
+++ b/packages/serving/GatewayRole.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "serving/Gateway.h"
+#include "serving/RequestRun.h"
+#include "serving/TextServer.h"
+#include "wire/generated/Agent.capnp.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace eelgrass::serving {
+
+/// `--role=gateway`: clients in front, replicas behind.
+///
+/// A planned stop: not ready any more, so that the platform sends no new connections; what comes all the same is
+/// served, each answer closes its connection, idle connections are closed once the platform must have noticed, and the
+/// process ends with its last request.
+class GatewayRole {
+public:
+    GatewayRole(wire::MainLoop& loop, GatewaySettings settings);
+    KJ_DISALLOW_COPY(GatewayRole);
+
+    auto start() -> void;
+    auto stop() -> void;
+    /// The settings file may have changed.
+    auto reload(const GatewaySettings& settings) -> void;
+
+private:
+    class Peer;
+    auto accept(wire::ObjectPtr<GSocket> socket) -> void;
+    auto onConfiguration() -> void;
+    auto onAgent() -> void;
+    auto askPeer(const Endpoint& peer, std::string_view why) -> void;
+    auto askSeeds() -> void;
+    auto learnFromPeer(wire::schema::EntryPeer::SnapshotResults::Reader answer, const std::string& peer) -> void;
+    [[nodiscard]] auto ready() const -> bool;
+    auto serveMetrics() -> void;
+    auto endIfIdle() -> void;
+
+    wire::MainLoop& loop_;
+    GatewaySettings settings_;
+    router::Metrics metrics_;
+    DeferredCalls deferred_;
+    hosting::Store store_;
+    ConfigurationFollower configuration_;
+    ReplicaDirectory directory_;
+    Gateway gateway_;
+    std::map<CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
+    std::unique_ptr<wire::TcpListener> clients_;
+    std::unique_ptr<TextServer> readiness_;
+    std::unique_ptr<TextServer> metricsServer_;
+    std::unique_ptr<wire::Listener> peers_;
+    std::map<std::uint64_t, std::unique_ptr<wire::Connection>> peerSessions_;
+    std::uint64_t lastSession_ = 0;
+    std::size_t nextSeed_ = 0;
+    bool asking_ = false;
+    /// Since when an entry is known to have a newer configuration.
+    std::optional<Moment> behindSince_;
+    bool stopping_ = false;
+    Moment stopBegan_ {};
+    Timer timer_;
+    Timer stopTimer_;
+};
+
+} // namespace eelgrass::serving
--- /dev/null
+++ b/packages/serving/ReplicaAgent.cpp
@@ -0,0 +1,405 @@
+#include "serving/ReplicaAgent.h"
+
+#include "base/Log.h"
+#include "base/Secrets.h"
+
+#include <algorithm>
+
+namespace eelgrass::serving {
+
+namespace {
+
+// The replica is on this host and answers within a millisecond; a failed call tells of its end.
+constexpr auto reportTimeout = Duration(400ms);
+// The report is read this often while an adapter is on its way, so that its requests start within that of its arrival,
+// and this often otherwise.
+constexpr auto busyInterval = Duration(15ms);
+constexpr auto idleInterval = Duration(250ms);
+// An order that is not answered by now is taken for lost; the next report tells what became of it.
+constexpr auto orderTimeout = Duration(300ms);
+// Adapters that one replica fetches at a time; what the engine takes.
+constexpr auto mostComing = std::size_t(4);
+// Base models ordered by this host: all hosts together must stay under what the weight store allows.
+constexpr auto baseInterval = Duration(5s);
+constexpr auto fenceRetry = Duration(500ms);
+constexpr auto fenceTable = "epoch";
+constexpr auto reportsToForget = 2U;
+// When a request comes back to a replica that is empty or gone.
+constexpr auto comeBack = Duration(300ms);
+constexpr auto adapterTime = Duration(300ms);
+constexpr auto expiryInterval = Duration(50ms);
+constexpr auto mostPrompts = std::size_t(512);
+
+auto modelName(const AdapterName& adapter) -> ModelName { return ModelName(adapter.str()); }
+
+} // namespace
+
+ReplicaAgent::ReplicaAgent(wire::MainLoop& loop, const AgentSettings& settings, hosting::Store& store,
+    OnDecision onDecision, OnChange onChange)
+    : loop_(loop)
+    , settings_(settings)
+    , store_(store)
+    , onDecision_(std::move(onDecision))
+    , onChange_(std::move(onChange))
+    , replica_(loop.timers(), settings.replica.address, settings.replica.port)
+{
+}
+
+auto ReplicaAgent::start() -> void
+{
+    raiseFence();
+    report();
+    expiry_ = loop_.timers().every(expiryInterval, [this] {
+        for (const auto& refusal : queue_.expire(loop_.timers().now()))
+            decide(refusal.attempt, { .retryAfter = refusal.retryAfter, .reason = "not in time" });
+    });
+}
+
+auto ReplicaAgent::configure(decisions::ReplicaLimits limits, std::size_t adapterSlots, const BaseModel& base) -> void
+{
+    queue_.setLimits(limits);
+    base_ = base;
+    if (slotCount_ == adapterSlots)
+        return;
+    slotCount_ = adapterSlots;
+    slots_.emplace(adapterSlots);
+    synchronize();
+    act();
+}
+
+auto ReplicaAgent::raiseFence() -> void
+{
+    fence_ = Fence::Asked;
+    fenceWork_ = store_.readRow(fenceTable, settings_.replica.str())
+                     .then([this](hosting::StoreAnswer&& answer) { fenceRead(std::move(answer)); })
+                     .eagerlyEvaluate([](kj::Exception&& error) {
+                         log::error("fence not read", { { "reason", error.getDescription().cStr() } });
+                     });
+}
+
+auto ReplicaAgent::fenceRead(hosting::StoreAnswer answer) -> void
+{
+    if (answer.outcome != hosting::StoreOutcome::Done) {
+        log::warn("fence not read", { { "reason", answer.reason } });
+        fenceTimer_ = loop_.timers().after(fenceRetry, [this] { raiseFence(); });
+        return;
+    }
+    const auto row
+        = answer.rows.empty() ? hosting::Row { .table = fenceTable, .key = settings_.replica.str() } : answer.rows[0];
+    const auto token = wire::decimal(row.value).value_or(0) + 1;
+    auto next = row;
+    next.value = std::to_string(token);
+    fenceTimer_ = loop_.timers().after(Duration(0), [this, row, next, token] {
+        fenceWork_ = store_.transact({ .conditions = { row }, .writes = { next } })
+                         .then([this, token](hosting::StoreAnswer&& written) { fenceWritten(token, written); })
+                         .eagerlyEvaluate([](kj::Exception&& error) {
+                             log::error("fence not raised", { { "reason", error.getDescription().cStr() } });
+                         });
+    });
+}
+
+auto ReplicaAgent::fenceWritten(std::uint64_t token, const hosting::StoreAnswer& answer) -> void
+{
+    if (answer.outcome != hosting::StoreOutcome::Done) {
+        // A lost answer may have raised it: the next read sees that, and a number is skipped, which does no harm.
+        log::warn("fence not raised", { { "reason", answer.reason } });
+        fenceTimer_ = loop_.timers().after(fenceRetry, [this] { raiseFence(); });
+        return;
+    }
+    token_ = Epoch(token);
+    fence_ = Fence::Held;
+    log::info("fence raised", { { "token", std::to_string(token) } });
+    act();
+}
+
+auto ReplicaAgent::report() -> void
+{
+    if (std::exchange(reporting_, true))
+        return;
+    reportTimer_.cancel();
+    reportWork_ = replica_.call(hosting::reportCall(reportTimeout))
+                      .then([this](wire::HttpAnswer&& answer) { reported(answer); },
+                          [this](kj::Exception&& error) { reportFailed(error.getDescription().cStr()); })
+                      .eagerlyEvaluate([](kj::Exception&& error) {
+                          log::error("report failed", { { "reason", error.getDescription().cStr() } });
+                      });
+}
+
+auto ReplicaAgent::reported(const wire::HttpAnswer& answer) -> void
+{
+    reporting_ = false;
+    constexpr auto ok = 200;
+    auto read = orElse([&]() -> Result<std::optional<hosting::ReplicaReport>> {
+        BOOST_LEAF_AUTO(report, hosting::readReport(answer.body));
+        return std::optional(std::move(report));
+    }, [&](const Error& error) -> std::optional<hosting::ReplicaReport> {
+        log::error("report not understood", { { "reason", error.message() } });
+        return std::nullopt;
+    });
+    if (answer.status != ok || !read)
+        return reportFailed("status " + std::to_string(answer.status));
+    const auto named = hosting::answeredBy(answer);
+    const auto restarted = (report_ && read->sequence < report_->sequence) || (!named.empty() && named != instance_);
+    if (restarted && report_)
+        forgetReplica("restarted");
+    if (!named.empty())
+        instance_ = named;
+    reportFailures_ = 0;
+    if (!report_)
+        log::info("replica regained", { { "sequence", std::to_string(read->sequence) } });
+    report_ = std::move(read);
+    reportedAt_ = loop_.timers().now();
+    synchronize();
+    act();
+    onChange_();
+    const auto busy = !report_->coming.empty() || report_->orderUnderWay || loadsWaiting() > 0;
+    reportTimer_ = loop_.timers().after(busy ? busyInterval : idleInterval, [this] { report(); });
+}
+
+auto ReplicaAgent::reportFailed(const std::string& reason) -> void
+{
+    reporting_ = false;
+    if (++reportFailures_ == reportsToForget) {
+        forgetReplica(reason);
+        onChange_();
+    }
+    reportTimer_ = loop_.timers().after(idleInterval, [this] { report(); });
+}
+
+/// The replica's start that we knew is over: what it held, ran and was ordered is gone with it.
+auto ReplicaAgent::forgetReplica(std::string_view why) -> void
+{
+    log::warn("replica lost", { { "replica", instance_.str() }, { "reason", std::string(why) } });
+    report_.reset();
+    instance_ = {};
+    prompts_.clear();
+    if (slots_)
+        slots_->reset({}, loop_.timers().now());
+    for (const auto& refusal : queue_.drain(comeBack))
+        decide(refusal.attempt, { .retryAfter = refusal.retryAfter, .reason = "replica lost" });
+}
+
+/// Takes the replica's report as the truth about its slots.
+auto ReplicaAgent::synchronize() -> void
+{
+    if (!report_ || !slots_ || ordering_)
+        return;
+    const auto now = loop_.timers().now();
+    auto held = std::vector<ModelName>();
+    for (const auto& [adapter, version] : report_->resident)
+        held.push_back(modelName(adapter));
+    slots_->reset(held, now);
+    for (const auto& adapter : report_->coming)
+        slots_->loadStarted(modelName(adapter), now);
+}
+
+auto ReplicaAgent::versionOf(const AdapterName& adapter) const -> AdapterVersion
+{
+    if (!report_)
+        return {};
+    const auto found = report_->resident.find(adapter);
+    return found == report_->resident.end() ? AdapterVersion() : found->second;
+}
+
+auto ReplicaAgent::ready(const AdapterName& adapter) const -> bool
+{
+    if (!usable())
+        return false;
+    if (adapter.empty())
+        return true;
+    if (!slots_->ready(modelName(adapter)))
+        return false;
+    const auto wanted = wantedVersions_.find(adapter);
+    return wanted == wantedVersions_.end() || versionOf(adapter) >= wanted->second;
+}
+
+auto ReplicaAgent::usable() const -> bool { return report_ && report_->hasModel && slots_; }
+
+auto ReplicaAgent::admit(
+    decisions::AdmissionRequest request, AdapterVersion version, std::uint64_t sharedId, Tokens sharedTokens) -> void
+{
+    const auto attempt = request.attempt;
+    if (!usable())
+        return decide(attempt, { .retryAfter = comeBack, .reason = "replica not usable" });
+    if (!request.adapter.empty()) {
+        auto& wanted = wantedVersions_[request.adapter];
+        wanted = std::max(wanted, version);
+        slots_->asked(modelName(request.adapter), loop_.timers().now());
+    }
+    const auto known = prompts_.contains(sharedId);
+    request.unreadTokens = request.promptTokens - (known ? std::min(sharedTokens, request.promptTokens) : 0);
+    const auto loadTime = ready(request.adapter) ? Duration(0) : adapterTime;
+    if (const auto refusal = queue_.offer(std::move(request), loadTime, loop_.timers().now()))
+        return decide(attempt, { .retryAfter = refusal->retryAfter, .reason = "hopeless here" });
+    if (prompts_.size() >= mostPrompts)
+        prompts_.clear();
+    prompts_[sharedId] = sharedTokens;
+    act();
+}
+
+auto ReplicaAgent::adopt(const decisions::AdmissionRequest& request) -> void
+{
+    queue_.adopt(request);
+    queue_.started(request.attempt);
+    if (slots_ && slots_->ready(modelName(request.adapter)))
+        slots_->pin(modelName(request.adapter), loop_.timers().now());
+}
+
+auto ReplicaAgent::started(const AttemptId& attempt) -> void
+{
+    queue_.started(attempt);
+    act();
+}
+
+auto ReplicaAgent::release(const AttemptId& attempt) -> void
+{
+    if (const auto adapter = queue_.adapterOf(attempt); adapter && slots_)
+        slots_->unpin(modelName(*adapter));
+    queue_.release(attempt);
+    act();
+}
+
+auto ReplicaAgent::decide(const AttemptId& attempt, Decision decision) -> void { onDecision_(attempt, decision); }
+
+auto ReplicaAgent::act() -> void
+{
+    // A decision may bring a new request or a release at once; the outer call goes on with it.
+    if (std::exchange(acting_, true))
+        return;
+    grant();
+    if (!ordering_ && fence_ == Fence::Held && report_) {
+        if (auto next = nextOrder())
+            order(std::move(*next));
+    }
+    acting_ = false;
+}
+
+auto ReplicaAgent::grant() -> void
+{
+    if (!usable())
+        return;
+    const auto now = loop_.timers().now();
+    for (const auto& request : queue_.grant([this](const AdapterName& adapter) { return ready(adapter); }, now)) {
+        if (!request.adapter.empty())
+            slots_->pin(modelName(request.adapter), now);
+        decide(request.attempt, { .granted = true, .version = versionOf(request.adapter) });
+    }
+}
+
+auto ReplicaAgent::baseOrder() -> std::optional<hosting::ReplicaOrder>
+{
+    const auto now = loop_.timers().now();
+    const auto recent = baseOrderedAt_ != Moment() && now - baseOrderedAt_ < baseInterval;
+    if (base_.empty() || report_->orderUnderWay || recent)
+        return std::nullopt;
+    baseOrderedAt_ = now;
+    return hosting::ReplicaOrder { .model = base_ };
+}
+
+auto ReplicaAgent::nextOrder() -> std::optional<hosting::ReplicaOrder>
+{
+    if (!slots_)
+        return std::nullopt;
+    if (!report_->hasModel)
+        return baseOrder();
+    const auto now = loop_.timers().now();
+    const auto wanted = queue_.wanted([this](const AdapterName& adapter) { return ready(adapter); });
+    for (const auto& adapter : wanted) {
+        const auto name = modelName(adapter);
+        if (slots_->ready(name)) {
+            // It is there in an older version. The replica replaces it when the runs on it have ended.
+            return hosting::ReplicaOrder { .model = base_, .adapter = adapter, .version = wantedVersions_[adapter] };
+        }
+        const auto answer = slots_->request(name, now);
+        if (std::holds_alternative<decisions::LoadNow>(answer)) {
+            if (report_->coming.size() >= mostComing)
+                return std::nullopt;
+            return hosting::ReplicaOrder { .model = base_, .adapter = adapter, .version = wantedVersions_[adapter] };
+        }
+        if (const auto* evict = std::get_if<decisions::EvictFirst>(&answer))
+            return hosting::ReplicaOrder { .kind = hosting::ReplicaOrder::Kind::Unload,
+                .model = base_,
+                .adapter = AdapterName(evict->victim.str()) };
+    }
+    return std::nullopt;
+}
+
+auto ReplicaAgent::order(hosting::ReplicaOrder order) -> void
+{
+    ordering_ = true;
+    order.precondition = report_->sequence;
+    order.holder = settings_.host.name;
+    order.fence = token_;
+    const auto name = modelName(order.adapter);
+    if (order.kind == hosting::ReplicaOrder::Kind::Unload)
+        slots_->unloadStarted(name);
+    else if (!order.adapter.empty())
+        slots_->loadStarted(name, loop_.timers().now());
+    orderWork_
+        = replica_.call(hosting::orderCall(order, instance_, orderTimeout))
+              .then([this, order](wire::HttpAnswer&& answer) { ordered(order, answer); },
+                  [this, order](kj::Exception&& error) { orderFailed(order, error.getDescription().cStr()); })
+              .eagerlyEvaluate([](kj::Exception&& error) {
+                  log::error("order failed", { { "reason", error.getDescription().cStr() } });
+              });
+}
+
+auto ReplicaAgent::ordered(const hosting::ReplicaOrder& order, const wire::HttpAnswer& answer) -> void
+{
+    ordering_ = false;
+    const auto outcome = hosting::orderOutcome(answer);
+    const auto unload = order.kind == hosting::ReplicaOrder::Kind::Unload;
+    log::info("order",
+        { { "operation", unload ? "unload" : "load" }, { "adapter", order.adapter.str() },
+            { "sequence", std::to_string(order.precondition) }, { "status", std::to_string(answer.status) },
+            { "reason", answer.status >= 300 ? answer.body.substr(0, 200) : std::string() } });
+    if (outcome == hosting::OrderOutcome::OtherInstance) {
+        const auto named = hosting::answeredBy(answer);
+        if (!named.empty())
+            instance_ = named;
+    }
+    if (outcome == hosting::OrderOutcome::Fenced) {
+        fence_ = Fence::Wanted;
+        fenceTimer_ = loop_.timers().after(Duration(0), [this] { raiseFence(); });
+    }
+    report();
+}
+
+auto ReplicaAgent::orderFailed(const hosting::ReplicaOrder& order, const std::string& reason) -> void
+{
+    ordering_ = false;
+    log::warn("order without answer",
+        { { "adapter", order.adapter.str() }, { "sequence", std::to_string(order.precondition) }, { "reason", reason } });
+    report();
+}
+
+auto ReplicaAgent::resident() const -> std::map<AdapterName, AdapterVersion>
+{
+    return report_ ? report_->resident : std::map<AdapterName, AdapterVersion>();
+}
+
+auto ReplicaAgent::loading() const -> std::vector<AdapterName>
+{
+    auto adapters = queue_.wanted([this](const AdapterName& adapter) { return ready(adapter); });
+    return adapters;
+}
+
+auto ReplicaAgent::spareSlots() const -> std::size_t
+{
+    if (!slots_ || !report_)
+        return 0;
+    const auto taken = report_->resident.size() + report_->coming.size();
+    auto spare = slotCount_ > taken ? slotCount_ - taken : 0;
+    for (const auto& [adapter, version] : report_->resident) {
+        if (!slots_->pinned(modelName(adapter)) && !queue_.waits(adapter))
+            ++spare;
+    }
+    return spare;
+}
+
+auto ReplicaAgent::loadsWaiting() const -> std::size_t
+{
+    return queue_.wanted([this](const AdapterName& adapter) { return ready(adapter); }).size();
+}
+
+} // namespace eelgrass::serving
--- /dev/null
+++ b/packages/serving/ReplicaAgent.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "decisions/AdapterSlots.h"
+#include "decisions/AdmissionQueue.h"
+#include "platform/Documents.h"
+#include "platform/Store.h"
+#include "serving/Settings.h"
+#include "wire/HttpCaller.h"
+#include "wire/MainLoop.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace eelgrass::serving {
+
+/// The only holder of orders for the replica beside it: keeps its adapters, and says which request may be sent when.
+///
+/// Orders go one at a time, each on the condition that the replica has accepted just as many as its last report says.
+/// An order whose answer was lost may be carried out seconds later; by that condition it then either meets the very
+/// state that it was made for, or nothing happens. Without it, a late load could fill a slot twice, which crashes the
+/// replica.
+class ReplicaAgent {
+public:
+    /// Told of each decision: granted with the version that the replica holds, or refused.
+    struct Decision {
+        bool granted = false;
+        AdapterVersion version;
+        Duration retryAfter {};
+        std::string reason;
+    };
+    using OnDecision = std::function<void(const AttemptId&, const Decision&)>;
+    using OnChange = std::function<void()>;
+
+    ReplicaAgent(wire::MainLoop& loop, const AgentSettings& settings, hosting::Store& store, OnDecision onDecision,
+        OnChange onChange);
+
+    auto start() -> void;
+    /// What the configuration says of the replica's service.
+    auto configure(decisions::ReplicaLimits limits, std::size_t adapterSlots, const BaseModel& base) -> void;
+
+    /// Takes a request in; the decision comes by `onDecision`, maybe at once. `version` is the lowest that may run.
+    auto admit(decisions::AdmissionRequest request, AdapterVersion version, std::uint64_t sharedId, Tokens sharedTokens)
+        -> void;
+    auto adopt(const decisions::AdmissionRequest& request) -> void;
+    auto started(const AttemptId& attempt) -> void;
+    auto release(const AttemptId& attempt) -> void;
+
+    [[nodiscard]] auto usable() const -> bool;
+    [[nodiscard]] auto instance() const noexcept -> const InstanceId& { return instance_; }
+    [[nodiscard]] auto queue() const noexcept -> const decisions::AdmissionQueue& { return queue_; }
+    [[nodiscard]] auto resident() const -> std::map<AdapterName, AdapterVersion>;
+    [[nodiscard]] auto loading() const -> std::vector<AdapterName>;
+    [[nodiscard]] auto spareSlots() const -> std::size_t;
+    [[nodiscard]] auto loadsWaiting() const -> std::size_t;
+
+private:
+    enum class Fence { Wanted, Asked, Held };
+
+    // The fencing token, raised once a start.
+    auto raiseFence() -> void;
+    auto fenceRead(hosting::StoreAnswer answer) -> void;
+    auto fenceWritten(std::uint64_t token, const hosting::StoreAnswer& answer) -> void;
+
+    // The replica's own word.
+    auto report() -> void;
+    auto reported(const wire::HttpAnswer& answer) -> void;
+    auto reportFailed(const std::string& reason) -> void;
+    auto forgetReplica(std::string_view why) -> void;
+    auto synchronize() -> void;
+
+    // What to do about it.
+    auto act() -> void;
+    auto grant() -> void;
+    auto decide(const AttemptId& attempt, Decision decision) -> void;
+    auto nextOrder() -> std::optional<hosting::ReplicaOrder>;
+    auto baseOrder() -> std::optional<hosting::ReplicaOrder>;
+    auto order(hosting::ReplicaOrder order) -> void;
+    auto ordered(const hosting::ReplicaOrder& order, const wire::HttpAnswer& answer) -> void;
+    auto orderFailed(const hosting::ReplicaOrder& order, const std::string& reason) -> void;
+    [[nodiscard]] auto ready(const AdapterName& adapter) const -> bool;
+    [[nodiscard]] auto versionOf(const AdapterName& adapter) const -> AdapterVersion;
+
+    wire::MainLoop& loop_;
+    const AgentSettings& settings_;
+    hosting::Store& store_;
+    OnDecision onDecision_;
+    OnChange onChange_;
+    wire::HttpCaller replica_;
+    BaseModel base_;
+    decisions::AdmissionQueue queue_;
+    std::optional<decisions::AdapterSlots> slots_;
+    std::size_t slotCount_ = 0;
+    /// The lowest version of each adapter that any request asked for.
+    std::map<AdapterName, AdapterVersion> wantedVersions_;
+    std::unordered_map<std::uint64_t, Tokens> prompts_;
+
+    Fence fence_ = Fence::Wanted;
+    Epoch token_;
+    InstanceId instance_;
+    std::optional<hosting::ReplicaReport> report_;
+    Moment reportedAt_ {};
+    std::uint32_t reportFailures_ = 0;
+    bool reporting_ = false;
+    bool ordering_ = false;
+    bool acting_ = false;
+    Moment baseOrderedAt_ {};
+    kj::Maybe<kj::Promise<void>> reportWork_;
+    kj::Maybe<kj::Promise<void>> orderWork_;
+    kj::Maybe<kj::Promise<void>> fenceWork_;
+    Timer reportTimer_;
+    Timer fenceTimer_;
+    Timer expiry_;
+};
+
+} // namespace eelgrass::serving
--- /dev/null
+++ b/packages/serving/ReplicaDirectory.cpp
@@ -0,0 +1,260 @@
+#include "serving/ReplicaDirectory.h"
+
+#include "base/Log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace eelgrass::serving {
+
+namespace {
+
+constexpr auto table = "servers";
+// Every heartbeat of every replica changes the table, so it is read at an interval and not followed. A leaving replica
+// must get nothing new two seconds after its notice.
+constexpr auto listInterval = Duration(700ms);
+constexpr auto listRetry = Duration(500ms);
+// Entries that lapsed while the store was away come back within two seconds of its return.
+constexpr auto lapsedReturn = Duration(2500ms);
+// Failures in a row after which a replica rests, and for how long: doubled each time, up to the longest.
+constexpr auto failuresToRest = 2U;
+constexpr auto shortestRest = Duration(300ms);
+constexpr auto longestRest = Duration(3s);
+// A full replica is asked again when a few of its requests have ended.
+constexpr auto restWhenFull = Duration(60ms);
+// Shared prompt parts remembered for a replica: more than its memory holds.
+constexpr auto mostPrompts = std::size_t(256);
+constexpr auto smoothing = 8;
+
+} // namespace
+
+Replica::Replica(TimerService& timers, ReplicaRecord record)
+    : record_(std::move(record))
+    , pool_(timers, record_.endpoint)
+{
+}
+
+auto Replica::sent(Tokens tokens) -> void
+{
+    ++inFlight_;
+    tokensSent_ += tokens;
+}
+
+auto Replica::ended() -> void
+{
+    if (inFlight_ > 0)
+        --inFlight_;
+}
+
+auto Replica::succeeded(Duration took) -> void
+{
+    failures_ = 0;
+    restsUntil_ = {};
+    meanTime_ = meanTime_.count() == 0 ? took : meanTime_ + (took - meanTime_) / smoothing;
+}
+
+auto Replica::failed(Moment now) -> void
+{
+    ++failures_;
+    if (failures_ < failuresToRest)
+        return;
+    constexpr auto mostDoublings = 5U;
+    const auto doublings = std::min(failures_ - failuresToRest, mostDoublings);
+    restsUntil_ = now + std::min(longestRest, shortestRest * (1U << doublings));
+}
+
+auto Replica::refused(Moment now) -> void { restsUntil_ = std::max(restsUntil_, now + restWhenFull); }
+
+auto Replica::usable(Moment now) const noexcept -> bool
+{
+    if (leaving_ || now < restsUntil_)
+        return false;
+    // After a rest one request tries it; the others wait for what becomes of it.
+    return failures_ < failuresToRest || inFlight_ == 0;
+}
+
+auto Replica::rememberPrompt(std::uint64_t sharedId) -> void
+{
+    prompts_[sharedId] = ++promptClock_;
+    if (prompts_.size() <= mostPrompts)
+        return;
+    const auto oldest = std::min_element(
+        prompts_.begin(), prompts_.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
+    prompts_.erase(oldest);
+}
+
+ReplicaDirectory::ReplicaDirectory(
+    wire::MainLoop& loop, hosting::Store& store, std::string entry, std::uint16_t agentPort, Hooks hooks)
+    : loop_(loop)
+    , store_(store)
+    , entry_(std::move(entry))
+    , agentPort_(agentPort)
+    , hooks_(std::move(hooks))
+{
+}
+
+auto ReplicaDirectory::start() -> void { poll(); }
+
+auto ReplicaDirectory::poll() -> void
+{
+    work_ = store_.read(table)
+                .then([this](hosting::StoreAnswer&& answer) { take(std::move(answer)); })
+                .eagerlyEvaluate([](kj::Exception&& error) {
+                    log::error("replica list failed", { { "reason", error.getDescription().cStr() } });
+                });
+}
+
+auto ReplicaDirectory::take(hosting::StoreAnswer answer) -> void
+{
+    const auto now = loop_.timers().now();
+    if (answer.outcome != hosting::StoreOutcome::Done) {
+        if (std::exchange(reachable_, false))
+            log::warn("store lost", { { "step", "platform" }, { "reason", answer.reason } });
+        timer_ = loop_.timers().after(listRetry, [this] { poll(); });
+        return;
+    }
+    if (!std::exchange(reachable_, true)) {
+        regainedAt_ = now;
+        log::info("store regained", { { "step", "platform" } });
+    }
+    auto list = std::vector<Listed>();
+    for (auto& row : answer.rows)
+        list.push_back({ InstanceId(row.key), std::move(row.value) });
+    apply(list, now - regainedAt_ > lapsedReturn, "store");
+    timer_ = loop_.timers().after(listInterval, [this] { poll(); });
+}
+
+auto ReplicaDirectory::apply(const std::vector<Listed>& list, bool whole, std::string_view source) -> void
+{
+    known_ = true;
+    for (const auto& listed : list)
+        put(listed, source);
+    if (whole) {
+        auto missing = std::vector<ReplicaPtr>();
+        for (const auto& [instance, replica] : replicas_) {
+            const auto named = std::any_of(
+                list.begin(), list.end(), [&](const Listed& listed) { return listed.instance == instance; });
+            if (!named)
+                missing.push_back(replica);
+        }
+        for (const auto& replica : missing)
+            remove(replica, "not listed");
+    }
+    index();
+}
+
+auto ReplicaDirectory::put(const Listed& listed, std::string_view source) -> void
+{
+    auto read = orElse([&]() -> Result<std::optional<ReplicaRecord>> {
+        BOOST_LEAF_AUTO(record, hosting::readReplica(listed.instance.str(), listed.text));
+        return std::optional(std::move(record));
+    }, [&](const Error& error) -> std::optional<ReplicaRecord> {
+        log::error("replica not understood", { { "peer", listed.instance.str() }, { "reason", error.message() } });
+        return std::nullopt;
+    });
+    if (!read)
+        return;
+    texts_[listed.instance] = listed.text;
+    auto& replica = replicas_[listed.instance];
+    if (!replica) {
+        replica = std::make_shared<Replica>(loop_.timers(), *read);
+        log::info("replica known",
+            { { "replica", listed.instance.str() }, { "service", read->service.str() },
+                { "peer", read->endpoint.str() }, { "source", std::string(source) } });
+        linkAgent(replica);
+    }
+    if (read->phase == ReplicaPhase::Draining && !replica->leaving()) {
+        replica->setLeaving();
+        log::info("replica leaving", { { "replica", listed.instance.str() }, { "source", std::string(source) } });
+    }
+    replica->update(std::move(*read));
+}
+
+auto ReplicaDirectory::remove(const ReplicaPtr& replica, std::string_view why) -> void
+{
+    log::info("replica gone", { { "replica", replica->id().str() }, { "reason", std::string(why) } });
+    replica->setLeaving();
+    replica->pool().clear();
+    texts_.erase(replica->id());
+    replicas_.erase(replica->id());
+}
+
+auto ReplicaDirectory::gone(const InstanceId& instance, std::string_view why) -> void
+{
+    const auto found = replicas_.find(instance);
+    if (found == replicas_.end())
+        return;
+    const auto replica = found->second;
+    replica->setLeaving();
+    log::info("replica gone", { { "replica", instance.str() }, { "reason", std::string(why) } });
+}
+
+auto ReplicaDirectory::index() -> void
+{
+    byService_.clear();
+    for (const auto& [instance, replica] : replicas_)
+        byService_[replica->record().service].push_back(replica);
+}
+
+auto ReplicaDirectory::linkAgent(const ReplicaPtr& replica) -> void
+{
+    if (replica->agent() || !configuration_)
+        return;
+    const auto service = configuration_->services.find(replica->record().service);
+    if (service == configuration_->services.end() || !service->second.engine)
+        return;
+    const auto weak = std::weak_ptr<Replica>(replica);
+    auto hooks = AgentLink::Hooks { .onState =
+                                        [this, weak] {
+                                            if (const auto held = weak.lock())
+                                                held->reported();
+                                            hooks_.onAgent();
+                                        },
+        .onLost = [this] { hooks_.onAgent(); },
+        .onAttached = [this] { hooks_.onAgent(); } };
+    replica->setAgent(std::make_unique<AgentLink>(
+        loop_, Endpoint { replica->record().endpoint.address, agentPort_ }, entry_, std::move(hooks)));
+    replica->agent()->configured(configuration_, holder_);
+}
+
+auto ReplicaDirectory::configure(std::shared_ptr<const ServingConfiguration> configuration, const std::string& holder)
+    -> void
+{
+    configuration_ = std::move(configuration);
+    holder_ = holder;
+    for (const auto& [instance, replica] : replicas_) {
+        if (replica->agent())
+            replica->agent()->configured(configuration_, holder_);
+        else
+            linkAgent(replica);
+    }
+}
+
+auto ReplicaDirectory::of(const ServiceName& service) const -> const std::vector<ReplicaPtr>&
+{
+    static const auto none = std::vector<ReplicaPtr>();
+    const auto found = byService_.find(service);
+    return found == byService_.end() ? none : found->second;
+}
+
+auto ReplicaDirectory::text() const -> std::string
+{
+    auto json = nlohmann::json::object();
+    for (const auto& [instance, text] : texts_)
+        json[instance.str()] = text;
+    return json.dump();
+}
+
+auto ReplicaDirectory::offer(std::string_view text, std::string_view source) -> void
+{
+    const auto json = nlohmann::json::parse(text, nullptr, false);
+    if (!json.is_object())
+        return log::error("replica list not understood", { { "source", std::string(source) } });
+    auto list = std::vector<Listed>();
+    for (const auto& [instance, value] : json.items())
+        list.push_back({ InstanceId(instance), value.get<std::string>() });
+    apply(list, false, source);
+}
+
+} // namespace eelgrass::serving
--- /dev/null
+++ b/packages/serving/ReplicaDirectory.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "decisions/ReplicaChoice.h"
+#include "platform/Documents.h"
+#include "platform/Store.h"
+#include "serving/AgentLink.h"
+#include "serving/ReplicaLeg.h"
+#include "serving/Types.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace eelgrass::serving {
+
+/// One replica as this entry knows it: its entry in the list, the session with its agent, the connections to it, and
+/// what this entry has seen of it.
+class Replica {
+public:
+    Replica(TimerService& timers, ReplicaRecord record);
+
+    [[nodiscard]] auto id() const noexcept -> const InstanceId& { return record_.instance; }
+    [[nodiscard]] auto record() const noexcept -> const ReplicaRecord& { return record_; }
+    auto update(ReplicaRecord record) -> void { record_ = std::move(record); }
+    [[nodiscard]] auto pool() noexcept -> ConnectionPool& { return pool_; }
+    [[nodiscard]] auto agent() const noexcept -> AgentLink* { return agent_.get(); }
+    auto setAgent(std::unique_ptr<AgentLink> agent) -> void { agent_ = std::move(agent); }
+
+    /// Not in the list any more, or leaving: runs end there, nothing new is sent.
+    [[nodiscard]] auto leaving() const noexcept -> bool { return leaving_; }
+    auto setLeaving() -> void { leaving_ = true; }
+
+    /// A request was sent.
+    auto sent(Tokens tokens) -> void;
+    auto ended() -> void;
+    [[nodiscard]] auto inFlight() const noexcept -> std::size_t { return inFlight_; }
+    /// The agent spoke: what was sent before is in its figures.
+    auto reported() -> void { tokensSent_ = 0; }
+    [[nodiscard]] auto tokensSent() const noexcept -> Tokens { return tokensSent_; }
+
+    /// The replica answered well after `took`, or failed; see `usable`.
+    auto succeeded(Duration took) -> void;
+    auto failed(Moment now) -> void;
+    /// It said that it is full.
+    auto refused(Moment now) -> void;
+    /// False while it rests after failures; then one request at a time tries it.
+    [[nodiscard]] auto usable(Moment now) const noexcept -> bool;
+    [[nodiscard]] auto meanTime() const noexcept -> Duration { return meanTime_; }
+
+    /// Whether this entry sent a request with that shared part there before.
+    [[nodiscard]] auto hasPrompt(std::uint64_t sharedId) const -> bool { return prompts_.contains(sharedId); }
+    auto rememberPrompt(std::uint64_t sharedId) -> void;
+
+private:
+    ReplicaRecord record_;
+    ConnectionPool pool_;
+    std::unique_ptr<AgentLink> agent_;
+    bool leaving_ = false;
+    std::size_t inFlight_ = 0;
+    Tokens tokensSent_ = 0;
+    std::uint32_t failures_ = 0;
+    Moment restsUntil_ {};
+    Duration meanTime_ {};
+    std::unordered_map<std::uint64_t, std::uint64_t> prompts_;
+    std::uint64_t promptClock_ = 0;
+};
+
+using ReplicaPtr = std::shared_ptr<Replica>;
+
+/// All replicas of all services, from the platform's list.
+class ReplicaDirectory {
+public:
+    struct Hooks {
+        /// An agent pushed something, or its session was lost or made.
+        std::function<void()> onAgent;
+    };
+
+    ReplicaDirectory(wire::MainLoop& loop, hosting::Store& store, std::string entry, std::uint16_t agentPort,
+        Hooks hooks);
+
+    auto start() -> void;
+    /// Services whose replicas have an agent beside them.
+    auto configure(std::shared_ptr<const ServingConfiguration> configuration, const std::string& holder) -> void;
+    [[nodiscard]] auto of(const ServiceName& service) const -> const std::vector<ReplicaPtr>&;
+    [[nodiscard]] auto all() const noexcept -> const std::map<InstanceId, ReplicaPtr>& { return replicas_; }
+    /// Whether the list has been read, from the store or from a peer.
+    [[nodiscard]] auto known() const noexcept -> bool { return known_; }
+    /// The list as peers are told it.
+    [[nodiscard]] auto text() const -> std::string;
+    /// A peer's list, for an entry that has none of its own.
+    auto offer(std::string_view text, std::string_view source) -> void;
+    /// Another replica answers at this address: the instance is gone.
+    auto gone(const InstanceId& instance, std::string_view why) -> void;
+
+private:
+    struct Listed {
+        InstanceId instance;
+        std::string text;
+    };
+    auto poll() -> void;
+    auto take(hosting::StoreAnswer answer) -> void;
+    auto apply(const std::vector<Listed>& list, bool whole, std::string_view source) -> void;
+    auto put(const Listed& listed, std::string_view source) -> void;
+    auto remove(const ReplicaPtr& replica, std::string_view why) -> void;
+    auto index() -> void;
+    auto linkAgent(const ReplicaPtr& replica) -> void;
+
+    wire::MainLoop& loop_;
+    hosting::Store& store_;
+    std::string entry_;
+    std::uint16_t agentPort_;
+    Hooks hooks_;
+    std::shared_ptr<const ServingConfiguration> configuration_;
+    std::string holder_;
+    std::map<InstanceId, ReplicaPtr> replicas_;
+    std::map<InstanceId, std::string> texts_;
+    std::map<ServiceName, std::vector<ReplicaPtr>> byService_;
+    bool known_ = false;
+    bool reachable_ = false;
+    Moment regainedAt_ {};
+    kj::Maybe<kj::Promise<void>> work_;
+    Timer timer_;
+};
+
+} // namespace eelgrass::serving
--- /dev/null
+++ b/packages/serving/RequestRun.cpp
@@ -0,0 +1,554 @@
+#include "serving/RequestRun.h"
+
+#include "base/Log.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace eelgrass::serving {
+
+namespace {
+
+constexpr auto ok = 200;
+constexpr auto badRequest = 400;
+constexpr auto notFound = 404;
+constexpr auto badGateway = 502;
+constexpr auto unavailable = 503;
+constexpr auto gatewayTimeout = 504;
+constexpr auto firstServerError = 500;
+
+// Sends of one attempt in all; refusals of replicas count. A third refusal tells that the service is full.
+constexpr auto mostSends = 4U;
+// The answer must be on its way to the client before the client leaves.
+constexpr auto answerMargin = Duration(40ms);
+// When no replica can be tried just now: one rests, or its agent is being reached.
+constexpr auto placeAgain = Duration(25ms);
+// An agent that says nothing is looked at this often.
+constexpr auto agentCheck = Duration(250ms);
+// A stream that may go on elsewhere is left after this silence; well before its client leaves, which takes two seconds.
+constexpr auto streamSilence = Duration(1200ms);
+constexpr auto retryWhenUnknown = milliseconds(300);
+// Bytes that a slow client may leave waiting before its replica is no longer read.
+constexpr auto mostBacklog = std::size_t(256) << 10U;
+constexpr auto slowestFactor = 8.0;
+
+auto text(Duration time) -> std::string { return std::to_string(time.count() / 1000); }
+
+/// Answers that promise that the request has not run; a replica that says so of a request that it ran must not be
+/// believed by the client.
+auto promisesNotRun(int status) -> bool { return status == 408 || status == 421 || status == 429 || status == 503; }
+
+} // namespace
+
+RequestRun::RequestRun(Gateway& gateway, std::shared_ptr<CallerConnection> caller, wire::HttpRequestMessage request)
+    : gateway_(gateway)
+    , caller_(std::move(caller))
+    , request_(std::move(request))
+    , configuration_(gateway.configuration.configuration())
+    , beganAt_(caller_->requestBegan())
+{
+}
+
+auto RequestRun::start() -> void
+{
+    if (!readRequest())
+        return;
+    caller_->watch({ .onGone = [self = shared_from_this()] { self->onCallerGone(); },
+        .onDrained =
+            [self = shared_from_this()] {
+                if (self->connection_ && self->caller_->backlog() < mostBacklog)
+                    self->connection_->resume();
+            } });
+    end_ = gateway_.loop.timers().after(endAt_ - gateway_.now(), [this] { onTimeUp(); });
+    place();
+}
+
+auto RequestRun::readRequest() -> bool
+{
+    auto facts = hosting::readFacts(request_);
+    if (facts)
+        facts_ = std::move(*facts);
+    if (!configuration_ || !gateway_.directory.known()) {
+        refuse("no configuration yet", retryWhenUnknown);
+        return false;
+    }
+    route_ = gateway_.configuration.routes().find(request_.fields.get("Host"), request_.path());
+    if (!route_) {
+        fail(notFound, "no route");
+        return false;
+    }
+    if (!facts) {
+        fail(badRequest, "no attempt id");
+        return false;
+    }
+    service_ = pickService(*route_, facts_.attempt);
+    const auto timeout = Duration(route_->timeout);
+    const auto deadline = facts_.deadline ? Duration(*facts_.deadline) - answerMargin : timeout;
+    endAt_ = beganAt_ + std::min(timeout, deadline);
+    lateAt_ = beganAt_ + Duration(route_->aim);
+    // All parts but the last are shared; the last one belongs to the request or its session.
+    auto hash = XXH3_64bits(facts_.adapter.str().data(), facts_.adapter.str().size());
+    for (auto index = std::size_t(0); index + 1 < facts_.prompt.size(); ++index) {
+        sharedTokens_ += facts_.prompt[index].tokens;
+        hash = XXH3_64bits_withSeed(facts_.prompt[index].id.data(), facts_.prompt[index].id.size(), hash);
+    }
+    sharedId_ = hash;
+    return true;
+}
+
+auto RequestRun::timeLeft() const -> Duration { return endAt_ - gateway_.now(); }
+
+auto RequestRun::viewOf(const ReplicaPtr& replica, Duration fastest) const -> decisions::ReplicaView
+{
+    const auto now = gateway_.now();
+    auto view = decisions::ReplicaView { .id = replica->id().str(), .zone = replica->record().zone };
+    view.usable = replica->usable(now) && !tried_.contains(replica->id());
+    view.batch = replica->record().slots;
+    view.running = replica->inFlight();
+    const auto* agent = replica->agent();
+    if (!agent) {
+        view.holds = true;
+        if (fastest.count() > 0 && replica->meanTime().count() > 0)
+            view.slowness = std::min(slowestFactor,
+                static_cast<double>(replica->meanTime().count()) / static_cast<double>(fastest.count()));
+        return view;
+    }
+    view.prompt = replica->hasPrompt(sharedId_);
+    if (!agent->alive()) {
+        // Without its agent a replica serves what it holds, by the list.
+        view.holds = replica->record().hasBaseModel
+            && (facts_.adapter.empty() || replica->record().adapters.contains(facts_.adapter));
+        view.canLoad = false;
+        return view;
+    }
+    const auto& state = agent->state();
+    view.usable = view.usable && state.usable;
+    view.running = std::max(state.running, replica->inFlight());
+    view.holds = facts_.adapter.empty() || state.resident.contains(facts_.adapter);
+    view.loading = state.loading.contains(facts_.adapter);
+    view.tokensAhead = state.tokensAhead + replica->tokensSent();
+    view.spareSlots = state.spareSlots;
+    view.loadsWaiting = state.loadsWaiting;
+    return view;
+}
+
+auto RequestRun::choose() -> ReplicaPtr
+{
+    const auto& replicas = gateway_.directory.of(service_);
+    auto fastest = Duration::max();
+    for (const auto& replica : replicas) {
+        if (replica->meanTime().count() > 0)
+            fastest = std::min(fastest, replica->meanTime());
+    }
+    auto views = std::vector<decisions::ReplicaView>();
+    for (const auto& replica : replicas)
+        views.push_back(viewOf(replica, fastest == Duration::max() ? Duration(0) : fastest));
+    const auto need = decisions::PlacementNeed { .adapter = facts_.adapter.view(),
+        .zone = gateway_.settings.host.zone,
+        .unreadTokens = facts_.promptTokens - std::min(facts_.promptTokens, sharedTokens_),
+        .sharedTokens = sharedTokens_,
+        .zonePenalty = gateway_.settings.zonePenalty };
+    const auto chosen = decisions::chooseReplica(views, need);
+    return chosen ? replicas[*chosen] : nullptr;
+}
+
+auto RequestRun::place() -> void
+{
+    if (over_)
+        return;
+    replica_ = choose();
+    if (!replica_)
+        return waitForPlace();
+    if (replica_->agent() && replica_->agent()->alive())
+        return admit();
+    send(std::nullopt);
+}
+
+/// No replica can be tried now. Waits a little if one may be soon, and says at once that it is hopeless otherwise.
+auto RequestRun::waitForPlace() -> void
+{
+    const auto now = gateway_.now();
+    const auto& replicas = gateway_.directory.of(service_);
+    const auto untried = std::any_of(replicas.begin(), replicas.end(),
+        [&](const ReplicaPtr& replica) { return !replica->leaving() && !tried_.contains(replica->id()); });
+    if (!untried || sends_ >= mostSends)
+        return giveUp(replicas.empty() ? "no replica" : "every replica refused or failed");
+    if (now + placeAgain >= lateAt_)
+        return giveUp("no replica free in time");
+    wait_ = gateway_.loop.timers().after(placeAgain, [this] { place(); });
+}
+
+auto RequestRun::admit() -> void
+{
+    const auto now = gateway_.now();
+    auto* agent = replica_->agent();
+    const auto left = [&](Moment at) {
+        return std::max(std::chrono::duration_cast<milliseconds>(at - now), milliseconds(0));
+    };
+    auto order = AdmitOrder { .attempt = facts_.attempt,
+        .adapter = facts_.adapter,
+        .version = gateway_.configuration.versionOf(facts_.model, facts_.adapter),
+        .promptTokens = facts_.promptTokens,
+        .sharedTokens = sharedTokens_,
+        .sharedId = sharedId_,
+        .outputTokens = facts_.outputTokens,
+        .priority = route_->priority,
+        .untilLate = left(lateAt_),
+        .untilGone = left(endAt_) };
+    grantedBy_ = agent;
+    admission_ = agent->admit(order)
+                     .then([this](AdmitResult&& result) { admitted(result); })
+                     .eagerlyEvaluate([this](kj::Exception&&) { abandonAdmission("agent lost"); });
+    wait_ = gateway_.loop.timers().every(agentCheck, [this] {
+        if (!replica_->agent()->alive())
+            abandonAdmission("agent silent");
+        else if (replica_->leaving())
+            abandonAdmission("replica leaving");
+    });
+}
+
+auto RequestRun::admitted(const AdmitResult& result) -> void
+{
+    wait_.cancel();
+    if (over_)
+        return;
+    if (result.granted) {
+        const auto version = facts_.adapter.empty() ? std::nullopt : std::optional(result.version);
+        return send(version);
+    }
+    grantedBy_ = nullptr;
+    tried_.insert(replica_->id());
+    logDecision("admission refused", result.reason);
+    // Another replica may be free, but not many are asked: each answer takes its time.
+    if (tried_.size() >= mostSends)
+        return refuse(result.reason, result.retryAfter);
+    replica_ = choose();
+    if (!replica_)
+        return refuse(result.reason, result.retryAfter);
+    wait_ = gateway_.loop.timers().after(Duration(0), [this] { place(); });
+}
+
+auto RequestRun::abandonAdmission(std::string_view why) -> void
+{
+    logDecision("admission abandoned", why);
+    if (grantedBy_)
+        grantedBy_->release(facts_.attempt);
+    grantedBy_ = nullptr;
+    if (over_)
+        return;
+    // Not from within the promise's own callback.
+    wait_ = gateway_.loop.timers().after(Duration(0), [this] {
+        admission_ = nullptr;
+        place();
+    });
+}
+
+auto RequestRun::send(std::optional<AdapterVersion> version) -> void
+{
+    const auto now = gateway_.now();
+    auto& budget = gateway_.budget(service_);
+    if (sends_ == 0)
+        budget.sent(now);
+    else if (!budget.take(now, gateway_.entries))
+        return giveUp("retry budget spent");
+    const auto once = !route_->repeatable();
+    connection_ = replica_->pool().take(once);
+    if (!connection_->usable()) {
+        connection_.reset();
+        tried_.insert(replica_->id());
+        return again("no connection");
+    }
+    ++sends_;
+    sentAt_ = now;
+    head_ = {};
+    body_.clear();
+    streaming_ = false;
+    events_.clear();
+    auto options = hosting::ForwardOptions { .instance = replica_->id(), .version = version };
+    options.timeLeft = std::max(std::chrono::duration_cast<milliseconds>(timeLeft()), milliseconds(1));
+    if (replica_->agent())
+        options.priority = std::min(route_->priority, 9U);
+    if (told_ == Told::Streaming)
+        options.lastEvent = lastEvent_;
+    const auto fields = hosting::forwardedFields(request_, options);
+    const auto head = wire::requestHeadText(request_.method, request_.target, fields, request_.body.size());
+    replica_->sent(facts_.promptTokens);
+    if (replica_->agent())
+        replica_->rememberPrompt(sharedId_);
+    logDecision("sent", {});
+    armSilence();
+    connection_->send(
+        head, request_.body,
+        [attempt = facts_.attempt](const wire::HttpResponseHead& answer) {
+            return !hosting::readAnswer(answer, attempt).foreign;
+        },
+        { .onHead = [this](const wire::HttpResponseHead& answer) { onHead(answer); },
+            .onBody = [this](std::string_view bytes) { onBody(bytes); },
+            .onDone = [this] { onDone(); },
+            .onFault = [this](LegFault fault) { onFault(fault); } });
+}
+
+/// A request that may run again is not left to one silent replica for all of its time.
+auto RequestRun::armSilence() -> void
+{
+    silence_.cancel();
+    if (!route_->repeatable() || runs_ + 1 >= route_->maxRuns || sends_ >= mostSends)
+        return;
+    const auto limit = firstEventSeen_ || streaming_ ? streamSilence : timeLeft() / 2;
+    silence_ = gateway_.loop.timers().after(limit, [this] { onSilence(); });
+}
+
+auto RequestRun::onSilence() -> void
+{
+    const auto self = shared_from_this();
+    ++runs_;
+    replica_->failed(gateway_.now());
+    leaveReplica(false);
+    again("silence");
+}
+
+auto RequestRun::onHead(const wire::HttpResponseHead& head) -> void
+{
+    head_ = head;
+    streaming_ = route_->streamed && head.status == ok;
+    if (streaming_)
+        armSilence();
+}
+
+auto RequestRun::onBody(std::string_view bytes) -> void
+{
+    if (streaming_)
+        return onEvents(bytes);
+    body_.append(bytes);
+}
+
+auto RequestRun::onEvents(std::string_view bytes) -> void
+{
+    const auto self = shared_from_this();
+    armSilence();
+    for (const auto& event : events_.feed(bytes)) {
+        if (!tellEvent(event))
+            return;
+    }
+    if (connection_ && caller_->backlog() > mostBacklog)
+        connection_->pause();
+}
+
+/// Passes one whole event on; false when the run ended over it.
+auto RequestRun::tellEvent(const StreamEvent& event) -> bool
+{
+    if (event.id && lastEvent_) {
+        // After a change of replica an event may come a second time; a gap would lose a piece of the answer.
+        if (*event.id <= *lastEvent_)
+            return true;
+        if (*event.id > *lastEvent_ + 1) {
+            ++runs_;
+            leaveReplica(false);
+            giveUp("events missing");
+            return false;
+        }
+    }
+    if (event.id)
+        lastEvent_ = event.id;
+    if (!std::exchange(firstEventSeen_, true)) {
+        firstAt_ = gateway_.now();
+        if (grantedBy_)
+            grantedBy_->started(facts_.attempt);
+    }
+    if (told_ == Told::Nothing) {
+        told_ = Told::Streaming;
+        caller_->begin({ head_.status, hosting::returnedFields(head_) });
+    }
+    caller_->piece(event.text);
+    return true;
+}
+
+auto RequestRun::onDone() -> void
+{
+    const auto self = shared_from_this();
+    const auto facts = hosting::readAnswer(head_, facts_.attempt);
+    const auto now = gateway_.now();
+    silence_.cancel();
+    if (facts.notRun) {
+        if (facts.otherInstance && !facts.instance.empty() && facts.instance != replica_->id())
+            gateway_.directory.gone(replica_->id(), "another instance has its address");
+        else if (!facts.otherInstance)
+            replica_->refused(now);
+        leaveReplica(true);
+        return onNotRun(head_.status == unavailable ? "replica full" : "replica did not run it");
+    }
+    ++runs_;
+    if (streaming_) {
+        if (!events_.rest().empty()) {
+            leaveReplica(false);
+            return giveUp("stream ended within an event");
+        }
+        replica_->succeeded(now - sentAt_);
+        leaveReplica(true);
+        if (told_ == Told::Nothing)
+            caller_->begin({ head_.status, hosting::returnedFields(head_) });
+        told_ = Told::Whole;
+        caller_->finish();
+        return finish(ok, "answered", {});
+    }
+    if (head_.status >= firstServerError)
+        replica_->failed(now);
+    else
+        replica_->succeeded(now - sentAt_);
+    leaveReplica(true);
+    if (head_.status >= firstServerError && mayRunAgain())
+        return again("replica failed");
+    if (told_ == Told::Streaming)
+        return giveUp("stream not resumed");
+    // A replica that calls a request unrun without its mark, or an answer without its signature, is not passed on.
+    if (!facts.sealed || promisesNotRun(head_.status))
+        return fail(badGateway, "answer not to be trusted");
+    told_ = Told::Whole;
+    caller_->respond({ head_.status, hosting::returnedFields(head_) }, body_);
+    finish(head_.status, "answered", {});
+}
+
+auto RequestRun::onFault(LegFault fault) -> void
+{
+    const auto self = shared_from_this();
+    silence_.cancel();
+    replica_->failed(gateway_.now());
+    leaveReplica(false);
+    if (fault == LegFault::NotSent)
+        return onNotRun("not reached");
+    ++runs_;
+    logDecision("leg broken", toString(fault));
+    if (mayRunAgain())
+        return again(toString(fault));
+    giveUp("the replica broke off");
+}
+
+auto RequestRun::onNotRun(std::string_view why) -> void
+{
+    logDecision("not run", why);
+    tried_.insert(replica_->id());
+    if (sends_ >= mostSends)
+        return giveUp(why);
+    again(why);
+}
+
+auto RequestRun::mayRunAgain() const -> bool
+{
+    return route_->repeatable() && runs_ < route_->maxRuns && sends_ < mostSends
+        && (told_ == Told::Nothing || (route_->resumable && lastEvent_));
+}
+
+auto RequestRun::again(std::string_view why) -> void
+{
+    if (runs_ > 0 && !mayRunAgain())
+        return giveUp(why);
+    if (replica_)
+        tried_.insert(replica_->id());
+    // From the loop, not from within a connection's callback.
+    wait_ = gateway_.loop.timers().after(Duration(0), [this] { place(); });
+}
+
+auto RequestRun::leaveReplica(bool keepConnection) -> void
+{
+    silence_.cancel();
+    if (grantedBy_)
+        grantedBy_->release(facts_.attempt);
+    grantedBy_ = nullptr;
+    if (!connection_)
+        return;
+    replica_->ended();
+    if (!keepConnection)
+        connection_->abort();
+    // Handed on from the loop: this may run within the connection's own callback.
+    gateway_.deferred.add([held = std::move(connection_), replica = replica_] { replica->pool().giveBack(held); });
+    connection_.reset();
+}
+
+auto RequestRun::onTimeUp() -> void
+{
+    const auto self = shared_from_this();
+    if (connection_) {
+        ++runs_;
+        leaveReplica(false);
+    }
+    if (told_ == Told::Streaming) {
+        caller_->abort();
+        return finish(gatewayTimeout, "broken_off", "time up");
+    }
+    if (runs_ > 0)
+        return fail(gatewayTimeout, "time up");
+    refuse("time up", retryWhenUnknown);
+}
+
+auto RequestRun::onCallerGone() -> void
+{
+    const auto self = shared_from_this();
+    if (connection_)
+        leaveReplica(false);
+    finish(0, "caller_gone", {});
+}
+
+auto RequestRun::refuse(std::string_view why, milliseconds retryAfter) -> void
+{
+    told_ = Told::Whole;
+    caller_->respond({ unavailable, hosting::ownFields(facts_.attempt, retryAfter) }, {});
+    finish(unavailable, "refused", why);
+}
+
+auto RequestRun::fail(int status, std::string_view why) -> void
+{
+    told_ = Told::Whole;
+    caller_->respond({ status, hosting::ownFields(facts_.attempt, std::nullopt) }, {});
+    finish(status, "failed", why);
+}
+
+/// Nothing more can be tried: says so, as truly as it is known.
+auto RequestRun::giveUp(std::string_view why) -> void
+{
+    if (told_ == Told::Streaming) {
+        caller_->abort();
+        return finish(badGateway, "broken_off", why);
+    }
+    if (runs_ > 0)
+        return fail(badGateway, why);
+    refuse(why, retryWhenUnknown);
+}
+
+auto RequestRun::finish(int status, std::string_view outcome, std::string_view why) -> void
+{
+    if (std::exchange(over_, true))
+        return;
+    end_.cancel();
+    silence_.cancel();
+    wait_.cancel();
+    if (grantedBy_)
+        grantedBy_->release(facts_.attempt);
+    grantedBy_ = nullptr;
+    const auto now = gateway_.now();
+    const auto name = route_ ? route_->name.str() : std::string("none");
+    log::info("request over",
+        { { "request", facts_.attempt.str() }, { "route", name }, { "outcome", std::string(outcome) },
+            { "status", std::to_string(status) }, { "reason", std::string(why) },
+            { "replica", replica_ ? replica_->id().str() : "" }, { "sends", std::to_string(sends_) },
+            { "runs", std::to_string(runs_) }, { "took_ms", text(now - beganAt_) },
+            { "first_ms", firstAt_ == Moment() ? "" : text(firstAt_ - beganAt_) } });
+    const auto member = MemberId(service_.str());
+    gateway_.metrics.observe("eelgrass_request_seconds", member, RequestClass(name), now - beganAt_);
+    gateway_.metrics.count("eelgrass_requests_total",
+        { { "class", name }, { "outcome", std::string(outcome) }, { "status", std::to_string(status) } });
+    // The promise of an admission may be running this very code.
+    gateway_.deferred.add([self = shared_from_this()] { self->admission_ = nullptr; });
+}
+
+auto RequestRun::logDecision(std::string_view event, std::string_view why) const -> void
+{
+    const auto* agent = replica_ ? replica_->agent() : nullptr;
+    const auto age = agent && agent->state().at != Moment() ? text(gateway_.now() - agent->state().at) : "";
+    log::info(event,
+        { { "request", facts_.attempt.str() }, { "replica", replica_ ? replica_->id().str() : "" },
+            { "adapter", facts_.adapter.str() }, { "reason", std::string(why) }, { "state_age_ms", age },
+            { "left_ms", text(timeLeft()) } });
+}
+
+} // namespace eelgrass::serving
--- /dev/null
+++ b/packages/serving/RequestRun.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "platform/RequestHeaders.h"
+#include "serving/CallerConnection.h"
+#include "serving/EventSplitter.h"
+#include "serving/Gateway.h"
+#include "serving/ReplicaLeg.h"
+
+#include <memory>
+#include <set>
+#include <string>
+
+namespace eelgrass::serving {
+
+/// One attempt of a client, from its whole request to the end of its answer: route, place, admit, send, relay, and what
+/// may still be tried when something fails.
+///
+/// It keeps itself alive by the callbacks it has registered, and ends by dropping them.
+class RequestRun : public std::enable_shared_from_this<RequestRun> {
+public:
+    RequestRun(Gateway& gateway, std::shared_ptr<CallerConnection> caller, wire::HttpRequestMessage request);
+    auto start() -> void;
+
+private:
+    /// What of the answer the client has.
+    enum class Told { Nothing, Streaming, Whole };
+
+    // The way to a replica.
+    [[nodiscard]] auto readRequest() -> bool;
+    auto place() -> void;
+    [[nodiscard]] auto choose() -> ReplicaPtr;
+    [[nodiscard]] auto viewOf(const ReplicaPtr& replica, Duration fastest) const -> decisions::ReplicaView;
+    auto waitForPlace() -> void;
+    auto admit() -> void;
+    auto admitted(const AdmitResult& result) -> void;
+    auto abandonAdmission(std::string_view why) -> void;
+    auto send(std::optional<AdapterVersion> version) -> void;
+
+    // What comes back.
+    auto onHead(const wire::HttpResponseHead& head) -> void;
+    auto onBody(std::string_view bytes) -> void;
+    auto onEvents(std::string_view bytes) -> void;
+    auto tellEvent(const StreamEvent& event) -> bool;
+    auto onDone() -> void;
+    auto onFault(LegFault fault) -> void;
+    auto onNotRun(std::string_view why) -> void;
+    auto onSilence() -> void;
+    auto armSilence() -> void;
+
+    // What may still be tried.
+    [[nodiscard]] auto mayRunAgain() const -> bool;
+    auto again(std::string_view why) -> void;
+    auto leaveReplica(bool keepConnection) -> void;
+
+    // The end.
+    auto onTimeUp() -> void;
+    auto onCallerGone() -> void;
+    auto refuse(std::string_view why, milliseconds retryAfter) -> void;
+    auto fail(int status, std::string_view why) -> void;
+    auto giveUp(std::string_view why) -> void;
+    auto finish(int status, std::string_view outcome, std::string_view why) -> void;
+    auto logDecision(std::string_view event, std::string_view why) const -> void;
+    [[nodiscard]] auto timeLeft() const -> Duration;
+
+    Gateway& gateway_;
+    std::shared_ptr<CallerConnection> caller_;
+    wire::HttpRequestMessage request_;
+    RequestFacts facts_;
+    std::shared_ptr<const ServingConfiguration> configuration_;
+    const RouteRecord* route_ = nullptr;
+    ServiceName service_;
+    Moment beganAt_ {};
+    Moment lateAt_ {};
+    Moment endAt_ {};
+    Tokens sharedTokens_ = 0;
+    std::uint64_t sharedId_ = 0;
+
+    ReplicaPtr replica_;
+    std::set<InstanceId> tried_;
+    kj::Maybe<kj::Promise<void>> admission_;
+    AgentLink* grantedBy_ = nullptr;
+    std::shared_ptr<ReplicaConnection> connection_;
+    wire::HttpResponseHead head_;
+    std::string body_;
+    EventSplitter events_;
+    std::optional<std::uint64_t> lastEvent_;
+    bool streaming_ = false;
+    bool firstEventSeen_ = false;
+    std::uint32_t sends_ = 0;
+    /// Sends after which the replica may have run the request.
+    std::uint32_t runs_ = 0;
+    Moment sentAt_ {};
+    Moment firstAt_ {};
+    Told told_ = Told::Nothing;
+    bool over_ = false;
+    Timer end_;
+    Timer silence_;
+    Timer wait_;
+};
+
+} // namespace eelgrass::serving
--- /dev/null
+++ b/packages/serving/Settings.cpp
@@ -0,0 +1,101 @@
+#include "serving/Settings.h"
+
+namespace eelgrass::serving {
+
+namespace {
+
+constexpr auto maxPort = std::uint32_t(65535);
+
+auto readEndpoint(MapReader& reader, const std::string& key, Endpoint& into) -> void
+{
+    auto text = std::string();
+    reader.read(key, text, true);
+    if (text.empty())
+        return;
+    if (const auto endpoint = parseEndpoint(text))
+        into = *endpoint;
+    else
+        reader.noteAt(key, "must be ADDRESS:PORT");
+}
+
+auto readHost(MapReader& reader, HostSettings& host) -> void
+{
+    auto zone = std::string();
+    reader.read("name", host.name, true);
+    reader.read("availability_zone", zone, true);
+    host.zone = AvailabilityZone(zone);
+    readEndpoint(reader, "store", host.store);
+    reader.read("address", host.address, true);
+    reader.number("agent_port", host.agentPort, 1, maxPort, true);
+    reader.number("metrics_port", host.metricsPort, 0, maxPort);
+    reader.read("log_level", host.logLevel);
+}
+
+auto readSeeds(MapReader& reader, std::vector<Endpoint>& seeds) -> void
+{
+    auto list = std::vector<std::string>();
+    reader.read("seeds", list);
+    for (const auto& text : list) {
+        if (const auto endpoint = parseEndpoint(text))
+            seeds.push_back(*endpoint);
+        else
+            reader.noteAt("seeds", "must be a list of ADDRESS:PORT");
+    }
+}
+
+auto readMilliseconds(MapReader& reader, const std::string& key, milliseconds& into) -> void
+{
+    constexpr auto longest = std::uint32_t(600000);
+    auto value = static_cast<std::uint32_t>(into.count());
+    reader.number(key, value, 0, longest);
+    into = milliseconds(value);
+}
+
+/// Parses the file and runs `read` on its top level.
+template <typename T, typename Read>
+auto parseWith(const std::string& yaml, std::string_view file, Read&& read) -> Checked<T>
+{
+    auto checked = Checked<T>();
+    try {
+        auto reader = MapReader(YAML::Load(yaml), {}, std::string(file), checked.problems);
+        read(reader, checked.value);
+        reader.finish();
+    } catch (const YAML::Exception& error) {
+        checked.problems.push_back({ std::string(file), error.mark.line + 1, {}, error.msg });
+    }
+    return checked;
+}
+
+} // namespace
+
+auto parseGatewaySettings(const std::string& yaml, std::string_view file) -> Checked<GatewaySettings>
+{
+    return parseWith<GatewaySettings>(yaml, file, [](MapReader& reader, GatewaySettings& settings) {
+        readHost(reader, settings.host);
+        readEndpoint(reader, "clients", settings.clients);
+        readEndpoint(reader, "readiness", settings.readiness);
+        readEndpoint(reader, "peers", settings.peers);
+        readSeeds(reader, settings.seeds);
+        reader.read("retry_ratio", settings.retries.ratio);
+        reader.read("retry_slack", settings.retries.slack);
+        auto window = milliseconds(10000);
+        readMilliseconds(reader, "retry_window_ms", window);
+        settings.retries.window = window;
+        readMilliseconds(reader, "grace_ms", settings.grace);
+        readMilliseconds(reader, "zone_penalty_ms", settings.zonePenalty);
+    });
+}
+
+auto parseAgentSettings(const std::string& yaml, std::string_view file) -> Checked<AgentSettings>
+{
+    return parseWith<AgentSettings>(yaml, file, [](MapReader& reader, AgentSettings& settings) {
+        readHost(reader, settings.host);
+        readEndpoint(reader, "replica", settings.replica);
+        auto service = std::string();
+        reader.read("service", service);
+        settings.service = ServiceName(service);
+        readMilliseconds(reader, "grace_ms", settings.grace);
+    });
+}
+
+} // namespace eelgrass::serving
--- /dev/null
+++ b/packages/serving/Settings.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "base/SettingsReader.h"
+#include "decisions/SharedRetryBudget.h"
+#include "serving/Types.h"
+
+#include <string>
+#include <vector>
+
+namespace eelgrass::serving {
+
+/// What both roles on the users' machines are told at their start.
+struct HostSettings {
+    std::string name;
+    AvailabilityZone zone;
+    /// The platform's store.
+    Endpoint store;
+    /// Address of this host, and the port at which agents are found on every host.
+    std::string address;
+    std::uint16_t agentPort = 0;
+    /// Where counters and histograms are served.
+    std::uint16_t metricsPort = 0;
+    std::string logLevel = "INFO";
+};
+
+/// Settings of `--role=gateway`.
+struct GatewaySettings {
+    HostSettings host;
+    /// Where clients, the readiness probe and other entries come in.
+    Endpoint clients;
+    Endpoint readiness;
+    Endpoint peers;
+    /// Entries to ask for what the store does not tell.
+    std::vector<Endpoint> seeds;
+    decisions::RetryBounds retries;
+    /// How long a planned stop may take.
+    milliseconds grace { 8000 };
+    /// What a request to a replica in another zone costs, as a time.
+    milliseconds zonePenalty { 20 };
+};
+
+/// Settings of `--role=agent`.
+struct AgentSettings {
+    HostSettings host;
+    /// The replica on this host, and the service that it belongs to.
+    Endpoint replica;
+    ServiceName service;
+    milliseconds grace { 8000 };
+};
+
+[[nodiscard]] auto parseGatewaySettings(const std::string& yaml, std::string_view file) -> Checked<GatewaySettings>;
+[[nodiscard]] auto parseAgentSettings(const std::string& yaml, std::string_view file) -> Checked<AgentSettings>;
+
+} // namespace eelgrass::serving
--- /dev/null
+++ b/packages/serving/TextServer.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "serving/CallerConnection.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace eelgrass::serving {
+
+/// Serves small texts by path: readiness, metrics.
+class TextServer {
+public:
+    struct Answer {
+        int status = 200;
+        std::string text;
+    };
+    using Handler = std::function<Answer(std::string_view path)>;
+
+    TextServer(TimerService& timers, const Endpoint& endpoint, Handler handler);
+
+    [[nodiscard]] auto port() const noexcept -> std::uint16_t { return listener_.port(); }
+
+private:
+    auto accept(wire::ObjectPtr<GSocket> socket) -> void;
+
+    TimerService& timers_;
+    Handler handler_;
+    std::map<CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
+    wire::TcpListener listener_;
+};
+
+} // namespace eelgrass::serving
--- /dev/null
+++ b/packages/serving/Types.h
@@ -0,0 +1,149 @@
+#pragma once
+
+#include "base/Clock.h"
+#include "base/Ids.h"
+#include "wire/HttpReader.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace eelgrass::serving {
+
+using std::chrono::milliseconds;
+
+using ServiceName = StrongId<struct ServiceNameTag>;
+using RouteName = StrongId<struct RouteNameTag>;
+/// One start of a replica; a restart is another one.
+using InstanceId = StrongId<struct InstanceIdTag>;
+/// Within its base model; empty for the base model itself.
+using AdapterName = AdapterId;
+using BaseModel = StrongId<struct BaseModelTag>;
+using Tokens = std::uint64_t;
+
+/// An IP address and a port.
+struct Endpoint {
+    std::string address;
+    std::uint16_t port = 0;
+
+    [[nodiscard]] auto str() const -> std::string { return address + ":" + std::to_string(port); }
+    friend auto operator<=>(const Endpoint&, const Endpoint&) = default; // NOLINT(modernize-use-nullptr)
+};
+
+/// Reads `address:port`; empty for anything else.
+[[nodiscard]] auto parseEndpoint(std::string_view text) -> std::optional<Endpoint>;
+
+/// What may be repeated.
+enum class Repeat {
+    /// May run more than once.
+    Idempotent,
+    /// At most one run for each attempt of a client.
+    Once,
+};
+
+/// Where requests of one host and path prefix go, and how.
+struct RouteRecord {
+    struct Share {
+        ServiceName service;
+        std::uint32_t weight = 1;
+    };
+
+    RouteName name;
+    std::string host;
+    /// Begins and ends with a slash.
+    std::string prefix;
+    Repeat repeat = Repeat::Once;
+    /// The answer is a series of events.
+    bool streamed = false;
+    /// A broken stream may go on elsewhere after the last event that came.
+    bool resumable = false;
+    milliseconds timeout { 10000 };
+    /// Within this the answer, or its first event, is on time.
+    milliseconds aim { 1000 };
+    /// Longest pause between two events of a stream that is still on time.
+    milliseconds pauseAim { 300 };
+    /// 0 is the most urgent.
+    std::uint32_t priority = 5;
+    /// Replicas that one attempt of a client may run on.
+    std::uint32_t maxRuns = 1;
+    std::vector<Share> shares;
+
+    /// Whether a request that may have run may be sent again.
+    [[nodiscard]] auto repeatable() const noexcept -> bool { return repeat == Repeat::Idempotent || resumable; }
+};
+
+/// What is known of the model engines behind a service.
+struct EngineTraits {
+    std::uint32_t batch = 1;
+    Tokens memory = 0;
+    std::uint32_t adapterSlots = 0;
+    double weightsMiB = 0;
+    /// Loads of base models that the weight store allows in a second, over all replicas.
+    double loadsPerSecond = 1;
+    std::vector<BaseModel> models;
+};
+
+struct ServiceRecord {
+    ServiceName name;
+    std::string healthPath = "/health";
+    /// Connections that one replica takes from all callers together.
+    std::uint32_t connectionLimit = 100;
+    std::optional<EngineTraits> engine;
+};
+
+/// What a client may send, and how long it may take.
+struct CallerLimits {
+    wire::HttpLimits http;
+    milliseconds headerTime { 10000 };
+    milliseconds idleTime { 30000 };
+};
+
+/// One accepted configuration; it never changes.
+struct ServingConfiguration {
+    ConfigVersion version;
+    std::vector<RouteRecord> routes;
+    std::map<ServiceName, ServiceRecord> services;
+    CallerLimits limits;
+    /// As the operator wrote it, to be handed to peers.
+    std::string text;
+};
+
+enum class ReplicaPhase { Ready, Draining };
+
+/// A replica as the platform's list has it.
+struct ReplicaRecord {
+    InstanceId instance;
+    ServiceName service;
+    Endpoint endpoint;
+    AvailabilityZone zone;
+    ReplicaPhase phase = ReplicaPhase::Ready;
+    /// Requests at once.
+    std::uint32_t slots = 1;
+    bool hasBaseModel = false;
+    std::map<AdapterName, AdapterVersion> adapters;
+};
+
+/// One shared part of a prompt.
+struct PromptPart {
+    std::string id;
+    Tokens tokens = 0;
+};
+
+/// What a client said of its request.
+struct RequestFacts {
+    AttemptId attempt;
+    /// How long the client will wait, from its sending.
+    std::optional<milliseconds> deadline;
+    BaseModel model;
+    AdapterName adapter;
+    Tokens promptTokens = 0;
+    Tokens outputTokens = 0;
+    std::vector<PromptPart> prompt;
+    /// The last event that the client has already.
+    std::optional<std::uint64_t> lastEvent;
+};
+
+} // namespace eelgrass::serving
--- /dev/null
+++ b/packages/wire/Agent.capnp
@@ -0,0 +1,105 @@
+@0xd4a7e0b2c95f1683;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("eelgrass::wire::schema");
+
+struct AdapterOnReplica {
+  name @0 :Text;
+  version @1 :UInt64;
+}
+
+# What the process beside a replica knows of it, pushed on changes and as a heartbeat.
+struct ReplicaState {
+  instance @0 :Text;
+  # Whether the replica answers and holds its base model.
+  usable @1 :Bool;
+  resident @2 :List(AdapterOnReplica);
+  # Ordered and not yet there.
+  loading @3 :List(Text);
+  running @4 :UInt32;
+  queued @5 :UInt32;
+  # Prompt tokens of granted requests that have not begun to answer, and of queued ones.
+  tokensAhead @6 :UInt64;
+  # Memory that running requests take, in tokens.
+  memoryUsed @7 :UInt64;
+  # Slots that are free or whose adapter nobody uses.
+  spareSlots @8 :UInt32;
+  # Highest configuration that any entry told of, and where to ask for it.
+  configVersion @9 :UInt64;
+  configHolder @10 :Text;
+  # Adapters that wait for a slot.
+  loadsWaiting @11 :UInt32;
+}
+
+struct AdmitRequest {
+  attempt @0 :Text;
+  # Empty for the base model.
+  adapter @1 :Text;
+  # The lowest version that may run.
+  version @2 :UInt64;
+  promptTokens @3 :UInt64;
+  # Of these, parts that other requests share.
+  sharedTokens @4 :UInt64;
+  # Names those shared parts.
+  sharedId @5 :UInt64;
+  outputTokens @6 :UInt64;
+  priority @7 :UInt32;
+  # Time left until the first event is late, and until the caller is gone, in milliseconds.
+  aimMs @8 :UInt32;
+  leftMs @9 :UInt32;
+}
+
+struct AdmitAnswer {
+  granted @0 :Bool;
+  # The version that the replica holds; to be expected from it.
+  version @1 :UInt64;
+  # When another try could succeed; set when not granted.
+  retryAfterMs @2 :UInt32;
+  reason @3 :Text;
+  instance @4 :Text;
+}
+
+# A request that runs on the replica under a grant that an earlier process gave, or that nobody gave.
+struct RunningRequest {
+  attempt @0 :Text;
+  adapter @1 :Text;
+  promptTokens @2 :UInt64;
+  outputTokens @3 :UInt64;
+}
+
+struct EngineLimits {
+  service @0 :Text;
+  batch @1 :UInt32;
+  memory @2 :UInt64;
+  adapterSlots @3 :UInt32;
+  baseModel @4 :Text;
+}
+
+# Offered by an entry to the processes beside replicas.
+interface ReplicaListener {
+  changed @0 (state :ReplicaState);
+}
+
+interface AgentSession {
+  # Answered when the request may be sent to the replica, or when it is known that it cannot be in time. Dropping the
+  # call takes the request out of the queue.
+  admit @0 (request :AdmitRequest) -> (answer :AdmitAnswer);
+  # The first event came: the prompt has been read.
+  started @1 (attempt :Text);
+  # The request is over at the replica, or was never sent.
+  release @2 (attempt :Text);
+  # This entry is at this configuration; `limits` are its figures for the replica's service.
+  configured @3 (version :UInt64, holder :Text, limits :List(EngineLimits));
+}
+
+# The bootstrap of the process beside a replica.
+interface Agent {
+  attach @0 (entry :Text, listener :ReplicaListener, running :List(RunningRequest)) -> (session :AgentSession);
+}
+
+# The bootstrap of an entry, for other entries that cannot read the platform's store.
+interface EntryPeer {
+  # Whatever is newer than the version that the caller has: the configuration's text, the list of replicas, and the
+  # versions of adapters.
+  snapshot @0 (haveConfig :UInt64) -> (config :Text, replicas :Text, adapterVersions :Text);
+}
--- a/packages/wire/MainLoop.cpp
+++ b/packages/wire/MainLoop.cpp
@@ -136,4 +136,14 @@
     g_unix_signal_add(SIGINT, call, this);
 }
 
+auto MainLoop::onReloadSignal(std::function<void()> handler) -> void
+{
+    reloadHandler_ = std::move(handler);
+    auto call = [](gpointer self) -> gboolean {
+        static_cast<MainLoop*>(self)->reloadHandler_();
+        return G_SOURCE_CONTINUE;
+    };
+    g_unix_signal_add(SIGHUP, call, this);
+}
+
 } // namespace eelgrass::wire
--- a/packages/wire/MainLoop.h
+++ b/packages/wire/MainLoop.h
@@ -59,6 +59,8 @@
     auto spawn(kj::Promise<void> task) -> void;
     /// Calls `handler` on SIGTERM and SIGINT.
     auto onStopSignal(std::function<void()> handler) -> void;
+    /// Calls `handler` on SIGHUP, which ends a process that has no handler for it.
+    auto onReloadSignal(std::function<void()> handler) -> void;
 
     /// Runs the loop until `promise` is settled; for tests and short programs, never inside a callback.
     template <typename T> auto wait(kj::Promise<T> promise) { return promise.wait(scope_); }
@@ -73,6 +75,7 @@
     TimerService timers_;
     guint timerSource_ = 0;
     std::function<void()> stopHandler_;
+    std::function<void()> reloadHandler_;
     int exitCode_ = 0;
     kj::TaskSet tasks_;
 };
--- a/packages/wire/Readiness.cpp
+++ b/packages/wire/Readiness.cpp
@@ -29,18 +29,25 @@
 
 } // namespace
 
-Watch::Watch(int socket)
+SocketWatch::SocketWatch(int socket, Callback callback)
     : socket_(socket)
+    , id_(++Readiness::ofThread().lastId_)
 {
     // Edge-triggered: registered once, no call to the kernel for each wait. Safe since a socket is always tried before
     // it is waited for, so that a report that nobody waited for is never missed.
-    auto event = epoll_event { .events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET, .data = { .ptr = this } };
+    auto event = epoll_event { .events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET, .data = { .u64 = id_ } };
     KJ_SYSCALL(epoll_ctl(Readiness::ofThread().epoll_, EPOLL_CTL_ADD, socket_, &event));
+    Readiness::ofThread().callbacks_.emplace(id_, std::move(callback));
 }
 
-Watch::~Watch()
+SocketWatch::~SocketWatch()
 {
     epoll_ctl(Readiness::ofThread().epoll_, EPOLL_CTL_DEL, socket_, nullptr);
+    Readiness::ofThread().callbacks_.erase(id_);
+}
+
+Watch::~Watch()
+{
     for (auto* waiter : { &reader_, &writer_, &hangup_ })
         breakOff(*waiter);
 }
@@ -90,13 +97,16 @@
 auto Readiness::dispatch(gint, GIOCondition, gpointer self) -> gboolean
 {
     auto events = std::array<epoll_event, eventsPerCall>();
-    const auto epoll = static_cast<Readiness*>(self)->epoll_;
-    // What does not fit into one call is reported in the next turn. Promises are only armed here, never run, so no
-    // watch is destroyed while its event is at hand.
-    const auto count = epoll_wait(epoll, events.data(), static_cast<int>(events.size()), 0);
+    auto& readiness = *static_cast<Readiness*>(self);
+    // What does not fit into one call is reported in the next turn.
+    const auto count = epoll_wait(readiness.epoll_, events.data(), static_cast<int>(events.size()), 0);
     for (auto index = 0; index < count; ++index) {
         const auto& event = events.at(static_cast<std::size_t>(index));
-        static_cast<Watch*>(event.data.ptr)->report(event.events);
+        const auto found = readiness.callbacks_.find(event.data.u64);
+        if (found == readiness.callbacks_.end())
+            continue;
+        const auto callback = found->second;
+        callback(event.events);
     }
     return G_SOURCE_CONTINUE;
 }
