--- a/packages/router/DaemonMain.cpp
+++ b/packages/router/DaemonMain.cpp
@@ -5,7 +5,12 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <execinfo.h>
+#include <unistd.h>
 
+#include <array>
+#include <cstdlib>
+#include <exception>
 #include <fstream>
 #include <iostream>
 #include <set>
@@ -23,6 +28,16 @@
 
 constexpr auto badUsage = 2;
 
+/// Leaves the call stack on standard error before the process ends: without it an abort says nothing of its cause.
+[[noreturn]] auto reportTerminate() -> void
+{
+    constexpr auto mostFrames = 64;
+    auto frames = std::array<void*, mostFrames>();
+    const auto count = backtrace(frames.data(), mostFrames);
+    backtrace_symbols_fd(frames.data(), count, STDERR_FILENO);
+    std::abort();
+}
+
 auto readFile(const std::string& name) -> std::optional<std::string>
 {
     auto file = std::ifstream(name);
@@ -89,6 +104,7 @@
 
 auto main(int argc, char** argv) -> int
 {
+    std::set_terminate(reportTerminate);
     absl::SetProgramUsageMessage(
         "The daemon of eelgrassrouter.\n\n  eelgrassrouterd --role=entry|target --settings=FILE [--check]");
     absl::ParseCommandLine(argc, argv);
--- a/packages/serving/AgentLink.cpp
+++ b/packages/serving/AgentLink.cpp
@@ -195,6 +195,7 @@
         for (auto index = 0U; index < engines.size(); ++index) {
             const auto& engine = *engines[index]->engine;
             limits[index].setService(engines[index]->name.str());
+            limits[index].setHealthPath(engines[index]->healthPath);
             limits[index].setBatch(engine.batch);
             limits[index].setMemory(engine.memory);
             limits[index].setAdapterSlots(engine.adapterSlots);
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -202,7 +202,7 @@
         if (settings_.service.str() != item.getService().cStr())
             continue;
         agent_.configure({ .batch = item.getBatch(), .memory = item.getMemory() }, item.getAdapterSlots(),
-            BaseModel(item.getBaseModel().cStr()));
+            BaseModel(item.getBaseModel().cStr()), item.getHealthPath().cStr());
     }
 }
 
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -19,6 +19,8 @@
 constexpr auto orderTimeout = Duration(300ms);
 // Adapters that one replica fetches at a time; what the engine takes.
 constexpr auto mostComing = std::size_t(4);
+// The check waits for a place in the replica's batch like any request.
+constexpr auto identityTimeout = Duration(1500ms);
 // Base models ordered by this host: all hosts together must stay under what the weight store allows.
 constexpr auto baseInterval = Duration(5s);
 constexpr auto fenceRetry = Duration(500ms);
@@ -55,8 +57,10 @@
     });
 }
 
-auto ReplicaAgent::configure(decisions::ReplicaLimits limits, std::size_t adapterSlots, const BaseModel& base) -> void
+auto ReplicaAgent::configure(decisions::ReplicaLimits limits, std::size_t adapterSlots, const BaseModel& base,
+    const std::string& healthPath) -> void
 {
+    healthPath_ = healthPath;
     queue_.setLimits(limits);
     base_ = base;
     if (slotCount_ == adapterSlots)
@@ -138,12 +142,8 @@
     });
     if (answer.status != ok || !read)
         return reportFailed("status " + std::to_string(answer.status));
-    const auto named = hosting::answeredBy(answer);
-    const auto restarted = (report_ && read->sequence < report_->sequence) || (!named.empty() && named != instance_);
-    if (restarted && report_)
+    if (report_ && read->sequence < report_->sequence)
         forgetReplica("restarted");
-    if (!named.empty())
-        instance_ = named;
     reportFailures_ = 0;
     if (!report_)
         log::info("replica regained", { { "sequence", std::to_string(read->sequence) } });
@@ -166,6 +166,26 @@
     reportTimer_ = loop_.timers().after(idleInterval, [this] { report(); });
 }
 
+auto ReplicaAgent::identify() -> void
+{
+    if (identifying_ || healthPath_.empty())
+        return;
+    identifying_ = true;
+    identityWork_ = replica_.call({ .target = healthPath_, .timeout = identityTimeout })
+                        .then(
+                            [this](wire::HttpAnswer&& answer) {
+                                identifying_ = false;
+                                instance_ = hosting::answeredBy(answer);
+                                log::info("replica identified", { { "replica", instance_.str() } });
+                                act();
+                            },
+                            [this](kj::Exception&& error) {
+                                identifying_ = false;
+                                log::warn("replica not identified", { { "reason", error.getDescription().cStr() } });
+                            })
+                        .eagerlyEvaluate(nullptr);
+}
+
 /// The replica's start that we knew is over: what it held, ran and was ordered is gone with it.
 auto ReplicaAgent::forgetReplica(std::string_view why) -> void
 {
@@ -267,7 +287,9 @@
     if (std::exchange(acting_, true))
         return;
     grant();
-    if (!ordering_ && fence_ == Fence::Held && report_) {
+    if (report_ && instance_.empty())
+        identify();
+    if (!ordering_ && fence_ == Fence::Held && report_ && !instance_.empty()) {
         if (auto next = nextOrder())
             order(std::move(*next));
     }
@@ -354,9 +376,7 @@
             { "sequence", std::to_string(order.precondition) }, { "status", std::to_string(answer.status) },
             { "reason", answer.status >= 300 ? answer.body.substr(0, 200) : std::string() } });
     if (outcome == hosting::OrderOutcome::OtherInstance) {
-        const auto named = hosting::answeredBy(answer);
-        if (!named.empty())
-            instance_ = named;
+        forgetReplica("another instance");
     }
     if (outcome == hosting::OrderOutcome::Fenced) {
         fence_ = Fence::Wanted;
--- a/packages/serving/ReplicaAgent.h
+++ b/packages/serving/ReplicaAgent.h
@@ -39,7 +39,8 @@
 
     auto start() -> void;
     /// What the configuration says of the replica's service.
-    auto configure(decisions::ReplicaLimits limits, std::size_t adapterSlots, const BaseModel& base) -> void;
+    auto configure(decisions::ReplicaLimits limits, std::size_t adapterSlots, const BaseModel& base,
+        const std::string& healthPath) -> void;
 
     /// Takes a request in; the decision comes by `onDecision`, maybe at once. `version` is the lowest that may run.
     auto admit(decisions::AdmissionRequest request, AdapterVersion version, std::uint64_t sharedId, Tokens sharedTokens)
@@ -68,6 +69,8 @@
     auto report() -> void;
     auto reported(const wire::HttpAnswer& answer) -> void;
     auto reportFailed(const std::string& reason) -> void;
+    /// Asks the replica which instance it is; orders name it, so that none reaches the one after a restart.
+    auto identify() -> void;
     auto forgetReplica(std::string_view why) -> void;
     auto synchronize() -> void;
 
@@ -90,6 +93,7 @@
     OnChange onChange_;
     wire::HttpCaller replica_;
     BaseModel base_;
+    std::string healthPath_;
     decisions::AdmissionQueue queue_;
     std::optional<decisions::AdapterSlots> slots_;
     std::size_t slotCount_ = 0;
@@ -110,6 +114,8 @@
     kj::Maybe<kj::Promise<void>> reportWork_;
     kj::Maybe<kj::Promise<void>> orderWork_;
     kj::Maybe<kj::Promise<void>> fenceWork_;
+    kj::Maybe<kj::Promise<void>> identityWork_;
+    bool identifying_ = false;
     Timer reportTimer_;
     Timer fenceTimer_;
     Timer expiry_;
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -60,7 +60,7 @@
                 if (self->connection_ && self->caller_->backlog() < mostBacklog)
                     self->connection_->resume();
             } });
-    end_ = gateway_.loop.timers().after(endAt_ - gateway_.now(), [this] { onTimeUp(); });
+    end_ = gateway_.loop.timers().after(endAt_ - gateway_.now(), guarded(&RequestRun::onTimeUp));
     place();
 }
 
@@ -97,6 +97,14 @@
     return true;
 }
 
+auto RequestRun::guarded(void (RequestRun::*step)()) -> std::function<void()>
+{
+    return [weak = weak_from_this(), step] {
+        if (const auto self = weak.lock())
+            ((*self).*step)();
+    };
+}
+
 auto RequestRun::timeLeft() const -> Duration { return endAt_ - gateway_.now(); }
 
 auto RequestRun::viewOf(const ReplicaPtr& replica, Duration fastest) const -> decisions::ReplicaView
@@ -176,7 +184,7 @@
         return giveUp(replicas.empty() ? "no replica" : "every replica refused or failed");
     if (now + placeAgain >= lateAt_)
         return giveUp("no replica free in time");
-    wait_ = gateway_.loop.timers().after(placeAgain, [this] { place(); });
+    wait_ = gateway_.loop.timers().after(placeAgain, guarded(&RequestRun::place));
 }
 
 auto RequestRun::admit() -> void
@@ -197,22 +205,40 @@
         .untilLate = left(lateAt_),
         .untilGone = left(endAt_) };
     grantedBy_ = agent;
+    // Answered from the loop: the run may end over the answer, and a promise must not be destroyed within its own call.
+    const auto number = ++admissions_;
     admission_ = agent->admit(order)
-                     .then([this](AdmitResult&& result) { admitted(result); })
-                     .eagerlyEvaluate([this](kj::Exception&&) { abandonAdmission("agent lost"); });
-    wait_ = gateway_.loop.timers().every(agentCheck, [this] {
-        if (!replica_->agent()->alive())
-            abandonAdmission("agent silent");
-        else if (replica_->leaving())
-            abandonAdmission("replica leaving");
-    });
+                     .then([this, number](AdmitResult&& result) {
+                         gateway_.deferred.add([self = shared_from_this(), result, number] {
+                             if (number == self->admissions_)
+                                 self->admitted(result);
+                         });
+                     })
+                     .eagerlyEvaluate([this, number](kj::Exception&&) {
+                         gateway_.deferred.add([self = shared_from_this(), number] {
+                             if (number == self->admissions_)
+                                 self->abandonAdmission("agent lost");
+                         });
+                     });
+    wait_ = gateway_.loop.timers().every(agentCheck, guarded(&RequestRun::checkAgent));
+}
+
+auto RequestRun::checkAgent() -> void
+{
+    if (!replica_->agent()->alive())
+        abandonAdmission("agent silent");
+    else if (replica_->leaving())
+        abandonAdmission("replica leaving");
 }
 
 auto RequestRun::admitted(const AdmitResult& result) -> void
 {
     wait_.cancel();
-    if (over_)
+    if (over_) {
+        if (result.granted)
+            replica_->agent()->release(facts_.attempt);
         return;
+    }
     if (result.granted) {
         const auto version = facts_.adapter.empty() ? std::nullopt : std::optional(result.version);
         return send(version);
@@ -226,22 +252,21 @@
     replica_ = choose();
     if (!replica_)
         return refuse(result.reason, result.retryAfter);
-    wait_ = gateway_.loop.timers().after(Duration(0), [this] { place(); });
+    wait_ = gateway_.loop.timers().after(Duration(0), guarded(&RequestRun::place));
 }
 
 auto RequestRun::abandonAdmission(std::string_view why) -> void
 {
     logDecision("admission abandoned", why);
+    ++admissions_;
+    wait_.cancel();
     if (grantedBy_)
         grantedBy_->release(facts_.attempt);
     grantedBy_ = nullptr;
     if (over_)
         return;
-    // Not from within the promise's own callback.
-    wait_ = gateway_.loop.timers().after(Duration(0), [this] {
-        admission_ = nullptr;
-        place();
-    });
+    admission_ = nullptr;
+    place();
 }
 
 auto RequestRun::send(std::optional<AdapterVersion> version) -> void
@@ -296,7 +321,7 @@
     if (!route_->repeatable() || runs_ + 1 >= route_->maxRuns || sends_ >= mostSends)
         return;
     const auto limit = firstEventSeen_ || streaming_ ? streamSilence : timeLeft() / 2;
-    silence_ = gateway_.loop.timers().after(limit, [this] { onSilence(); });
+    silence_ = gateway_.loop.timers().after(limit, guarded(&RequestRun::onSilence));
 }
 
 auto RequestRun::onSilence() -> void
@@ -446,7 +471,7 @@
     if (replica_)
         tried_.insert(replica_->id());
     // From the loop, not from within a connection's callback.
-    wait_ = gateway_.loop.timers().after(Duration(0), [this] { place(); });
+    wait_ = gateway_.loop.timers().after(Duration(0), guarded(&RequestRun::place));
 }
 
 auto RequestRun::leaveReplica(bool keepConnection) -> void
@@ -491,6 +516,7 @@
 
 auto RequestRun::refuse(std::string_view why, milliseconds retryAfter) -> void
 {
+    const auto self = shared_from_this();
     told_ = Told::Whole;
     caller_->respond({ unavailable, hosting::ownFields(facts_.attempt, retryAfter) }, {});
     finish(unavailable, "refused", why);
@@ -498,6 +524,7 @@
 
 auto RequestRun::fail(int status, std::string_view why) -> void
 {
+    const auto self = shared_from_this();
     told_ = Told::Whole;
     caller_->respond({ status, hosting::ownFields(facts_.attempt, std::nullopt) }, {});
     finish(status, "failed", why);
@@ -506,6 +533,7 @@
 /// Nothing more can be tried: says so, as truly as it is known.
 auto RequestRun::giveUp(std::string_view why) -> void
 {
+    const auto self = shared_from_this();
     if (told_ == Told::Streaming) {
         caller_->abort();
         return finish(badGateway, "broken_off", why);
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -33,6 +33,7 @@
     auto waitForPlace() -> void;
     auto admit() -> void;
     auto admitted(const AdmitResult& result) -> void;
+    auto checkAgent() -> void;
     auto abandonAdmission(std::string_view why) -> void;
     auto send(std::optional<AdapterVersion> version) -> void;
 
@@ -61,6 +62,8 @@
     auto finish(int status, std::string_view outcome, std::string_view why) -> void;
     auto logDecision(std::string_view event, std::string_view why) const -> void;
     [[nodiscard]] auto timeLeft() const -> Duration;
+    /// A timer's callback that holds the run while it is at work, since its last answer may let go of it.
+    [[nodiscard]] auto guarded(void (RequestRun::*step)()) -> std::function<void()>;
 
     Gateway& gateway_;
     std::shared_ptr<CallerConnection> caller_;
@@ -78,6 +81,8 @@
     ReplicaPtr replica_;
     std::set<InstanceId> tried_;
     kj::Maybe<kj::Promise<void>> admission_;
+    /// Counts admissions asked for, so that the answer to an abandoned one is told apart.
+    std::uint32_t admissions_ = 0;
     AgentLink* grantedBy_ = nullptr;
     std::shared_ptr<ReplicaConnection> connection_;
     wire::HttpResponseHead head_;
--- a/packages/wire/Agent.capnp
+++ b/packages/wire/Agent.capnp
@@ -73,6 +73,8 @@
   memory @2 :UInt64;
   adapterSlots @3 :UInt32;
   baseModel @4 :Text;
+  # Where the replica answers a health check, and names its instance.
+  healthPath @5 :Text;
 }
 
 # Offered by an entry to the processes beside replicas.
