--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -213,8 +213,8 @@
         .sharedId = sharedId_,
         .outputTokens = facts_.outputTokens,
         .priority = route_->priority,
-        .untilLate = left(lateAt_),
-        .untilGone = left(firstBy_) };
+        .untilLate = left(firstEventSeen_ ? now + Duration(route_->pauseAim) : lateAt_),
+        .untilGone = left(firstEventSeen_ ? std::min(endAt_, lastTold_ + patience(*route_)) : firstBy_) };
     grantedBy_ = agent;
     // Answered from the loop: the run may end over the answer, and a promise must not be destroyed within its own call.
     const auto number = ++admissions_;
@@ -397,6 +397,7 @@
         told_ = Told::Streaming;
         caller_->begin({ head_.status, hosting::returnedFields(head_) });
     }
+    lastTold_ = gateway_.now();
     caller_->piece(event.text);
     return true;
 }
@@ -529,6 +530,9 @@
 auto RequestRun::refuse(std::string_view why, milliseconds retryAfter) -> void
 {
     const auto self = shared_from_this();
+    // A refusal promises that the request has not run; where it may have, or part of its answer is out, that is untrue.
+    if (runs_ > 0 || told_ != Told::Nothing)
+        return giveUp(why);
     told_ = Told::Whole;
     caller_->respond({ unavailable, hosting::ownFields(facts_.attempt, retryAfter) }, {});
     finish(unavailable, "refused", why);
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -98,6 +98,7 @@
     std::uint32_t runs_ = 0;
     Moment sentAt_ {};
     Moment firstAt_ {};
+    Moment lastTold_ {};
     Told told_ = Told::Nothing;
     bool over_ = false;
     Timer end_;
