The serving layer in tests without the bench: stand-ins for the users' store and replicas, streams, calls, agents

Accepted connections keep their promise of the end beside them: destroying a role while one was open aborted the process, found by the test that stops an agent.

--- a/packages/ctl/CheckCommand.cpp
+++ b/packages/ctl/CheckCommand.cpp
@@ -12,14 +12,14 @@
 using Json = nlohmann::json;
 
 auto problemsOf(const std::string& role, const std::string& text, const std::string& file)
-    -> std::vector<router::SettingsProblem>
+    -> std::vector<SettingsProblem>
 {
     if (role == "target")
         return router::parseTargetSettings(text, file).problems;
     return router::parseEntrySettings(text, file).problems;
 }
 
-auto toJson(const std::vector<router::SettingsProblem>& problems) -> Json
+auto toJson(const std::vector<SettingsProblem>& problems) -> Json
 {
     auto list = Json::array();
     for (const auto& problem : problems)
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -132,12 +132,12 @@
     : loop_(loop)
     , settings_(std::move(settings))
     , metrics_(metricClasses)
-    , deferred_(loop.timers())
     , store_(loop.timers(), settings_.host.store)
     , agent_(
           loop, settings_, store_,
           [this](const AttemptId& attempt, const ReplicaAgent::Decision& decision) { decided(attempt, decision); },
           [this] { pushSoon(); })
+    , connections_(loop.timers())
 {
 }
 
@@ -145,11 +145,7 @@
 {
     listener_ = std::make_unique<wire::Listener>(
         settings_.host.address, settings_.host.agentPort, [this](kj::Own<wire::GlibStream> stream) {
-            const auto id = ++lastConnection_;
-            auto connection = std::make_unique<wire::Connection>(kj::mv(stream), kj::heap<Door>(*this));
-            loop_.spawn(
-                connection->closed().then([this, id] { deferred_.add([this, id] { connections_.erase(id); }); }));
-            connections_.emplace(id, std::move(connection));
+            connections_.add(std::make_unique<wire::Connection>(kj::mv(stream), kj::heap<Door>(*this)));
         });
     if (settings_.host.metricsPort != 0)
         metricsServer_ = std::make_unique<TextServer>(loop_.timers(),
--- a/packages/serving/AgentRole.h
+++ b/packages/serving/AgentRole.h
@@ -1,10 +1,9 @@
 #pragma once
 
-#include "base/DeferredCalls.h"
 #include "router/Metrics.h"
 #include "serving/ReplicaAgent.h"
 #include "serving/TextServer.h"
-#include "wire/Door.h"
+#include "wire/ConnectionSet.h"
 #include "wire/generated/Agent.capnp.h"
 
 #include <map>
@@ -23,6 +22,8 @@
     auto stop() -> void;
     auto reload(const AgentSettings& settings) -> void;
 
+    [[nodiscard]] auto port() const noexcept -> std::uint16_t { return listener_->port(); }
+
 private:
     class Door;
     class Session;
@@ -41,7 +42,6 @@
     wire::MainLoop& loop_;
     AgentSettings settings_;
     router::Metrics metrics_;
-    DeferredCalls deferred_;
     hosting::Store store_;
     ReplicaAgent agent_;
     std::map<AttemptId, Waiting> waiting_;
@@ -50,8 +50,7 @@
     std::string configHolder_;
     std::unique_ptr<wire::Listener> listener_;
     std::unique_ptr<TextServer> metricsServer_;
-    std::map<std::uint64_t, std::unique_ptr<wire::Connection>> connections_;
-    std::uint64_t lastConnection_ = 0;
+    wire::ConnectionSet connections_;
     Timer heartbeat_;
     Timer soon_;
 };
--- a/packages/serving/CallerConnection.h
+++ b/packages/serving/CallerConnection.h
@@ -50,6 +50,9 @@
     /// Breaks a streamed answer off, so that the client sees that it is not whole.
     auto abort() -> void;
 
+    /// Bytes as they stand, ahead of the answer.
+    auto write(std::string_view bytes) -> void { connection_.write(bytes); }
+
     [[nodiscard]] auto backlog() const noexcept -> std::size_t { return connection_.backlog(); }
     [[nodiscard]] auto serving() const noexcept -> bool { return serving_; }
     [[nodiscard]] auto peer() const -> const std::string& { return connection_.peer(); }
--- a/packages/serving/GatewayRole.cpp
+++ b/packages/serving/GatewayRole.cpp
@@ -51,6 +51,7 @@
     , configuration_(loop, store_, [this] { onConfiguration(); })
     , directory_(loop, store_, settings_.host.name, settings_.host.agentPort, { .onAgent = [this] { onAgent(); } })
     , gateway_ { loop, settings_, configuration_, directory_, metrics_, deferred_ }
+    , peerSessions_(loop.timers())
 {
 }
 
@@ -64,11 +65,7 @@
     });
     peers_ = std::make_unique<wire::Listener>(
         settings_.peers.address, settings_.peers.port, [this](kj::Own<wire::GlibStream> stream) {
-            const auto id = ++lastSession_;
-            auto session = std::make_unique<wire::Connection>(kj::mv(stream), kj::heap<Peer>(*this));
-            loop_.spawn(
-                session->closed().then([this, id] { deferred_.add([this, id] { peerSessions_.erase(id); }); }));
-            peerSessions_.emplace(id, std::move(session));
+            peerSessions_.add(std::make_unique<wire::Connection>(kj::mv(stream), kj::heap<Peer>(*this)));
         });
     serveMetrics();
     configuration_.start();
--- a/packages/serving/GatewayRole.h
+++ b/packages/serving/GatewayRole.h
@@ -3,6 +3,7 @@
 #include "serving/Gateway.h"
 #include "serving/RequestRun.h"
 #include "serving/TextServer.h"
+#include "wire/ConnectionSet.h"
 #include "wire/generated/Agent.capnp.h"
 
 #include <map>
@@ -26,6 +27,12 @@
     /// The settings file may have changed.
     auto reload(const GatewaySettings& settings) -> void;
 
+    [[nodiscard]] auto clientPort() const noexcept -> std::uint16_t { return clients_->port(); }
+    [[nodiscard]] auto readinessPort() const noexcept -> std::uint16_t { return readiness_->port(); }
+    [[nodiscard]] auto peerPort() const noexcept -> std::uint16_t { return peers_->port(); }
+    [[nodiscard]] auto ready() const -> bool;
+    [[nodiscard]] auto directory() const noexcept -> const ReplicaDirectory& { return directory_; }
+
 private:
     class Peer;
     auto accept(wire::ObjectPtr<GSocket> socket) -> void;
@@ -34,7 +41,6 @@
     auto askPeer(const Endpoint& peer, std::string_view why) -> void;
     auto askSeeds() -> void;
     auto learnFromPeer(wire::schema::EntryPeer::SnapshotResults::Reader answer, const std::string& peer) -> void;
-    [[nodiscard]] auto ready() const -> bool;
     auto serveMetrics() -> void;
     auto endIfIdle() -> void;
 
@@ -51,8 +57,7 @@
     std::unique_ptr<TextServer> readiness_;
     std::unique_ptr<TextServer> metricsServer_;
     std::unique_ptr<wire::Listener> peers_;
-    std::map<std::uint64_t, std::unique_ptr<wire::Connection>> peerSessions_;
-    std::uint64_t lastSession_ = 0;
+    wire::ConnectionSet peerSessions_;
     std::size_t nextSeed_ = 0;
     bool asking_ = false;
     /// Since when an entry is known to have a newer configuration.
--- a/packages/wire/HttpCaller.cpp
+++ b/packages/wire/HttpCaller.cpp
@@ -39,7 +39,8 @@
             return fail("no connection");
     }
     auto fields = call.fields;
-    fields.set("Host", address_ + ":" + std::to_string(port_));
+    if (fields.count("Host") == 0)
+        fields.add("Host", address_ + ":" + std::to_string(port_));
     auto text = requestHeadText(call.method, call.target, fields, call.body.size());
     connection_->write(text.append(call.body));
 }
--- /dev/null
+++ b/standins/ReplicaStandin.cpp
@@ -0,0 +1,184 @@
+#include "standins/ReplicaStandin.h"
+
+#include "platform/Names.h"
+
+#include <nlohmann/json.hpp>
+
+namespace eelgrass::standins {
+
+namespace {
+
+using Json = nlohmann::json;
+namespace names = hosting::names;
+
+constexpr auto base = "base";
+
+auto respond(const std::shared_ptr<serving::CallerConnection>& caller, int status, const std::string& body) -> void
+{
+    caller->respond({ .status = status }, body);
+}
+
+} // namespace
+
+ReplicaStandin::ReplicaStandin(
+    TimerService& timers, const std::string& address, std::string instance, std::string service)
+    : timers_(timers)
+    , address_(address)
+    , instance_(std::move(instance))
+    , service_(std::move(service))
+    , server_(timers, address, 0,
+          [this](const Caller& caller, wire::HttpRequestMessage request) { handle(caller, request); })
+{
+}
+
+auto ReplicaStandin::adapterNames() const -> std::vector<std::string>
+{
+    auto list = std::vector<std::string>();
+    for (const auto& [name, version] : adapters_)
+        list.push_back(name + "@" + std::to_string(version));
+    return list;
+}
+
+auto ReplicaStandin::entry(const std::string& state) const -> std::string
+{
+    auto models = Json::array();
+    if (hasModel_)
+        models.push_back({ { "name", base }, { "version", 1 }, { "adapters", adapterNames() } });
+    return Json { { "service", service_ }, { "address", endpoint().str() }, { "zone", "zone-1" }, { "slots", 8 },
+        { "state", state }, { "models", models }, { "sequence", sequence_ } }
+        .dump();
+}
+
+auto ReplicaStandin::restart(const std::string& instance) -> void
+{
+    instance_ = instance;
+    adapters_.clear();
+    sequence_ = 0;
+    highestFence_ = 0;
+    hasModel_ = false;
+    server_.resetAll();
+}
+
+auto ReplicaStandin::handle(const Caller& caller, const wire::HttpRequestMessage& request) -> void
+{
+    const auto path = request.path();
+    if (path == "/report")
+        return report(caller);
+    if (path == "/health") {
+        auto head = wire::HttpResponseHead { .status = 200 };
+        head.fields.add(names::instanceId, instance_);
+        return caller->respond(std::move(head), {});
+    }
+    if (path == "/order")
+        return order(caller, request);
+    runModel(caller, request);
+}
+
+auto ReplicaStandin::report(const Caller& caller) -> void
+{
+    auto models = Json::array();
+    if (hasModel_)
+        models.push_back({ { "name", base }, { "version", 1 }, { "adapters", adapterNames() } });
+    respond(caller, 200,
+        Json { { "models", models }, { "busy", false }, { "sequence", sequence_ }, { "queued", 0 }, { "running", 0 },
+            { "kvUsed", 0 } }
+            .dump());
+}
+
+auto ReplicaStandin::order(const Caller& caller, const wire::HttpRequestMessage& request) -> void
+{
+    if (request.fields.get(names::expectInstance) != instance_)
+        return respond(caller, 421, {});
+    orders_.push_back(request.body);
+    if (behaviour_.loseOrders) {
+        lostOrders_.push_back(request.body);
+        return;
+    }
+    respond(caller, carryOut(request.body), {});
+}
+
+auto ReplicaStandin::carryOut(const std::string& body) -> int
+{
+    const auto json = Json::parse(body);
+    const auto fence = json.at("fencingToken").get<std::uint64_t>();
+    if (fence < highestFence_)
+        return 412;
+    if (json.contains("precondition") && json.at("precondition") != sequence_)
+        return 409;
+    highestFence_ = fence;
+    ++sequence_;
+    const auto adapter = json.value("adapter", std::string());
+    if (json.at("operation") == "unload") {
+        adapters_.erase(adapter);
+        return 200;
+    }
+    if (adapter.empty()) {
+        hasModel_ = true;
+        return 202;
+    }
+    adapters_[adapter] = json.value("version", std::uint64_t(1));
+    crashed_ = crashed_ || adapters_.size() > slots_;
+    return 202;
+}
+
+auto ReplicaStandin::carryOutLost() -> void
+{
+    for (const auto& body : std::exchange(lostOrders_, {}))
+        (void)carryOut(body);
+}
+
+auto ReplicaStandin::answerHead(const wire::HttpRequestMessage& request, int status) const -> wire::HttpResponseHead
+{
+    auto head = wire::HttpResponseHead { .status = status };
+    head.fields.add(names::attemptId, request.fields.get(names::attemptId));
+    return head;
+}
+
+auto ReplicaStandin::runModel(const Caller& caller, const wire::HttpRequestMessage& request) -> void
+{
+    if (request.fields.get(names::expectInstance) != instance_)
+        return respond(caller, 421, {});
+    auto head = answerHead(request, behaviour_.status);
+    if (behaviour_.notRun) {
+        head.fields.add(names::notRun, "1");
+        return caller->respond(std::move(head), {});
+    }
+    const auto model = std::string(request.fields.get(names::model));
+    const auto slash = model.find('/');
+    const auto adapter = slash == std::string::npos ? std::string() : model.substr(slash + 1);
+    if (!adapter.empty() && !adapters_.contains(adapter))
+        return respond(caller, 421, {});
+    auto from = wire::decimal(request.fields.get(names::lastEventId)).value_or(0);
+    runs_.push_back({ std::string(request.fields.get(names::attemptId)), request.target, adapter, from, request.fields,
+        request.body });
+    head.fields.add(names::seal, "seal-of-" + instance_);
+    if (behaviour_.strangerFirst) {
+        auto stranger = wire::HttpResponseHead { .status = 200 };
+        stranger.fields.add(names::attemptId, "somebody-else");
+        stranger.fields.add(names::seal, "seal-of-" + instance_);
+        stranger.fields.add("Content-Length", "8");
+        caller->write(wire::responseHeadText(stranger) + "stranger");
+    }
+    if (model.empty())
+        return caller->respond(std::move(head), "body-of-" + instance_);
+    head.fields.add("Content-Type", "text/event-stream");
+    caller->begin(std::move(head));
+    auto then = behaviour_.then;
+    if (then != Behaviour::Then::Finish && behaviour_.times && (*behaviour_.times)-- <= 0)
+        then = Behaviour::Then::Finish;
+    const auto last = then == Behaviour::Then::Finish ? behaviour_.events : behaviour_.sent;
+    for (auto event = from + 1; event <= last; ++event)
+        caller->piece("id: " + std::to_string(event) + "\ndata: " + std::to_string(event) + "\n\n");
+    switch (then) {
+    case Behaviour::Then::Finish:
+        return caller->finish();
+    case Behaviour::Then::Reset:
+        // A reset overtakes what was sent just before it; the events have to be there first.
+        resets_.push_back(timers_.after(50ms, [caller] { caller->abort(); }));
+        return;
+    case Behaviour::Then::Silence:
+        caller->watch({ .onGone = [this] { ++cancelled_; } });
+    }
+}
+
+} // namespace eelgrass::standins
--- /dev/null
+++ b/standins/ReplicaStandin.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "standins/StoreStandin.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace eelgrass::standins {
+
+/// A replica of the users' platform: model requests as streams of events, orders, reports, health. Plain requests get a
+/// short body.
+class ReplicaStandin {
+public:
+    /// What it does with the next requests.
+    struct Behaviour {
+        /// Events of a stream, and how many it sends before it does what `then` says.
+        std::uint64_t events = 5;
+        std::uint64_t sent = 5;
+        enum class Then { Finish, Reset, Silence } then = Then::Finish;
+        /// How many more runs end as `then` says; the others finish. Shared by the replicas that were given it.
+        std::shared_ptr<int> times {};
+        /// Answers this status in place of running; with the mark that it has not run if `notRun`.
+        int status = 200;
+        bool notRun = false;
+        /// Sends an answer to a request that nobody asked before the right one.
+        bool strangerFirst = false;
+        /// Orders get no answer.
+        bool loseOrders = false;
+    };
+    /// A request that began to run.
+    struct Run {
+        std::string attempt;
+        std::string target;
+        std::string adapter;
+        std::uint64_t from = 0;
+        wire::HeaderFields fields;
+        std::string body;
+    };
+
+    ReplicaStandin(TimerService& timers, const std::string& address, std::string instance, std::string service);
+
+    [[nodiscard]] auto port() const noexcept -> std::uint16_t { return server_.port(); }
+    [[nodiscard]] auto endpoint() const -> serving::Endpoint { return { address_, port() }; }
+    [[nodiscard]] auto instance() const noexcept -> const std::string& { return instance_; }
+    /// Its entry in the platform's list.
+    [[nodiscard]] auto entry(const std::string& state = "ready") const -> std::string;
+    auto behave(Behaviour behaviour) -> void { behaviour_ = behaviour; }
+    [[nodiscard]] auto runs() const noexcept -> const std::vector<Run>& { return runs_; }
+    [[nodiscard]] auto orders() const noexcept -> const std::vector<std::string>& { return orders_; }
+    [[nodiscard]] auto crashed() const noexcept -> bool { return crashed_; }
+    /// Requests that were ended by their caller's close.
+    [[nodiscard]] auto cancelled() const noexcept -> std::size_t { return cancelled_; }
+    /// A new start at the same address: empty, with a new instance.
+    auto restart(const std::string& instance) -> void;
+    /// Carries out the orders whose answers were lost, as far as their conditions still hold.
+    auto carryOutLost() -> void;
+    auto server() noexcept -> LoopServer& { return server_; }
+
+private:
+    using Caller = std::shared_ptr<serving::CallerConnection>;
+    auto handle(const Caller& caller, const wire::HttpRequestMessage& request) -> void;
+    auto report(const Caller& caller) -> void;
+    auto order(const Caller& caller, const wire::HttpRequestMessage& request) -> void;
+    [[nodiscard]] auto carryOut(const std::string& body) -> int;
+    auto runModel(const Caller& caller, const wire::HttpRequestMessage& request) -> void;
+    auto answerHead(const wire::HttpRequestMessage& request, int status) const -> wire::HttpResponseHead;
+    [[nodiscard]] auto adapterNames() const -> std::vector<std::string>;
+
+    TimerService& timers_;
+    std::string address_;
+    std::string instance_;
+    std::string service_;
+    Behaviour behaviour_;
+    std::vector<Run> runs_;
+    std::vector<std::string> orders_;
+    std::vector<std::string> lostOrders_;
+    std::map<std::string, std::uint64_t> adapters_;
+    std::uint64_t sequence_ = 0;
+    std::uint64_t highestFence_ = 0;
+    std::size_t slots_ = 2;
+    bool hasModel_ = true;
+    bool crashed_ = false;
+    std::size_t cancelled_ = 0;
+    std::vector<Timer> resets_;
+    LoopServer server_;
+};
+
+} // namespace eelgrass::standins
--- /dev/null
+++ b/standins/StoreStandin.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "serving/CallerConnection.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace eelgrass::standins {
+
+/// A small HTTP server on the loop, for stand-ins: keeps connections, hands each request to a handler.
+class LoopServer {
+public:
+    using Handler = std::function<void(const std::shared_ptr<serving::CallerConnection>&, wire::HttpRequestMessage)>;
+
+    LoopServer(TimerService& timers, const std::string& address, std::uint16_t port, Handler handler);
+
+    [[nodiscard]] auto port() const noexcept -> std::uint16_t { return listener_->port(); }
+    /// Cuts every connection and takes no new ones until `open`.
+    auto close() -> void;
+    auto open() -> void;
+    /// Resets the connections that carry no request, or all of them.
+    auto resetAll() -> void;
+
+private:
+    TimerService& timers_;
+    std::string address_;
+    std::uint16_t port_;
+    Handler handler_;
+    std::map<serving::CallerConnection*, std::shared_ptr<serving::CallerConnection>> connections_;
+    std::unique_ptr<wire::TcpListener> listener_;
+};
+
+/// The users' platform's store, in memory: rows in tables, transactions, long polls.
+class StoreStandin {
+public:
+    explicit StoreStandin(TimerService& timers);
+
+    [[nodiscard]] auto port() const noexcept -> std::uint16_t { return server_.port(); }
+    [[nodiscard]] auto endpoint() const -> serving::Endpoint { return { "127.0.0.1", port() }; }
+    auto put(const std::string& table, const std::string& key, const std::string& value) -> void;
+    auto remove(const std::string& table, const std::string& key) -> void;
+    [[nodiscard]] auto value(const std::string& table, const std::string& key) const -> std::string;
+    /// Forgets what was changed so far: long polls from before get 410.
+    auto forgetHistory() -> void { forgotten_ = version_; }
+    /// Refuses every call with this status until set to 0.
+    auto refuseWith(int status) -> void { refusal_ = status; }
+    /// Carries out the next write and cuts the connection in place of an answer.
+    auto loseNextWrite() -> void { loseWrite_ = true; }
+    auto server() noexcept -> LoopServer& { return server_; }
+
+private:
+    struct Row {
+        std::string value;
+        std::uint64_t version = 0;
+        bool deleted = false;
+    };
+    struct Poll {
+        std::weak_ptr<serving::CallerConnection> caller;
+        std::string table;
+        std::uint64_t after = 0;
+        Timer timer;
+    };
+    using Caller = std::shared_ptr<serving::CallerConnection>;
+
+    auto handle(const Caller& caller, const wire::HttpRequestMessage& request) -> void;
+    auto read(const Caller& caller, const std::string& table, const std::string& from) -> void;
+    auto follow(const Caller& caller, const std::string& table, std::uint64_t after, Duration wait) -> void;
+    auto transact(const Caller& caller, const std::string& body) -> void;
+    auto answerPolls() -> void;
+    [[nodiscard]] auto changes(const std::string& table, std::uint64_t after) const -> std::string;
+
+    TimerService& timers_;
+    std::map<std::string, std::map<std::string, Row>> tables_;
+    std::vector<std::unique_ptr<Poll>> polls_;
+    std::uint64_t version_ = 1;
+    std::uint64_t forgotten_ = 0;
+    int refusal_ = 0;
+    bool loseWrite_ = false;
+    LoopServer server_;
+};
+
+} // namespace eelgrass::standins
--- /dev/null
+++ b/tests/harness/ServingWorld.cpp
@@ -0,0 +1,141 @@
+#include "tests/harness/ServingWorld.h"
+
+#include "platform/Names.h"
+
+#include <nlohmann/json.hpp>
+
+namespace eelgrass::tests {
+
+namespace {
+
+using Json = nlohmann::json;
+namespace names = hosting::names;
+
+auto engineAddress(std::size_t index) -> std::string { return "127.0.1." + std::to_string(index + 1); }
+
+auto route(const std::string& name, const std::string& kind, const std::string& service, bool resumable, int runs)
+    -> Json
+{
+    return { { "name", name }, { "host", "users.example" }, { "prefix", "/" + name + "/" }, { "kind", kind },
+        { "timeoutMs", 3000 }, { "targetLatencyMs", 800 }, { "gapAimMs", 300 }, { "priority", 1 },
+        { "service", service }, { "maxAttempts", runs }, { "resumable", resumable } };
+}
+
+} // namespace
+
+ServingWorld::ServingWorld(std::size_t engines, std::size_t plain)
+    : store_(loop_.timers())
+{
+    for (auto index = std::size_t(0); index < engines; ++index)
+        engines_.push_back(std::make_unique<standins::ReplicaStandin>(
+            loop_.timers(), engineAddress(index), "engine-" + std::to_string(index), "engine"));
+    for (auto index = std::size_t(0); index < plain; ++index)
+        plain_.push_back(std::make_unique<standins::ReplicaStandin>(
+            loop_.timers(), "127.0.0.1", "plain-" + std::to_string(index), "plain"));
+    configure(1);
+    publishReplicas();
+    for (auto index = std::size_t(0); index < engines; ++index)
+        startAgent(index);
+}
+
+ServingWorld::~ServingWorld() = default;
+
+auto ServingWorld::configure(std::uint64_t version, const std::string& onceService) -> void
+{
+    auto engine = Json { { "slots", 8 }, { "kvCapacity", 100000 }, { "adapterSlots", 2 }, { "weightsMb", 1000 },
+        { "loadsPerS", 2 }, { "models", { { { "name", "base" } } } } };
+    auto document = Json { { "version", version },
+        { "routes",
+            { route("resumable", "stream", "engine", true, 2), route("whole", "stream", "engine", false, 1),
+                route("safe", "idempotent", "plain", false, 2),
+                route("once", "non_idempotent", onceService, false, 1) } },
+        { "services",
+            { { { "name", "engine" }, { "healthPath", "/health" }, { "maxConns", 50 }, { "engine", engine } },
+                { { "name", "plain" }, { "healthPath", "/health" }, { "maxConns", 50 } } } },
+        { "limits",
+            { { "maxHeaderBytes", 4096 }, { "maxBodyBytes", 65536 }, { "headerTimeoutMs", 2000 },
+                { "idleTimeoutMs", 5000 } } } };
+    store_.put("op", "config", document.dump());
+}
+
+auto ServingWorld::publishReplicas() -> void
+{
+    for (const auto& replica : engines_)
+        store_.put("servers", replica->instance(), replica->entry());
+    for (const auto& replica : plain_)
+        store_.put("servers", replica->instance(), replica->entry());
+}
+
+auto ServingWorld::hostSettings(const std::string& name, const std::string& address) const -> serving::HostSettings
+{
+    return { .name = name,
+        .zone = AvailabilityZone("zone-1"),
+        .store = store_.endpoint(),
+        .address = address,
+        .agentPort = agentPort_ };
+}
+
+auto ServingWorld::startAgent(std::size_t index) -> void
+{
+    agents_.resize(std::max(agents_.size(), index + 1));
+    agents_[index] = std::make_unique<serving::AgentRole>(loop_,
+        serving::AgentSettings { .host = hostSettings("agent-" + std::to_string(index), engineAddress(index)),
+            .replica = engines_[index]->endpoint(),
+            .service = serving::ServiceName("engine") });
+    agents_[index]->start();
+    // Entries find every agent at the same port.
+    agentPort_ = agents_[index]->port();
+}
+
+auto ServingWorld::stopAgent(std::size_t index) -> void { agents_[index].reset(); }
+
+auto ServingWorld::startGateway(bool wait) -> serving::GatewayRole&
+{
+    auto settings = serving::GatewaySettings { .host = hostSettings("gateway", "127.0.0.1") };
+    settings.clients = settings.readiness = settings.peers = { "127.0.0.1", 0 };
+    for (const auto& gateway : gateways_)
+        settings.seeds.push_back({ "127.0.0.1", gateway->peerPort() });
+    gateways_.push_back(std::make_unique<serving::GatewayRole>(loop_, settings));
+    auto& gateway = *gateways_.back();
+    gateway.start();
+    if (wait)
+        until([&] {
+            const auto& replicas = gateway.directory().of(serving::ServiceName("engine"));
+            const auto spoken = std::all_of(replicas.begin(), replicas.end(), [](const auto& replica) {
+                return replica->agent() && replica->agent()->alive() && replica->agent()->state().usable;
+            });
+            return gateway.ready() && spoken && replicas.size() == engines_.size();
+        });
+    return gateway;
+}
+
+auto ServingWorld::begin(const Request& request) -> kj::Promise<wire::HttpAnswer>
+{
+    callers_.push_back(
+        std::make_unique<wire::HttpCaller>(loop_.timers(), "127.0.0.1", gateways_.front()->clientPort()));
+    auto call = wire::HttpCall { .method = request.method, .target = request.path, .body = request.body, .timeout = 5s };
+    call.fields = request.more;
+    call.fields.add("Host", "users.example");
+    call.fields.add(names::attemptId, request.attempt);
+    call.fields.add(names::deadline, std::to_string(request.deadlineMs));
+    const auto model = request.path.starts_with("/resumable/") || request.path.starts_with("/whole/");
+    if (model) {
+        call.fields.add(names::model, "base/" + request.adapter);
+        call.fields.add(names::tokenCount, "100,20");
+        call.fields.add(names::promptPrefix, "aa:60,bb:40");
+    }
+    return callers_.back()->call(std::move(call)).catch_([](kj::Exception&&) { return wire::HttpAnswer {}; });
+}
+
+auto ServingWorld::ask(const Request& request) -> wire::HttpAnswer { return loop_.wait(begin(request)); }
+
+auto ServingWorld::until(const std::function<bool()>& done) -> bool
+{
+    constexpr auto step = Duration(5ms);
+    constexpr auto most = 1000;
+    for (auto count = 0; count < most && !done(); ++count)
+        loop_.wait(loop_.sleep(step));
+    return done();
+}
+
+} // namespace eelgrass::tests
--- /dev/null
+++ b/tests/harness/ServingWorld.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "serving/Serving.h"
+#include "standins/ReplicaStandin.h"
+#include "standins/StoreStandin.h"
+#include "wire/HttpCaller.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace eelgrass::tests {
+
+/// The serving layer on the users' platform, in one process on one loop: the real roles against stand-ins that speak the
+/// published protocol, over loopback.
+///
+/// Routes: `/resumable/`, `/whole/` (streams that may and may not go on elsewhere), `/safe/`, `/once/` (plain).
+class ServingWorld {
+public:
+    /// Engine replicas, each on a loopback address of its own with an agent beside it, and plain replicas.
+    ServingWorld(std::size_t engines, std::size_t plain);
+    ~ServingWorld();
+    ServingWorld(const ServingWorld&) = delete;
+    auto operator=(const ServingWorld&) -> ServingWorld& = delete;
+
+    /// Starts one more gateway; returns when it is ready and its agents have spoken, or at once if not to `wait`.
+    auto startGateway(bool wait = true) -> serving::GatewayRole&;
+    auto engine(std::size_t index) -> standins::ReplicaStandin& { return *engines_.at(index); }
+    auto plain(std::size_t index) -> standins::ReplicaStandin& { return *plain_.at(index); }
+    auto store() -> standins::StoreStandin& { return store_; }
+    auto gateway(std::size_t index = 0) -> serving::GatewayRole& { return *gateways_.at(index); }
+    auto loop() -> wire::MainLoop& { return loop_; }
+    /// Agent beside an engine; none after `stopAgent`.
+    auto stopAgent(std::size_t index) -> void;
+    auto startAgent(std::size_t index) -> void;
+
+    /// A client's request to the first gateway, by a connection of its own.
+    struct Request {
+        std::string path = "/resumable/x";
+        std::string method = "POST";
+        std::string attempt = "attempt-1";
+        std::string adapter = "a1";
+        std::string body = "prompt";
+        std::uint64_t deadlineMs = 4000;
+        wire::HeaderFields more {};
+    };
+    /// The answer; status 0 for a connection that ended before the answer was whole.
+    [[nodiscard]] auto ask(const Request& request) -> wire::HttpAnswer;
+    [[nodiscard]] auto begin(const Request& request) -> kj::Promise<wire::HttpAnswer>;
+    /// Every client closes its connection.
+    auto leave() -> void { callers_.clear(); }
+    /// Runs the loop until `done`, five seconds at most.
+    auto until(const std::function<bool()>& done) -> bool;
+    auto publishReplicas() -> void;
+    auto configure(std::uint64_t version, const std::string& onceService = "plain") -> void;
+
+private:
+    [[nodiscard]] auto hostSettings(const std::string& name, const std::string& address) const -> serving::HostSettings;
+
+    wire::MainLoop loop_;
+    standins::StoreStandin store_;
+    std::vector<std::unique_ptr<standins::ReplicaStandin>> engines_;
+    std::vector<std::unique_ptr<standins::ReplicaStandin>> plain_;
+    std::vector<std::unique_ptr<serving::AgentRole>> agents_;
+    std::vector<std::unique_ptr<serving::GatewayRole>> gateways_;
+    std::vector<std::unique_ptr<wire::HttpCaller>> callers_;
+    std::uint16_t agentPort_ = 0;
+};
+
+} // namespace eelgrass::tests
