--- a/packages/decisions/ReplicaChoice.cpp
+++ b/packages/decisions/ReplicaChoice.cpp
@@ -17,6 +17,10 @@
 constexpr auto slotTime = Duration(900ms);
 // Each place of the batch that is taken slows all tokens a little; counted so that idle replicas come first.
 constexpr auto fullBatch = Duration(60ms);
+// A prompt from which on the steps that read it make the pauses of running streams too long: each reads a thousand of its
+// tokens and looks back at all before. Counted for each stream that runs there.
+constexpr auto longPrompt = std::uint64_t(12000);
+constexpr auto disturbance = Duration(60ms);
 // How far the favourite of an adapter's name may be behind the soonest: where the adapter is there or at hand, and where
 // it must be fetched. A fetch elsewhere costs all who wait for the store, so the favourite may be a good deal later.
 constexpr auto favour = Duration(20ms);
@@ -58,6 +62,8 @@
         start += slotTime;
     if (!replica.prompt)
         start += readTime(need.sharedTokens, need.readRate);
+    if (need.unreadTokens + need.sharedTokens >= longPrompt)
+        start += disturbance * replica.running;
     if (replica.zone != need.zone)
         start += need.zonePenalty;
     return share(replica.slowness, start + Duration(1ms));
--- a/packages/decisions/ReplicaChoice.h
+++ b/packages/decisions/ReplicaChoice.h
@@ -60,6 +60,9 @@
 /// Harm prevented: loads that nobody needed, the same adapter loaded at several replicas because several entries asked
 /// for it at the same moment, shared parts read anew at each replica, a popular adapter bound to one full replica.
 ///
+/// A prompt of many thousand tokens goes where few streams run: while it is read, each of their pauses grows beyond
+/// what their callers take for a break.
+///
 /// An adapter that nobody holds goes to the replica that its name favours, unless that one is much later than others.
 /// Entries that do not know of each other then ask the same one, and an adapter that comes back finds its weights still
 /// at hand there: on nine replicas of seven slots, with demand spread by Zipf's law over 3,000 adapters, that is nine
--- a/packages/serving/GatewayRole.cpp
+++ b/packages/serving/GatewayRole.cpp
@@ -183,6 +183,7 @@
     settings_.retries = settings.retries;
     settings_.grace = settings.grace;
     settings_.zonePenalty = settings.zonePenalty;
+    settings_.zonePenaltyPerKiB = settings.zonePenaltyPerKiB;
     log::info("settings reloaded", { { "seeds", std::to_string(settings_.seeds.size()) } });
 }
 
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -27,6 +27,8 @@
 constexpr auto demandHalfLife = Duration(15s);
 // An order that waits for runs at the replica is looked at anew after this; runs are over by then.
 constexpr auto pendingLimit = Duration(3s);
+// How old a report may be.
+constexpr auto reportLag = Duration(500ms);
 // After a conflict, so that a replica that is at work on another order is not asked in a circle.
 constexpr auto conflictRest = Duration(40ms);
 constexpr auto fenceRetry = Duration(500ms);
@@ -148,7 +150,11 @@
     });
     if (answer.status != ok || !read)
         return reportFailed("status " + std::to_string(answer.status));
-    if (report_ && read->sequence < report_->sequence)
+    // A report may be a little older than the answer to the last order; much later, fewer orders mean another start.
+    const auto fresh = loop_.timers().now() - orderedAt_ < reportLag;
+    if (report_ && read->sequence < report_->sequence && fresh)
+        read->sequence = report_->sequence;
+    else if (report_ && read->sequence < report_->sequence)
         forgetReplica("restarted");
     reportFailures_ = 0;
     if (!report_)
@@ -405,6 +411,11 @@
             { "sequence", std::to_string(order.precondition) }, { "status", std::to_string(answer.status) },
             { "reason", answer.status >= 300 ? answer.body.substr(0, 200) : std::string() } });
     const auto now = loop_.timers().now();
+    const auto counted = outcome == hosting::OrderOutcome::Accepted || outcome == hosting::OrderOutcome::Holds;
+    if (counted && report_) {
+        report_->sequence = std::max(report_->sequence, order.precondition + 1);
+        orderedAt_ = now;
+    }
     if (outcome == hosting::OrderOutcome::Accepted && unload)
         unloading_[order.adapter] = now;
     else if (outcome == hosting::OrderOutcome::Accepted && report_ && report_->resident.contains(order.adapter))
--- a/packages/serving/ReplicaAgent.h
+++ b/packages/serving/ReplicaAgent.h
@@ -105,6 +105,7 @@
     std::map<AdapterName, Moment> unloading_;
     std::map<AdapterName, Moment> replacing_;
     Moment ordersRestUntil_ {};
+    Moment orderedAt_ {};
     Timer orderRest_;
 
     Fence fence_ = Fence::Wanted;
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -22,6 +22,8 @@
 constexpr auto mostSends = 4U;
 // The answer must be on its way to the client before the client leaves.
 constexpr auto answerMargin = Duration(40ms);
+// A request is not sent with less than this left: the way there and back within a zone, and the least work.
+constexpr auto leastTime = Duration(10ms);
 // When no replica can be tried just now: one rests, or its agent is being reached.
 constexpr auto placeAgain = Duration(25ms);
 // An agent that says nothing is looked at this often.
@@ -115,6 +117,14 @@
     };
 }
 
+auto RequestRun::zonePenalty() const -> Duration
+{
+    constexpr auto kibibyte = 1024.0;
+    const auto size = static_cast<double>(request_.body.size()) / kibibyte;
+    const auto perKiB = std::chrono::duration<double, std::micro>(Duration(gateway_.settings.zonePenaltyPerKiB));
+    return Duration(gateway_.settings.zonePenalty) + std::chrono::duration_cast<Duration>(size * perKiB);
+}
+
 auto RequestRun::timeLeft() const -> Duration { return endAt_ - gateway_.now(); }
 
 auto RequestRun::viewOf(const ReplicaPtr& replica, Duration fastest) const -> decisions::ReplicaView
@@ -141,7 +151,8 @@
         return view;
     }
     const auto& state = agent->state();
-    view.usable = view.usable && state.usable;
+    // After a restart both starts of a replica are listed for a while, at one address and with one agent.
+    view.usable = view.usable && state.usable && state.instance == replica->id();
     view.running = std::max(state.running, replica->inFlight());
     view.holds = facts_.adapter.empty() || state.resident.contains(facts_.adapter);
     view.loading = state.loading.contains(facts_.adapter);
@@ -167,7 +178,7 @@
         .zone = gateway_.settings.host.zone,
         .unreadTokens = facts_.promptTokens - std::min(facts_.promptTokens, sharedTokens_),
         .sharedTokens = sharedTokens_,
-        .zonePenalty = gateway_.settings.zonePenalty };
+        .zonePenalty = zonePenalty() };
     const auto chosen = decisions::chooseReplica(views, need);
     return chosen ? replicas[*chosen] : nullptr;
 }
@@ -282,6 +293,9 @@
 
 auto RequestRun::send(std::optional<AdapterVersion> version) -> void
 {
+    // Not enough time to be an offer: it would be cut off at once, and then nobody could say that it has not run.
+    if (timeLeft() < leastTime)
+        return onTimeUp();
     const auto now = gateway_.now();
     auto& budget = gateway_.budget(service_);
     if (sends_ == 0)
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -62,6 +62,7 @@
     auto finish(int status, std::string_view outcome, std::string_view why) -> void;
     auto logDecision(std::string_view event, std::string_view why) const -> void;
     [[nodiscard]] auto timeLeft() const -> Duration;
+    [[nodiscard]] auto zonePenalty() const -> Duration;
     /// A timer's callback that holds the run while it is at work, since its last answer may let go of it.
     [[nodiscard]] auto guarded(void (RequestRun::*step)()) -> std::function<void()>;
 
--- a/packages/serving/Settings.cpp
+++ b/packages/serving/Settings.cpp
@@ -83,6 +83,7 @@
         settings.retries.window = window;
         readMilliseconds(reader, "grace_ms", settings.grace);
         readMilliseconds(reader, "zone_penalty_ms", settings.zonePenalty);
+        readMilliseconds(reader, "zone_penalty_per_kib_ms", settings.zonePenaltyPerKiB);
     });
 }
 
--- a/packages/serving/Settings.h
+++ b/packages/serving/Settings.h
@@ -35,8 +35,10 @@
     decisions::RetryBounds retries;
     /// How long a planned stop may take.
     milliseconds grace { 8000 };
-    /// What a request to a replica in another zone costs, as a time.
-    milliseconds zonePenalty { 20 };
+    /// What a request to a replica in another zone costs, as a time: the way there and back, and for each KiB of its
+    /// body. The users pay for bytes between zones about what four milliseconds of waiting are worth to them.
+    milliseconds zonePenalty { 5 };
+    milliseconds zonePenaltyPerKiB { 4 };
 };
 
 /// Settings of `--role=agent`.
