--- a/packages/base/Endpoint.h
+++ b/packages/base/Endpoint.h
@@ -14,7 +14,8 @@
     std::uint16_t port = 0;
 
     [[nodiscard]] auto str() const -> std::string { return address + ":" + std::to_string(port); }
-    friend auto operator<=>(const Endpoint&, const Endpoint&) = default; // NOLINT(modernize-use-nullptr)
+    friend auto operator<=>(const Endpoint&, const Endpoint&)
+        -> std::strong_ordering = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// Reads `address:port`; empty for anything else.
--- a/packages/decisions/AdapterSlots.h
+++ b/packages/decisions/AdapterSlots.h
@@ -70,8 +70,8 @@
     AdapterSlots(std::size_t count, SlotPolicy policy);
 
     /// What to do so that a request for `model` can run. Changes nothing.
-    [[nodiscard]] auto request(const ModelName& model, Moment now, const MemberId& member = {},
-        const Keep& keep = {}) const -> SlotAnswer;
+    [[nodiscard]] auto request(
+        const ModelName& model, Moment now, const MemberId& member = {}, const Keep& keep = {}) const -> SlotAnswer;
     /// Counts one request for `model` in its demand; once a request, when it is accepted.
     auto asked(const ModelName& model, Moment now) -> void { demand_.add(model, now); }
     /// Demand for the adapter that the next load would push out; 0 for a free slot, infinite if none can give way.
@@ -104,8 +104,7 @@
         bool used = false;
         MemberId member;
     };
-    [[nodiscard]] auto victim(Moment now, const MemberId& member, const Keep& keep) const
-        -> std::optional<ModelName>;
+    [[nodiscard]] auto victim(Moment now, const MemberId& member, const Keep& keep) const -> std::optional<ModelName>;
     [[nodiscard]] auto mayGiveWay(const Slot&, Moment now, const MemberId& member, bool onlyOwn) const -> bool;
     [[nodiscard]] auto value(const ModelName&, const Slot&, Moment now) const -> double;
     [[nodiscard]] auto heldBy(const MemberId&) const -> std::size_t;
--- a/packages/decisions/AdmissionQueue.cpp
+++ b/packages/decisions/AdmissionQueue.cpp
@@ -41,9 +41,9 @@
 {
     auto urgent = 0.0;
     for (const auto& [other, inflow] : inflow_) {
+        const auto age = static_cast<double>((now - inflow.at).count()) / static_cast<double>(inflowHalfLife.count());
         if (other < priority)
-            urgent += inflow.rate * std::exp2(-static_cast<double>((now - inflow.at).count())
-                / static_cast<double>(inflowHalfLife.count()));
+            urgent += inflow.rate * std::exp2(-age);
     }
     const auto share = std::max(leastShare, 1 - urgent / limits_.readRate);
     return std::chrono::duration_cast<Duration>(
@@ -198,8 +198,8 @@
 
 auto AdmissionQueue::waits(const AdapterId& adapter) const -> bool
 {
-    return std::any_of(waiting_.begin(), waiting_.end(),
-        [&](const AdmissionRequest& request) { return request.adapter == adapter; });
+    return std::any_of(
+        waiting_.begin(), waiting_.end(), [&](const AdmissionRequest& request) { return request.adapter == adapter; });
 }
 
 auto AdmissionQueue::runs(const AdapterId& adapter) const -> bool
--- a/packages/decisions/ReplicaChoice.cpp
+++ b/packages/decisions/ReplicaChoice.cpp
@@ -17,12 +17,13 @@
 constexpr auto slotTime = Duration(900ms);
 // Each place of the batch that is taken slows all tokens a little; counted so that idle replicas come first.
 constexpr auto fullBatch = Duration(60ms);
-// A prompt from which on the steps that read it make the pauses of running streams too long: each reads a thousand of its
-// tokens and looks back at all before. Counted for each stream that runs there.
+// A prompt from which on the steps that read it make the pauses of running streams too long: each reads a thousand of
+// its tokens and looks back at all before. Counted for each stream that runs there.
 constexpr auto longPrompt = std::uint64_t(12000);
 constexpr auto disturbance = Duration(60ms);
-// How far the favourite of an adapter's name may be behind the soonest: where the adapter is there or at hand, and where
-// it must be fetched. A fetch elsewhere costs all who wait for the store, so the favourite may be a good deal later.
+// How far the favourite of an adapter's name may be behind the soonest: where the adapter is there or at hand, and
+// where it must be fetched. A fetch elsewhere costs all who wait for the store, so the favourite may be a good deal
+// later.
 constexpr auto favour = Duration(20ms);
 constexpr auto favourForFetch = Duration(300ms);
 
@@ -55,7 +56,8 @@
     else if (!replica.holds)
         load = replica.spareSlots <= replica.loadsWaiting ? slotTime : replica.warm ? warmLoadTime : loadTime;
     const auto ahead = readTime(replica.tokensAhead, need.readRate);
-    const auto full = static_cast<double>(replica.running) / static_cast<double>(std::max<std::size_t>(replica.batch, 1));
+    const auto full
+        = static_cast<double>(replica.running) / static_cast<double>(std::max<std::size_t>(replica.batch, 1));
     auto start = std::max(load, ahead) + share(full, fullBatch);
     // A full batch starts nothing until a run ends.
     if (full >= 1)
--- a/packages/router/DaemonMain.cpp
+++ b/packages/router/DaemonMain.cpp
@@ -65,8 +65,8 @@
 }
 
 /// A role of the users' machines: its settings file may be replaced while it runs.
-template <typename Role, typename Parse> auto serveReloadable(const std::string& file, const char* process, Parse parse)
-    -> int
+template <typename Role, typename Parse>
+auto serveReloadable(const std::string& file, const char* process, Parse parse) -> int
 {
     const auto checked = parse(readFile(file).value_or(std::string()), file);
     for (const auto& problem : checked.problems)
--- a/packages/serving/AgentLink.cpp
+++ b/packages/serving/AgentLink.cpp
@@ -170,8 +170,7 @@
     }
 }
 
-auto AgentLink::configured(std::shared_ptr<const ServingConfiguration> configuration, const std::string& holder)
-    -> void
+auto AgentLink::configured(std::shared_ptr<const ServingConfiguration> configuration, const std::string& holder) -> void
 {
     configuration_ = std::move(configuration);
     holder_ = holder;
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -67,8 +67,8 @@
             auto answer = context.getResults().initAnswer();
             answer.setGranted(decision.granted);
             answer.setVersion(decision.version.value());
-            answer.setRetryAfterMs(static_cast<std::uint32_t>(
-                std::chrono::duration_cast<milliseconds>(decision.retryAfter).count()));
+            answer.setRetryAfterMs(
+                static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(decision.retryAfter).count()));
             answer.setReason(decision.reason);
             answer.setInstance(role_.agent_.instance().str());
         });
@@ -147,10 +147,11 @@
         settings_.host.address, settings_.host.agentPort, [this](kj::Own<wire::GlibStream> stream) {
             connections_.add(std::make_unique<wire::Connection>(kj::mv(stream), kj::heap<Door>(*this)));
         });
-    if (settings_.host.metricsPort != 0)
-        metricsServer_ = std::make_unique<TextServer>(loop_.timers(),
-            Endpoint { settings_.host.address, settings_.host.metricsPort },
-            [this](std::string_view) { return TextServer::Answer { 200, metrics_.text() }; });
+    if (settings_.host.metricsPort != 0) {
+        const auto endpoint = Endpoint { settings_.host.address, settings_.host.metricsPort };
+        auto page = [this](std::string_view) { return TextServer::Answer { 200, metrics_.text() }; };
+        metricsServer_ = std::make_unique<TextServer>(loop_.timers(), endpoint, page);
+    }
     agent_.start();
     heartbeat_ = loop_.timers().every(heartbeat, [this] { push(); });
     log::info("listening",
@@ -186,8 +187,8 @@
     waiting.fulfiller->fulfill(ReplicaAgent::Decision(decision));
 }
 
-auto AgentRole::learnConfiguration(std::uint64_t version, const std::string& holder,
-    capnp::List<wire::schema::EngineLimits>::Reader limits) -> void
+auto AgentRole::learnConfiguration(
+    std::uint64_t version, const std::string& holder, capnp::List<wire::schema::EngineLimits>::Reader limits) -> void
 {
     if (ConfigVersion(version) > configVersion_) {
         configVersion_ = ConfigVersion(version);
@@ -204,11 +205,12 @@
 
 auto AgentRole::pushSoon() -> void
 {
-    if (!soon_.active())
-        soon_ = loop_.timers().after(gather, [this] {
-            soon_ = {};
-            push();
-        });
+    if (soon_.active())
+        return;
+    soon_ = loop_.timers().after(gather, [this] {
+        soon_ = {};
+        push();
+    });
 }
 
 auto AgentRole::push() -> void
--- a/packages/serving/CallerConnection.cpp
+++ b/packages/serving/CallerConnection.cpp
@@ -194,10 +194,7 @@
     timer_ = timers_.after(lingerTime, [this] { close(); });
 }
 
-auto CallerConnection::closeSoon() -> void
-{
-    closing_ = true;
-}
+auto CallerConnection::closeSoon() -> void { closing_ = true; }
 
 auto CallerConnection::closeIfIdle() -> void
 {
--- a/packages/serving/ConfigurationFollower.cpp
+++ b/packages/serving/ConfigurationFollower.cpp
@@ -68,13 +68,16 @@
 
 auto ConfigurationFollower::offer(std::string_view text, std::string_view source) -> void
 {
-    auto read = orElse([&]() -> Result<std::shared_ptr<const ServingConfiguration>> {
-        BOOST_LEAF_AUTO(configuration, hosting::readConfiguration(text));
-        return std::make_shared<const ServingConfiguration>(std::move(configuration));
-    }, [&](const Error& error) -> std::shared_ptr<const ServingConfiguration> {
-        log::error("configuration not understood", { { "source", std::string(source) }, { "reason", error.message() } });
-        return nullptr;
-    });
+    auto read = orElse(
+        [&]() -> Result<std::shared_ptr<const ServingConfiguration>> {
+            BOOST_LEAF_AUTO(configuration, hosting::readConfiguration(text));
+            return std::make_shared<const ServingConfiguration>(std::move(configuration));
+        },
+        [&](const Error& error) -> std::shared_ptr<const ServingConfiguration> {
+            log::error(
+                "configuration not understood", { { "source", std::string(source) }, { "reason", error.message() } });
+            return nullptr;
+        });
     if (!read || (configuration_ && configuration_->version >= read->version))
         return;
     configuration_ = std::move(read);
@@ -87,13 +90,15 @@
 
 auto ConfigurationFollower::offerVersion(std::string_view text, std::string_view source) -> void
 {
-    const auto named = orElse([&]() -> Result<std::optional<hosting::NamedVersion>> {
-        BOOST_LEAF_AUTO(version, hosting::readVersion(text));
-        return std::optional(version);
-    }, [&](const Error& error) -> std::optional<hosting::NamedVersion> {
-        log::error("version not understood", { { "source", std::string(source) }, { "reason", error.message() } });
-        return std::nullopt;
-    });
+    const auto named = orElse(
+        [&]() -> Result<std::optional<hosting::NamedVersion>> {
+            BOOST_LEAF_AUTO(version, hosting::readVersion(text));
+            return std::optional(version);
+        },
+        [&](const Error& error) -> std::optional<hosting::NamedVersion> {
+            log::error("version not understood", { { "source", std::string(source) }, { "reason", error.message() } });
+            return std::nullopt;
+        });
     if (!named)
         return;
     auto& known = versions_[{ named->model, named->adapter }];
@@ -115,7 +120,8 @@
 {
     auto list = nlohmann::json::array();
     for (const auto& [key, version] : versions_)
-        list.push_back({ { "model", key.first.str() }, { "adapter", key.second.str() }, { "version", version.value() } });
+        list.push_back(
+            { { "model", key.first.str() }, { "adapter", key.second.str() }, { "version", version.value() } });
     return list.dump();
 }
 
--- a/packages/serving/GatewayRole.cpp
+++ b/packages/serving/GatewayRole.cpp
@@ -82,9 +82,10 @@
 {
     if (settings_.host.metricsPort == 0)
         return;
-    metricsServer_ = std::make_unique<TextServer>(loop_.timers(),
-        Endpoint { settings_.host.address, settings_.host.metricsPort },
-        [this](std::string_view) { return TextServer::Answer { 200, metrics_.text() }; });
+    metricsServer_ = std::make_unique<TextServer>(
+        loop_.timers(), Endpoint { settings_.host.address, settings_.host.metricsPort }, [this](std::string_view) {
+            return TextServer::Answer { 200, metrics_.text() };
+        });
 }
 
 auto GatewayRole::accept(wire::ObjectPtr<GSocket> socket) -> void
@@ -154,12 +155,12 @@
                   .attach(std::move(session));
           });
     constexpr auto peerTimeout = Duration(1s);
-    loop_.spawn(asked.exclusiveJoin(loop_.sleep(peerTimeout))
-                    .catch_([name = peer.str()](kj::Exception&& error) {
-                        log::warn(
-                            "peer not reached", { { "peer", name }, { "reason", error.getDescription().cStr() } });
-                    })
-                    .then([this] { asking_ = false; }));
+    loop_.spawn(
+        asked.exclusiveJoin(loop_.sleep(peerTimeout))
+            .catch_([name = peer.str()](kj::Exception&& error) {
+                log::warn("peer not reached", { { "peer", name }, { "reason", error.getDescription().cStr() } });
+            })
+            .then([this] { asking_ = false; }));
 }
 
 auto GatewayRole::learnFromPeer(wire::schema::EntryPeer::SnapshotResults::Reader answer, const std::string& peer)
@@ -172,10 +173,7 @@
         directory_.offer(answer.getReplicas().cStr(), peer);
 }
 
-auto GatewayRole::ready() const -> bool
-{
-    return !stopping_ && configuration_.configuration() && directory_.known();
-}
+auto GatewayRole::ready() const -> bool { return !stopping_ && configuration_.configuration() && directory_.known(); }
 
 auto GatewayRole::reload(const GatewaySettings& settings) -> void
 {
@@ -203,8 +201,8 @@
     const auto age = loop_.timers().now() - stopBegan_;
     if (age < balancerDelay)
         return;
-    // Where too few entries of a zone are ready the platform goes on sending connections. What came on them now would be
-    // broken off at the end; refused, a client tries another entry at once.
+    // Where too few entries of a zone are ready the platform goes on sending connections. What came on them now would
+    // be broken off at the end; refused, a client tries another entry at once.
     if (age >= acceptUntil)
         clients_.reset();
     const auto held = connections_;
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -141,13 +141,15 @@
 {
     reporting_ = false;
     constexpr auto ok = 200;
-    auto read = orElse([&]() -> Result<std::optional<hosting::ReplicaReport>> {
-        BOOST_LEAF_AUTO(report, hosting::readReport(answer.body));
-        return std::optional(std::move(report));
-    }, [&](const Error& error) -> std::optional<hosting::ReplicaReport> {
-        log::error("report not understood", { { "reason", error.message() } });
-        return std::nullopt;
-    });
+    auto read = orElse(
+        [&]() -> Result<std::optional<hosting::ReplicaReport>> {
+            BOOST_LEAF_AUTO(report, hosting::readReport(answer.body));
+            return std::optional(std::move(report));
+        },
+        [&](const Error& error) -> std::optional<hosting::ReplicaReport> {
+            log::error("report not understood", { { "reason", error.message() } });
+            return std::nullopt;
+        });
     if (answer.status != ok || !read)
         return reportFailed("status " + std::to_string(answer.status));
     // A report may be a little older than the answer to the last order; much later, fewer orders mean another start.
@@ -373,10 +375,12 @@
                 return std::nullopt;
             return hosting::ReplicaOrder { .model = base_, .adapter = adapter, .version = wantedVersions_[adapter] };
         }
-        if (const auto* evict = std::get_if<decisions::EvictFirst>(&answer))
-            return hosting::ReplicaOrder { .kind = hosting::ReplicaOrder::Kind::Unload,
-                .model = base_,
-                .adapter = AdapterName(evict->victim.str()) };
+        if (const auto* evict = std::get_if<decisions::EvictFirst>(&answer)) {
+            const auto victim = AdapterName(evict->victim.str());
+            return hosting::ReplicaOrder {
+                .kind = hosting::ReplicaOrder::Kind::Unload, .model = base_, .adapter = victim
+            };
+        }
     }
     return std::nullopt;
 }
@@ -392,13 +396,12 @@
         slots_->unloadStarted(name);
     else if (!order.adapter.empty())
         slots_->loadStarted(name, loop_.timers().now());
-    orderWork_
-        = replica_.call(hosting::orderCall(order, instance_, orderTimeout))
-              .then([this, order](wire::HttpAnswer&& answer) { ordered(order, answer); },
-                  [this, order](kj::Exception&& error) { orderFailed(order, error.getDescription().cStr()); })
-              .eagerlyEvaluate([](kj::Exception&& error) {
-                  log::error("order failed", { { "reason", error.getDescription().cStr() } });
-              });
+    orderWork_ = replica_.call(hosting::orderCall(order, instance_, orderTimeout))
+                     .then([this, order](wire::HttpAnswer&& answer) { ordered(order, answer); },
+                         [this, order](kj::Exception&& error) { orderFailed(order, error.getDescription().cStr()); })
+                     .eagerlyEvaluate([](kj::Exception&& error) {
+                         log::error("order failed", { { "reason", error.getDescription().cStr() } });
+                     });
 }
 
 auto ReplicaAgent::ordered(const hosting::ReplicaOrder& order, const wire::HttpAnswer& answer) -> void
@@ -438,7 +441,8 @@
 {
     ordering_ = false;
     log::warn("order without answer",
-        { { "adapter", order.adapter.str() }, { "sequence", std::to_string(order.precondition) }, { "reason", reason } });
+        { { "adapter", order.adapter.str() }, { "sequence", std::to_string(order.precondition) },
+            { "reason", reason } });
     report();
 }
 
--- a/packages/serving/ReplicaDirectory.cpp
+++ b/packages/serving/ReplicaDirectory.cpp
@@ -147,8 +147,8 @@
     if (whole) {
         auto missing = std::vector<ReplicaPtr>();
         for (const auto& [instance, replica] : replicas_) {
-            const auto named = std::any_of(
-                list.begin(), list.end(), [&](const Listed& listed) { return listed.instance == instance; });
+            const auto named = std::any_of(list.begin(), list.end(),
+                [&id = replica->id()](const Listed& listed) { return listed.instance == id; });
             if (!named)
                 missing.push_back(replica);
         }
@@ -160,13 +160,15 @@
 
 auto ReplicaDirectory::put(const Listed& listed, std::string_view source) -> void
 {
-    auto read = orElse([&]() -> Result<std::optional<ReplicaRecord>> {
-        BOOST_LEAF_AUTO(record, hosting::readReplica(listed.instance.str(), listed.text));
-        return std::optional(std::move(record));
-    }, [&](const Error& error) -> std::optional<ReplicaRecord> {
-        log::error("replica not understood", { { "peer", listed.instance.str() }, { "reason", error.message() } });
-        return std::nullopt;
-    });
+    auto read = orElse(
+        [&]() -> Result<std::optional<ReplicaRecord>> {
+            BOOST_LEAF_AUTO(record, hosting::readReplica(listed.instance.str(), listed.text));
+            return std::optional(std::move(record));
+        },
+        [&](const Error& error) -> std::optional<ReplicaRecord> {
+            log::error("replica not understood", { { "peer", listed.instance.str() }, { "reason", error.message() } });
+            return std::nullopt;
+        });
     if (!read)
         return;
     texts_[listed.instance] = listed.text;
--- a/packages/serving/ReplicaDirectory.h
+++ b/packages/serving/ReplicaDirectory.h
@@ -84,8 +84,8 @@
         std::function<void()> onAgent;
     };
 
-    ReplicaDirectory(wire::MainLoop& loop, hosting::Store& store, std::string entry, std::uint16_t agentPort,
-        Hooks hooks);
+    ReplicaDirectory(
+        wire::MainLoop& loop, hosting::Store& store, std::string entry, std::uint16_t agentPort, Hooks hooks);
 
     auto start() -> void;
     /// Services whose replicas have an agent beside them.
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -138,8 +138,8 @@
     if (!agent) {
         view.holds = true;
         if (fastest.count() > 0 && replica->meanTime().count() > 0)
-            view.slowness = std::min(slowestFactor,
-                static_cast<double>(replica->meanTime().count()) / static_cast<double>(fastest.count()));
+            view.slowness = std::min(
+                slowestFactor, static_cast<double>(replica->meanTime().count()) / static_cast<double>(fastest.count()));
         return view;
     }
     view.prompt = replica->hasPrompt(sharedId_);
@@ -213,9 +213,8 @@
 {
     const auto now = gateway_.now();
     auto* agent = replica_->agent();
-    const auto left = [&](Moment at) {
-        return std::max(std::chrono::duration_cast<milliseconds>(at - now), milliseconds(0));
-    };
+    const auto left
+        = [&](Moment at) { return std::max(std::chrono::duration_cast<milliseconds>(at - now), milliseconds(0)); };
     auto order = AdmitOrder { .attempt = facts_.attempt,
         .adapter = facts_.adapter,
         .version = gateway_.configuration.versionOf(facts_.model, facts_.adapter),
@@ -328,11 +327,9 @@
         replica_->rememberPrompt(sharedId_);
     logDecision("sent", {});
     armSilence();
-    connection_->send(
-        head, request_.body,
-        [attempt = facts_.attempt](const wire::HttpResponseHead& answer) {
-            return !hosting::readAnswer(answer, attempt).foreign;
-        },
+    connection_->send(head, request_.body,
+        [attempt = facts_.attempt](
+            const wire::HttpResponseHead& answer) { return !hosting::readAnswer(answer, attempt).foreign; },
         { .onHead = [this](const wire::HttpResponseHead& answer) { onHead(answer); },
             .onBody = [this](std::string_view bytes) { onBody(bytes); },
             .onDone = [this] { onDone(); },
--- a/packages/wire/HttpCaller.cpp
+++ b/packages/wire/HttpCaller.cpp
@@ -33,8 +33,8 @@
     reader_ = std::make_unique<ResponseReader>(call.method == "HEAD");
     body_.clear();
     if (!connection_ || connection_->over()) {
-        connection_ = TcpConnection::connect(address_, port_,
-            { .onData = [this] { received(); }, .onEnd = [this](StreamEnd how) { ended(how); } });
+        connection_ = TcpConnection::connect(
+            address_, port_, { .onData = [this] { received(); }, .onEnd = [this](StreamEnd how) { ended(how); } });
         if (!connection_)
             return fail("no connection");
     }
--- a/packages/wire/HttpHead.cpp
+++ b/packages/wire/HttpHead.cpp
@@ -67,8 +67,8 @@
 
 auto HeaderFields::count(std::string_view name) const noexcept -> std::size_t
 {
-    return static_cast<std::size_t>(std::count_if(
-        fields_.begin(), fields_.end(), [&](const Field& field) { return sameName(field.name, name); }));
+    return static_cast<std::size_t>(
+        std::count_if(fields_.begin(), fields_.end(), [&](const Field& field) { return sameName(field.name, name); }));
 }
 
 auto HeaderFields::removeHopByHop() -> void
--- a/packages/wire/HttpReader.h
+++ b/packages/wire/HttpReader.h
@@ -60,8 +60,8 @@
     bool begun_ = false;
 };
 
-/// Reads one answer as it comes. An answer whose framing is not complete is never called whole: not at a cut between two
-/// chunks, and not at a reset.
+/// Reads one answer as it comes. An answer whose framing is not complete is never called whole: not at a cut between
+/// two chunks, and not at a reset.
 class ResponseReader {
 public:
     explicit ResponseReader(bool toHead = false);
--- a/packages/wire/TcpConnection.cpp
+++ b/packages/wire/TcpConnection.cpp
@@ -61,16 +61,16 @@
     auto target = ObjectPtr<GSocketAddress>(g_inet_socket_address_new_from_string(address.c_str(), port));
     if (!target)
         return nullptr;
-    auto socket = ObjectPtr<GSocket>(
-        g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, nullptr));
+    auto socket
+        = ObjectPtr<GSocket>(g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, nullptr));
     if (!socket)
         return nullptr;
     prepare(socket.get());
     auto* raw = static_cast<GError*>(nullptr);
-    const auto at_once = g_socket_connect(socket.get(), target.get(), nullptr, &raw);
-    const auto pending = !at_once && wouldBlock(raw);
+    const auto atOnce = g_socket_connect(socket.get(), target.get(), nullptr, &raw);
+    const auto pending = !atOnce && wouldBlock(raw);
     g_clear_error(&raw);
-    if (!at_once && !pending)
+    if (!atOnce && !pending)
         return nullptr;
     auto connection = std::make_unique<TcpConnection>(std::move(socket), false);
     connection->peer_ = address + ":" + std::to_string(port);
--- a/standins/ReplicaStandin.cpp
+++ b/standins/ReplicaStandin.cpp
@@ -44,9 +44,10 @@
     auto models = Json::array();
     if (hasModel_)
         models.push_back({ { "name", base }, { "version", 1 }, { "adapters", adapterNames() } });
-    return Json { { "service", service_ }, { "address", endpoint().str() }, { "zone", "zone-1" }, { "slots", 8 },
-        { "state", state }, { "models", models }, { "sequence", sequence_ } }
-        .dump();
+    return Json {
+        { "service", service_ }, { "address", endpoint().str() }, { "zone", "zone-1" }, { "slots", 8 },
+        { "state", state }, { "models", models }, { "sequence", sequence_ }
+    }.dump();
 }
 
 auto ReplicaStandin::restart(const std::string& instance) -> void
--- a/standins/ReplicaStandin.h
+++ b/standins/ReplicaStandin.h
@@ -68,7 +68,7 @@
     auto order(const Caller& caller, const wire::HttpRequestMessage& request) -> void;
     [[nodiscard]] auto carryOut(const std::string& body) -> int;
     auto runModel(const Caller& caller, const wire::HttpRequestMessage& request) -> void;
-    auto answerHead(const wire::HttpRequestMessage& request, int status) const -> wire::HttpResponseHead;
+    [[nodiscard]] auto answerHead(const wire::HttpRequestMessage& request, int status) const -> wire::HttpResponseHead;
     [[nodiscard]] auto adapterNames() const -> std::vector<std::string>;
 
     TimerService& timers_;
--- a/standins/StoreStandin.cpp
+++ b/standins/StoreStandin.cpp
@@ -62,9 +62,9 @@
 auto LoopServer::open() -> void
 {
     listener_ = std::make_unique<wire::TcpListener>(address_, port_, [this](auto socket) {
-        auto connection = std::make_shared<serving::CallerConnection>(
-            timers_, std::move(socket), serving::CallerLimits {}, handler_,
-            [this](serving::CallerConnection* closed) { connections_.erase(closed); });
+        auto connection
+            = std::make_shared<serving::CallerConnection>(timers_, std::move(socket), serving::CallerLimits {},
+                handler_, [this](serving::CallerConnection* closed) { connections_.erase(closed); });
         connections_.emplace(connection.get(), connection);
         connection->start();
     });
--- a/tests/harness/ServingWorld.cpp
+++ b/tests/harness/ServingWorld.cpp
@@ -98,14 +98,16 @@
     gateways_.push_back(std::make_unique<serving::GatewayRole>(loop_, settings));
     auto& gateway = *gateways_.back();
     gateway.start();
+    const auto usable = [](const serving::ReplicaPtr& replica) {
+        return replica->agent() && replica->agent()->alive() && replica->agent()->state().usable;
+    };
+    const auto settled = [&] {
+        const auto& replicas = gateway.directory().of(serving::ServiceName("engine"));
+        const auto all = std::all_of(replicas.begin(), replicas.end(), usable);
+        return gateway.ready() && all && replicas.size() == engines_.size();
+    };
     if (wait)
-        until([&] {
-            const auto& replicas = gateway.directory().of(serving::ServiceName("engine"));
-            const auto spoken = std::all_of(replicas.begin(), replicas.end(), [](const auto& replica) {
-                return replica->agent() && replica->agent()->alive() && replica->agent()->state().usable;
-            });
-            return gateway.ready() && spoken && replicas.size() == engines_.size();
-        });
+        until(settled);
     return gateway;
 }
 
@@ -113,7 +115,8 @@
 {
     callers_.push_back(
         std::make_unique<wire::HttpCaller>(loop_.timers(), "127.0.0.1", gateways_.front()->clientPort()));
-    auto call = wire::HttpCall { .method = request.method, .target = request.path, .body = request.body, .timeout = 5s };
+    auto call
+        = wire::HttpCall { .method = request.method, .target = request.path, .body = request.body, .timeout = 5s };
     call.fields = request.more;
     call.fields.add("Host", "users.example");
     call.fields.add(names::attemptId, request.attempt);
--- a/tests/harness/ServingWorld.h
+++ b/tests/harness/ServingWorld.h
@@ -12,8 +12,8 @@
 
 namespace eelgrass::tests {
 
-/// The serving layer on the users' platform, in one process on one loop: the real roles against stand-ins that speak the
-/// published protocol, over loopback.
+/// The serving layer on the users' platform, in one process on one loop: the real roles against stand-ins that speak
+/// the published protocol, over loopback.
 ///
 /// Routes: `/resumable/`, `/whole/` (streams that may and may not go on elsewhere), `/safe/`, `/once/` (plain).
 class ServingWorld {
--- a/tests/integration/ServingAgents.cpp
+++ b/tests/integration/ServingAgents.cpp
@@ -60,7 +60,8 @@
 }
 
 // The caller waits a little longer, and the replica lives.
-// 1. Orders get no answer; the replica carries them out seconds later. 2. The agent orders again, on the same condition.
+// 1. Orders get no answer; the replica carries them out seconds later. 2. The agent orders again, on the same
+// condition.
 // 3. Whichever comes first changes the count of orders, so that the other one is void: the adapter is loaded once.
 BOOST_AUTO_TEST_CASE(a_late_order_does_not_fill_a_slot_twice)
 {
--- a/tests/integration/ServingCalls.cpp
+++ b/tests/integration/ServingCalls.cpp
@@ -57,8 +57,8 @@
 }
 
 // The caller sees a failure that promises nothing.
-// 1. A replica runs a request that must run once and answers 503, without the mark. 2. Passed on, that status would tell
-// the caller that it may send the request again, and it would run twice.
+// 1. A replica runs a request that must run once and answers 503, without the mark. 2. Passed on, that status would
+// tell the caller that it may send the request again, and it would run twice.
 BOOST_AUTO_TEST_CASE(a_503_without_its_mark_is_not_passed_on)
 {
     auto world = ServingWorld(0, 2);
@@ -69,8 +69,8 @@
 }
 
 // The caller gets the answer to its own request.
-// 1. A replica sends an extra answer, to somebody else's request, before the right one. 2. Taken for ours, it would hand
-// one member's figures to another. 3. It names another attempt, so it is read past.
+// 1. A replica sends an extra answer, to somebody else's request, before the right one. 2. Taken for ours, it would
+// hand one member's figures to another. 3. It names another attempt, so it is read past.
 BOOST_AUTO_TEST_CASE(an_answer_to_another_request_is_read_past)
 {
     auto world = ServingWorld(0, 2);
--- a/tests/integration/ServingStreams.cpp
+++ b/tests/integration/ServingStreams.cpp
@@ -72,8 +72,8 @@
 }
 
 // The caller sees a failure, and its request has run once.
-// 1. The replica resets the connection before the first event. 2. The route says that the stream cannot go on elsewhere,
-// so it may have run and must not run again. 3. Saying 503 would promise that it has not.
+// 1. The replica resets the connection before the first event. 2. The route says that the stream cannot go on
+// elsewhere, so it may have run and must not run again. 3. Saying 503 would promise that it has not.
 BOOST_AUTO_TEST_CASE(a_stream_that_must_run_once_is_not_tried_again)
 {
     auto world = ServingWorld(2, 0);
--- a/tests/unit/HttpCaller.cpp
+++ b/tests/unit/HttpCaller.cpp
@@ -1,5 +1,5 @@
-#include "standins/StoreStandin.h"
 #include "wire/HttpCaller.h"
+#include "standins/StoreStandin.h"
 #include "wire/MainLoop.h"
 
 #include <boost/test/unit_test.hpp>
--- a/tests/unit/HttpReader.cpp
+++ b/tests/unit/HttpReader.cpp
@@ -37,7 +37,8 @@
 BOOST_AUTO_TEST_CASE(requests_are_read_one_after_the_other)
 {
     auto reader = RequestReader({});
-    auto bytes = std::string("POST /a?b HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabcGET /n HTTP/1.1\r\nHost: h\r\n\r\n");
+    auto bytes = std::string(
+        "POST /a?b HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabcGET /n HTTP/1.1\r\nHost: h\r\n\r\n");
     BOOST_CHECK(reader.feed(bytes) == HttpFault::None);
     BOOST_REQUIRE(reader.complete());
     const auto first = reader.take();
@@ -51,7 +52,8 @@
 
 BOOST_AUTO_TEST_CASE(a_chunked_body_is_put_together_however_it_is_cut)
 {
-    const auto whole = std::string("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    const auto whole = std::string(
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
     for (auto cut = std::size_t(1); cut < whole.size(); ++cut) {
         auto reader = RequestReader({});
         auto bytes = whole.substr(0, cut);
@@ -90,10 +92,10 @@
     const auto longHead = "GET / HTTP/1.1\r\nHost: h\r\nA: " + std::string(1000, 'x');
     BOOST_CHECK(faultOf(longHead, limits) == HttpFault::HeaderTooLarge);
     BOOST_CHECK(faultOf(longHead + "\r\n\r\n", limits) == HttpFault::HeaderTooLarge);
+    BOOST_CHECK(faultOf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n", limits) == HttpFault::BodyTooLarge);
     BOOST_CHECK(
-        faultOf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n", limits) == HttpFault::BodyTooLarge);
-    BOOST_CHECK(
-        faultOf("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nabcdef\r\n6\r\nabcdef\r\n", limits)
+        faultOf(
+            "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nabcdef\r\n6\r\nabcdef\r\n", limits)
         == HttpFault::BodyTooLarge);
 }
 
--- a/tests/unit/ServingParts.cpp
+++ b/tests/unit/ServingParts.cpp
@@ -64,7 +64,8 @@
 
 BOOST_AUTO_TEST_CASE(settings_name_every_problem_with_its_line)
 {
-    const auto checked = parseGatewaySettings("name: g\navailability_zone: z\nstore: nowhere\nseeds: [\"1.2.3.4:5\"]\nwrong: 1\n", "f.yaml");
+    const auto checked = parseGatewaySettings(
+        "name: g\navailability_zone: z\nstore: nowhere\nseeds: [\"1.2.3.4:5\"]\nwrong: 1\n", "f.yaml");
     auto keys = std::string();
     for (const auto& problem : checked.problems)
         keys += problem.key + "@" + std::to_string(problem.line) + " ";
--- a/tests/unit/SharedRetryBudget.cpp
+++ b/tests/unit/SharedRetryBudget.cpp
@@ -5,8 +5,8 @@
 using namespace eelgrass;
 using namespace eelgrass::decisions;
 
-// Five entries retry everything for a minute while all replicas refuse. Together they stay within the service's budget in
-// each window, though none knows what the others send.
+// Five entries retry everything for a minute while all replicas refuse. Together they stay within the service's budget
+// in each window, though none knows what the others send.
 BOOST_AUTO_TEST_CASE(entries_together_stay_within_the_budget_in_a_storm)
 {
     constexpr auto entries = std::size_t(5);
--- a/tests/unit/UsersPlatform.cpp
+++ b/tests/unit/UsersPlatform.cpp
@@ -23,10 +23,12 @@
 
 template <typename T> auto failed(const std::function<Result<T>()>& read) -> bool
 {
-    return orElse([&]() -> Result<bool> {
-        BOOST_LEAF_CHECK(read());
-        return false;
-    }, [](const Error&) { return true; });
+    return orElse(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_CHECK(read());
+            return false;
+        },
+        [](const Error&) { return true; });
 }
 
 } // namespace
@@ -57,8 +59,10 @@
     auto message = request();
     message.fields.add("Kv-From", "1.2.3.4:5/h");
     message.fields.add("Connection", "close");
-    const auto fields = forwardedFields(
-        message, { .instance = serving::InstanceId("i-1"), .version = AdapterVersion(3), .timeLeft = std::chrono::milliseconds(900) });
+    const auto fields = forwardedFields(message,
+        { .instance = serving::InstanceId("i-1"),
+            .version = AdapterVersion(3),
+            .timeLeft = std::chrono::milliseconds(900) });
     BOOST_TEST(fields.get(names::attemptId) == "abc");
     BOOST_TEST(fields.get(names::promptPrefix) == "5c:800,91:410,e4:250");
     BOOST_TEST(fields.get(names::deadline) == "900");
@@ -89,14 +93,20 @@
 
 BOOST_AUTO_TEST_CASE(a_configuration_is_read_and_unknown_fields_are_ignored)
 {
-    const auto read = orElse([]() -> Result<serving::ServingConfiguration> {
-        return readConfiguration(R"({"version":7,"new":1,"routes":[{"name":"r","host":"h","prefix":"/a/","kind":"stream",
+    const auto read = orElse(
+        []() -> Result<serving::ServingConfiguration> {
+            return readConfiguration(
+                R"({"version":7,"new":1,"routes":[{"name":"r","host":"h","prefix":"/a/","kind":"stream",
             "timeoutMs":6000,"targetLatencyMs":1000,"priority":1,"maxAttempts":2,"resumable":true,"gapAimMs":300,
             "trafficSplit":[{"service":"s","weight":90},{"service":"t","weight":10}]}],
             "services":[{"name":"s","healthPath":"/hp","maxConns":370,"engine":{"slots":64,"kvCapacity":1000,
             "adapterSlots":7,"models":[{"name":"m"}],"loadsPerS":2.1}}],
             "limits":{"maxHeaderBytes":16384,"maxBodyBytes":100,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})");
-    }, [](const Error& error) -> serving::ServingConfiguration { BOOST_FAIL(error.message()); return {}; });
+        },
+        [](const Error& error) -> serving::ServingConfiguration {
+            BOOST_FAIL(error.message());
+            return {};
+        });
     BOOST_TEST(read.version.value() == 7U);
     BOOST_REQUIRE(read.routes.size() == 1U);
     BOOST_TEST(read.routes[0].repeatable());
@@ -116,10 +126,12 @@
 
 BOOST_AUTO_TEST_CASE(a_report_tells_what_is_there_and_what_comes)
 {
-    const auto report = orElse([]() -> Result<ReplicaReport> {
-        return readReport(R"({"models":[{"name":"m","version":1,"adapters":["a1@2","a9"]}],"busy":true,"sequence":5,
+    const auto report = orElse(
+        []() -> Result<ReplicaReport> {
+            return readReport(R"({"models":[{"name":"m","version":1,"adapters":["a1@2","a9"]}],"busy":true,"sequence":5,
             "coming":["m/a3@1"]})");
-    }, [](const Error&) { return ReplicaReport(); });
+        },
+        [](const Error&) { return ReplicaReport(); });
     BOOST_TEST(report.hasModel);
     BOOST_TEST(report.sequence == 5U);
     BOOST_TEST(report.resident.at(AdapterId("a1")).value() == 2U);
