Entries share the retry budget by their number; requests that break off everywhere; peers tell of replicas; states are gathered

Each with a test or a figure: a request that resets each replica runs three times and no more; at 30 entries and 55 replicas pushing each change to each entry cost a gateway 1,100 messages a second (counted from rates), now 370 at most.

--- a/packages/serving/AgentLink.cpp
+++ b/packages/serving/AgentLink.cpp
@@ -116,6 +116,10 @@
     state_.loadsWaiting = state.getLoadsWaiting();
     state_.configVersion = ConfigVersion(state.getConfigVersion());
     state_.configHolder = state.getConfigHolder().cStr();
+    state_.entries = state.getEntries();
+    state_.suspects.clear();
+    for (auto suspect : state.getSuspects())
+        state_.suspects.emplace(suspect.getDigest().cStr(), suspect.getBreaks());
     state_.at = loop_.timers().now();
     hooks_.onState();
 }
@@ -170,6 +174,18 @@
     }
 }
 
+auto AgentLink::suspect(const std::string& digest, bool broke) -> void
+{
+    if (!session_)
+        return;
+    KJ_IF_MAYBE (client, session_->client) {
+        auto call = client->suspectRequest();
+        call.setDigest(digest);
+        call.setBroke(broke);
+        loop_.spawn(call.send().ignoreResult().catch_([](kj::Exception&&) {}));
+    }
+}
+
 auto AgentLink::configured(std::shared_ptr<const ServingConfiguration> configuration, const std::string& holder) -> void
 {
     configuration_ = std::move(configuration);
--- a/packages/serving/AgentLink.h
+++ b/packages/serving/AgentLink.h
@@ -29,6 +29,10 @@
     /// The highest configuration that any entry told it of, and the entry to ask for it.
     ConfigVersion configVersion;
     std::string configHolder;
+    /// Entries attached there.
+    std::size_t entries = 0;
+    /// How often requests broke off at replicas, by their digests, as all entries told this agent.
+    std::map<std::string, std::uint32_t> suspects;
     Moment at {};
 };
 
@@ -78,6 +82,8 @@
     [[nodiscard]] auto admit(const AdmitOrder& order) -> kj::Promise<AdmitResult>;
     auto started(const AttemptId& attempt) -> void;
     auto release(const AttemptId& attempt) -> void;
+    /// A request of this digest broke off at a replica, or ran to its end after it had.
+    auto suspect(const std::string& digest, bool broke) -> void;
     /// Tells which configuration this entry has, where it can be asked for, and what it says of engines.
     auto configured(std::shared_ptr<const ServingConfiguration> configuration, const std::string& holder) -> void;
 
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Log.h"
 
+#include <algorithm>
 #include <set>
 
 namespace eelgrass::serving {
@@ -11,9 +12,11 @@
 constexpr auto metricClasses = std::size_t(10);
 // Entries take an agent for gone after three of these.
 constexpr auto heartbeat = Duration(500ms);
-// Changes are gathered for this long: an entry's view is this much older, and a burst costs no more than this many
-// messages a second.
-constexpr auto gather = Duration(10ms);
+// Changes are gathered for this long for each entry that listens: an entry's view is that much older, and what entries
+// and agents spend on each other grows with the number of either and not with its square. At 30 entries and 55 replicas
+// an entry hears some 370 states a second at most.
+constexpr auto gatherForEach = Duration(5ms);
+constexpr auto longestGather = Duration(250ms);
 
 } // namespace
 
@@ -98,6 +101,17 @@
         return kj::READY_NOW;
     }
 
+    auto suspect(SuspectContext context) -> kj::Promise<void> override
+    {
+        const auto digest = std::string(context.getParams().getDigest().cStr());
+        if (context.getParams().getBroke())
+            role_.suspects_.crashed(digest, role_.suspects_.crashes(digest));
+        else
+            role_.suspects_.succeeded(digest);
+        role_.pushSoon();
+        return kj::READY_NOW;
+    }
+
 private:
     AgentRole& role_;
     std::string entry_;
@@ -147,11 +161,7 @@
         settings_.host.address, settings_.host.agentPort, [this](kj::Own<wire::GlibStream> stream) {
             connections_.add(std::make_unique<wire::Connection>(kj::mv(stream), kj::heap<Door>(*this)));
         });
-    if (settings_.host.metricsPort != 0) {
-        const auto endpoint = Endpoint { settings_.host.address, settings_.host.metricsPort };
-        auto page = [this](std::string_view) { return TextServer::Answer { 200, metrics_.text() }; };
-        metricsServer_ = std::make_unique<TextServer>(loop_.timers(), endpoint, page);
-    }
+    metricsServer_ = serveMetrics(loop_.timers(), { settings_.host.address, settings_.host.metricsPort }, metrics_);
     agent_.start();
     heartbeat_ = loop_.timers().every(heartbeat, [this] { push(); });
     log::info("listening",
@@ -207,7 +217,8 @@
 {
     if (soon_.active())
         return;
-    soon_ = loop_.timers().after(gather, [this] {
+    const auto entries = static_cast<Duration::rep>(listeners_.size());
+    soon_ = loop_.timers().after(std::min(gatherForEach * entries, longestGather), [this] {
         soon_ = {};
         push();
     });
@@ -243,6 +254,14 @@
     state.setMemoryUsed(agent_.queue().memoryUsed());
     state.setSpareSlots(static_cast<std::uint32_t>(agent_.spareSlots()));
     state.setLoadsWaiting(static_cast<std::uint32_t>(coming.size()));
+    state.setEntries(static_cast<std::uint32_t>(listeners_.size()));
+    const auto& known = suspects_.known();
+    auto suspects = state.initSuspects(static_cast<unsigned>(known.size()));
+    index = 0;
+    for (const auto& [digest, breaks] : known) {
+        suspects[index].setDigest(digest);
+        suspects[index++].setBreaks(breaks);
+    }
     state.setConfigVersion(configVersion_.value());
     state.setConfigHolder(configHolder_);
 }
--- a/packages/serving/AgentRole.h
+++ b/packages/serving/AgentRole.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decisions/Quarantine.h"
 #include "router/Metrics.h"
 #include "serving/ReplicaAgent.h"
 #include "serving/TextServer.h"
@@ -46,6 +47,7 @@
     ReplicaAgent agent_;
     std::map<AttemptId, Waiting> waiting_;
     std::map<Session*, wire::schema::ReplicaListener::Client> listeners_;
+    decisions::Quarantine suspects_;
     ConfigVersion configVersion_;
     std::string configHolder_;
     std::unique_ptr<wire::Listener> listener_;
--- a/packages/serving/ConfigurationFollower.cpp
+++ b/packages/serving/ConfigurationFollower.cpp
@@ -11,9 +11,9 @@
 constexpr auto table = "op";
 constexpr auto configurationKey = "config";
 constexpr auto versionPrefix = std::string_view("version/");
-// A long poll that hears nothing ends after this long. Half of the time in which a configuration must be in force, so
-// that a connection gone silent costs no more than one poll and its time-out.
-constexpr auto pollWait = Duration(2500ms);
+// A long poll that hears nothing ends after this long: a connection gone silent for good is found by then and a little
+// more, within the time that a host has to be in touch again.
+constexpr auto pollWait = Duration(1500ms);
 // After a failure; a store that turns this host away is asked twice a second.
 constexpr auto retryAfter = Duration(500ms);
 
--- a/packages/serving/Gateway.h
+++ b/packages/serving/Gateway.h
@@ -6,6 +6,7 @@
 #include "serving/ConfigurationFollower.h"
 #include "serving/ReplicaDirectory.h"
 #include "serving/Settings.h"
+#include "serving/SuspectRequests.h"
 
 #include <map>
 
@@ -19,6 +20,7 @@
     ReplicaDirectory& directory;
     router::Metrics& metrics;
     DeferredCalls& deferred;
+    SuspectRequests& suspects;
     std::map<ServiceName, decisions::SharedRetryBudget> budgets {};
     /// Entries that share the retry budget, as far as is known.
     std::size_t entries = 6;
--- a/packages/serving/GatewayRole.cpp
+++ b/packages/serving/GatewayRole.cpp
@@ -11,6 +11,8 @@
 constexpr auto peerCheck = Duration(250ms);
 // The store tells of a configuration within one long poll; an entry that is behind for longer cannot hear it.
 constexpr auto behindTooLong = Duration(600ms);
+// How long an entry does without the store's list of replicas before it asks a peer, and between two such questions.
+constexpr auto listTooOld = Duration(1s);
 // The platform takes an entry out after two probes a second apart; then idle connections may be closed.
 constexpr auto balancerDelay = Duration(2500ms);
 // From here on a stopping entry takes no connection: what comes later could not be finished in the time for a stop.
@@ -52,7 +54,8 @@
     , store_(loop.timers(), settings_.host.store)
     , configuration_(loop, store_, [this] { onConfiguration(); })
     , directory_(loop, store_, settings_.host.name, settings_.host.agentPort, { .onAgent = [this] { onAgent(); } })
-    , gateway_ { loop, settings_, configuration_, directory_, metrics_, deferred_ }
+    , suspects_(directory_)
+    , gateway_ { loop, settings_, configuration_, directory_, metrics_, deferred_, suspects_ }
     , peerSessions_(loop.timers())
 {
 }
@@ -69,7 +72,7 @@
         settings_.peers.address, settings_.peers.port, [this](kj::Own<wire::GlibStream> stream) {
             peerSessions_.add(std::make_unique<wire::Connection>(kj::mv(stream), kj::heap<Peer>(*this)));
         });
-    serveMetrics();
+    metricsServer_ = serveMetrics(loop_.timers(), { settings_.host.address, settings_.host.metricsPort }, metrics_);
     configuration_.start();
     directory_.start();
     timer_ = loop_.timers().every(peerCheck, [this] { askSeeds(); });
@@ -78,16 +81,6 @@
             { "zone", settings_.host.zone.str() } });
 }
 
-auto GatewayRole::serveMetrics() -> void
-{
-    if (settings_.host.metricsPort == 0)
-        return;
-    metricsServer_ = std::make_unique<TextServer>(
-        loop_.timers(), Endpoint { settings_.host.address, settings_.host.metricsPort }, [this](std::string_view) {
-            return TextServer::Answer { 200, metrics_.text() };
-        });
-}
-
 auto GatewayRole::accept(wire::ObjectPtr<GSocket> socket) -> void
 {
     const auto& configuration = configuration_.configuration();
@@ -113,6 +106,14 @@
 
 auto GatewayRole::onAgent() -> void
 {
+    auto entries = std::size_t(0);
+    for (const auto& [instance, replica] : directory_.all()) {
+        if (replica->agent() && replica->agent()->alive())
+            entries = std::max(entries, replica->agent()->state().entries);
+    }
+    // One more than are seen: an entry that cannot be seen from here spends its share all the same.
+    if (entries > 0)
+        gateway_.entries = entries + 1;
     const auto now = loop_.timers().now();
     const auto mine = configuration_.configuration() ? configuration_.configuration()->version : ConfigVersion();
     for (const auto& [instance, replica] : directory_.all()) {
@@ -132,11 +133,16 @@
 auto GatewayRole::askSeeds() -> void
 {
     const auto knowsAll = configuration_.configuration() && directory_.known();
-    if (knowsAll || settings_.seeds.empty())
+    const auto now = loop_.timers().now();
+    // An entry to which the store is closed learns of new and leaving replicas from its peers.
+    const auto cutOff
+        = directory_.lostSince() && now - *directory_.lostSince() > listTooOld && now - askedAt_ > listTooOld;
+    if ((knowsAll && !cutOff) || settings_.seeds.empty())
         return;
+    askedAt_ = now;
     const auto& seed = settings_.seeds[nextSeed_++ % settings_.seeds.size()];
     if (seed != settings_.peers)
-        askPeer(seed, "nothing known");
+        askPeer(seed, knowsAll ? "store closed" : "nothing known");
 }
 
 auto GatewayRole::askPeer(const Endpoint& peer, std::string_view why) -> void
@@ -169,7 +175,7 @@
     if (answer.getConfig().size() > 0)
         configuration_.offer(answer.getConfig().cStr(), peer);
     configuration_.offerVersions(answer.getAdapterVersions().cStr(), peer);
-    if (!directory_.known())
+    if (!directory_.known() || directory_.lostSince())
         directory_.offer(answer.getReplicas().cStr(), peer);
 }
 
--- a/packages/serving/GatewayRole.h
+++ b/packages/serving/GatewayRole.h
@@ -41,7 +41,6 @@
     auto askPeer(const Endpoint& peer, std::string_view why) -> void;
     auto askSeeds() -> void;
     auto learnFromPeer(wire::schema::EntryPeer::SnapshotResults::Reader answer, const std::string& peer) -> void;
-    auto serveMetrics() -> void;
     auto endIfIdle() -> void;
 
     wire::MainLoop& loop_;
@@ -51,6 +50,7 @@
     hosting::Store store_;
     ConfigurationFollower configuration_;
     ReplicaDirectory directory_;
+    SuspectRequests suspects_;
     Gateway gateway_;
     std::map<CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
     std::unique_ptr<wire::TcpListener> clients_;
@@ -60,6 +60,7 @@
     wire::ConnectionSet peerSessions_;
     std::size_t nextSeed_ = 0;
     bool asking_ = false;
+    Moment askedAt_ {};
     /// Since when an entry is known to have a newer configuration.
     std::optional<Moment> behindSince_;
     bool stopping_ = false;
--- a/packages/serving/ReplicaDirectory.cpp
+++ b/packages/serving/ReplicaDirectory.cpp
@@ -125,9 +125,12 @@
     if (answer.outcome != hosting::StoreOutcome::Done) {
         if (std::exchange(reachable_, false))
             log::warn("store lost", { { "step", "platform" }, { "reason", answer.reason } });
+        if (!lostSince_)
+            lostSince_ = now;
         timer_ = loop_.timers().after(listRetry, [this] { poll(); });
         return;
     }
+    lostSince_.reset();
     if (!std::exchange(reachable_, true)) {
         regainedAt_ = now;
         log::info("store regained", { { "step", "platform" } });
--- a/packages/serving/ReplicaDirectory.h
+++ b/packages/serving/ReplicaDirectory.h
@@ -94,6 +94,8 @@
     [[nodiscard]] auto all() const noexcept -> const std::map<InstanceId, ReplicaPtr>& { return replicas_; }
     /// Whether the list has been read, from the store or from a peer.
     [[nodiscard]] auto known() const noexcept -> bool { return known_; }
+    /// Since when the store has not told it; empty while it does.
+    [[nodiscard]] auto lostSince() const noexcept -> std::optional<Moment> { return lostSince_; }
     /// The list as peers are told it.
     [[nodiscard]] auto text() const -> std::string;
     /// A peer's list, for an entry that has none of its own.
@@ -127,6 +129,7 @@
     bool known_ = false;
     bool reachable_ = false;
     Moment regainedAt_ {};
+    std::optional<Moment> lostSince_;
     kj::Maybe<kj::Promise<void>> work_;
     Timer timer_;
 };
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -93,6 +93,11 @@
         fail(badRequest, "no attempt id");
         return false;
     }
+    digest_ = digestOf(request_, facts_);
+    if (gateway_.suspects.refused(digest_)) {
+        fail(badGateway, "breaks off wherever it runs");
+        return false;
+    }
     service_ = pickService(*route_, facts_.attempt);
     const auto timeout = Duration(route_->timeout);
     const auto deadline = facts_.deadline ? Duration(*facts_.deadline) - answerMargin : timeout;
@@ -428,6 +433,7 @@
         return onNotRun(head_.status == unavailable ? "replica full" : "replica did not run it");
     }
     ++runs_;
+    gateway_.suspects.succeeded(digest_);
     if (streaming_) {
         if (!events_.rest().empty()) {
             leaveReplica(false);
@@ -467,6 +473,7 @@
     if (fault == LegFault::NotSent)
         return onNotRun("not reached");
     ++runs_;
+    gateway_.suspects.broke(digest_);
     logDecision("leg broken", toString(fault));
     if (mayRunAgain())
         return again(toString(fault));
@@ -484,7 +491,7 @@
 
 auto RequestRun::mayRunAgain() const -> bool
 {
-    return route_->repeatable() && runs_ < route_->maxRuns && sends_ < mostSends
+    return route_->repeatable() && runs_ < route_->maxRuns && sends_ < mostSends && !gateway_.suspects.refused(digest_)
         && (told_ == Told::Nothing || (route_->resumable && lastEvent_));
 }
 
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -78,6 +78,8 @@
     Moment endAt_ {};
     /// When a client that has seen no event of its stream leaves.
     Moment firstBy_ {};
+    /// Names what would run, whoever sends it.
+    std::string digest_;
     Tokens sharedTokens_ = 0;
     std::uint64_t sharedId_ = 0;
 
--- /dev/null
+++ b/packages/serving/SuspectRequests.cpp
@@ -0,0 +1,67 @@
+#include "serving/SuspectRequests.h"
+
+#include <xxhash.h>
+
+#include <vector>
+
+namespace eelgrass::serving {
+
+namespace {
+
+auto hashed(std::uint64_t seed, const std::string& text) -> std::uint64_t
+{
+    return XXH3_64bits_withSeed(text.data(), text.size(), seed);
+}
+
+} // namespace
+
+auto digestOf(const wire::HttpRequestMessage& request, const RequestFacts& facts) -> std::string
+{
+    auto hash = hashed(0, request.method);
+    for (const auto* text : { &request.target, &facts.model.str(), &facts.adapter.str(), &request.body })
+        hash = hashed(hash, *text);
+    return std::to_string(hash);
+}
+
+auto SuspectRequests::agentFor(const std::string& digest) const -> AgentLink*
+{
+    auto alive = std::vector<AgentLink*>();
+    for (const auto& [instance, replica] : directory_.all()) {
+        if (replica->agent() && replica->agent()->alive())
+            alive.push_back(replica->agent());
+    }
+    if (alive.empty())
+        return nullptr;
+    return alive[hashed(0, digest) % alive.size()];
+}
+
+auto SuspectRequests::broke(const std::string& digest) -> void
+{
+    own_.crashed(digest, own_.crashes(digest));
+    if (auto* agent = agentFor(digest))
+        agent->suspect(digest, true);
+}
+
+auto SuspectRequests::succeeded(const std::string& digest) -> void
+{
+    if (own_.crashes(digest) == 0)
+        return;
+    own_.succeeded(digest);
+    if (auto* agent = agentFor(digest))
+        agent->suspect(digest, false);
+}
+
+auto SuspectRequests::refused(const std::string& digest) const -> bool
+{
+    auto breaks = std::uint32_t(0);
+    for (const auto& [instance, replica] : directory_.all()) {
+        if (!replica->agent())
+            continue;
+        const auto& suspects = replica->agent()->state().suspects;
+        const auto found = suspects.find(digest);
+        breaks += found == suspects.end() ? 0 : found->second;
+    }
+    return std::max(breaks, own_.crashes(digest)) >= limit;
+}
+
+} // namespace eelgrass::serving
--- a/packages/serving/TextServer.cpp
+++ b/packages/serving/TextServer.cpp
@@ -1,5 +1,7 @@
 #include "serving/TextServer.h"
 
+#include "base/Log.h"
+
 namespace eelgrass::serving {
 
 TextServer::TextServer(TimerService& timers, const Endpoint& endpoint, Handler handler)
@@ -24,4 +26,19 @@
     connection->start();
 }
 
+auto serveMetrics(TimerService& timers, const Endpoint& endpoint, const router::Metrics& metrics)
+    -> std::unique_ptr<TextServer>
+{
+    if (endpoint.port == 0)
+        return nullptr;
+    try {
+        return std::make_unique<TextServer>(timers, endpoint, [&metrics](std::string_view) {
+            return TextServer::Answer { 200, metrics.text() };
+        });
+    } catch (const std::exception& error) {
+        log::warn("metrics not served", { { "reason", error.what() } });
+        return nullptr;
+    }
+}
+
 } // namespace eelgrass::serving
--- a/packages/serving/TextServer.h
+++ b/packages/serving/TextServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "router/Metrics.h"
 #include "serving/CallerConnection.h"
 
 #include <functional>
@@ -31,4 +32,9 @@
     wire::TcpListener listener_;
 };
 
+/// Serves a process's figures at every path; null for port 0, and where the address cannot be listened on: a process
+/// goes on without its metrics.
+[[nodiscard]] auto serveMetrics(TimerService& timers, const Endpoint& endpoint, const router::Metrics& metrics)
+    -> std::unique_ptr<TextServer>;
+
 } // namespace eelgrass::serving
--- a/packages/wire/Agent.capnp
+++ b/packages/wire/Agent.capnp
@@ -29,6 +29,15 @@
   configHolder @10 :Text;
   # Adapters that wait for a slot.
   loadsWaiting @11 :UInt32;
+  # Entries that are attached; they share budgets.
+  entries @12 :UInt32;
+  # Requests that broke off at replicas, as entries told this agent.
+  suspects @13 :List(SuspectRequest);
+}
+
+struct SuspectRequest {
+  digest @0 :Text;
+  breaks @1 :UInt32;
 }
 
 struct AdmitRequest {
@@ -92,6 +101,8 @@
   release @2 (attempt :Text);
   # This entry is at this configuration; `limits` are its figures for the replica's service.
   configured @3 (version :UInt64, holder :Text, limits :List(EngineLimits));
+  # A request of this digest broke off at a replica, or ran to its end after it had.
+  suspect @4 (digest :Text, broke :Bool);
 }
 
 # The bootstrap of the process beside a replica.
--- a/tests/integration/ServingStreams.cpp
+++ b/tests/integration/ServingStreams.cpp
@@ -85,6 +85,24 @@
     BOOST_TEST(runsInAll(world) == 1U);
 }
 
+// The caller of a request that crashes whatever runs it gets a failure, and the replicas are left alone.
+// 1. Each run of the request ends with its replica's reset. 2. The caller sends it again and again. 3. After three runs
+// that broke off with no success between them it is not sent any more; other requests are.
+BOOST_AUTO_TEST_CASE(a_request_that_breaks_off_everywhere_is_not_sent_for_ever)
+{
+    auto world = ServingWorld(2, 0);
+    world.startGateway();
+    for (auto index : { std::size_t(0), std::size_t(1) })
+        world.engine(index).behave({ .sent = 0, .then = ReplicaStandin::Behaviour::Then::Reset });
+    for (auto count = 0; count < 4; ++count)
+        (void)world.ask({ .attempt = "again-" + std::to_string(count), .body = "poison" });
+    BOOST_TEST(runsInAll(world) == 3U);
+    for (auto index : { std::size_t(0), std::size_t(1) })
+        world.engine(index).behave({});
+    BOOST_TEST(world.ask({ .attempt = "other", .body = "harmless" }).status == 200);
+    BOOST_TEST(world.ask({ .attempt = "last", .body = "poison" }).status == 502);
+}
+
 // The replica stops its work when the caller leaves in the middle of a stream.
 BOOST_AUTO_TEST_CASE(a_caller_that_leaves_ends_the_run)
 {
