--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -187,6 +187,9 @@
     const auto found = waiting_.find(attempt);
     log::info(decision.granted ? "granted" : "not granted",
         { { "request", attempt.str() }, { "replica", agent_.instance().str() }, { "reason", decision.reason },
+            { "waited_ms", std::to_string(decision.waited.count() / 1000) },
+            { "tokens_ahead", std::to_string(agent_.queue().tokensAhead()) },
+            { "loads_waiting", std::to_string(agent_.loadsWaiting()) },
             { "running", std::to_string(agent_.queue().running()) },
             { "queued", std::to_string(agent_.queue().queued()) } });
     metrics_.count("eelgrass_admissions_total", { { "granted", decision.granted ? "yes" : "no" } });
--- a/packages/serving/ConfigurationFollower.cpp
+++ b/packages/serving/ConfigurationFollower.cpp
@@ -11,24 +11,26 @@
 constexpr auto table = "op";
 constexpr auto configurationKey = "config";
 constexpr auto versionPrefix = std::string_view("version/");
-// A long poll that hears nothing ends after this long: a connection gone silent for good is found by then and a little
-// more, within the time that a host has to be in touch again.
-constexpr auto pollWait = Duration(1500ms);
+// A long poll that hears nothing ends after this share of the bound: a connection gone silent for good is found by then
+// and a little more, within the time that a host has to be in touch again. Each call to the store is paid for.
+constexpr auto pollShare = 0.75;
 // After a failure; a store that turns this host away is asked twice a second.
 constexpr auto retryAfter = Duration(500ms);
 
 } // namespace
 
-ConfigurationFollower::ConfigurationFollower(wire::MainLoop& loop, hosting::Store& store, OnChange onChange)
+ConfigurationFollower::ConfigurationFollower(
+    wire::MainLoop& loop, hosting::Store& store, Duration bound, OnChange onChange)
     : loop_(loop)
     , store_(store)
+    , pollWait_(std::chrono::duration_cast<Duration>(pollShare * bound))
     , onChange_(std::move(onChange))
 {
 }
 
 auto ConfigurationFollower::poll() -> void
 {
-    auto answer = known_ ? store_.follow(table, *known_, pollWait) : store_.read(table);
+    auto answer = known_ ? store_.follow(table, *known_, pollWait_) : store_.read(table);
     work_ = answer.then([this](hosting::StoreAnswer&& received) { take(std::move(received)); })
                 .eagerlyEvaluate([](kj::Exception&& error) {
                     log::error("configuration poll failed", { { "reason", error.getDescription().cStr() } });
--- a/packages/serving/ConfigurationFollower.h
+++ b/packages/serving/ConfigurationFollower.h
@@ -21,7 +21,8 @@
 public:
     using OnChange = std::function<void()>;
 
-    ConfigurationFollower(wire::MainLoop& loop, hosting::Store& store, OnChange onChange);
+    /// `bound` is the time within which a configuration must be in force.
+    ConfigurationFollower(wire::MainLoop& loop, hosting::Store& store, Duration bound, OnChange onChange);
 
     auto start() -> void { poll(); }
     /// Null until there is one.
@@ -49,6 +50,7 @@
 
     wire::MainLoop& loop_;
     hosting::Store& store_;
+    Duration pollWait_;
     OnChange onChange_;
     std::shared_ptr<const ServingConfiguration> configuration_;
     RouteTable routes_;
--- a/packages/serving/GatewayRole.cpp
+++ b/packages/serving/GatewayRole.cpp
@@ -52,8 +52,9 @@
     , metrics_(metricClasses)
     , deferred_(loop.timers())
     , store_(loop.timers(), settings_.host.store)
-    , configuration_(loop, store_, [this] { onConfiguration(); })
-    , directory_(loop, store_, settings_.host.name, settings_.host.agentPort, { .onAgent = [this] { onAgent(); } })
+    , configuration_(loop, store_, settings_.configurationBound, [this] { onConfiguration(); })
+    , directory_(loop, store_, { settings_.host.name, settings_.host.agentPort, settings_.drainBound },
+          { .onAgent = [this] { onAgent(); } })
     , suspects_(directory_)
     , gateway_ { loop, settings_, configuration_, directory_, metrics_, deferred_, suspects_ }
     , peerSessions_(loop.timers())
@@ -112,8 +113,10 @@
             entries = std::max(entries, replica->agent()->state().entries);
     }
     // One more than are seen: an entry that cannot be seen from here spends its share all the same.
-    if (entries > 0)
+    if (entries > 0 && entries + 1 != gateway_.entries) {
         gateway_.entries = entries + 1;
+        directory_.shareConnections(gateway_.entries);
+    }
     const auto now = loop_.timers().now();
     const auto mine = configuration_.configuration() ? configuration_.configuration()->version : ConfigVersion();
     for (const auto& [instance, replica] : directory_.all()) {
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -336,7 +336,8 @@
     for (const auto& request : queue_.grant([this](const AdapterName& adapter) { return ready(adapter); }, now)) {
         if (!request.adapter.empty())
             slots_->pin(modelName(request.adapter), now);
-        decide(request.attempt, { .granted = true, .version = versionOf(request.adapter) });
+        decide(request.attempt,
+            { .granted = true, .version = versionOf(request.adapter), .waited = now - request.arrivedAt });
     }
 }
 
--- a/packages/serving/ReplicaAgent.h
+++ b/packages/serving/ReplicaAgent.h
@@ -30,6 +30,8 @@
         AdapterVersion version;
         Duration retryAfter {};
         std::string reason;
+        /// How long it waited here.
+        Duration waited {};
     };
     using OnDecision = std::function<void(const AttemptId&, const Decision&)>;
     using OnChange = std::function<void()>;
--- a/packages/serving/ReplicaDirectory.cpp
+++ b/packages/serving/ReplicaDirectory.cpp
@@ -11,9 +11,9 @@
 namespace {
 
 constexpr auto table = "servers";
-// Every heartbeat of every replica changes the table, so it is read at an interval and not followed. A leaving replica
-// must get nothing new two seconds after its notice.
-constexpr auto listInterval = Duration(700ms);
+// Every heartbeat of every replica changes the table, so it is read at an interval and not followed: half of the time
+// in which a leaving replica must get nothing new. The other half is for the answer and for what is on its way by then.
+constexpr auto listShare = 2;
 constexpr auto listRetry = Duration(500ms);
 // Entries that lapsed while the store was away come back within two seconds of its return.
 constexpr auto lapsedReturn = Duration(2500ms);
@@ -98,12 +98,10 @@
     }
 }
 
-ReplicaDirectory::ReplicaDirectory(
-    wire::MainLoop& loop, hosting::Store& store, std::string entry, std::uint16_t agentPort, Hooks hooks)
+ReplicaDirectory::ReplicaDirectory(wire::MainLoop& loop, hosting::Store& store, Options options, Hooks hooks)
     : loop_(loop)
     , store_(store)
-    , entry_(std::move(entry))
-    , agentPort_(agentPort)
+    , options_(std::move(options))
     , hooks_(std::move(hooks))
 {
 }
@@ -139,7 +137,7 @@
     for (auto& row : answer.rows)
         list.push_back({ InstanceId(row.key), std::move(row.value) });
     apply(list, now - regainedAt_ > lapsedReturn, "store");
-    timer_ = loop_.timers().after(listInterval, [this] { poll(); });
+    timer_ = loop_.timers().after(options_.drainBound / listShare, [this] { poll(); });
 }
 
 auto ReplicaDirectory::apply(const std::vector<Listed>& list, bool whole, std::string_view source) -> void
@@ -235,7 +233,7 @@
         .onLost = [this] { hooks_.onAgent(); },
         .onAttached = [this] { hooks_.onAgent(); } };
     replica->setAgent(std::make_unique<AgentLink>(
-        loop_, Endpoint { replica->record().endpoint.address, agentPort_ }, entry_, std::move(hooks)));
+        loop_, Endpoint { replica->record().endpoint.address, options_.agentPort }, options_.entry, std::move(hooks)));
     replica->agent()->configured(configuration_, holder_);
 }
 
@@ -252,6 +250,22 @@
     }
 }
 
+auto ReplicaDirectory::shareConnections(std::size_t entries) -> void
+{
+    if (!configuration_)
+        return;
+    // Half of the share: the other half is for connections in use and for new ones.
+    constexpr auto least = std::size_t(1);
+    constexpr auto most = std::size_t(16);
+    for (const auto& [instance, replica] : replicas_) {
+        const auto service = configuration_->services.find(replica->record().service);
+        if (service == configuration_->services.end())
+            continue;
+        const auto share = service->second.connectionLimit / (2 * std::max<std::size_t>(entries, 1));
+        replica->pool().setMostIdle(std::clamp(share, least, most));
+    }
+}
+
 auto ReplicaDirectory::of(const ServiceName& service) const -> const std::vector<ReplicaPtr>&
 {
     static const auto none = std::vector<ReplicaPtr>();
--- a/packages/serving/ReplicaDirectory.h
+++ b/packages/serving/ReplicaDirectory.h
@@ -84,8 +84,15 @@
         std::function<void()> onAgent;
     };
 
-    ReplicaDirectory(
-        wire::MainLoop& loop, hosting::Store& store, std::string entry, std::uint16_t agentPort, Hooks hooks);
+    /// Who asks, and what agents and leaving replicas are to expect of it.
+    struct Options {
+        std::string entry;
+        std::uint16_t agentPort = 0;
+        /// Within this a replica that leaves gets nothing new.
+        Duration drainBound = 2s;
+    };
+
+    ReplicaDirectory(wire::MainLoop& loop, hosting::Store& store, Options options, Hooks hooks);
 
     auto start() -> void;
     /// Services whose replicas have an agent beside them.
@@ -96,6 +103,8 @@
     [[nodiscard]] auto known() const noexcept -> bool { return known_; }
     /// Since when the store has not told it; empty while it does.
     [[nodiscard]] auto lostSince() const noexcept -> std::optional<Moment> { return lostSince_; }
+    /// Divides the connections that each replica takes among the entries.
+    auto shareConnections(std::size_t entries) -> void;
     /// The list as peers are told it.
     [[nodiscard]] auto text() const -> std::string;
     /// A peer's list, for an entry that has none of its own.
@@ -118,8 +127,7 @@
 
     wire::MainLoop& loop_;
     hosting::Store& store_;
-    std::string entry_;
-    std::uint16_t agentPort_;
+    Options options_;
     Hooks hooks_;
     std::shared_ptr<const ServingConfiguration> configuration_;
     std::string holder_;
--- a/packages/serving/ReplicaLeg.cpp
+++ b/packages/serving/ReplicaLeg.cpp
@@ -13,7 +13,6 @@
 constexpr auto freshForOnce = Duration(500ms);
 // Without a word of the replica about it.
 constexpr auto keptByDefault = std::chrono::seconds(4);
-constexpr auto mostIdle = std::size_t(16);
 
 } // namespace
 
@@ -193,7 +192,7 @@
 
 auto ConnectionPool::giveBack(std::shared_ptr<ReplicaConnection> connection) -> void
 {
-    if (!connection->reusable() || idle_.size() >= mostIdle)
+    if (!connection->reusable() || idle_.size() >= mostIdle_)
         return;
     auto* raw = connection.get();
     connection->onIdleEnd(
--- a/packages/serving/ReplicaLeg.h
+++ b/packages/serving/ReplicaLeg.h
@@ -95,6 +95,8 @@
     /// so only a connection used moments ago will do.
     [[nodiscard]] auto take(bool once) -> std::shared_ptr<ReplicaConnection>;
     auto giveBack(std::shared_ptr<ReplicaConnection> connection) -> void;
+    /// Idle connections kept: the replica takes so many from all callers together.
+    auto setMostIdle(std::size_t most) -> void { mostIdle_ = most; }
     [[nodiscard]] auto idle() const noexcept -> std::size_t { return idle_.size(); }
     auto clear() -> void { idle_.clear(); }
 
@@ -105,6 +107,7 @@
     };
     TimerService& timers_;
     Endpoint endpoint_;
+    std::size_t mostIdle_ = 4;
     std::vector<Idle> idle_;
 };
 
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -265,6 +265,9 @@
             replica_->agent()->release(facts_.attempt);
         return;
     }
+    // It may have waited there for longer than a replica that leaves may be given work.
+    if (replica_->leaving())
+        return abandonAdmission("replica leaving");
     if (result.granted) {
         const auto version = facts_.adapter.empty() ? std::nullopt : std::optional(result.version);
         return send(version);
--- a/packages/serving/Settings.cpp
+++ b/packages/serving/Settings.cpp
@@ -81,6 +81,8 @@
         auto window = milliseconds(10000);
         readMilliseconds(reader, "retry_window_ms", window);
         settings.retries.window = window;
+        readMilliseconds(reader, "drain_bound_ms", settings.drainBound);
+        readMilliseconds(reader, "configuration_bound_ms", settings.configurationBound);
         readMilliseconds(reader, "grace_ms", settings.grace);
         readMilliseconds(reader, "zone_penalty_ms", settings.zonePenalty);
         readMilliseconds(reader, "zone_penalty_per_kib_ms", settings.zonePenaltyPerKiB);
--- a/packages/serving/Settings.h
+++ b/packages/serving/Settings.h
@@ -33,6 +33,9 @@
     /// Entries to ask for what the store does not tell.
     std::vector<Endpoint> seeds;
     decisions::RetryBounds retries;
+    /// Within this a replica that leaves gets nothing new, and a configuration is in force.
+    milliseconds drainBound { 2000 };
+    milliseconds configurationBound { 2000 };
     /// How long a planned stop may take.
     milliseconds grace { 8000 };
     /// What a request to a replica in another zone costs, as a time: the way there and back, and for each KiB of its
