What waits for its adapter does not count as work ahead; a load costs what the last ones took

Cause: at the worst load 7 to 10 requests a replica waited for adapters (7 slots each); they counted as prompt work ahead, so holders looked busy, adapters were copied to more replicas, and the copies took the slots. Ruled out: prompt reading, lost orders (46 of 1,952).

--- a/packages/decisions/AdmissionQueue.cpp
+++ b/packages/decisions/AdmissionQueue.cpp
@@ -29,11 +29,11 @@
         std::chrono::duration<double, std::milli>(static_cast<double>(tokens) / limits_.readRate));
 }
 
-auto AdmissionQueue::tokensAhead() const noexcept -> TokenCount
+auto AdmissionQueue::tokensAhead(const Ready& ready) const -> TokenCount
 {
     auto tokens = unstarted_;
     for (const auto& request : waiting_)
-        tokens += request.unreadTokens;
+        tokens += ready(request.adapter) ? request.unreadTokens : 0;
     return tokens;
 }
 
@@ -80,12 +80,13 @@
         [&](const AdmissionRequest& left, const AdmissionRequest& right) { return before(left, right, now); });
 }
 
-auto AdmissionQueue::offer(AdmissionRequest request, Duration loadTime, Moment now) -> std::optional<AdmissionRefusal>
+auto AdmissionQueue::offer(AdmissionRequest request, const Ready& ready, Duration loadTime, Moment now)
+    -> std::optional<AdmissionRefusal>
 {
     noteInflow(request, now);
     auto ahead = unstarted_;
     for (const auto& other : waiting_) {
-        if (!before(request, other, now))
+        if (ready(other.adapter) && !before(request, other, now))
             ahead += other.unreadTokens;
     }
     const auto wait = std::max(readTime(ahead, request.priority, now), loadTime);
@@ -126,7 +127,7 @@
     return granted;
 }
 
-auto AdmissionQueue::expire(Moment now) -> std::vector<AdmissionRefusal>
+auto AdmissionQueue::expire(const Ready& ready, Moment now) -> std::vector<AdmissionRefusal>
 {
     auto refused = std::vector<AdmissionRefusal>();
     order(now);
@@ -134,7 +135,7 @@
     std::erase_if(waiting_, [&](const AdmissionRequest& request) {
         const auto wait = readTime(ahead, request.priority, now);
         if (now + wait + readTime(request.unreadTokens) < request.gaveUpAt) {
-            ahead += request.unreadTokens;
+            ahead += ready(request.adapter) ? request.unreadTokens : 0;
             return false;
         }
         refused.push_back({ request.attempt, std::max(wait, shortestRetry) });
--- a/packages/decisions/AdmissionQueue.h
+++ b/packages/decisions/AdmissionQueue.h
@@ -78,12 +78,12 @@
 
     /// Takes the request in, unless what is ahead of it takes longer than its caller waits. `loadTime` is what its
     /// adapter still needs.
-    [[nodiscard]] auto offer(AdmissionRequest request, Duration loadTime, Moment now)
+    [[nodiscard]] auto offer(AdmissionRequest request, const Ready& ready, Duration loadTime, Moment now)
         -> std::optional<AdmissionRefusal>;
     /// Takes out what may be sent now.
     [[nodiscard]] auto grant(const Ready& ready, Moment now) -> std::vector<AdmissionRequest>;
     /// Takes out what will not be reached before its caller leaves.
-    [[nodiscard]] auto expire(Moment now) -> std::vector<AdmissionRefusal>;
+    [[nodiscard]] auto expire(const Ready& ready, Moment now) -> std::vector<AdmissionRefusal>;
     /// Takes everything out, as when the replica is gone.
     [[nodiscard]] auto drain(Duration retryAfter) -> std::vector<AdmissionRefusal>;
 
@@ -101,8 +101,10 @@
     [[nodiscard]] auto runs(const AdapterId& adapter) const -> bool;
     /// The adapter of a granted request; empty when it is not granted.
     [[nodiscard]] auto adapterOf(const AttemptId& attempt) const -> std::optional<AdapterId>;
-    /// Prompt tokens to be read before a request that comes now.
-    [[nodiscard]] auto tokensAhead() const noexcept -> TokenCount;
+    /// Prompt tokens to be read before a request that comes now. What waits for its adapter is not in the way of
+    /// others: counted, it made replicas look busy that were not, and adapters were copied to more of them, which took
+    /// the slots that they waited for.
+    [[nodiscard]] auto tokensAhead(const Ready& ready) const -> TokenCount;
     [[nodiscard]] auto memoryUsed() const noexcept -> TokenCount { return memoryUsed_; }
 
 private:
--- a/packages/decisions/ReplicaChoice.cpp
+++ b/packages/decisions/ReplicaChoice.cpp
@@ -8,19 +8,20 @@
 
 namespace {
 
-// From the order to the adapter's being there, measured by an engine's own report.
-constexpr auto loadTime = Duration(300ms);
-constexpr auto loadUnderWay = Duration(150ms);
-// The weights are in the replica's host memory.
-constexpr auto warmLoadTime = Duration(60ms);
-// A replica whose slots are all in use: it waits for a run to end.
-constexpr auto slotTime = Duration(900ms);
+// From the order to the adapter's being there, by an engine's own report: from the weight store, and from the engine's
+// host memory. What a replica needs beyond is the wait for a slot.
+constexpr auto fetchTime = Duration(300ms);
+constexpr auto warmTime = Duration(60ms);
+// No slot is free there: a load would wait for a run to end, and keep the next adapter waiting in turn.
+constexpr auto slotTime = Duration(500ms);
 // Each place of the batch that is taken slows all tokens a little; counted so that idle replicas come first.
 constexpr auto fullBatch = Duration(60ms);
 // A prompt from which on the steps that read it make the pauses of running streams too long: each reads a thousand of
 // its tokens and looks back at all before. Counted for each stream that runs there.
 constexpr auto longPrompt = std::uint64_t(12000);
 constexpr auto disturbance = Duration(60ms);
+// Until one of many runs ends.
+constexpr auto runTime = Duration(500ms);
 // How far the favourite of an adapter's name may be behind the soonest: where the adapter is there or at hand, and
 // where it must be fetched. A fetch elsewhere costs all who wait for the store, so the favourite may be a good deal
 // later.
@@ -51,17 +52,22 @@
 auto expectedStart(const ReplicaView& replica, const PlacementNeed& need) -> Duration
 {
     auto load = Duration(0);
-    if (!replica.holds && replica.loading)
-        load = loadUnderWay;
-    else if (!replica.holds)
-        load = replica.spareSlots <= replica.loadsWaiting ? slotTime : replica.warm ? warmLoadTime : loadTime;
+    if (!replica.holds) {
+        load = std::max(replica.loadTime, fetchTime);
+        if (replica.warm)
+            load -= fetchTime - warmTime;
+        if (replica.loading)
+            load /= 2;
+        else if (replica.spareSlots <= replica.loadsWaiting)
+            load += slotTime;
+    }
     const auto ahead = readTime(replica.tokensAhead, need.readRate);
     const auto full
         = static_cast<double>(replica.running) / static_cast<double>(std::max<std::size_t>(replica.batch, 1));
     auto start = std::max(load, ahead) + share(full, fullBatch);
     // A full batch starts nothing until a run ends.
     if (full >= 1)
-        start += slotTime;
+        start += runTime;
     if (!replica.prompt)
         start += readTime(need.sharedTokens, need.readRate);
     if (need.unreadTokens + need.sharedTokens >= longPrompt)
--- a/packages/decisions/ReplicaChoice.h
+++ b/packages/decisions/ReplicaChoice.h
@@ -32,6 +32,8 @@
     /// Slots whose adapter gives way to a new one, and adapters that wait for one already.
     std::size_t spareSlots = 0;
     std::size_t loadsWaiting = 0;
+    /// What an adapter takes there that is wanted now, by what the last ones took.
+    Duration loadTime = 300ms;
     /// Whether it has read the shared part of the prompt, as far as this entry knows.
     bool prompt = false;
     /// Answer time against its peers; 1 for as fast as they.
--- a/packages/serving/AgentLink.cpp
+++ b/packages/serving/AgentLink.cpp
@@ -114,6 +114,7 @@
     state_.memoryUsed = state.getMemoryUsed();
     state_.spareSlots = state.getSpareSlots();
     state_.loadsWaiting = state.getLoadsWaiting();
+    state_.loadTime = milliseconds(state.getLoadMs());
     state_.configVersion = ConfigVersion(state.getConfigVersion());
     state_.configHolder = state.getConfigHolder().cStr();
     state_.entries = state.getEntries();
--- a/packages/serving/AgentLink.h
+++ b/packages/serving/AgentLink.h
@@ -26,6 +26,8 @@
     Tokens memoryUsed = 0;
     std::size_t spareSlots = 0;
     std::size_t loadsWaiting = 0;
+    /// What an adapter takes there that is wanted now.
+    milliseconds loadTime { 0 };
     /// The highest configuration that any entry told it of, and the entry to ask for it.
     ConfigVersion configVersion;
     std::string configHolder;
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -188,7 +188,7 @@
     log::info(decision.granted ? "granted" : "not granted",
         { { "request", attempt.str() }, { "replica", agent_.instance().str() }, { "reason", decision.reason },
             { "waited_ms", std::to_string(decision.waited.count() / 1000) },
-            { "tokens_ahead", std::to_string(agent_.queue().tokensAhead()) },
+            { "tokens_ahead", std::to_string(agent_.tokensAhead()) },
             { "loads_waiting", std::to_string(agent_.loadsWaiting()) },
             { "running", std::to_string(agent_.queue().running()) },
             { "queued", std::to_string(agent_.queue().queued()) } });
@@ -253,7 +253,8 @@
         loading.set(index, coming[index].str());
     state.setRunning(static_cast<std::uint32_t>(agent_.queue().running()));
     state.setQueued(static_cast<std::uint32_t>(agent_.queue().queued()));
-    state.setTokensAhead(agent_.queue().tokensAhead());
+    state.setTokensAhead(agent_.tokensAhead());
+    state.setLoadMs(static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(agent_.loadTime()).count()));
     state.setMemoryUsed(agent_.queue().memoryUsed());
     state.setSpareSlots(static_cast<std::uint32_t>(agent_.spareSlots()));
     state.setLoadsWaiting(static_cast<std::uint32_t>(coming.size()));
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -37,6 +37,8 @@
 // When a request comes back to a replica that is empty or gone.
 constexpr auto comeBack = Duration(300ms);
 constexpr auto adapterTime = Duration(300ms);
+// How many loads the mean of their times follows.
+constexpr auto loadSmoothing = 4;
 constexpr auto expiryInterval = Duration(50ms);
 constexpr auto mostPrompts = std::size_t(512);
 
@@ -52,6 +54,7 @@
     , onDecision_(std::move(onDecision))
     , onChange_(std::move(onChange))
     , replica_(loop.timers(), settings.replica.address, settings.replica.port)
+    , loadTime_(adapterTime)
 {
 }
 
@@ -60,7 +63,7 @@
     raiseFence();
     report();
     expiry_ = loop_.timers().every(expiryInterval, [this] {
-        for (const auto& refusal : queue_.expire(loop_.timers().now()))
+        for (const auto& refusal : queue_.expire(isReady(), loop_.timers().now()))
             decide(refusal.attempt, { .retryAfter = refusal.retryAfter, .reason = "not in time" });
     });
 }
@@ -264,6 +267,31 @@
     return wanted == wantedVersions_.end() || versionOf(adapter) >= wanted->second;
 }
 
+auto ReplicaAgent::isReady() const -> decisions::AdmissionQueue::Ready
+{
+    return [this](const AdapterName& adapter) { return ready(adapter); };
+}
+
+auto ReplicaAgent::tokensAhead() const -> Tokens { return queue_.tokensAhead(isReady()); }
+
+auto ReplicaAgent::loadTime() const -> Duration { return spareSlots() > loadsWaiting() ? adapterTime : loadTime_; }
+
+/// Measures how long adapters take from the first request that wants them.
+auto ReplicaAgent::noteLoads() -> void
+{
+    const auto now = loop_.timers().now();
+    const auto wanted = queue_.wanted(isReady());
+    for (const auto& adapter : wanted)
+        wantedSince_.try_emplace(adapter, now);
+    std::erase_if(wantedSince_, [&](const auto& entry) {
+        if (std::find(wanted.begin(), wanted.end(), entry.first) != wanted.end())
+            return false;
+        if (ready(entry.first))
+            loadTime_ += (now - entry.second - loadTime_) / loadSmoothing;
+        return true;
+    });
+}
+
 auto ReplicaAgent::usable() const -> bool { return report_ && report_->hasModel && slots_; }
 
 auto ReplicaAgent::admit(
@@ -279,8 +307,8 @@
     }
     const auto known = prompts_.contains(sharedId);
     request.unreadTokens = request.promptTokens - (known ? std::min(sharedTokens, request.promptTokens) : 0);
-    const auto loadTime = ready(request.adapter) ? Duration(0) : adapterTime;
-    if (const auto refusal = queue_.offer(std::move(request), loadTime, loop_.timers().now()))
+    const auto load = ready(request.adapter) ? Duration(0) : loadTime();
+    if (const auto refusal = queue_.offer(std::move(request), isReady(), load, loop_.timers().now()))
         return decide(attempt, { .retryAfter = refusal->retryAfter, .reason = "hopeless here" });
     if (prompts_.size() >= mostPrompts)
         prompts_.clear();
@@ -317,6 +345,7 @@
     // A decision may bring a new request or a release at once; the outer call goes on with it.
     if (std::exchange(acting_, true))
         return;
+    noteLoads();
     grant();
     if (report_ && instance_.empty())
         identify();
@@ -333,7 +362,7 @@
     if (!usable())
         return;
     const auto now = loop_.timers().now();
-    for (const auto& request : queue_.grant([this](const AdapterName& adapter) { return ready(adapter); }, now)) {
+    for (const auto& request : queue_.grant(isReady(), now)) {
         if (!request.adapter.empty())
             slots_->pin(modelName(request.adapter), now);
         decide(request.attempt,
@@ -358,7 +387,7 @@
     if (!report_->hasModel)
         return baseOrder();
     const auto now = loop_.timers().now();
-    const auto wanted = queue_.wanted([this](const AdapterName& adapter) { return ready(adapter); });
+    const auto wanted = queue_.wanted(isReady());
     for (const auto& adapter : wanted) {
         const auto name = modelName(adapter);
         if (replacing_.contains(adapter) || unloading_.contains(adapter))
@@ -454,7 +483,7 @@
 
 auto ReplicaAgent::loading() const -> std::vector<AdapterName>
 {
-    auto adapters = queue_.wanted([this](const AdapterName& adapter) { return ready(adapter); });
+    auto adapters = queue_.wanted(isReady());
     return adapters;
 }
 
@@ -471,9 +500,6 @@
     return spare;
 }
 
-auto ReplicaAgent::loadsWaiting() const -> std::size_t
-{
-    return queue_.wanted([this](const AdapterName& adapter) { return ready(adapter); }).size();
-}
+auto ReplicaAgent::loadsWaiting() const -> std::size_t { return queue_.wanted(isReady()).size(); }
 
 } // namespace eelgrass::serving
--- a/packages/serving/ReplicaAgent.h
+++ b/packages/serving/ReplicaAgent.h
@@ -58,6 +58,10 @@
     [[nodiscard]] auto loading() const -> std::vector<AdapterName>;
     [[nodiscard]] auto spareSlots() const -> std::size_t;
     [[nodiscard]] auto loadsWaiting() const -> std::size_t;
+    /// Prompt tokens to be read before a request that comes now.
+    [[nodiscard]] auto tokensAhead() const -> Tokens;
+    /// How long an adapter that is wanted now will take, the wait for a slot included, by what the last ones took.
+    [[nodiscard]] auto loadTime() const -> Duration;
 
 private:
     enum class Fence { Wanted, Asked, Held };
@@ -86,6 +90,8 @@
     auto ordered(const hosting::ReplicaOrder& order, const wire::HttpAnswer& answer) -> void;
     auto orderFailed(const hosting::ReplicaOrder& order, const std::string& reason) -> void;
     auto settlePending() -> void;
+    auto noteLoads() -> void;
+    [[nodiscard]] auto isReady() const -> decisions::AdmissionQueue::Ready;
     [[nodiscard]] auto ready(const AdapterName& adapter) const -> bool;
     [[nodiscard]] auto versionOf(const AdapterName& adapter) const -> AdapterVersion;
 
@@ -106,6 +112,9 @@
     /// Orders that wait at the replica for runs to end, and since when: unloads, and loads of a newer version.
     std::map<AdapterName, Moment> unloading_;
     std::map<AdapterName, Moment> replacing_;
+    /// Since when each adapter that is not there is wanted, and how long the last ones took.
+    std::map<AdapterName, Moment> wantedSince_;
+    Duration loadTime_;
     Moment ordersRestUntil_ {};
     Moment orderedAt_ {};
     Timer orderRest_;
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -165,6 +165,7 @@
     view.tokensAhead = state.tokensAhead + replica->tokensSent();
     view.spareSlots = state.spareSlots;
     view.loadsWaiting = state.loadsWaiting;
+    view.loadTime = state.loadTime;
     return view;
 }
 
--- a/packages/wire/Agent.capnp
+++ b/packages/wire/Agent.capnp
@@ -33,6 +33,8 @@
   entries @12 :UInt32;
   # Requests that broke off at replicas, as entries told this agent.
   suspects @13 :List(SuspectRequest);
+  # How long an adapter takes that is wanted now, the wait for a slot included.
+  loadMs @14 :UInt32;
 }
 
 struct SuspectRequest {
--- a/tests/unit/AdmissionQueue.cpp
+++ b/tests/unit/AdmissionQueue.cpp
@@ -30,8 +30,8 @@
 {
     auto queue = AdmissionQueue();
     queue.setLimits({ .readRate = 40 });
-    BOOST_TEST(!queue.offer(ask("long", 40000, 800ms, 4s), {}, {}).has_value());
-    const auto refusal = queue.offer(ask("hopeless", 40000, 800ms, 1900ms), {}, {});
+    BOOST_TEST(!queue.offer(ask("long", 40000, 800ms, 4s), always, {}, {}).has_value());
+    const auto refusal = queue.offer(ask("hopeless", 40000, 800ms, 1900ms), always, {}, {});
     BOOST_REQUIRE(refusal.has_value());
     // The work ahead takes a second; coming back sooner would be in vain.
     BOOST_TEST(refusal->retryAfter.count() == Duration(1s).count());
@@ -40,9 +40,9 @@
 BOOST_AUTO_TEST_CASE(what_can_be_on_time_goes_before_what_is_late)
 {
     auto queue = AdmissionQueue();
-    (void)queue.offer(ask("late", 100, 0ms, 4s, Moment()), {}, Moment());
-    (void)queue.offer(ask("soon", 100, 500ms, 4s, Moment()), {}, Moment());
-    (void)queue.offer(ask("sooner", 100, 200ms, 4s, Moment()), {}, Moment());
+    (void)queue.offer(ask("late", 100, 0ms, 4s, Moment()), always, {}, Moment());
+    (void)queue.offer(ask("soon", 100, 500ms, 4s, Moment()), always, {}, Moment());
+    (void)queue.offer(ask("sooner", 100, 200ms, 4s, Moment()), always, {}, Moment());
     const auto granted = queue.grant(always, Moment(10ms));
     BOOST_REQUIRE(granted.size() == 3U);
     BOOST_TEST(granted[0].attempt.str() == "sooner");
@@ -55,14 +55,14 @@
     auto queue = AdmissionQueue();
     queue.setLimits({ .batch = 3, .memory = 10000, .readRate = 1000 });
     for (auto count = 0; count < 6; ++count)
-        (void)queue.offer(ask("r" + std::to_string(count), 100, 1s, 9s), {}, {});
+        (void)queue.offer(ask("r" + std::to_string(count), 100, 1s, 9s), always, {}, {});
     BOOST_TEST(queue.grant(always, {}).size() == 3U);
     queue.release(AttemptId("r0"));
     BOOST_TEST(queue.grant(always, {}).size() == 1U);
     auto small = AdmissionQueue();
     small.setLimits({ .batch = 64, .memory = 1000, .readRate = 1000 });
     for (auto count = 0; count < 6; ++count)
-        (void)small.offer(ask("r" + std::to_string(count), 250, 1s, 9s), {}, {});
+        (void)small.offer(ask("r" + std::to_string(count), 250, 1s, 9s), always, {}, {});
     BOOST_TEST(small.grant(always, {}).size() == 3U);
 }
 
@@ -71,8 +71,8 @@
     auto queue = AdmissionQueue();
     auto waiting = ask("waiting", 100, 100ms, 4s);
     waiting.adapter = AdapterId("coming");
-    (void)queue.offer(waiting, 300ms, {});
-    (void)queue.offer(ask("ready", 100, 500ms, 4s), {}, {});
+    (void)queue.offer(waiting, always, 300ms, {});
+    (void)queue.offer(ask("ready", 100, 500ms, 4s), always, {}, {});
     const auto ready = [](const AdapterId& adapter) { return adapter.str() == "a"; };
     const auto granted = queue.grant(ready, {});
     BOOST_REQUIRE(granted.size() == 1U);
@@ -82,14 +82,30 @@
     BOOST_TEST(wanted[0].str() == "coming");
 }
 
+// A replica at which ten requests wait for their adapters looks free to one whose adapter is there, and takes it at
+// once.
+BOOST_AUTO_TEST_CASE(what_waits_for_its_adapter_is_not_in_the_way)
+{
+    auto queue = AdmissionQueue();
+    const auto ready = [](const AdapterId& adapter) { return adapter.str() == "a"; };
+    for (auto count = 0; count < 10; ++count) {
+        auto waiting = ask("w" + std::to_string(count), 9000, 800ms, 4s);
+        waiting.adapter = AdapterId("coming-" + std::to_string(count));
+        (void)queue.offer(waiting, ready, 300ms, {});
+    }
+    BOOST_TEST(queue.tokensAhead(ready) == 0U);
+    BOOST_TEST(!queue.offer(ask("ready", 9000, 800ms, 1s), ready, {}, {}).has_value());
+    BOOST_TEST(queue.grant(ready, {}).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(what_is_over_leaves_no_trace)
 {
     auto queue = AdmissionQueue();
-    (void)queue.offer(ask("one", 1000, 1s, 4s), {}, {});
+    (void)queue.offer(ask("one", 1000, 1s, 4s), always, {}, {});
     (void)queue.grant(always, {});
     BOOST_TEST(queue.memoryUsed() == 1050U);
     queue.started(AttemptId("one"));
-    BOOST_TEST(queue.tokensAhead() == 0U);
+    BOOST_TEST(queue.tokensAhead(always) == 0U);
     queue.release(AttemptId("one"));
     queue.release(AttemptId("one"));
     BOOST_TEST(queue.memoryUsed() == 0U);
@@ -125,9 +141,9 @@
             auto request = kind == 0 ? ask(name, 9000, 800ms, 3s, now) : ask(name, 800, 600ms, 2400ms, now);
             questions += kind;
             arrivals[request.attempt] = request;
-            (void)queue.offer(request, {}, now);
+            (void)queue.offer(request, always, {}, now);
         }
-        for (const auto& refusal : queue.expire(now))
+        for (const auto& refusal : queue.expire(always, now))
             lateRefusals += now - arrivals[refusal.attempt].arrivedAt > Duration(2500ms) ? 1 : 0;
         for (const auto& granted : queue.grant(always, now)) {
             const auto read = std::chrono::duration_cast<Duration>(
