--- a/packages/decisions/AdmissionQueue.cpp
+++ b/packages/decisions/AdmissionQueue.cpp
@@ -37,6 +37,14 @@
     return tokens;
 }
 
+auto AdmissionQueue::tokensWaiting(const Ready& ready) const -> TokenCount
+{
+    auto tokens = TokenCount(0);
+    for (const auto& request : waiting_)
+        tokens += ready(request.adapter) ? 0 : request.unreadTokens;
+    return tokens;
+}
+
 auto AdmissionQueue::readTime(TokenCount tokens, std::uint32_t priority, Moment now) const -> Duration
 {
     auto urgent = 0.0;
--- a/packages/decisions/AdmissionQueue.h
+++ b/packages/decisions/AdmissionQueue.h
@@ -105,6 +105,8 @@
     /// others: counted, it made replicas look busy that were not, and adapters were copied to more of them, which took
     /// the slots that they waited for.
     [[nodiscard]] auto tokensAhead(const Ready& ready) const -> TokenCount;
+    /// Prompt tokens that wait for their adapters: they go before a request whose adapter is wanted only now.
+    [[nodiscard]] auto tokensWaiting(const Ready& ready) const -> TokenCount;
     [[nodiscard]] auto memoryUsed() const noexcept -> TokenCount { return memoryUsed_; }
 
 private:
--- a/packages/decisions/ReplicaChoice.cpp
+++ b/packages/decisions/ReplicaChoice.cpp
@@ -61,7 +61,7 @@
         else if (replica.spareSlots <= replica.loadsWaiting)
             load += slotTime;
     }
-    const auto ahead = readTime(replica.tokensAhead, need.readRate);
+    const auto ahead = readTime(replica.tokensAhead + (replica.holds ? 0 : replica.tokensWaiting), need.readRate);
     const auto full
         = static_cast<double>(replica.running) / static_cast<double>(std::max<std::size_t>(replica.batch, 1));
     auto start = std::max(load, ahead) + share(full, fullBatch);
--- a/packages/decisions/ReplicaChoice.h
+++ b/packages/decisions/ReplicaChoice.h
@@ -29,6 +29,8 @@
     std::size_t batch = 1;
     /// Prompt tokens to be read there first, with what this entry sent since the replica's last word.
     std::uint64_t tokensAhead = 0;
+    /// Those that wait for other adapters there; ahead only of a request whose adapter must be loaded too.
+    std::uint64_t tokensWaiting = 0;
     /// Slots whose adapter gives way to a new one, and adapters that wait for one already.
     std::size_t spareSlots = 0;
     std::size_t loadsWaiting = 0;
--- a/packages/serving/AgentLink.cpp
+++ b/packages/serving/AgentLink.cpp
@@ -111,6 +111,7 @@
     state_.running = state.getRunning();
     state_.queued = state.getQueued();
     state_.tokensAhead = state.getTokensAhead();
+    state_.tokensWaiting = state.getTokensWaiting();
     state_.memoryUsed = state.getMemoryUsed();
     state_.spareSlots = state.getSpareSlots();
     state_.loadsWaiting = state.getLoadsWaiting();
--- a/packages/serving/AgentLink.h
+++ b/packages/serving/AgentLink.h
@@ -23,6 +23,8 @@
     std::size_t running = 0;
     std::size_t queued = 0;
     Tokens tokensAhead = 0;
+    /// Prompt tokens that wait for adapters.
+    Tokens tokensWaiting = 0;
     Tokens memoryUsed = 0;
     std::size_t spareSlots = 0;
     std::size_t loadsWaiting = 0;
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -254,6 +254,7 @@
     state.setRunning(static_cast<std::uint32_t>(agent_.queue().running()));
     state.setQueued(static_cast<std::uint32_t>(agent_.queue().queued()));
     state.setTokensAhead(agent_.tokensAhead());
+    state.setTokensWaiting(agent_.tokensWaiting());
     state.setLoadMs(static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(agent_.loadTime()).count()));
     state.setMemoryUsed(agent_.queue().memoryUsed());
     state.setSpareSlots(static_cast<std::uint32_t>(agent_.spareSlots()));
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -274,6 +274,8 @@
 
 auto ReplicaAgent::tokensAhead() const -> Tokens { return queue_.tokensAhead(isReady()); }
 
+auto ReplicaAgent::tokensWaiting() const -> Tokens { return queue_.tokensWaiting(isReady()); }
+
 auto ReplicaAgent::loadTime() const -> Duration { return spareSlots() > loadsWaiting() ? adapterTime : loadTime_; }
 
 /// Measures how long adapters take from the first request that wants them.
--- a/packages/serving/ReplicaAgent.h
+++ b/packages/serving/ReplicaAgent.h
@@ -60,6 +60,7 @@
     [[nodiscard]] auto loadsWaiting() const -> std::size_t;
     /// Prompt tokens to be read before a request that comes now.
     [[nodiscard]] auto tokensAhead() const -> Tokens;
+    [[nodiscard]] auto tokensWaiting() const -> Tokens;
     /// How long an adapter that is wanted now will take, the wait for a slot included, by what the last ones took.
     [[nodiscard]] auto loadTime() const -> Duration;
 
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -163,6 +163,7 @@
     view.loading = state.loading.contains(facts_.adapter);
     view.warm = replica->warm(facts_.adapter);
     view.tokensAhead = state.tokensAhead + replica->tokensSent();
+    view.tokensWaiting = state.tokensWaiting;
     view.spareSlots = state.spareSlots;
     view.loadsWaiting = state.loadsWaiting;
     view.loadTime = state.loadTime;
--- a/packages/wire/Agent.capnp
+++ b/packages/wire/Agent.capnp
@@ -35,6 +35,8 @@
   suspects @13 :List(SuspectRequest);
   # How long an adapter takes that is wanted now, the wait for a slot included.
   loadMs @14 :UInt32;
+  # Prompt tokens of requests that wait for an adapter.
+  tokensWaiting @15 :UInt64;
 }
 
 struct SuspectRequest {
