--- a/packages/wire/HttpClient.cpp
+++ b/packages/wire/HttpClient.cpp
@@ -2,102 +2,138 @@
 
 #include <kj/debug.h>
 
+#include <map>
+#include <vector>
+
 namespace eelgrass::wire {
 
 namespace {
 
 // An answer that is not streamed is held in memory: no peer of the system has cause to send more.
 constexpr auto wholeAnswerLimit = std::size_t(64) << 20U;
-constexpr auto readSize = std::size_t(16384);
 constexpr auto unreachedMark = "not reached: ";
 
-auto brokenBy(const std::string& peer, GError* raw) -> kj::Exception
-{
-    auto error = std::unique_ptr<GError, decltype(&g_error_free)>(raw, g_error_free);
-    const auto* mark = g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED) ? unreachedMark : "";
-    return { kj::Exception::Type::DISCONNECTED, __FILE__, __LINE__, kj::str(mark, peer.c_str(), ": ", error->message) };
-}
-
-// Path and query may hold what a caller asked for, and errors go into logs: the peer is named by its address alone.
-auto peerOf(const std::string& url) -> std::string
-{
-    const auto scheme = url.find("://");
-    return url.substr(0, scheme == std::string::npos ? scheme : url.find('/', scheme + 3));
-}
+struct Address {
+    std::string host;
+    std::uint16_t port = 80;
+    std::string target;
 
-struct PendingOpen {
-    kj::Own<kj::PromiseFulfiller<kj::Own<HttpStream>>> fulfiller;
-    ObjectPtr<SoupMessage> message;
-    std::string peer;
+    [[nodiscard]] auto peer() const -> std::string { return host + ":" + std::to_string(port); }
 };
 
-auto opened(GObject* source, GAsyncResult* result, gpointer data) -> void
+auto parseUrl(const std::string& url) -> Address
 {
-    auto pending = std::unique_ptr<PendingOpen>(static_cast<PendingOpen*>(data));
-    auto* raw = static_cast<GError*>(nullptr);
-    auto input = ObjectPtr<GInputStream>(soup_session_send_finish(SOUP_SESSION(source), result, &raw));
-    if (!input) {
-        pending->fulfiller->reject(brokenBy(pending->peer, raw));
-        return;
-    }
-    pending->fulfiller->fulfill(
-        kj::heap<HttpStream>(std::move(pending->message), std::move(input), std::move(pending->peer)));
+    constexpr auto scheme = std::string_view("http://");
+    KJ_REQUIRE(url.starts_with(scheme), "not a URL", url.c_str());
+    const auto rest = url.substr(scheme.size());
+    const auto slash = rest.find('/');
+    const auto authority = rest.substr(0, slash);
+    const auto colon = authority.find(':');
+    auto address = Address { .host = authority.substr(0, colon) };
+    if (colon != std::string::npos)
+        address.port = static_cast<std::uint16_t>(decimal(authority.substr(colon + 1)).value_or(0));
+    address.target = slash == std::string::npos ? "/" : rest.substr(slash);
+    return address;
 }
 
-struct PendingRead {
-    kj::Own<kj::PromiseFulfiller<std::string>> fulfiller;
-    std::string peer;
-};
-
-auto readDone(GObject* source, GAsyncResult* result, gpointer data) -> void
+/// Rejects after `silence` seconds; never for 0.
+auto silenceOf(std::chrono::seconds silence, const std::string& peer) -> kj::Promise<void>
 {
-    auto pending = std::unique_ptr<PendingRead>(static_cast<PendingRead*>(data));
-    auto* raw = static_cast<GError*>(nullptr);
-    auto* bytes = g_input_stream_read_bytes_finish(G_INPUT_STREAM(source), result, &raw);
-    if (!bytes) {
-        pending->fulfiller->reject(brokenBy(pending->peer, raw));
-        return;
-    }
-    auto size = gsize(0);
-    const auto* text = static_cast<const char*>(g_bytes_get_data(bytes, &size));
-    pending->fulfiller->fulfill(std::string(text ? text : "", size));
-    g_bytes_unref(bytes);
+    struct Limit {
+        kj::Own<kj::PromiseFulfiller<void>> fulfiller;
+        std::string peer;
+        guint source = 0;
+    };
+    if (silence.count() == 0)
+        return kj::NEVER_DONE;
+    auto pair = kj::newPromiseAndFulfiller<void>();
+    auto limit = std::make_unique<Limit>(Limit { kj::mv(pair.fulfiller), peer });
+    auto expired = [](gpointer data) -> gboolean {
+        auto& limit = *static_cast<Limit*>(data);
+        limit.source = 0;
+        limit.fulfiller->reject(KJ_EXCEPTION(DISCONNECTED, "the peer is silent", limit.peer.c_str()));
+        return G_SOURCE_REMOVE;
+    };
+    limit->source = g_timeout_add_seconds(static_cast<guint>(silence.count()), expired, limit.get());
+    return pair.promise.attach(kj::defer([held = std::move(limit)] {
+        if (held->source)
+            g_source_remove(held->source);
+    }));
 }
 
 } // namespace
 
+/// Idle connections by peer.
+struct HttpClient::Pool {
+    std::size_t most = 0;
+    std::map<std::string, std::vector<kj::Own<GlibStream>>> idle;
+
+    auto take(const std::string& peer) -> kj::Own<GlibStream>
+    {
+        auto& connections = idle[peer];
+        if (connections.empty())
+            return {};
+        auto newest = kj::mv(connections.back());
+        connections.pop_back();
+        return newest;
+    }
+    auto giveBack(const std::string& peer, kj::Own<GlibStream> connection) -> void
+    {
+        auto& connections = idle[peer];
+        if (connections.size() < most)
+            connections.push_back(kj::mv(connection));
+    }
+};
+
 auto neverReached(const kj::Exception& failure) -> bool { return failure.getDescription().startsWith(unreachedMark); }
 
-HttpStream::HttpStream(ObjectPtr<SoupMessage> message, ObjectPtr<GInputStream> input, std::string peer)
-    : message_(std::move(message))
-    , input_(std::move(input))
-    , cancellable_(g_cancellable_new())
-    , peer_(std::move(peer))
+HttpStream::HttpStream(kj::Own<GlibStream> connection, std::chrono::seconds silence, Keep keep)
+    : connection_(kj::mv(connection))
+    , silence_(silence)
+    , keep_(std::move(keep))
 {
 }
 
-HttpStream::~HttpStream()
+auto HttpStream::header(const char* name) const -> std::string { return std::string(reader_.head().fields.get(name)); }
+
+auto HttpStream::receive() -> kj::Promise<void>
 {
-    g_cancellable_cancel(cancellable_.get());
-    if (!g_input_stream_is_closed(input_.get()))
-        g_input_stream_close_async(input_.get(), G_PRIORITY_DEFAULT, nullptr, nullptr, nullptr);
+    return connection_->tryRead(buffer_.data(), 1, buffer_.size())
+        .exclusiveJoin(silenceOf(silence_, connection_->peer()).then([]() -> size_t { return 0; }))
+        .then([this](size_t count) {
+            heard_ = heard_ || count > 0;
+            input_.append(buffer_.data(), count);
+            KJ_REQUIRE(reader_.feed(input_, body_) == HttpFault::None, "not an answer", connection_->peer().c_str());
+            if (count == 0)
+                reader_.finish();
+            if (count == 0 && !reader_.complete())
+                kj::throwFatalException(KJ_EXCEPTION(
+                    DISCONNECTED, "the connection ended before the answer did", connection_->peer().c_str()));
+        });
 }
 
-auto HttpStream::status() const noexcept -> int { return static_cast<int>(soup_message_get_status(message_.get())); }
-
-auto HttpStream::header(const char* name) const -> std::string
+auto HttpStream::readHead() -> kj::Promise<void>
 {
-    const auto* value = soup_message_headers_get_one(soup_message_get_response_headers(message_.get()), name);
-    return value ? value : "";
+    if (reader_.headComplete())
+        return kj::READY_NOW;
+    return receive().then([this] { return readHead(); });
 }
 
 auto HttpStream::read() -> kj::Promise<std::string>
 {
-    auto pair = kj::newPromiseAndFulfiller<std::string>();
-    auto pending = std::make_unique<PendingRead>(PendingRead { kj::mv(pair.fulfiller), peer_ });
-    g_input_stream_read_bytes_async(
-        input_.get(), readSize, G_PRIORITY_DEFAULT, cancellable_.get(), readDone, pending.release());
-    return kj::mv(pair.promise);
+    if (!body_.empty())
+        return std::exchange(body_, {});
+    if (reader_.complete()) {
+        giveBack();
+        return std::string();
+    }
+    return receive().then([this] { return read(); });
+}
+
+auto HttpStream::giveBack() -> void
+{
+    if (connection_ && reader_.keepAlive() && input_.empty())
+        keep_(kj::mv(connection_));
 }
 
 auto HttpStream::gather(std::string so, std::size_t limit) -> kj::Promise<std::string>
@@ -105,7 +141,7 @@
     return read().then([this, so = std::move(so), limit](std::string piece) mutable -> kj::Promise<std::string> {
         if (piece.empty())
             return std::move(so);
-        KJ_REQUIRE(so.size() + piece.size() <= limit, "the answer is too large", peer_.c_str());
+        KJ_REQUIRE(so.size() + piece.size() <= limit, "the answer is too large");
         so += piece;
         return gather(std::move(so), limit);
     });
@@ -113,35 +149,58 @@
 
 auto HttpStream::readAll(std::size_t limit) -> kj::Promise<std::string> { return gather({}, limit); }
 
-// Peers are named by IP number and stand on the same network. The system's proxy settings are not asked: GLib would
-// look them up in a thread and in files, once for each connection.
 HttpClient::HttpClient(unsigned connections, unsigned timeout)
-    : session_(soup_session_new_with_options("max-conns", static_cast<int>(connections), "max-conns-per-host",
-        static_cast<int>(connections), "timeout", timeout, "idle-timeout", 60U, "proxy-resolver", nullptr, nullptr))
+    : silence_(timeout)
+    , pool_(std::make_shared<Pool>(Pool { connections, {} }))
 {
 }
 
-auto HttpClient::open(HttpRequest request) -> kj::Promise<kj::Own<HttpStream>>
+auto HttpClient::openOn(kj::Own<GlibStream> connection, const HttpRequest& request)
+    -> kj::Promise<kj::Own<HttpStream>>
 {
-    auto message = ObjectPtr<SoupMessage>(soup_message_new(request.method.c_str(), request.url.c_str()));
-    KJ_REQUIRE(message != nullptr, "not a URL", request.url.c_str());
-    auto* headers = soup_message_get_request_headers(message.get());
+    const auto address = parseUrl(request.url);
+    auto fields = HeaderFields();
+    fields.add("Host", address.peer());
     for (const auto& [name, value] : request.headers)
-        soup_message_headers_replace(headers, name.c_str(), value.c_str());
-    if (request.once)
-        soup_message_add_flags(message.get(), SOUP_MESSAGE_NEW_CONNECTION);
-    if (!request.body.empty()) {
-        auto* bytes = g_bytes_new(request.body.data(), request.body.size());
-        soup_message_set_request_body_from_bytes(message.get(), request.contentType.c_str(), bytes);
-        g_bytes_unref(bytes);
-    }
-    auto pair = kj::newPromiseAndFulfiller<kj::Own<HttpStream>>();
-    auto cancellable = ObjectPtr<GCancellable>(g_cancellable_new());
-    auto* raw = message.get();
-    auto pending = std::make_unique<PendingOpen>(
-        PendingOpen { kj::mv(pair.fulfiller), std::move(message), peerOf(request.url) });
-    soup_session_send_async(session_.get(), raw, G_PRIORITY_DEFAULT, cancellable.get(), opened, pending.release());
-    return pair.promise.attach(kj::defer([held = std::move(cancellable)] { g_cancellable_cancel(held.get()); }));
+        fields.set(name, value);
+    if (!request.body.empty())
+        fields.set("Content-Type", request.contentType);
+    auto text = std::make_shared<std::string>(
+        requestHeadText(request.method, address.target, fields, request.body.size()) + request.body);
+    auto keep = [pool = std::weak_ptr<Pool>(pool_), peer = address.peer()](kj::Own<GlibStream> kept) {
+        if (const auto held = pool.lock())
+            held->giveBack(peer, kj::mv(kept));
+    };
+    auto& socket = *connection;
+    auto stream = kj::heap<HttpStream>(kj::mv(connection), silence_, std::move(keep));
+    auto& open = *stream;
+    // An answer may come, and the connection end, before all of the request is out: what the answer says goes first.
+    auto written = socket.write(text->data(), text->size()).attach(kj::cp(text)).catch_([](kj::Exception&&) {});
+    return written.then([&open] { return open.readHead(); }).then([held = kj::mv(stream)]() mutable {
+        return kj::mv(held);
+    });
+}
+
+auto HttpClient::openFresh(HttpRequest request) -> kj::Promise<kj::Own<HttpStream>>
+{
+    const auto address = parseUrl(request.url);
+    return connectTo(address.host, address.port)
+        .then([this, request](kj::Own<GlibStream> connection) { return openOn(kj::mv(connection), request); },
+            [](kj::Exception&& error) -> kj::Promise<kj::Own<HttpStream>> {
+                return kj::Exception(kj::Exception::Type::DISCONNECTED, __FILE__, __LINE__,
+                    kj::str(unreachedMark, error.getDescription()));
+            });
+}
+
+auto HttpClient::open(HttpRequest request) -> kj::Promise<kj::Own<HttpStream>>
+{
+    const auto mayRepeat = request.method == "GET" && !request.once;
+    auto kept = mayRepeat ? pool_->take(parseUrl(request.url).peer()) : kj::Own<GlibStream>();
+    if (!kept)
+        return openFresh(std::move(request));
+    return openOn(kj::mv(kept), request).catch_([this, request](kj::Exception&&) mutable {
+        return openFresh(std::move(request));
+    });
 }
 
 auto HttpClient::fetch(HttpRequest request) -> kj::Promise<HttpResponse>
