--- a/packages/base/Base.h
+++ b/packages/base/Base.h
@@ -7,6 +7,7 @@
 #include "base/Error.h"
 #include "base/Ids.h"
 #include "base/Log.h"
+#include "base/LogQueue.h"
 #include "base/Secrets.h"
 #include "base/SettingsReader.h"
 #include "base/TimerService.h"
--- a/packages/base/Log.cpp
+++ b/packages/base/Log.cpp
@@ -1,15 +1,57 @@
 #include "base/Log.h"
 
+#include "base/LogQueue.h"
+
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
 #include <log4cxx/jsonlayout.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/mdc.h>
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
 
 namespace eelgrass::log {
 
 namespace {
 
+/// Writes to standard output what it takes without waiting. A pipe that poll reports writable takes a page at least.
+auto writeAtOnce(std::string_view bytes) -> std::size_t
+{
+    constexpr auto page = std::size_t(4096);
+    auto taken = std::size_t(0);
+    while (taken < bytes.size()) {
+        auto ready = pollfd { .fd = STDOUT_FILENO, .events = POLLOUT };
+        if (poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0)
+            break;
+        const auto count = ::write(STDOUT_FILENO, bytes.data() + taken, std::min(page, bytes.size() - taken));
+        if (count <= 0)
+            break;
+        taken += static_cast<std::size_t>(count);
+    }
+    return taken;
+}
+
+/// Hands formatted lines to the queue.
+class QueueAppender final : public log4cxx::AppenderSkeleton {
+public:
+    ~QueueAppender() override { queue_.flush(); }
+    auto close() -> void override { queue_.flush(); }
+    [[nodiscard]] auto requiresLayout() const -> bool override { return true; }
+
+protected:
+    auto append(const log4cxx::spi::LoggingEventPtr& event, log4cxx::helpers::Pool& pool) -> void override
+    {
+        auto line = log4cxx::LogString();
+        getLayout()->format(line, event, pool);
+        queue_.add(std::move(line), event->getLevel()->isGreaterOrEqual(log4cxx::Level::getWarn()), now());
+    }
+
+private:
+    LogQueue queue_ { writeAtOnce };
+};
+
 auto logger() -> const log4cxx::LoggerPtr&
 {
     static const auto instance = log4cxx::Logger::getLogger("eelgrass");
@@ -33,7 +75,8 @@
 {
     auto layout = std::make_shared<log4cxx::JSONLayout>();
     layout->setLocationInfo(false);
-    auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout);
+    auto appender = std::make_shared<QueueAppender>();
+    appender->setLayout(layout);
     log4cxx::BasicConfigurator::configure(appender);
     logger()->setLevel(log4cxx::Level::toLevel(std::string(level)));
     log4cxx::MDC::put("process", std::string(process));
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -594,7 +594,9 @@
     grantedBy_ = nullptr;
     const auto now = gateway_.now();
     const auto name = route_ ? route_->name.str() : std::string("none");
-    log::info("request over",
+    // A caller that left or was answered is the ordinary case; of everything else no line may be left out.
+    const auto ordinary = outcome == "answered" || outcome == "caller_gone";
+    (ordinary ? log::info : log::warn)("request over",
         { { "request", facts_.attempt.str() }, { "route", name }, { "outcome", std::string(outcome) },
             { "status", std::to_string(status) }, { "reason", std::string(why) },
             { "replica", replica_ ? replica_->id().str() : "" }, { "sends", std::to_string(sends_) },
--- a/packages/wire/HttpClient.cpp
+++ b/packages/wire/HttpClient.cpp
@@ -155,8 +155,7 @@
 {
 }
 
-auto HttpClient::openOn(kj::Own<GlibStream> connection, const HttpRequest& request)
-    -> kj::Promise<kj::Own<HttpStream>>
+auto HttpClient::openOn(kj::Own<GlibStream> connection, const HttpRequest& request) -> kj::Promise<kj::Own<HttpStream>>
 {
     const auto address = parseUrl(request.url);
     auto fields = HeaderFields();
--- a/packages/wire/HttpClient.h
+++ b/packages/wire/HttpClient.h
@@ -54,7 +54,8 @@
     [[nodiscard]] auto readHead() -> kj::Promise<void>;
     [[nodiscard]] auto status() const noexcept -> int { return reader_.head().status; }
     [[nodiscard]] auto header(const char* name) const -> std::string;
-    /// The next bytes as they come; empty at the end. Rejects when the connection breaks, or ends before the answer does.
+    /// The next bytes as they come; empty at the end. Rejects when the connection breaks, or ends before the answer
+    /// does.
     [[nodiscard]] auto read() -> kj::Promise<std::string>;
     /// Everything up to the end; rejects over `limit` bytes.
     [[nodiscard]] auto readAll(std::size_t limit) -> kj::Promise<std::string>;
