Agents tell names only when they changed; requests wait a moment for the first configuration

Cause: what agents push to entries was most of the bytes between zones (worked out: 45 sessions, 30 states a second of some 500 bytes).

--- a/packages/serving/AgentLink.cpp
+++ b/packages/serving/AgentLink.cpp
@@ -100,14 +100,9 @@
 
 auto AgentLink::learn(wire::schema::ReplicaState::Reader state) -> void
 {
-    state_.instance = InstanceId(state.getInstance().cStr());
+    if (!state.getNumbersOnly())
+        learnNames(state);
     state_.usable = state.getUsable();
-    state_.resident.clear();
-    for (auto adapter : state.getResident())
-        state_.resident.emplace(AdapterName(adapter.getName().cStr()), AdapterVersion(adapter.getVersion()));
-    state_.loading.clear();
-    for (auto adapter : state.getLoading())
-        state_.loading.emplace(adapter.cStr());
     state_.running = state.getRunning();
     state_.queued = state.getQueued();
     state_.tokensAhead = state.getTokensAhead();
@@ -116,14 +111,25 @@
     state_.spareSlots = state.getSpareSlots();
     state_.loadsWaiting = state.getLoadsWaiting();
     state_.loadTime = milliseconds(state.getLoadMs());
+    state_.entries = state.getEntries();
+    state_.at = loop_.timers().now();
+    hooks_.onState();
+}
+
+auto AgentLink::learnNames(wire::schema::ReplicaState::Reader state) -> void
+{
+    state_.instance = InstanceId(state.getInstance().cStr());
+    state_.resident.clear();
+    for (auto adapter : state.getResident())
+        state_.resident.emplace(AdapterName(adapter.getName().cStr()), AdapterVersion(adapter.getVersion()));
+    state_.loading.clear();
+    for (auto adapter : state.getLoading())
+        state_.loading.emplace(adapter.cStr());
     state_.configVersion = ConfigVersion(state.getConfigVersion());
     state_.configHolder = state.getConfigHolder().cStr();
-    state_.entries = state.getEntries();
     state_.suspects.clear();
     for (auto suspect : state.getSuspects())
         state_.suspects.emplace(suspect.getDigest().cStr(), suspect.getBreaks());
-    state_.at = loop_.timers().now();
-    hooks_.onState();
 }
 
 auto AgentLink::admit(const AdmitOrder& order) -> kj::Promise<AdmitResult>
--- a/packages/serving/AgentLink.h
+++ b/packages/serving/AgentLink.h
@@ -97,6 +97,7 @@
     auto attach(kj::Own<wire::GlibStream> stream) -> kj::Promise<void>;
     auto lost(const std::string& reason) -> void;
     auto learn(wire::schema::ReplicaState::Reader state) -> void;
+    auto learnNames(wire::schema::ReplicaState::Reader state) -> void;
     auto sendConfigured() -> void;
 
     struct Session {
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -14,9 +14,9 @@
 constexpr auto heartbeat = Duration(500ms);
 // Changes are gathered for this long for each entry that listens: an entry's view is that much older, and what entries
 // and agents spend on each other grows with the number of either and not with its square. At 30 entries and 55 replicas
-// an entry hears some 370 states a second at most.
-constexpr auto gatherForEach = Duration(5ms);
-constexpr auto longestGather = Duration(250ms);
+// an entry hears some 180 states a second at most.
+constexpr auto gatherForEach = Duration(10ms);
+constexpr auto longestGather = Duration(300ms);
 
 } // namespace
 
@@ -131,7 +131,7 @@
         auto session = kj::heap<Session>(role_, params.getEntry().cStr());
         for (auto running : params.getRunning())
             session->adopt(running);
-        role_.listeners_.emplace(session.get(), params.getListener());
+        role_.listeners_.emplace(session.get(), Listening { params.getListener(), {} });
         log::info("entry attached", { { "peer", params.getEntry().cStr() } });
         context.getResults().setSession(kj::mv(session));
         role_.pushSoon();
@@ -229,17 +229,48 @@
 
 auto AgentRole::push() -> void
 {
-    for (auto& [session, listener] : listeners_) {
-        auto call = listener.changedRequest();
-        fill(call.initState());
+    const auto names = namesText();
+    for (auto& [session, listening] : listeners_) {
+        auto call = listening.client.changedRequest();
+        auto state = call.initState();
+        fillNumbers(state);
+        state.setNumbersOnly(listening.told == names);
+        if (!state.getNumbersOnly())
+            fillNames(state);
+        listening.told = names;
         loop_.spawn(call.send().ignoreResult().catch_([](kj::Exception&&) {}));
     }
 }
 
-auto AgentRole::fill(wire::schema::ReplicaState::Builder state) const -> void
+auto AgentRole::fillNumbers(wire::schema::ReplicaState::Builder state) const -> void
 {
-    state.setInstance(agent_.instance().str());
     state.setUsable(agent_.usable());
+    state.setRunning(static_cast<std::uint32_t>(agent_.queue().running()));
+    state.setQueued(static_cast<std::uint32_t>(agent_.queue().queued()));
+    state.setTokensAhead(agent_.tokensAhead());
+    state.setTokensWaiting(agent_.tokensWaiting());
+    state.setLoadMs(static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(agent_.loadTime()).count()));
+    state.setMemoryUsed(agent_.queue().memoryUsed());
+    state.setSpareSlots(static_cast<std::uint32_t>(agent_.spareSlots()));
+    state.setLoadsWaiting(static_cast<std::uint32_t>(agent_.loadsWaiting()));
+    state.setEntries(static_cast<std::uint32_t>(listeners_.size()));
+}
+
+auto AgentRole::namesText() const -> std::string
+{
+    auto text = agent_.instance().str() + "|" + std::to_string(configVersion_.value()) + "|" + configHolder_;
+    for (const auto& [adapter, version] : agent_.resident())
+        text.append("|").append(adapter.str()).append("@").append(std::to_string(version.value()));
+    for (const auto& adapter : agent_.loading())
+        text.append("|+").append(adapter.str());
+    for (const auto& [digest, breaks] : suspects_.known())
+        text.append("|!").append(digest).append(":").append(std::to_string(breaks));
+    return text;
+}
+
+auto AgentRole::fillNames(wire::schema::ReplicaState::Builder state) const -> void
+{
+    state.setInstance(agent_.instance().str());
     const auto resident = agent_.resident();
     auto list = state.initResident(static_cast<unsigned>(resident.size()));
     auto index = 0U;
@@ -251,15 +282,6 @@
     auto loading = state.initLoading(static_cast<unsigned>(coming.size()));
     for (index = 0; index < coming.size(); ++index)
         loading.set(index, coming[index].str());
-    state.setRunning(static_cast<std::uint32_t>(agent_.queue().running()));
-    state.setQueued(static_cast<std::uint32_t>(agent_.queue().queued()));
-    state.setTokensAhead(agent_.tokensAhead());
-    state.setTokensWaiting(agent_.tokensWaiting());
-    state.setLoadMs(static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(agent_.loadTime()).count()));
-    state.setMemoryUsed(agent_.queue().memoryUsed());
-    state.setSpareSlots(static_cast<std::uint32_t>(agent_.spareSlots()));
-    state.setLoadsWaiting(static_cast<std::uint32_t>(coming.size()));
-    state.setEntries(static_cast<std::uint32_t>(listeners_.size()));
     const auto& known = suspects_.known();
     auto suspects = state.initSuspects(static_cast<unsigned>(known.size()));
     index = 0;
--- a/packages/serving/AgentRole.h
+++ b/packages/serving/AgentRole.h
@@ -36,7 +36,16 @@
     auto decided(const AttemptId& attempt, const ReplicaAgent::Decision& decision) -> void;
     auto push() -> void;
     auto pushSoon() -> void;
-    auto fill(wire::schema::ReplicaState::Builder state) const -> void;
+    /// One entry's session, and what it was last told of all but the numbers.
+    struct Listening {
+        wire::schema::ReplicaListener::Client client;
+        std::string told;
+    };
+
+    auto fillNumbers(wire::schema::ReplicaState::Builder state) const -> void;
+    auto fillNames(wire::schema::ReplicaState::Builder state) const -> void;
+    /// Stands for everything that `fillNames` tells: equal texts, equal names.
+    [[nodiscard]] auto namesText() const -> std::string;
     auto learnConfiguration(std::uint64_t version, const std::string& holder,
         capnp::List<wire::schema::EngineLimits>::Reader limits) -> void;
 
@@ -46,7 +55,7 @@
     hosting::Store store_;
     ReplicaAgent agent_;
     std::map<AttemptId, Waiting> waiting_;
-    std::map<Session*, wire::schema::ReplicaListener::Client> listeners_;
+    std::map<Session*, Listening> listeners_;
     decisions::Quarantine suspects_;
     ConfigVersion configVersion_;
     std::string configHolder_;
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -24,6 +24,9 @@
 constexpr auto answerMargin = Duration(40ms);
 // A request is not sent with less than this left: the way there and back within a zone, and the least work.
 constexpr auto leastTime = Duration(10ms);
+// A process that has just started knows the configuration some ten milliseconds later; a caller that was refused would
+// come back much later than that.
+constexpr auto configurationWait = Duration(250ms);
 // When no replica can be tried just now: one rests, or its agent is being reached.
 constexpr auto placeAgain = Duration(25ms);
 // An agent that says nothing is looked at this often.
@@ -63,6 +66,13 @@
 
 auto RequestRun::start() -> void
 {
+    configuration_ = gateway_.configuration.configuration();
+    const auto known = configuration_ && gateway_.directory.known();
+    if (!known && gateway_.now() - beganAt_ < configurationWait) {
+        caller_->watch({ .onGone = [self = shared_from_this()] { self->onCallerGone(); } });
+        wait_ = gateway_.loop.timers().after(placeAgain, guarded(&RequestRun::start));
+        return;
+    }
     if (!readRequest())
         return;
     caller_->watch({ .onGone = [self = shared_from_this()] { self->onCallerGone(); },
--- a/packages/wire/Agent.capnp
+++ b/packages/wire/Agent.capnp
@@ -37,6 +37,8 @@
   loadMs @14 :UInt32;
   # Prompt tokens of requests that wait for an adapter.
   tokensWaiting @15 :UInt64;
+  # Only the numbers were filled in: instance, adapters, configuration and suspects are as this session was last told.
+  numbersOnly @16 :Bool;
 }
 
 struct SuspectRequest {
