--- a/tests/harness/ServingWorld.cpp
+++ b/tests/harness/ServingWorld.cpp
@@ -98,6 +98,8 @@
     gateways_.push_back(std::make_unique<serving::GatewayRole>(loop_, settings));
     auto& gateway = *gateways_.back();
     gateway.start();
+    if (clientPort_ == 0)
+        clientPort_ = gateway.clientPort();
     const auto usable = [](const serving::ReplicaPtr& replica) {
         return replica->agent() && replica->agent()->alive() && replica->agent()->state().usable;
     };
@@ -113,8 +115,7 @@
 
 auto ServingWorld::begin(const Request& request) -> kj::Promise<wire::HttpAnswer>
 {
-    callers_.push_back(
-        std::make_unique<wire::HttpCaller>(loop_.timers(), "127.0.0.1", gateways_.front()->clientPort()));
+    callers_.push_back(std::make_unique<wire::HttpCaller>(loop_.timers(), "127.0.0.1", clientPort_));
     auto call
         = wire::HttpCall { .method = request.method, .target = request.path, .body = request.body, .timeout = 5s };
     call.fields = request.more;
--- a/tests/harness/ServingWorld.h
+++ b/tests/harness/ServingWorld.h
@@ -66,6 +66,8 @@
     std::vector<std::unique_ptr<serving::GatewayRole>> gateways_;
     std::vector<std::unique_ptr<wire::HttpCaller>> callers_;
     std::uint16_t agentPort_ = 0;
+    /// Of the first gateway, also when it has stopped listening.
+    std::uint16_t clientPort_ = 0;
 };
 
 } // namespace eelgrass::tests
