--- a/packages/router/DaemonMain.cpp
+++ b/packages/router/DaemonMain.cpp
@@ -64,29 +64,23 @@
     return text.str();
 }
 
-/// A role of the users' machines: its settings file may be replaced while it runs.
-template <typename Role, typename Parse>
-auto serveReloadable(const std::string& file, const char* process, Parse parse) -> int
+/// Prints what is wrong with the settings, or starts a role and runs it to its end; `prepare` sees loop and role first.
+template <typename Role, typename Settings, typename Prepare>
+auto run(const Checked<Settings>& checked, const std::string& process, const std::string& logLevel, Prepare prepare)
+    -> int
 {
-    const auto checked = parse(readFile(file).value_or(std::string()), file);
     for (const auto& problem : checked.problems)
         std::cerr << problem << "\n";
     if (!checked.ok())
         return badUsage;
     if (absl::GetFlag(FLAGS_check))
         return 0;
-    log::start(std::string(process) + ":" + checked.value.host.name, checked.value.host.logLevel);
+    log::start(process, logLevel);
     try {
         auto loop = wire::MainLoop();
         auto role = Role(loop, checked.value);
         loop.onStopSignal([&] { role.stop(); });
-        loop.onReloadSignal([&] {
-            const auto fresh = parse(readFile(file).value_or(std::string()), file);
-            for (const auto& problem : fresh.problems)
-                log::error("settings not taken", { { "key", problem.key }, { "reason", problem.reason } });
-            if (fresh.ok())
-                role.reload(fresh.value);
-        });
+        prepare(loop, role);
         role.start();
         return loop.run();
     } catch (const std::exception& error) {
@@ -95,25 +89,28 @@
     }
 }
 
+/// A role of the users' machines: its settings file may be replaced while it runs.
+template <typename Role, typename Parse>
+auto serveReloadable(const std::string& file, const char* process, Parse parse) -> int
+{
+    const auto checked = parse(readFile(file).value_or(std::string()), file);
+    const auto& host = checked.value.host;
+    return run<Role>(
+        checked, std::string(process) + ":" + host.name, host.logLevel, [&](wire::MainLoop& loop, Role& role) {
+            loop.onReloadSignal([&] {
+                const auto fresh = parse(readFile(file).value_or(std::string()), file);
+                for (const auto& problem : fresh.problems)
+                    log::error("settings not taken", { { "key", problem.key }, { "reason", problem.reason } });
+                if (fresh.ok())
+                    role.reload(fresh.value);
+            });
+        });
+}
+
 template <typename Role> auto serve(const auto& checked, const char* process) -> int
 {
-    for (const auto& problem : checked.problems)
-        std::cerr << problem << "\n";
-    if (!checked.ok())
-        return badUsage;
-    if (absl::GetFlag(FLAGS_check))
-        return 0;
-    log::start(std::string(process) + ":" + checked.value.common.name, checked.value.common.logLevel);
-    try {
-        auto loop = wire::MainLoop();
-        auto role = Role(loop, checked.value);
-        loop.onStopSignal([&] { role.stop(); });
-        role.start();
-        return loop.run();
-    } catch (const std::exception& error) {
-        log::error("not started", { { "step", "connect" }, { "reason", error.what() } });
-        return 1;
-    }
+    const auto& common = checked.value.common;
+    return run<Role>(checked, std::string(process) + ":" + common.name, common.logLevel, [](wire::MainLoop&, Role&) {});
 }
 
 } // namespace
