--- a/packages/wire/HttpServer.cpp
+++ b/packages/wire/HttpServer.cpp
@@ -16,15 +16,52 @@
 constexpr auto gatheredKey = "eelgrass-gathered";
 constexpr auto requestIdBytes = std::size_t(12);
 
-auto tooLarge() -> std::string
+/// Why a request is refused before any handler sees it.
+struct EarlyRefusal {
+    SoupStatus status;
+    const char* phrase;
+    const char* type;
+    const char* message;
+};
+constexpr auto tooLarge = EarlyRefusal { SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, "Request Entity Too Large",
+    "body_too_large", "the body is larger than this service takes" };
+constexpr auto ambiguous = EarlyRefusal { SOUP_STATUS_BAD_REQUEST, "Bad Request", "ambiguous_length",
+    "the length of the body is given in more than one way" };
+
+auto refusalText(const EarlyRefusal& refusal) -> std::string
 {
     const auto id = randomHex(requestIdBytes);
-    const auto body = R"({"error":{"type":"body_too_large","message":"the body is larger than this service takes",)"
-                      R"("step":"parse","peer":"","run":"not_run","request_id":")"
-        + id + R"("}})";
-    return "HTTP/1.1 413 Request Entity Too Large\r\nContent-Type: application/json\r\nConnection: "
-           "close\r\nX-Request-Id: "
-        + id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    const auto body = std::string(R"({"error":{"type":")") + refusal.type + R"(","message":")" + refusal.message
+        + R"(","step":"parse","peer":"","run":"not_run","request_id":")" + id + R"("}})";
+    return "HTTP/1.1 " + std::to_string(refusal.status) + " " + refusal.phrase
+        + "\r\nContent-Type: application/json\r\nConnection: close\r\nX-Request-Id: " + id
+        + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+auto refuseEarly(SoupServerMessage* message, const EarlyRefusal& refusal) -> void
+{
+    soup_server_message_set_status(message, refusal.status, nullptr);
+    soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
+    // libsoup answers only when it has read the whole body, which may never end. So the refusal goes out past it, and
+    // the writing side is closed; the reading side stays open, since a reset could overtake the refusal.
+    auto* socket = soup_server_message_get_socket(message);
+    const auto answer = refusalText(refusal);
+    g_socket_send(socket, answer.data(), answer.size(), nullptr, nullptr);
+    g_socket_shutdown(socket, FALSE, TRUE, nullptr);
+}
+
+auto refusedEarly(SoupServerMessage* message) -> bool
+{
+    const auto status = soup_server_message_get_status(message);
+    return status == tooLarge.status || status == ambiguous.status;
+}
+
+/// Whether another reader could see other requests in the same bytes.
+auto hasAmbiguousLength(SoupMessageHeaders* headers) -> bool
+{
+    const auto* lengths = soup_message_headers_get_list(headers, "Content-Length");
+    const auto* codings = soup_message_headers_get_list(headers, "Transfer-Encoding");
+    return lengths && (codings || std::string_view(lengths).find(',') != std::string_view::npos);
 }
 
 } // namespace
@@ -287,38 +324,27 @@
     g_signal_connect(message, "got-chunk", G_CALLBACK(gotChunk), self);
 }
 
-auto HttpServer::refuse(SoupServerMessage* message) -> void
-{
-    soup_server_message_set_status(message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, nullptr);
-    soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
-    // libsoup answers only when it has read the whole body, which may never end. So the refusal goes out past it, and
-    // the writing side is closed; the reading side stays open, since a reset could overtake the refusal.
-    auto* socket = soup_server_message_get_socket(message);
-    const auto answer = tooLarge();
-    g_socket_send(socket, answer.data(), answer.size(), nullptr, nullptr);
-    g_socket_shutdown(socket, FALSE, TRUE, nullptr);
-}
-
 auto HttpServer::gotHeaders(SoupServerMessage* message, gpointer self) -> void
 {
     auto* headers = soup_server_message_get_request_headers(message);
+    if (hasAmbiguousLength(headers))
+        return refuseEarly(message, ambiguous);
     const auto length = soup_message_headers_get_content_length(headers);
     if (length > static_cast<goffset>(static_cast<HttpServer*>(self)->bodyLimit_))
-        refuse(message);
+        refuseEarly(message, tooLarge);
 }
 
 auto HttpServer::gotChunk(SoupServerMessage* message, GBytes* chunk, gpointer self) -> void
 {
     auto so = GPOINTER_TO_SIZE(g_object_get_data(G_OBJECT(message), gatheredKey)) + g_bytes_get_size(chunk);
     g_object_set_data(G_OBJECT(message), gatheredKey, GSIZE_TO_POINTER(so));
-    const auto refused = soup_server_message_get_status(message) == SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE;
-    if (!refused && so > static_cast<HttpServer*>(self)->bodyLimit_)
-        refuse(message);
+    if (!refusedEarly(message) && so > static_cast<HttpServer*>(self)->bodyLimit_)
+        refuseEarly(message, tooLarge);
 }
 
 auto HttpServer::handle(SoupServer*, SoupServerMessage* message, const char*, GHashTable*, gpointer self) -> void
 {
-    if (soup_server_message_get_status(message) == SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE)
+    if (refusedEarly(message))
         return;
     soup_server_message_pause(message);
     static_cast<HttpServer*>(self)->handler_(std::make_shared<HttpExchange>(message));
--- a/packages/wire/HttpServer.h
+++ b/packages/wire/HttpServer.h
@@ -101,7 +101,6 @@
     static auto handle(SoupServer*, SoupServerMessage* message, const char*, GHashTable*, gpointer self) -> void;
     static auto gotHeaders(SoupServerMessage* message, gpointer self) -> void;
     static auto gotChunk(SoupServerMessage* message, GBytes*, gpointer self) -> void;
-    static auto refuse(SoupServerMessage* message) -> void;
 
     ObjectPtr<SoupServer> server_;
     std::size_t bodyLimit_;
--- a/tests/unit/Http.cpp
+++ b/tests/unit/Http.cpp
@@ -178,6 +178,22 @@
     BOOST_TEST(exchanges.empty());
 }
 
+// Two lengths, or a length beside a transfer coding, let one reader see another request where this one sees a body. The
+// answer is a refusal, and no handler sees either request.
+BOOST_FIXTURE_TEST_CASE(a_request_of_two_lengths_is_refused_without_a_handler, Fixture)
+{
+    for (const auto* framing : { "Content-Length: 4\r\nContent-Length: 40\r\n",
+             "Content-Length: 40\r\nContent-Length: 4\r\n", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n" }) {
+        auto stream = loop.wait(wire::connectTo("127.0.0.1", server.port()));
+        const auto text = std::string("POST /p HTTP/1.1\r\nHost: x\r\n") + framing + "\r\nabcd";
+        loop.wait(stream->write(text.data(), text.size()));
+        auto buffer = std::string(1000, 0);
+        const auto size = loop.wait(stream->tryRead(buffer.data(), 1, buffer.size()));
+        BOOST_TEST(buffer.substr(0, size).starts_with("HTTP/1.1 400"));
+        BOOST_TEST(exchanges.empty());
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(a_server_may_go_while_an_answer_is_under_way, Fixture)
 {
     auto fetching = client.fetch(get());
