--- a/packages/decisions/AdmissionQueue.cpp
+++ b/packages/decisions/AdmissionQueue.cpp
@@ -211,12 +211,6 @@
         waiting_.begin(), waiting_.end(), [&](const AdmissionRequest& request) { return request.adapter == adapter; });
 }
 
-auto AdmissionQueue::runs(const AdapterId& adapter) const -> bool
-{
-    return std::any_of(running_.begin(), running_.end(),
-        [&](const auto& running) { return running.second.request.adapter == adapter; });
-}
-
 auto AdmissionQueue::adapterOf(const AttemptId& attempt) const -> std::optional<AdapterId>
 {
     const auto found = running_.find(attempt);
--- a/packages/decisions/AdmissionQueue.h
+++ b/packages/decisions/AdmissionQueue.h
@@ -98,7 +98,6 @@
     [[nodiscard]] auto waits(const AdapterId& adapter) const -> bool;
     [[nodiscard]] auto running() const noexcept -> std::size_t { return running_.size(); }
     [[nodiscard]] auto queued() const noexcept -> std::size_t { return waiting_.size(); }
-    [[nodiscard]] auto runs(const AdapterId& adapter) const -> bool;
     /// The adapter of a granted request; empty when it is not granted.
     [[nodiscard]] auto adapterOf(const AttemptId& attempt) const -> std::optional<AdapterId>;
     /// Prompt tokens to be read before a request that comes now. What waits for its adapter is not in the way of
--- a/packages/decisions/SharedRetryBudget.h
+++ b/packages/decisions/SharedRetryBudget.h
@@ -8,7 +8,8 @@
 
 namespace eelgrass::decisions {
 
-/// How often all entries together may send a request of one service a second time.
+/// How often all entries together may send a request of one service a second time. The figures come from the settings;
+/// these are the ones of a small deployment.
 struct RetryBounds {
     /// Repeats for each first send.
     double ratio = 0.2;
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -1,6 +1,7 @@
 #include "serving/RequestRun.h"
 
 #include "base/Log.h"
+#include "serving/detail/RunLimits.h"
 
 #include <xxhash.h>
 
@@ -10,37 +11,11 @@
 
 namespace {
 
-constexpr auto ok = 200;
-constexpr auto badRequest = 400;
-constexpr auto notFound = 404;
-constexpr auto badGateway = 502;
-constexpr auto unavailable = 503;
-constexpr auto gatewayTimeout = 504;
-constexpr auto firstServerError = 500;
-
-// Sends of one attempt in all; refusals of replicas count. A third refusal tells that the service is full.
-constexpr auto mostSends = 4U;
-// The answer must be on its way to the client before the client leaves.
-constexpr auto answerMargin = Duration(40ms);
-// A request is not sent with less than this left: the way there and back within a zone, and the least work.
-constexpr auto leastTime = Duration(10ms);
-// A process that has just started knows the configuration some ten milliseconds later; a caller that was refused would
-// come back much later than that.
-constexpr auto configurationWait = Duration(250ms);
-// When no replica can be tried just now: one rests, or its agent is being reached.
-constexpr auto placeAgain = Duration(25ms);
-// An agent that says nothing is looked at this often.
-constexpr auto agentCheck = Duration(250ms);
-// A stream that may go on elsewhere is left after this silence; well before its client leaves, which takes two seconds.
-constexpr auto streamSilence = Duration(1200ms);
-constexpr auto retryWhenUnknown = milliseconds(300);
-// Bytes that a slow client may leave waiting before its replica is no longer read.
-constexpr auto mostBacklog = std::size_t(256) << 10U;
-constexpr auto slowestFactor = 8.0;
+using namespace detail;
 
 auto text(Duration time) -> std::string { return std::to_string(time.count() / 1000); }
 
-/// How long a client waits for a stream's first event, whatever its deadline.
+/// How long the users' clients wait for a stream's next event, whatever their deadline.
 auto patience(const RouteRecord& route) -> Duration
 {
     constexpr auto least = Duration(2s);
@@ -49,10 +24,6 @@
     return std::max({ least, aims * Duration(route.aim), pauses * Duration(route.pauseAim) }) - answerMargin;
 }
 
-/// Answers that promise that the request has not run; a replica that says so of a request that it ran must not be
-/// believed by the client.
-auto promisesNotRun(int status) -> bool { return status == 408 || status == 421 || status == 429 || status == 503; }
-
 } // namespace
 
 RequestRun::RequestRun(Gateway& gateway, std::shared_ptr<CallerConnection> caller, wire::HttpRequestMessage request)
@@ -356,154 +327,6 @@
             .onFault = [this](LegFault fault) { onFault(fault); } });
 }
 
-/// A request that may run again is not left to one silent replica for all of its time.
-auto RequestRun::armSilence() -> void
-{
-    silence_.cancel();
-    if (!route_->repeatable() || runs_ + 1 >= route_->maxRuns || sends_ >= mostSends)
-        return;
-    const auto limit = firstEventSeen_ || streaming_ ? streamSilence : timeLeft() / 2;
-    silence_ = gateway_.loop.timers().after(limit, guarded(&RequestRun::onSilence));
-}
-
-auto RequestRun::onSilence() -> void
-{
-    const auto self = shared_from_this();
-    ++runs_;
-    replica_->failed(gateway_.now());
-    leaveReplica(false);
-    again("silence");
-}
-
-auto RequestRun::onHead(const wire::HttpResponseHead& head) -> void
-{
-    head_ = head;
-    streaming_ = route_->streamed && head.status == ok;
-    if (streaming_)
-        armSilence();
-}
-
-auto RequestRun::onBody(std::string_view bytes) -> void
-{
-    if (streaming_)
-        return onEvents(bytes);
-    body_.append(bytes);
-}
-
-auto RequestRun::onEvents(std::string_view bytes) -> void
-{
-    const auto self = shared_from_this();
-    armSilence();
-    for (const auto& event : events_.feed(bytes)) {
-        if (!tellEvent(event))
-            return;
-    }
-    if (connection_ && caller_->backlog() > mostBacklog)
-        connection_->pause();
-}
-
-/// Passes one whole event on; false when the run ended over it.
-auto RequestRun::tellEvent(const StreamEvent& event) -> bool
-{
-    if (event.id && lastEvent_) {
-        // After a change of replica an event may come a second time; a gap would lose a piece of the answer.
-        if (*event.id <= *lastEvent_)
-            return true;
-        if (*event.id > *lastEvent_ + 1) {
-            ++runs_;
-            leaveReplica(false);
-            giveUp("events missing");
-            return false;
-        }
-    }
-    if (event.id)
-        lastEvent_ = event.id;
-    if (!std::exchange(firstEventSeen_, true)) {
-        firstAt_ = gateway_.now();
-        end_ = gateway_.loop.timers().after(endAt_ - firstAt_, guarded(&RequestRun::onTimeUp));
-        if (grantedBy_)
-            grantedBy_->started(facts_.attempt);
-    }
-    if (told_ == Told::Nothing) {
-        told_ = Told::Streaming;
-        caller_->begin({ head_.status, hosting::returnedFields(head_) });
-    }
-    lastTold_ = gateway_.now();
-    caller_->piece(event.text);
-    return true;
-}
-
-auto RequestRun::onDone() -> void
-{
-    const auto self = shared_from_this();
-    const auto facts = hosting::readAnswer(head_, facts_.attempt);
-    const auto now = gateway_.now();
-    silence_.cancel();
-    if (facts.notRun) {
-        if (facts.otherInstance && !facts.instance.empty() && facts.instance != replica_->id())
-            gateway_.directory.gone(replica_->id(), "another instance has its address");
-        else if (!facts.otherInstance)
-            replica_->refused(now);
-        leaveReplica(true);
-        return onNotRun(head_.status == unavailable ? "replica full" : "replica did not run it");
-    }
-    ++runs_;
-    gateway_.suspects.succeeded(digest_);
-    if (streaming_) {
-        if (!events_.rest().empty()) {
-            leaveReplica(false);
-            return giveUp("stream ended within an event");
-        }
-        replica_->succeeded(now - sentAt_);
-        leaveReplica(true);
-        if (told_ == Told::Nothing)
-            caller_->begin({ head_.status, hosting::returnedFields(head_) });
-        told_ = Told::Whole;
-        caller_->finish();
-        return finish(ok, "answered", {});
-    }
-    if (head_.status >= firstServerError)
-        replica_->failed(now);
-    else
-        replica_->succeeded(now - sentAt_);
-    leaveReplica(true);
-    if (head_.status >= firstServerError && mayRunAgain())
-        return again("replica failed");
-    if (told_ == Told::Streaming)
-        return giveUp("stream not resumed");
-    // A replica that calls a request unrun without its mark, or an answer without its signature, is not passed on.
-    if (!facts.sealed || promisesNotRun(head_.status))
-        return fail(badGateway, "answer not to be trusted");
-    told_ = Told::Whole;
-    caller_->respond({ head_.status, hosting::returnedFields(head_) }, body_);
-    finish(head_.status, "answered", {});
-}
-
-auto RequestRun::onFault(LegFault fault) -> void
-{
-    const auto self = shared_from_this();
-    silence_.cancel();
-    replica_->failed(gateway_.now());
-    leaveReplica(false);
-    if (fault == LegFault::NotSent)
-        return onNotRun("not reached");
-    ++runs_;
-    gateway_.suspects.broke(digest_);
-    logDecision("leg broken", toString(fault));
-    if (mayRunAgain())
-        return again(toString(fault));
-    giveUp("the replica broke off");
-}
-
-auto RequestRun::onNotRun(std::string_view why) -> void
-{
-    logDecision("not run", why);
-    tried_.insert(replica_->id());
-    if (sends_ >= mostSends)
-        return giveUp(why);
-    again(why);
-}
-
 auto RequestRun::mayRunAgain() const -> bool
 {
     return route_->repeatable() && runs_ < route_->maxRuns && sends_ < mostSends && !gateway_.suspects.refused(digest_)
--- /dev/null
+++ b/packages/serving/detail/RunLimits.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "base/Clock.h"
+
+#include <chrono>
+#include <cstddef>
+
+/// Limits of a request's run: how often, how long, how much.
+namespace eelgrass::serving::detail {
+
+inline constexpr auto ok = 200;
+inline constexpr auto badRequest = 400;
+inline constexpr auto notFound = 404;
+inline constexpr auto badGateway = 502;
+inline constexpr auto unavailable = 503;
+inline constexpr auto gatewayTimeout = 504;
+inline constexpr auto firstServerError = 500;
+
+// Sends of one attempt in all; refusals of replicas count. A third refusal tells that the service is full.
+inline constexpr auto mostSends = 4U;
+// The answer must be on its way to the client before the client leaves.
+inline constexpr auto answerMargin = Duration(40ms);
+// A request is not sent with less than this left: the way there and back within a zone, and the least work.
+inline constexpr auto leastTime = Duration(10ms);
+// A process that has just started knows the configuration some ten milliseconds later; a caller that was refused would
+// come back much later than that.
+inline constexpr auto configurationWait = Duration(250ms);
+// When no replica can be tried just now: one rests, or its agent is being reached.
+inline constexpr auto placeAgain = Duration(25ms);
+// An agent that says nothing is looked at this often.
+inline constexpr auto agentCheck = Duration(250ms);
+// A stream that may go on elsewhere is left after this silence; well before its client leaves, which takes two seconds.
+inline constexpr auto streamSilence = Duration(1200ms);
+// Told to a caller when nothing is known of when to come back: a replica is back, or a place free, by then in most
+// cases.
+inline constexpr auto retryWhenUnknown = std::chrono::milliseconds(300);
+// Bytes that a slow client may leave waiting before its replica is no longer read.
+inline constexpr auto mostBacklog = std::size_t(256) << 10U;
+// A slow replica counts as at most this much slower, so that it is tried again and can show that it has recovered.
+inline constexpr auto slowestFactor = 8.0;
+
+} // namespace eelgrass::serving::detail
--- a/packages/wire/TcpConnection.h
+++ b/packages/wire/TcpConnection.h
@@ -71,7 +71,7 @@
 
     [[nodiscard]] auto connected() const noexcept -> bool { return connected_; }
     [[nodiscard]] auto over() const noexcept -> bool { return over_; }
-    /// Whether the other end has closed or reset, seen or not yet told.
+    /// `address:port` of the other end.
     [[nodiscard]] auto peer() const -> const std::string& { return peer_; }
 
 private:
