One way to send a call whose answer says nothing; one look at the replicas after a refused admission

Found by reading the change once more: four copies of a send whose failure was dropped, each without its reason; a placement made twice after each refusal; a configuration read that start() repeats; an unused include.

--- a/packages/serving/AgentLink.cpp
+++ b/packages/serving/AgentLink.cpp
@@ -1,6 +1,7 @@
 #include "serving/AgentLink.h"
 
 #include "base/Log.h"
+#include "serving/detail/OneWayCall.h"
 
 namespace eelgrass::serving {
 
@@ -165,7 +166,7 @@
     KJ_IF_MAYBE (client, session_->client) {
         auto call = client->startedRequest();
         call.setAttempt(attempt.str());
-        loop_.spawn(call.send().ignoreResult().catch_([](kj::Exception&&) {}));
+        detail::sendOneWay(loop_, call);
     }
 }
 
@@ -177,8 +178,7 @@
     KJ_IF_MAYBE (client, session_->client) {
         auto call = client->releaseRequest();
         call.setAttempt(attempt.str());
-        // A lost session releases all that it granted.
-        loop_.spawn(call.send().ignoreResult().catch_([](kj::Exception&&) {}));
+        detail::sendOneWay(loop_, call);
     }
 }
 
@@ -190,7 +190,7 @@
         auto call = client->suspectRequest();
         call.setDigest(digest);
         call.setBroke(broke);
-        loop_.spawn(call.send().ignoreResult().catch_([](kj::Exception&&) {}));
+        detail::sendOneWay(loop_, call);
     }
 }
 
@@ -224,7 +224,7 @@
             limits[index].setAdapterSlots(engine.adapterSlots);
             limits[index].setBaseModel(engine.models.empty() ? "" : engine.models.front().str());
         }
-        loop_.spawn(call.send().ignoreResult().catch_([](kj::Exception&&) {}));
+        detail::sendOneWay(loop_, call);
     }
 }
 
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -1,6 +1,7 @@
 #include "serving/AgentRole.h"
 
 #include "base/Log.h"
+#include "serving/detail/OneWayCall.h"
 
 #include <algorithm>
 #include <set>
@@ -238,7 +239,7 @@
         if (!state.getNumbersOnly())
             fillNames(state);
         listening.told = names;
-        loop_.spawn(call.send().ignoreResult().catch_([](kj::Exception&&) {}));
+        detail::sendOneWay(loop_, call);
     }
 }
 
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -1,7 +1,6 @@
 #include "serving/ReplicaAgent.h"
 
 #include "base/Log.h"
-#include "base/Secrets.h"
 
 #include <algorithm>
 
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -30,7 +30,6 @@
     : gateway_(gateway)
     , caller_(std::move(caller))
     , request_(std::move(request))
-    , configuration_(gateway.configuration.configuration())
     , beganAt_(caller_->requestBegan())
 {
 }
@@ -178,6 +177,12 @@
     replica_ = choose();
     if (!replica_)
         return waitForPlace();
+    approach();
+}
+
+/// Asks for admission at the chosen replica, or sends at once where nobody gives it.
+auto RequestRun::approach() -> void
+{
     if (replica_->agent() && replica_->agent()->alive())
         return admit();
     send(std::nullopt);
@@ -264,7 +269,7 @@
     replica_ = choose();
     if (!replica_)
         return refuse(result.reason, result.retryAfter);
-    wait_ = gateway_.loop.timers().after(Duration(0), guarded(&RequestRun::place));
+    approach();
 }
 
 auto RequestRun::abandonAdmission(std::string_view why) -> void
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -28,6 +28,7 @@
     // The way to a replica.
     [[nodiscard]] auto readRequest() -> bool;
     auto place() -> void;
+    auto approach() -> void;
     [[nodiscard]] auto choose() -> ReplicaPtr;
     [[nodiscard]] auto viewOf(const ReplicaPtr& replica, Duration fastest) const -> decisions::ReplicaView;
     auto waitForPlace() -> void;
