Loads wait behind one another, on-time adapters first, reading rates are measured

Change: a load that finds no slot counts the loads that wait there already, and what this entry asked for since; adapters of who can still be on time are loaded first; agents measure how fast their engine reads, and long prompts keep off replicas on which running streams would pause too long; an order without an answer is given up after 100 ms and not 300.

--- a/packages/decisions/AdmissionQueue.cpp
+++ b/packages/decisions/AdmissionQueue.cpp
@@ -23,10 +23,17 @@
 
 } // namespace
 
+auto AdmissionQueue::setLimits(ReplicaLimits limits) -> void
+{
+    if (limits.readRate != limits_.readRate)
+        rate_ = ReadRate(limits.readRate);
+    limits_ = limits;
+}
+
 auto AdmissionQueue::readTime(TokenCount tokens) const -> Duration
 {
     return std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double, std::milli>(static_cast<double>(tokens) / limits_.readRate));
+        std::chrono::duration<double, std::milli>(static_cast<double>(tokens) / rate_.perMillisecond()));
 }
 
 auto AdmissionQueue::tokensAhead(const Ready& ready) const -> TokenCount
@@ -53,9 +60,9 @@
         if (other < priority)
             urgent += inflow.rate * std::exp2(-age);
     }
-    const auto share = std::max(leastShare, 1 - urgent / limits_.readRate);
+    const auto share = std::max(leastShare, 1 - urgent / rate_.perMillisecond());
     return std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double, std::milli>(static_cast<double>(tokens) / (limits_.readRate * share)));
+        std::chrono::duration<double, std::milli>(static_cast<double>(tokens) / (rate_.perMillisecond() * share)));
 }
 
 auto AdmissionQueue::noteInflow(const AdmissionRequest& request, Moment now) -> void
@@ -128,7 +135,8 @@
         // What does not fit holds up what is behind it: else short requests would pass a long one for ever.
         if (!fits(*request))
             break;
-        adopt(*request);
+        if (run(*request))
+            rate_.granted(now);
         granted.push_back(std::move(*request));
         request = waiting_.erase(request);
     }
@@ -161,47 +169,69 @@
     return refused;
 }
 
-auto AdmissionQueue::adopt(const AdmissionRequest& request) -> void
+auto AdmissionQueue::run(const AdmissionRequest& request) -> bool
 {
     if (!running_.try_emplace(request.attempt, Running { request }).second)
-        return;
+        return false;
     memoryUsed_ += memoryOf(request);
     unstarted_ += request.unreadTokens;
+    return true;
+}
+
+auto AdmissionQueue::adopt(const AdmissionRequest& request) -> void
+{
+    const auto found = running_.find(request.attempt);
+    if (found == running_.end() && run(request))
+        settle(running_.at(request.attempt));
+}
+
+auto AdmissionQueue::settle(Running& running) -> void
+{
+    running.started = true;
+    unstarted_ -= running.request.unreadTokens;
 }
 
-auto AdmissionQueue::started(const AttemptId& attempt) -> void
+auto AdmissionQueue::started(const AttemptId& attempt, Moment now) -> void
 {
     const auto found = running_.find(attempt);
-    if (found == running_.end() || std::exchange(found->second.started, true))
+    if (found == running_.end() || found->second.started)
         return;
-    unstarted_ -= found->second.request.unreadTokens;
+    settle(found->second);
+    rate_.started(found->second.request.unreadTokens, now);
 }
 
 auto AdmissionQueue::release(const AttemptId& attempt) -> void
 {
-    started(attempt);
     const auto found = running_.find(attempt);
-    if (found != running_.end()) {
-        memoryUsed_ -= memoryOf(found->second.request);
-        running_.erase(found);
+    if (found == running_.end()) {
+        std::erase_if(waiting_, [&](const AdmissionRequest& request) { return request.attempt == attempt; });
         return;
     }
-    std::erase_if(waiting_, [&](const AdmissionRequest& request) { return request.attempt == attempt; });
+    if (!found->second.started) {
+        settle(found->second);
+        rate_.dropped();
+    }
+    memoryUsed_ -= memoryOf(found->second.request);
+    running_.erase(found);
 }
 
-auto AdmissionQueue::wanted(const Ready& ready) const -> std::vector<AdapterId>
+auto AdmissionQueue::wanted(const Ready& ready, Duration loadTime, Moment now) const -> std::vector<AdapterId>
 {
-    auto urgent = std::vector<const AdmissionRequest*>();
+    using Turn = std::pair<bool, Moment>;
+    auto turns = std::map<AdapterId, Turn>();
     for (const auto& request : waiting_) {
-        if (!request.adapter.empty() && !ready(request.adapter))
-            urgent.push_back(&request);
+        if (request.adapter.empty() || ready(request.adapter))
+            continue;
+        const auto late = !onTime(request, now + loadTime);
+        const auto turn = Turn(late, late ? request.arrivedAt : request.lateAt);
+        const auto [found, added] = turns.try_emplace(request.adapter, turn);
+        found->second = std::min(found->second, turn);
     }
-    std::sort(urgent.begin(), urgent.end(), [](const auto* a, const auto* b) { return a->lateAt < b->lateAt; });
     auto adapters = std::vector<AdapterId>();
-    for (const auto* request : urgent) {
-        if (std::find(adapters.begin(), adapters.end(), request->adapter) == adapters.end())
-            adapters.push_back(request->adapter);
-    }
+    for (const auto& [adapter, turn] : turns)
+        adapters.push_back(adapter);
+    std::stable_sort(adapters.begin(), adapters.end(),
+        [&](const AdapterId& left, const AdapterId& right) { return turns[left] < turns[right]; });
     return adapters;
 }
 
--- a/packages/decisions/AdmissionQueue.h
+++ b/packages/decisions/AdmissionQueue.h
@@ -2,6 +2,7 @@
 
 #include "base/Clock.h"
 #include "base/Ids.h"
+#include "decisions/ReadRate.h"
 
 #include <cstdint>
 #include <functional>
@@ -37,7 +38,7 @@
     std::size_t batch = 64;
     /// Memory for prompts and answers, in tokens.
     TokenCount memory = 200000;
-    /// Prompt tokens read in a millisecond.
+    /// Prompt tokens read in a millisecond, until it is measured.
     double readRate = 40;
 };
 
@@ -73,7 +74,7 @@
     /// Whether a request's adapter can be used now.
     using Ready = std::function<bool(const AdapterId&)>;
 
-    auto setLimits(ReplicaLimits limits) -> void { limits_ = limits; }
+    auto setLimits(ReplicaLimits limits) -> void;
     [[nodiscard]] auto limits() const noexcept -> const ReplicaLimits& { return limits_; }
 
     /// Takes the request in, unless what is ahead of it takes longer than its caller waits. `loadTime` is what its
@@ -87,14 +88,17 @@
     /// Takes everything out, as when the replica is gone.
     [[nodiscard]] auto drain(Duration retryAfter) -> std::vector<AdmissionRefusal>;
 
-    /// A request runs that no grant of ours allowed: it was granted before this process started.
+    /// A request runs that no grant of ours allowed: it was granted, and read, before this process started.
     auto adopt(const AdmissionRequest& request) -> void;
-    auto started(const AttemptId& attempt) -> void;
+    /// Its first event came: its prompt has been read.
+    auto started(const AttemptId& attempt, Moment now) -> void;
     /// The request is over, or its caller left while it waited.
     auto release(const AttemptId& attempt) -> void;
 
-    /// Adapters that waiting requests need and that are not ready, most urgent first.
-    [[nodiscard]] auto wanted(const Ready& ready) const -> std::vector<AdapterId>;
+    /// Adapters that waiting requests need and that are not ready, in the order in which they are to be loaded: first
+    /// those with a request that would still be on time after a load of `loadTime`, by the moment it will be late.
+    /// Taking the longest wait first makes every request late once there are more adapters than slots.
+    [[nodiscard]] auto wanted(const Ready& ready, Duration loadTime, Moment now) const -> std::vector<AdapterId>;
     [[nodiscard]] auto waits(const AdapterId& adapter) const -> bool;
     [[nodiscard]] auto running() const noexcept -> std::size_t { return running_.size(); }
     [[nodiscard]] auto queued() const noexcept -> std::size_t { return waiting_.size(); }
@@ -106,6 +110,8 @@
     [[nodiscard]] auto tokensAhead(const Ready& ready) const -> TokenCount;
     /// Prompt tokens that wait for their adapters: they go before a request whose adapter is wanted only now.
     [[nodiscard]] auto tokensWaiting(const Ready& ready) const -> TokenCount;
+    /// Prompt tokens that the replica reads in a millisecond, as measured.
+    [[nodiscard]] auto readRate() const noexcept -> double { return rate_.perMillisecond(); }
     [[nodiscard]] auto memoryUsed() const noexcept -> TokenCount { return memoryUsed_; }
 
 private:
@@ -126,7 +132,10 @@
     auto order(Moment now) -> void;
     auto noteInflow(const AdmissionRequest& request, Moment now) -> void;
     [[nodiscard]] auto fits(const AdmissionRequest& request) const -> bool;
+    auto run(const AdmissionRequest& request) -> bool;
+    auto settle(Running& running) -> void;
     ReplicaLimits limits_;
+    ReadRate rate_ { ReplicaLimits().readRate };
     std::vector<AdmissionRequest> waiting_;
     std::map<AttemptId, Running> running_;
     std::map<std::uint32_t, Inflow> inflow_;
--- a/packages/decisions/Forward.h
+++ b/packages/decisions/Forward.h
@@ -8,6 +8,7 @@
 class LoadQueue;
 class Placer;
 class PollSchedule;
+class ReadRate;
 class ReportGate;
 class RequestQueue;
 class RetryBudget;
--- a/packages/decisions/ReplicaChoice.cpp
+++ b/packages/decisions/ReplicaChoice.cpp
@@ -12,13 +12,17 @@
 // host memory. What a replica needs beyond is the wait for a slot.
 constexpr auto fetchTime = Duration(300ms);
 constexpr auto warmTime = Duration(60ms);
-// No slot is free there: a load would wait for a run to end, and keep the next adapter waiting in turn.
-constexpr auto slotTime = Duration(500ms);
+// Until one of a replica's slots is free for the next load when all are in use: runs of two seconds and more on seven
+// slots, some of them shared.
+constexpr auto slotTurn = Duration(400ms);
 // Each place of the batch that is taken slows all tokens a little; counted so that idle replicas come first.
 constexpr auto fullBatch = Duration(60ms);
-// A prompt from which on the steps that read it make the pauses of running streams too long: each reads a thousand of
-// its tokens and looks back at all before. Counted for each stream that runs there.
-constexpr auto longPrompt = std::uint64_t(12000);
+// Pause of a running stream while a prompt is read, on a replica of usual speed: an event holds seven or eight tokens, a
+// step makes one of each stream's, reads a thousand of the prompt's and looks back at all that were read before. With
+// the engines' own figures 27 ms a step, and 0.75 ms more for each thousand tokens.
+constexpr auto readingPause = Duration(200ms);
+constexpr auto pausePerThousand = Duration(5500us);
+// What it costs to make one stream's pause too long.
 constexpr auto disturbance = Duration(60ms);
 // Until one of many runs ends.
 constexpr auto runTime = Duration(500ms);
@@ -47,20 +51,27 @@
     return 1 - static_cast<double>(hash >> shift) / static_cast<double>(std::uint64_t(1) << (64U - shift));
 }
 
+auto pauseWhileReading(std::uint64_t tokens) -> Duration
+{
+    constexpr auto thousand = 1000.0;
+    return readingPause + share(static_cast<double>(tokens) / thousand, pausePerThousand);
+}
+
+/// Until an adapter is there that is not now.
+auto loadWait(const ReplicaView& replica) -> Duration
+{
+    auto wait = replica.warm ? warmTime : fetchTime;
+    if (replica.loadsWaiting >= replica.spareSlots)
+        wait += slotTurn * (replica.loadsWaiting - replica.spareSlots + (replica.loading ? 0 : 1));
+    // It was asked for some time ago.
+    return replica.loading ? wait / 2 : wait;
+}
+
 } // namespace
 
 auto expectedStart(const ReplicaView& replica, const PlacementNeed& need) -> Duration
 {
-    auto load = Duration(0);
-    if (!replica.holds) {
-        load = std::max(replica.loadTime, fetchTime);
-        if (replica.warm)
-            load -= fetchTime - warmTime;
-        if (replica.loading)
-            load /= 2;
-        else if (replica.spareSlots <= replica.loadsWaiting)
-            load += slotTime;
-    }
+    const auto load = replica.holds ? Duration(0) : loadWait(replica);
     const auto ahead = readTime(replica.tokensAhead + (replica.holds ? 0 : replica.tokensWaiting), need.readRate);
     const auto full
         = static_cast<double>(replica.running) / static_cast<double>(std::max<std::size_t>(replica.batch, 1));
@@ -70,7 +81,7 @@
         start += runTime;
     if (!replica.prompt)
         start += readTime(need.sharedTokens, need.readRate);
-    if (need.unreadTokens + need.sharedTokens >= longPrompt)
+    if (share(replica.slowness, pauseWhileReading(need.unreadTokens + need.sharedTokens)) > need.pauseLimit)
         start += disturbance * replica.running;
     if (replica.zone != need.zone)
         start += need.zonePenalty;
--- a/packages/decisions/ReplicaChoice.h
+++ b/packages/decisions/ReplicaChoice.h
@@ -31,14 +31,13 @@
     std::uint64_t tokensAhead = 0;
     /// Those that wait for other adapters there; ahead only of a request whose adapter must be loaded too.
     std::uint64_t tokensWaiting = 0;
-    /// Slots whose adapter gives way to a new one, and adapters that wait for one already.
+    /// Slots whose adapter gives way to a new one, and adapters that wait for one already, with those that this entry
+    /// asked for since the replica's last word.
     std::size_t spareSlots = 0;
     std::size_t loadsWaiting = 0;
-    /// What an adapter takes there that is wanted now, by what the last ones took.
-    Duration loadTime = 300ms;
     /// Whether it has read the shared part of the prompt, as far as this entry knows.
     bool prompt = false;
-    /// Answer time against its peers; 1 for as fast as they.
+    /// What it takes for the same work against its peers; 1 for as fast as they.
     double slowness = 1;
 };
 
@@ -48,8 +47,10 @@
     AvailabilityZone zone;
     std::uint64_t unreadTokens = 0;
     std::uint64_t sharedTokens = 0;
-    /// Prompt tokens that a replica reads in a millisecond.
+    /// Prompt tokens that a replica of usual speed reads in a millisecond.
     double readRate = 40;
+    /// Longest pause between two events of a stream that is still on time.
+    Duration pauseLimit = 300ms;
     /// What a request sent to another zone costs, as a time.
     Duration zonePenalty = 20ms;
 };
@@ -64,8 +65,12 @@
 /// Harm prevented: loads that nobody needed, the same adapter loaded at several replicas because several entries asked
 /// for it at the same moment, shared parts read anew at each replica, a popular adapter bound to one full replica.
 ///
-/// A prompt of many thousand tokens goes where few streams run: while it is read, each of their pauses grows beyond
-/// what their callers take for a break.
+/// Where every slot is in use, a load waits for the runs on one of them to end, and behind the loads that wait there
+/// already. Counted as one slot's time whatever the queue, ten adapters waited at one replica for slots that stood empty
+/// at another: two thirds of the late answers at the worst load.
+///
+/// A prompt that is so long, or a replica so slow, that running streams pause for too long while it is read, goes where
+/// few of them run.
 ///
 /// An adapter that nobody holds goes to the replica that its name favours, unless that one is much later than others.
 /// Entries that do not know of each other then ask the same one, and an adapter that comes back finds its weights still
--- a/packages/serving/AgentLink.cpp
+++ b/packages/serving/AgentLink.cpp
@@ -9,6 +9,7 @@
 
 // A new session is tried this often: a restarted process is back within a second.
 constexpr auto reconnectAfter = Duration(500ms);
+constexpr auto millisecondsInSecond = 1000.0;
 
 } // namespace
 
@@ -112,6 +113,7 @@
     state_.spareSlots = state.getSpareSlots();
     state_.loadsWaiting = state.getLoadsWaiting();
     state_.loadTime = milliseconds(state.getLoadMs());
+    state_.readRate = static_cast<double>(state.getReadRate()) / millisecondsInSecond;
     state_.entries = state.getEntries();
     state_.at = loop_.timers().now();
     hooks_.onState();
--- a/packages/serving/AgentLink.h
+++ b/packages/serving/AgentLink.h
@@ -30,6 +30,8 @@
     std::size_t loadsWaiting = 0;
     /// What an adapter takes there that is wanted now.
     milliseconds loadTime { 0 };
+    /// Prompt tokens that it reads in a millisecond.
+    double readRate = 0;
     /// The highest configuration that any entry told it of, and the entry to ask for it.
     ConfigVersion configVersion;
     std::string configHolder;
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -254,6 +254,8 @@
     state.setMemoryUsed(agent_.queue().memoryUsed());
     state.setSpareSlots(static_cast<std::uint32_t>(agent_.spareSlots()));
     state.setLoadsWaiting(static_cast<std::uint32_t>(agent_.loadsWaiting()));
+    constexpr auto millisecondsInSecond = 1000;
+    state.setReadRate(static_cast<std::uint32_t>(agent_.queue().readRate() * millisecondsInSecond));
     state.setEntries(static_cast<std::uint32_t>(listeners_.size()));
 }
 
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -15,7 +15,7 @@
 constexpr auto busyInterval = Duration(15ms);
 constexpr auto idleInterval = Duration(250ms);
 // An order that is not answered by now is taken for lost; the next report tells what became of it.
-constexpr auto orderTimeout = Duration(300ms);
+constexpr auto orderTimeout = Duration(100ms);
 // Adapters that one replica fetches at a time; what the engine takes.
 constexpr auto mostComing = std::size_t(4);
 // The check waits for a place in the replica's batch like any request.
@@ -271,6 +271,11 @@
     return [this](const AdapterName& adapter) { return ready(adapter); };
 }
 
+auto ReplicaAgent::wanted() const -> std::vector<AdapterName>
+{
+    return queue_.wanted(isReady(), adapterTime, loop_.timers().now());
+}
+
 auto ReplicaAgent::tokensAhead() const -> Tokens { return queue_.tokensAhead(isReady()); }
 
 auto ReplicaAgent::tokensWaiting() const -> Tokens { return queue_.tokensWaiting(isReady()); }
@@ -281,11 +286,11 @@
 auto ReplicaAgent::noteLoads() -> void
 {
     const auto now = loop_.timers().now();
-    const auto wanted = queue_.wanted(isReady());
-    for (const auto& adapter : wanted)
+    const auto adapters = wanted();
+    for (const auto& adapter : adapters)
         wantedSince_.try_emplace(adapter, now);
     std::erase_if(wantedSince_, [&](const auto& entry) {
-        if (std::find(wanted.begin(), wanted.end(), entry.first) != wanted.end())
+        if (std::find(adapters.begin(), adapters.end(), entry.first) != adapters.end())
             return false;
         if (ready(entry.first))
             loadTime_ += (now - entry.second - loadTime_) / loadSmoothing;
@@ -320,14 +325,13 @@
 auto ReplicaAgent::adopt(const decisions::AdmissionRequest& request) -> void
 {
     queue_.adopt(request);
-    queue_.started(request.attempt);
     if (slots_ && slots_->ready(modelName(request.adapter)))
         slots_->pin(modelName(request.adapter), loop_.timers().now());
 }
 
 auto ReplicaAgent::started(const AttemptId& attempt) -> void
 {
-    queue_.started(attempt);
+    queue_.started(attempt, loop_.timers().now());
     act();
 }
 
@@ -388,8 +392,8 @@
     if (!report_->hasModel)
         return baseOrder();
     const auto now = loop_.timers().now();
-    const auto wanted = queue_.wanted(isReady());
-    for (const auto& adapter : wanted) {
+    const auto adapters = wanted();
+    for (const auto& adapter : adapters) {
         const auto name = modelName(adapter);
         if (replacing_.contains(adapter) || unloading_.contains(adapter))
             continue;
@@ -482,11 +486,7 @@
     return report_ ? report_->resident : std::map<AdapterName, AdapterVersion>();
 }
 
-auto ReplicaAgent::loading() const -> std::vector<AdapterName>
-{
-    auto adapters = queue_.wanted(isReady());
-    return adapters;
-}
+auto ReplicaAgent::loading() const -> std::vector<AdapterName> { return wanted(); }
 
 auto ReplicaAgent::spareSlots() const -> std::size_t
 {
@@ -501,6 +501,6 @@
     return spare;
 }
 
-auto ReplicaAgent::loadsWaiting() const -> std::size_t { return queue_.wanted(isReady()).size(); }
+auto ReplicaAgent::loadsWaiting() const -> std::size_t { return wanted().size(); }
 
 } // namespace eelgrass::serving
--- a/packages/serving/ReplicaAgent.h
+++ b/packages/serving/ReplicaAgent.h
@@ -92,6 +92,8 @@
     auto orderFailed(const hosting::ReplicaOrder& order, const std::string& reason) -> void;
     auto settlePending() -> void;
     auto noteLoads() -> void;
+    /// Adapters to be loaded, in that order.
+    [[nodiscard]] auto wanted() const -> std::vector<AdapterName>;
     [[nodiscard]] auto isReady() const -> decisions::AdmissionQueue::Ready;
     [[nodiscard]] auto ready(const AdapterName& adapter) const -> bool;
     [[nodiscard]] auto versionOf(const AdapterName& adapter) const -> AdapterVersion;
--- a/packages/serving/ReplicaDirectory.h
+++ b/packages/serving/ReplicaDirectory.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -38,8 +39,16 @@
     auto ended() -> void;
     [[nodiscard]] auto inFlight() const noexcept -> std::size_t { return inFlight_; }
     /// The agent spoke: what was sent before is in its figures.
-    auto reported() -> void { tokensSent_ = 0; }
+    auto reported() -> void
+    {
+        tokensSent_ = 0;
+        loadsAsked_.clear();
+    }
     [[nodiscard]] auto tokensSent() const noexcept -> Tokens { return tokensSent_; }
+    /// A request was sent for admission whose adapter is not there.
+    auto askedLoad(const AdapterName& adapter) -> void { loadsAsked_.insert(adapter); }
+    [[nodiscard]] auto hasAskedLoad(const AdapterName& adapter) const -> bool { return loadsAsked_.contains(adapter); }
+    [[nodiscard]] auto loadsAsked() const noexcept -> std::size_t { return loadsAsked_.size(); }
 
     /// The replica answered well after `took`, or failed; see `usable`.
     auto succeeded(Duration took) -> void;
@@ -65,6 +74,8 @@
     bool leaving_ = false;
     std::size_t inFlight_ = 0;
     Tokens tokensSent_ = 0;
+    /// Adapters that this entry asked for there since the agent spoke.
+    std::set<AdapterName> loadsAsked_;
     std::uint32_t failures_ = 0;
     Moment restsUntil_ {};
     Duration meanTime_ {};
--- a/packages/serving/RequestAnswer.cpp
+++ b/packages/serving/RequestAnswer.cpp
@@ -3,6 +3,8 @@
 #include "serving/RequestRun.h"
 #include "serving/detail/RunLimits.h"
 
+#include <algorithm>
+
 namespace eelgrass::serving {
 
 namespace {
@@ -87,7 +89,10 @@
         told_ = Told::Streaming;
         caller_->begin({ head_.status, hosting::returnedFields(head_) });
     }
-    lastTold_ = gateway_.now();
+    const auto now = gateway_.now();
+    if (lastTold_ != Moment())
+        longestPause_ = std::max(longestPause_, now - lastTold_);
+    lastTold_ = now;
     caller_->piece(event.text);
     return true;
 }
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -24,6 +24,21 @@
     return std::max({ least, aims * Duration(route.aim), pauses * Duration(route.pauseAim) }) - answerMargin;
 }
 
+/// The median of what replicas read in a millisecond; 0 while none is known.
+auto usualReadRate(const std::vector<ReplicaPtr>& replicas) -> double
+{
+    auto rates = std::vector<double>();
+    for (const auto& replica : replicas) {
+        if (replica->agent() && replica->agent()->alive())
+            rates.push_back(replica->agent()->state().readRate);
+    }
+    if (rates.empty())
+        return 0;
+    const auto middle = rates.begin() + static_cast<std::ptrdiff_t>(rates.size() / 2);
+    std::nth_element(rates.begin(), middle, rates.end());
+    return *middle;
+}
+
 } // namespace
 
 RequestRun::RequestRun(Gateway& gateway, std::shared_ptr<CallerConnection> caller, wire::HttpRequestMessage request)
@@ -112,7 +127,7 @@
 
 auto RequestRun::timeLeft() const -> Duration { return endAt_ - gateway_.now(); }
 
-auto RequestRun::viewOf(const ReplicaPtr& replica, Duration fastest) const -> decisions::ReplicaView
+auto RequestRun::viewOf(const ReplicaPtr& replica, Duration fastest, double readRate) const -> decisions::ReplicaView
 {
     const auto now = gateway_.now();
     auto view = decisions::ReplicaView { .id = replica->id().str(), .zone = replica->record().zone };
@@ -127,6 +142,9 @@
                 slowestFactor, static_cast<double>(replica->meanTime().count()) / static_cast<double>(fastest.count()));
         return view;
     }
+    view.slowness = agent->alive() && agent->state().readRate > 0
+        ? std::min(slowestFactor, readRate / agent->state().readRate)
+        : 1;
     view.prompt = replica->hasPrompt(sharedId_);
     if (!agent->alive()) {
         // Without its agent a replica serves what it holds, by the list.
@@ -140,13 +158,12 @@
     view.usable = view.usable && state.usable && state.instance == replica->id();
     view.running = std::max(state.running, replica->inFlight());
     view.holds = facts_.adapter.empty() || state.resident.contains(facts_.adapter);
-    view.loading = state.loading.contains(facts_.adapter);
+    view.loading = state.loading.contains(facts_.adapter) || replica->hasAskedLoad(facts_.adapter);
     view.warm = replica->warm(facts_.adapter);
     view.tokensAhead = state.tokensAhead + replica->tokensSent();
     view.tokensWaiting = state.tokensWaiting;
     view.spareSlots = state.spareSlots;
-    view.loadsWaiting = state.loadsWaiting;
-    view.loadTime = state.loadTime;
+    view.loadsWaiting = state.loadsWaiting + replica->loadsAsked();
     return view;
 }
 
@@ -158,13 +175,15 @@
         if (replica->meanTime().count() > 0)
             fastest = std::min(fastest, replica->meanTime());
     }
+    const auto readRate = usualReadRate(replicas);
     auto views = std::vector<decisions::ReplicaView>();
     for (const auto& replica : replicas)
-        views.push_back(viewOf(replica, fastest == Duration::max() ? Duration(0) : fastest));
+        views.push_back(viewOf(replica, fastest == Duration::max() ? Duration(0) : fastest, readRate));
     const auto need = decisions::PlacementNeed { .adapter = facts_.adapter.view(),
         .zone = gateway_.settings.host.zone,
         .unreadTokens = facts_.promptTokens - std::min(facts_.promptTokens, sharedTokens_),
         .sharedTokens = sharedTokens_,
+        .pauseLimit = route_->pauseAim,
         .zonePenalty = zonePenalty() };
     const auto chosen = decisions::chooseReplica(views, need);
     return chosen ? replicas[*chosen] : nullptr;
@@ -218,6 +237,8 @@
         .priority = route_->priority,
         .untilLate = left(firstEventSeen_ ? now + Duration(route_->pauseAim) : lateAt_),
         .untilGone = left(firstEventSeen_ ? std::min(endAt_, lastTold_ + patience(*route_)) : firstBy_) };
+    if (!facts_.adapter.empty() && !agent->state().resident.contains(facts_.adapter))
+        replica_->askedLoad(facts_.adapter);
     grantedBy_ = agent;
     // Answered from the loop: the run may end over the answer, and a promise must not be destroyed within its own call.
     const auto number = ++admissions_;
@@ -439,7 +460,8 @@
             { "status", std::to_string(status) }, { "reason", std::string(why) },
             { "replica", replica_ ? replica_->id().str() : "" }, { "sends", std::to_string(sends_) },
             { "runs", std::to_string(runs_) }, { "took_ms", text(now - beganAt_) },
-            { "first_ms", firstAt_ == Moment() ? "" : text(firstAt_ - beganAt_) } });
+            { "first_ms", firstAt_ == Moment() ? "" : text(firstAt_ - beganAt_) },
+            { "pause_ms", text(longestPause_) } });
     const auto member = MemberId(service_.str());
     gateway_.metrics.observe("eelgrass_request_seconds", member, RequestClass(name), now - beganAt_);
     gateway_.metrics.count("eelgrass_requests_total",
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -30,7 +30,7 @@
     auto place() -> void;
     auto approach() -> void;
     [[nodiscard]] auto choose() -> ReplicaPtr;
-    [[nodiscard]] auto viewOf(const ReplicaPtr& replica, Duration fastest) const -> decisions::ReplicaView;
+    [[nodiscard]] auto viewOf(const ReplicaPtr& replica, Duration fastest, double readRate) const -> decisions::ReplicaView;
     auto waitForPlace() -> void;
     auto admit() -> void;
     auto admitted(const AdmitResult& result) -> void;
@@ -103,6 +103,8 @@
     Moment sentAt_ {};
     Moment firstAt_ {};
     Moment lastTold_ {};
+    /// Between two events of the stream.
+    Duration longestPause_ {};
     Told told_ = Told::Nothing;
     bool over_ = false;
     Timer end_;
--- a/packages/wire/Agent.capnp
+++ b/packages/wire/Agent.capnp
@@ -39,6 +39,8 @@
   tokensWaiting @15 :UInt64;
   # Only the numbers were filled in: instance, adapters, configuration and suspects are as this session was last told.
   numbersOnly @16 :Bool;
+  # Prompt tokens that the replica reads in a second, as measured.
+  readRate @17 :UInt32;
 }
 
 struct SuspectRequest {
--- a/tests/unit/AdmissionQueue.cpp
+++ b/tests/unit/AdmissionQueue.cpp
@@ -77,7 +77,7 @@
     const auto granted = queue.grant(ready, {});
     BOOST_REQUIRE(granted.size() == 1U);
     BOOST_TEST(granted[0].attempt.str() == "ready");
-    const auto wanted = queue.wanted(ready);
+    const auto wanted = queue.wanted(ready, 300ms, {});
     BOOST_REQUIRE(wanted.size() == 1U);
     BOOST_TEST(wanted[0].str() == "coming");
 }
@@ -104,7 +104,7 @@
     (void)queue.offer(ask("one", 1000, 1s, 4s), always, {}, {});
     (void)queue.grant(always, {});
     BOOST_TEST(queue.memoryUsed() == 1050U);
-    queue.started(AttemptId("one"));
+    queue.started(AttemptId("one"), {});
     BOOST_TEST(queue.tokensAhead(always) == 0U);
     queue.release(AttemptId("one"));
     queue.release(AttemptId("one"));
