The log says how long a request waited for its adapter

Cause: `waited_ms` did not tell a wait for an adapter from a wait for prompts ahead. Change: `adapter_ms` in `granted`.

--- a/packages/decisions/AdmissionQueue.cpp
+++ b/packages/decisions/AdmissionQueue.cpp
@@ -127,6 +127,10 @@
 {
     auto granted = std::vector<AdmissionRequest>();
     order(now);
+    for (auto& request : waiting_) {
+        if (request.readyAt == Moment() && ready(request.adapter))
+            request.readyAt = now;
+    }
     for (auto request = waiting_.begin(); request != waiting_.end();) {
         if (!ready(request->adapter)) {
             ++request;
--- a/packages/decisions/AdmissionQueue.h
+++ b/packages/decisions/AdmissionQueue.h
@@ -27,6 +27,8 @@
     /// 0 is the most urgent.
     std::uint32_t priority = 5;
     Moment arrivedAt {};
+    /// When its adapter was there; set by the queue.
+    Moment readyAt {};
     /// When the first event is late.
     Moment lateAt = Moment::max();
     /// When nobody waits for it any more.
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -195,6 +195,7 @@
     log::info(decision.granted ? "granted" : "not granted",
         { { "request", attempt.str() }, { "replica", agent_.instance().str() }, { "reason", decision.reason },
             { "waited_ms", std::to_string(decision.waited.count() / 1000) },
+            { "adapter_ms", std::to_string(decision.waitedForAdapter.count() / 1000) },
             { "tokens_ahead", std::to_string(agent_.tokensAhead()) },
             { "loads_waiting", std::to_string(agent_.loadsWaiting()) },
             { "running", std::to_string(agent_.queue().running()) },
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -371,7 +371,8 @@
         if (!request.adapter.empty())
             slots_->pin(modelName(request.adapter), now);
         decide(request.attempt,
-            { .granted = true, .version = versionOf(request.adapter), .waited = now - request.arrivedAt });
+            { .granted = true, .version = versionOf(request.adapter), .waited = now - request.arrivedAt,
+                .waitedForAdapter = request.readyAt - request.arrivedAt });
     }
 }
 
--- a/packages/serving/ReplicaAgent.h
+++ b/packages/serving/ReplicaAgent.h
@@ -32,6 +32,8 @@
         std::string reason;
         /// How long it waited here.
         Duration waited {};
+        /// How much of that was for its adapter.
+        Duration waitedForAdapter {};
     };
     using OnDecision = std::function<void(const AttemptId&, const Decision&)>;
     using OnChange = std::function<void()>;
