One adapter slot is kept free of what is late anyway

Cause: with more adapters than slots, each freed slot went at once to a caller who would hear too late, and was missing for seconds to those who came next. Change: an adapter that only late requests want is loaded when one more slot stays free.

--- a/packages/decisions/AdmissionQueue.cpp
+++ b/packages/decisions/AdmissionQueue.cpp
@@ -219,7 +219,7 @@
     running_.erase(found);
 }
 
-auto AdmissionQueue::wanted(const Ready& ready, Duration loadTime, Moment now) const -> std::vector<AdapterId>
+auto AdmissionQueue::wanted(const Ready& ready, Duration loadTime, Moment now) const -> std::vector<WantedAdapter>
 {
     using Turn = std::pair<bool, Moment>;
     auto turns = std::map<AdapterId, Turn>();
@@ -231,11 +231,12 @@
         const auto [found, added] = turns.try_emplace(request.adapter, turn);
         found->second = std::min(found->second, turn);
     }
-    auto adapters = std::vector<AdapterId>();
+    auto adapters = std::vector<WantedAdapter>();
     for (const auto& [adapter, turn] : turns)
-        adapters.push_back(adapter);
-    std::stable_sort(adapters.begin(), adapters.end(),
-        [&](const AdapterId& left, const AdapterId& right) { return turns[left] < turns[right]; });
+        adapters.push_back({ adapter, turn.first });
+    std::stable_sort(adapters.begin(), adapters.end(), [&](const WantedAdapter& left, const WantedAdapter& right) {
+        return turns[left.adapter] < turns[right.adapter];
+    });
     return adapters;
 }
 
--- a/packages/decisions/AdmissionQueue.h
+++ b/packages/decisions/AdmissionQueue.h
@@ -51,6 +51,13 @@
     Duration retryAfter {};
 };
 
+/// An adapter that waiting requests need.
+struct WantedAdapter {
+    AdapterId adapter;
+    /// None of them would still be on time.
+    bool late = false;
+};
+
 /// Which requests a replica gets, and in which order, as the process beside it decides.
 ///
 /// Load made for: bursts of long prompts beside short ones, and a batch that is full.
@@ -100,7 +107,7 @@
     /// Adapters that waiting requests need and that are not ready, in the order in which they are to be loaded: first
     /// those with a request that would still be on time after a load of `loadTime`, by the moment it will be late.
     /// Taking the longest wait first makes every request late once there are more adapters than slots.
-    [[nodiscard]] auto wanted(const Ready& ready, Duration loadTime, Moment now) const -> std::vector<AdapterId>;
+    [[nodiscard]] auto wanted(const Ready& ready, Duration loadTime, Moment now) const -> std::vector<WantedAdapter>;
     [[nodiscard]] auto waits(const AdapterId& adapter) const -> bool;
     [[nodiscard]] auto running() const noexcept -> std::size_t { return running_.size(); }
     [[nodiscard]] auto queued() const noexcept -> std::size_t { return waiting_.size(); }
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -38,6 +38,8 @@
 constexpr auto adapterTime = Duration(300ms);
 // How many loads the mean of their times follows.
 constexpr auto loadSmoothing = 4;
+// Slots that are kept free of adapters which only late requests want.
+constexpr auto slotsForOnTime = std::size_t(1);
 constexpr auto expiryInterval = Duration(50ms);
 constexpr auto mostPrompts = std::size_t(512);
 
@@ -271,7 +273,7 @@
     return [this](const AdapterName& adapter) { return ready(adapter); };
 }
 
-auto ReplicaAgent::wanted() const -> std::vector<AdapterName>
+auto ReplicaAgent::wanted() const -> std::vector<decisions::WantedAdapter>
 {
     return queue_.wanted(isReady(), adapterTime, loop_.timers().now());
 }
@@ -287,10 +289,11 @@
 {
     const auto now = loop_.timers().now();
     const auto adapters = wanted();
-    for (const auto& adapter : adapters)
-        wantedSince_.try_emplace(adapter, now);
+    for (const auto& wanted : adapters)
+        wantedSince_.try_emplace(wanted.adapter, now);
     std::erase_if(wantedSince_, [&](const auto& entry) {
-        if (std::find(adapters.begin(), adapters.end(), entry.first) != adapters.end())
+        if (std::any_of(adapters.begin(), adapters.end(),
+                [&](const auto& wanted) { return wanted.adapter == entry.first; }))
             return false;
         if (ready(entry.first))
             loadTime_ += (now - entry.second - loadTime_) / loadSmoothing;
@@ -394,8 +397,10 @@
         return baseOrder();
     const auto now = loop_.timers().now();
     const auto adapters = wanted();
-    for (const auto& adapter : adapters) {
+    for (const auto& [adapter, late] : adapters) {
         const auto name = modelName(adapter);
+        if (late && spareSlots() <= slotsForOnTime)
+            break;
         if (replacing_.contains(adapter) || unloading_.contains(adapter))
             continue;
         if (slots_->ready(name)) {
@@ -487,7 +492,13 @@
     return report_ ? report_->resident : std::map<AdapterName, AdapterVersion>();
 }
 
-auto ReplicaAgent::loading() const -> std::vector<AdapterName> { return wanted(); }
+auto ReplicaAgent::loading() const -> std::vector<AdapterName>
+{
+    auto adapters = std::vector<AdapterName>();
+    for (const auto& [adapter, late] : wanted())
+        adapters.push_back(adapter);
+    return adapters;
+}
 
 auto ReplicaAgent::spareSlots() const -> std::size_t
 {
--- a/packages/serving/ReplicaAgent.h
+++ b/packages/serving/ReplicaAgent.h
@@ -95,7 +95,7 @@
     auto settlePending() -> void;
     auto noteLoads() -> void;
     /// Adapters to be loaded, in that order.
-    [[nodiscard]] auto wanted() const -> std::vector<AdapterName>;
+    [[nodiscard]] auto wanted() const -> std::vector<decisions::WantedAdapter>;
     [[nodiscard]] auto isReady() const -> decisions::AdmissionQueue::Ready;
     [[nodiscard]] auto ready(const AdapterName& adapter) const -> bool;
     [[nodiscard]] auto versionOf(const AdapterName& adapter) const -> AdapterVersion;
