--- a/packages/decisions/ReplicaChoice.cpp
+++ b/packages/decisions/ReplicaChoice.cpp
@@ -26,6 +26,8 @@
 constexpr auto disturbance = Duration(60ms);
 // Until one of many runs ends.
 constexpr auto runTime = Duration(500ms);
+// How much of a shared part's reading the holder that it favours most is spared: other entries sent it there before.
+constexpr auto readElsewhere = 0.6;
 // How far the favourite of an adapter's name may be behind the soonest: where the adapter is there or at hand, and
 // where it must be fetched. A fetch elsewhere costs all who wait for the store, so the favourite may be a good deal
 // later.
@@ -43,10 +45,10 @@
         std::chrono::duration<double, std::milli>(static_cast<double>(tokens) / rate));
 }
 
-/// From 0 for the replica that the adapter's name favours most, up to 1.
-auto disfavour(std::string_view adapter, std::string_view replica) -> double
+/// From 0 for the replica that the name favours most, up to 1.
+auto disfavour(std::uint64_t name, std::string_view replica) -> double
 {
-    const auto hash = rendezvousScore(nameHash(adapter), nameHash(replica));
+    const auto hash = rendezvousScore(name, nameHash(replica));
     constexpr auto shift = 11U;
     return 1 - static_cast<double>(hash >> shift) / static_cast<double>(std::uint64_t(1) << (64U - shift));
 }
@@ -57,6 +59,12 @@
     return readingPause + share(static_cast<double>(tokens) / thousand, pausePerThousand);
 }
 
+/// How likely the shared part of the prompt was never read there, when this entry did not send it.
+auto unreadChance(const ReplicaView& replica, const PlacementNeed& need) -> double
+{
+    return replica.holds ? 1 - readElsewhere * (1 - disfavour(need.sharedId, replica.id)) : 1;
+}
+
 /// Until an adapter is there that is not now.
 auto loadWait(const ReplicaView& replica) -> Duration
 {
@@ -80,7 +88,7 @@
     if (full >= 1)
         start += runTime;
     if (!replica.prompt)
-        start += readTime(need.sharedTokens, need.readRate);
+        start += share(unreadChance(replica, need), readTime(need.sharedTokens, need.readRate));
     if (share(replica.slowness, pauseWhileReading(need.unreadTokens + need.sharedTokens)) > need.pauseLimit)
         start += disturbance * replica.running;
     if (replica.zone != need.zone)
@@ -98,7 +106,7 @@
             continue;
         const auto fetch = !replica.holds && !replica.loading && !replica.warm;
         const auto cost = expectedStart(replica, need)
-            + share(disfavour(need.adapter, replica.id), fetch ? favourForFetch : favour);
+            + share(disfavour(nameHash(need.adapter), replica.id), fetch ? favourForFetch : favour);
         if (cost < bestCost) {
             best = index;
             bestCost = cost;
--- a/packages/decisions/ReplicaChoice.h
+++ b/packages/decisions/ReplicaChoice.h
@@ -47,6 +47,8 @@
     AvailabilityZone zone;
     std::uint64_t unreadTokens = 0;
     std::uint64_t sharedTokens = 0;
+    /// Names those shared parts together with the adapter.
+    std::uint64_t sharedId = 0;
     /// Prompt tokens that a replica of usual speed reads in a millisecond.
     double readRate = 40;
     /// Longest pause between two events of a stream that is still on time.
@@ -72,6 +74,9 @@
 /// A prompt that is so long, or a replica so slow, that running streams pause for too long while it is read, goes where
 /// few of them run.
 ///
+/// Among several holders of an adapter each shared part of a prompt has a favourite too. An entry knows only what it
+/// sent itself; with many entries the same parts were read anew at every holder, a fifth of all that was read.
+///
 /// An adapter that nobody holds goes to the replica that its name favours, unless that one is much later than others.
 /// Entries that do not know of each other then ask the same one, and an adapter that comes back finds its weights still
 /// at hand there: on nine replicas of seven slots, with demand spread by Zipf's law over 3,000 adapters, that is nine
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -183,6 +183,7 @@
         .zone = gateway_.settings.host.zone,
         .unreadTokens = facts_.promptTokens - std::min(facts_.promptTokens, sharedTokens_),
         .sharedTokens = sharedTokens_,
+        .sharedId = sharedId_,
         .pauseLimit = route_->pauseAim,
         .zonePenalty = zonePenalty() };
     const auto chosen = decisions::chooseReplica(views, need);
