--- a/packages/decisions/AdmissionQueue.cpp
+++ b/packages/decisions/AdmissionQueue.cpp
@@ -80,12 +80,17 @@
     return now + readTime(unstarted_ + request.unreadTokens) <= request.lateAt;
 }
 
+auto AdmissionQueue::startBy(const AdmissionRequest& request) const -> Moment
+{
+    return request.lateAt - readTime(request.unreadTokens);
+}
+
 auto AdmissionQueue::before(const AdmissionRequest& left, const AdmissionRequest& right, Moment now) const -> bool
 {
     const auto leftLate = !onTime(left, now);
     const auto rightLate = !onTime(right, now);
-    const auto leftAt = leftLate ? left.arrivedAt : left.lateAt;
-    const auto rightAt = rightLate ? right.arrivedAt : right.lateAt;
+    const auto leftAt = leftLate ? left.arrivedAt : startBy(left);
+    const auto rightAt = rightLate ? right.arrivedAt : startBy(right);
     return std::tie(leftLate, left.priority, leftAt) < std::tie(rightLate, right.priority, rightAt);
 }
 
@@ -227,7 +232,7 @@
         if (request.adapter.empty() || ready(request.adapter))
             continue;
         const auto late = !onTime(request, now + loadTime);
-        const auto turn = Turn(late, late ? request.arrivedAt : request.lateAt);
+        const auto turn = Turn(late, late ? request.arrivedAt : startBy(request));
         const auto [found, added] = turns.try_emplace(request.adapter, turn);
         found->second = std::min(found->second, turn);
     }
--- a/packages/decisions/AdmissionQueue.h
+++ b/packages/decisions/AdmissionQueue.h
@@ -137,6 +137,8 @@
     /// The same for requests that yield to more urgent ones.
     [[nodiscard]] auto readTime(TokenCount tokens, std::uint32_t priority, Moment now) const -> Duration;
     [[nodiscard]] auto onTime(const AdmissionRequest& request, Moment now) const -> bool;
+    /// When its reading must begin for its first event to be on time.
+    [[nodiscard]] auto startBy(const AdmissionRequest& request) const -> Moment;
     [[nodiscard]] auto before(const AdmissionRequest& left, const AdmissionRequest& right, Moment now) const -> bool;
     auto order(Moment now) -> void;
     auto noteInflow(const AdmissionRequest& request, Moment now) -> void;
