Figures of replicas count as wrong by a share of their age

Change: 0.1 of the age is added to a replica's expected start, and up to 0.2 more by what the entry's own name favours.

--- a/packages/decisions/ReplicaChoice.cpp
+++ b/packages/decisions/ReplicaChoice.cpp
@@ -26,6 +26,10 @@
 constexpr auto disturbance = Duration(60ms);
 // Until one of many runs ends.
 constexpr auto runTime = Duration(500ms);
+// How much of their age figures may be wrong by: for all entries alike, and more for the replicas that an entry favours
+// less.
+constexpr auto ageShare = 0.1;
+constexpr auto entryShare = 0.2;
 // How much of a shared part's reading the holder that it favours most is spared: other entries sent it there before.
 constexpr auto readElsewhere = 0.6;
 // How far the favourite of an adapter's name may be behind the soonest: where the adapter is there or at hand, and
@@ -91,6 +95,7 @@
         start += share(unreadChance(replica, need), readTime(need.sharedTokens, need.readRate));
     if (share(replica.slowness, pauseWhileReading(need.unreadTokens + need.sharedTokens)) > need.pauseLimit)
         start += disturbance * replica.running;
+    start += share(ageShare + entryShare * disfavour(nameHash(need.entry), replica.id), replica.age);
     if (replica.zone != need.zone)
         start += need.zonePenalty;
     return share(replica.slowness, start + Duration(1ms));
--- a/packages/decisions/ReplicaChoice.h
+++ b/packages/decisions/ReplicaChoice.h
@@ -35,6 +35,8 @@
     /// asked for since the replica's last word.
     std::size_t spareSlots = 0;
     std::size_t loadsWaiting = 0;
+    /// How old the figures are.
+    Duration age { 0 };
     /// Whether it has read the shared part of the prompt, as far as this entry knows.
     bool prompt = false;
     /// What it takes for the same work against its peers; 1 for as fast as they.
@@ -44,6 +46,8 @@
 /// What placement needs to know of a request.
 struct PlacementNeed {
     std::string_view adapter;
+    /// Who chooses.
+    std::string_view entry;
     AvailabilityZone zone;
     std::uint64_t unreadTokens = 0;
     std::uint64_t sharedTokens = 0;
@@ -74,6 +78,10 @@
 /// A prompt that is so long, or a replica so slow, that running streams pause for too long while it is read, goes where
 /// few of them run.
 ///
+/// The older a replica's figures are, the more requests other entries sent there unseen: such a replica counts as later,
+/// and each entry prefers others among those that look alike. Without it all entries chose the same idle holder in the
+/// time between two of its reports, and work waited there while engines read a third of the time.
+///
 /// Among several holders of an adapter each shared part of a prompt has a favourite too. An entry knows only what it
 /// sent itself; with many entries the same parts were read anew at every holder, a fifth of all that was read.
 ///
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -163,6 +163,7 @@
     view.tokensAhead = state.tokensAhead + replica->tokensSent();
     view.tokensWaiting = state.tokensWaiting;
     view.spareSlots = state.spareSlots;
+    view.age = now - state.at;
     view.loadsWaiting = state.loadsWaiting + replica->loadsAsked();
     return view;
 }
@@ -180,6 +181,7 @@
     for (const auto& replica : replicas)
         views.push_back(viewOf(replica, fastest == Duration::max() ? Duration(0) : fastest, readRate));
     const auto need = decisions::PlacementNeed { .adapter = facts_.adapter.view(),
+        .entry = gateway_.settings.host.name,
         .zone = gateway_.settings.host.zone,
         .unreadTokens = facts_.promptTokens - std::min(facts_.promptTokens, sharedTokens_),
         .sharedTokens = sharedTokens_,
