Loads one after another where they take long; a replica's last start gets nothing

Cause: after a loss of all power 23 of 47 sends went to the last starts of replicas, still listed, came back unrun and spent the retry budget; then 38 adapters were ordered at once, of which eight are carried at full speed, and all arrived late. Change: an entry of the list is passed over while the store has a newer one at its address; an agent fetches one adapter at a time after a load that took over 450 ms, and one more for each that did not.

--- a/packages/decisions/Decisions.h
+++ b/packages/decisions/Decisions.h
@@ -4,6 +4,7 @@
 #include "decisions/AdapterSlots.h"
 #include "decisions/Demand.h"
 #include "decisions/Fleet.h"
+#include "decisions/LoadPace.h"
 #include "decisions/LoadQueue.h"
 #include "decisions/Placer.h"
 #include "decisions/PollSchedule.h"
--- a/packages/decisions/Forward.h
+++ b/packages/decisions/Forward.h
@@ -5,6 +5,7 @@
 
 class AdapterSlots;
 class Fleet;
+class LoadPace;
 class LoadQueue;
 class Placer;
 class PollSchedule;
--- /dev/null
+++ b/packages/decisions/LoadPace.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "base/Clock.h"
+
+#include <cstddef>
+
+namespace eelgrass::decisions {
+
+/// How many adapters one replica fetches at a time, by how long the last ones took.
+///
+/// Load made for: every replica empty at once after a loss of power, and many rare adapters wanted at the same moment.
+/// Harm prevented: the weight store divides what it gives among all loads, so that with four from each replica all of
+/// them arrive late together. One after another, most requests have theirs in time, and as many arrive in all.
+/// Nobody counts the loads of all replicas; each goes back to one when its own took too long, and adds one for each
+/// that did not, as senders on a shared line do.
+///
+/// ```cpp
+/// if (coming < pace.limit()) order(load);
+/// pace.ended(now - orderedAt);
+/// ```
+class LoadPace {
+public:
+    [[nodiscard]] auto limit() const noexcept -> std::size_t { return limit_; }
+    auto ended(Duration took) noexcept -> void
+    {
+        if (took > crowded)
+            limit_ = 1;
+        else if (limit_ < most)
+            ++limit_;
+    }
+
+private:
+    // What an engine takes at a time.
+    static constexpr auto most = std::size_t(4);
+    static constexpr auto first = std::size_t(2);
+    // A load alone takes 250 to 300 ms by the users' figures, and some milliseconds from the replica's own memory.
+    static constexpr auto crowded = Duration(450ms);
+
+    std::size_t limit_ = first;
+};
+
+} // namespace eelgrass::decisions
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -16,8 +16,6 @@
 constexpr auto idleInterval = Duration(250ms);
 // An order that is not answered by now is taken for lost; the next report tells what became of it.
 constexpr auto orderTimeout = Duration(100ms);
-// Adapters that one replica fetches at a time; what the engine takes.
-constexpr auto mostComing = std::size_t(4);
 // The check waits for a place in the replica's batch like any request.
 constexpr auto identityTimeout = Duration(1500ms);
 // Base models ordered by this host: all hosts together must stay under what the weight store allows.
@@ -213,6 +211,7 @@
     prompts_.clear();
     unloading_.clear();
     replacing_.clear();
+    fetching_.clear();
     if (slots_)
         slots_->reset({}, loop_.timers().now());
     for (const auto& refusal : queue_.drain(comeBack))
@@ -244,6 +243,12 @@
     std::erase_if(replacing_, [&](const auto& order) {
         return versionOf(order.first) >= wantedVersions_[order.first] || now - order.second > pendingLimit;
     });
+    std::erase_if(fetching_, [&](const auto& load) {
+        const auto there = report_->resident.contains(load.first);
+        if (there)
+            pace_.ended(now - load.second);
+        return there || now - load.second > pendingLimit;
+    });
     for (const auto& [adapter, since] : unloading_)
         slots_->unloadStarted(modelName(adapter));
 }
@@ -412,7 +417,7 @@
             return queue_.waits(held) || replacing_.contains(held);
         });
         if (std::holds_alternative<decisions::LoadNow>(answer)) {
-            if (report_->coming.size() >= mostComing)
+            if (report_->coming.size() >= pace_.limit())
                 return std::nullopt;
             return hosting::ReplicaOrder { .model = base_, .adapter = adapter, .version = wantedVersions_[adapter] };
         }
@@ -464,6 +469,8 @@
         unloading_[order.adapter] = now;
     else if (outcome == hosting::OrderOutcome::Accepted && report_ && report_->resident.contains(order.adapter))
         replacing_[order.adapter] = now;
+    else if (outcome == hosting::OrderOutcome::Accepted && !order.adapter.empty())
+        fetching_[order.adapter] = now;
     if (outcome == hosting::OrderOutcome::Conflict) {
         ordersRestUntil_ = now + conflictRest;
         orderRest_ = loop_.timers().after(conflictRest, [this] { act(); });
--- a/packages/serving/ReplicaAgent.h
+++ b/packages/serving/ReplicaAgent.h
@@ -2,6 +2,7 @@
 
 #include "decisions/AdapterSlots.h"
 #include "decisions/AdmissionQueue.h"
+#include "decisions/LoadPace.h"
 #include "platform/Documents.h"
 #include "platform/Store.h"
 #include "serving/Settings.h"
@@ -117,6 +118,9 @@
     /// Orders that wait at the replica for runs to end, and since when: unloads, and loads of a newer version.
     std::map<AdapterName, Moment> unloading_;
     std::map<AdapterName, Moment> replacing_;
+    /// Loads under way, and since when.
+    std::map<AdapterName, Moment> fetching_;
+    decisions::LoadPace pace_;
     /// Since when each adapter that is not there is wanted, and how long the last ones took.
     std::map<AdapterName, Moment> wantedSince_;
     Duration loadTime_;
--- a/packages/serving/ReplicaDirectory.cpp
+++ b/packages/serving/ReplicaDirectory.cpp
@@ -70,7 +70,7 @@
 
 auto Replica::usable(Moment now) const noexcept -> bool
 {
-    if (leaving_ || now < restsUntil_)
+    if (leaving_ || superseded_ || now < restsUntil_)
         return false;
     // After a rest one request tries it; the others wait for what becomes of it.
     return failures_ < failuresToRest || inFlight_ == 0;
@@ -135,7 +135,7 @@
     }
     auto list = std::vector<Listed>();
     for (auto& row : answer.rows)
-        list.push_back({ InstanceId(row.key), std::move(row.value) });
+        list.push_back({ InstanceId(row.key), std::move(row.value), row.version });
     apply(list, now - regainedAt_ > lapsedReturn, "store");
     timer_ = loop_.timers().after(options_.drainBound / listShare, [this] { poll(); });
 }
@@ -157,6 +157,7 @@
             remove(replica, "not listed");
     }
     index();
+    findSuperseded();
 }
 
 auto ReplicaDirectory::put(const Listed& listed, std::string_view source) -> void
@@ -186,6 +187,7 @@
         log::info("replica leaving", { { "replica", listed.instance.str() }, { "source", std::string(source) } });
     }
     replica->update(std::move(*read));
+    replica->setListVersion(listed.version);
 }
 
 auto ReplicaDirectory::remove(const ReplicaPtr& replica, std::string_view why) -> void
@@ -214,6 +216,19 @@
         byService_[replica->record().service].push_back(replica);
 }
 
+/// A replica that started anew is listed beside its last start until that lapses. What is sent to the old one comes
+/// back unrun and is paid from the retry budget, which after a loss of power is needed for everything else.
+auto ReplicaDirectory::findSuperseded() -> void
+{
+    auto newest = std::map<std::string, std::uint64_t>();
+    for (const auto& [instance, replica] : replicas_) {
+        auto& version = newest[replica->record().endpoint.str()];
+        version = std::max(version, replica->listVersion());
+    }
+    for (const auto& [instance, replica] : replicas_)
+        replica->setSuperseded(replica->listVersion() < newest[replica->record().endpoint.str()]);
+}
+
 auto ReplicaDirectory::linkAgent(const ReplicaPtr& replica) -> void
 {
     if (replica->agent() || !configuration_)
--- a/packages/serving/ReplicaDirectory.h
+++ b/packages/serving/ReplicaDirectory.h
@@ -7,6 +7,7 @@
 #include "serving/ReplicaLeg.h"
 #include "serving/Types.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -33,6 +34,12 @@
     /// Not in the list any more, or leaving: runs end there, nothing new is sent.
     [[nodiscard]] auto leaving() const noexcept -> bool { return leaving_; }
     auto setLeaving() -> void { leaving_ = true; }
+    /// The store has a newer entry at its address: this start of the replica is over, or its list entry is old.
+    [[nodiscard]] auto superseded() const noexcept -> bool { return superseded_; }
+    auto setSuperseded(bool superseded) -> void { superseded_ = superseded; }
+    /// The store's version of its list entry.
+    [[nodiscard]] auto listVersion() const noexcept -> std::uint64_t { return listVersion_; }
+    auto setListVersion(std::uint64_t version) -> void { listVersion_ = std::max(listVersion_, version); }
 
     /// A request was sent.
     auto sent(Tokens tokens) -> void;
@@ -72,6 +79,8 @@
     ConnectionPool pool_;
     std::unique_ptr<AgentLink> agent_;
     bool leaving_ = false;
+    bool superseded_ = false;
+    std::uint64_t listVersion_ = 0;
     std::size_t inFlight_ = 0;
     Tokens tokensSent_ = 0;
     /// Adapters that this entry asked for there since the agent spoke.
@@ -128,6 +137,8 @@
     struct Listed {
         InstanceId instance;
         std::string text;
+        /// Of its row in the store; 0 from a peer.
+        std::uint64_t version = 0;
     };
     auto poll() -> void;
     auto take(hosting::StoreAnswer answer) -> void;
@@ -135,6 +146,7 @@
     auto put(const Listed& listed, std::string_view source) -> void;
     auto remove(const ReplicaPtr& replica, std::string_view why) -> void;
     auto index() -> void;
+    auto findSuperseded() -> void;
     auto linkAgent(const ReplicaPtr& replica) -> void;
 
     wire::MainLoop& loop_;
