Failures are counted at the agent; three breaks in a row rest the replica for all entries

Ruled out: the limit of connections (8 idle for each entry), the replica's own report (it answers). Change: entries say how a request ended; the agent tells the share of failures, which placement compares between replicas, and rests after three breaks in a row.

--- a/packages/decisions/AdmissionQueue.cpp
+++ b/packages/decisions/AdmissionQueue.cpp
@@ -128,7 +128,7 @@
     return unstarted_ == 0 || readTime(unstarted_ + request.unreadTokens) <= readAhead;
 }
 
-auto AdmissionQueue::grant(const Ready& ready, Moment now) -> std::vector<AdmissionRequest>
+auto AdmissionQueue::grant(const Ready& ready, Moment now, std::size_t most) -> std::vector<AdmissionRequest>
 {
     auto granted = std::vector<AdmissionRequest>();
     order(now);
@@ -136,7 +136,7 @@
         if (request.readyAt == Moment() && ready(request.adapter))
             request.readyAt = now;
     }
-    for (auto request = waiting_.begin(); request != waiting_.end();) {
+    for (auto request = waiting_.begin(); request != waiting_.end() && granted.size() < most;) {
         if (!ready(request->adapter)) {
             ++request;
             continue;
@@ -144,8 +144,10 @@
         // What does not fit holds up what is behind it: else short requests would pass a long one for ever.
         if (!fits(*request))
             break;
-        if (run(*request))
+        if (run(*request)) {
+            running_.at(request->attempt).grantedAt = now;
             rate_.granted(now);
+        }
         granted.push_back(std::move(*request));
         request = waiting_.erase(request);
     }
@@ -251,6 +253,12 @@
         waiting_.begin(), waiting_.end(), [&](const AdmissionRequest& request) { return request.adapter == adapter; });
 }
 
+auto AdmissionQueue::grantedAt(const AttemptId& attempt) const -> std::optional<Moment>
+{
+    const auto found = running_.find(attempt);
+    return found == running_.end() ? std::nullopt : found->second.grantedAt;
+}
+
 auto AdmissionQueue::adapterOf(const AttemptId& attempt) const -> std::optional<AdapterId>
 {
     const auto found = running_.find(attempt);
--- a/packages/decisions/AdmissionQueue.h
+++ b/packages/decisions/AdmissionQueue.h
@@ -101,8 +101,9 @@
     /// adapter still needs.
     [[nodiscard]] auto offer(AdmissionRequest request, const Ready& ready, Duration loadTime, Moment now)
         -> std::optional<AdmissionRefusal>;
-    /// Takes out what may be sent now.
-    [[nodiscard]] auto grant(const Ready& ready, Moment now) -> std::vector<AdmissionRequest>;
+    /// Takes out what may be sent now, `most` at the most.
+    [[nodiscard]] auto grant(const Ready& ready, Moment now, std::size_t most = SIZE_MAX)
+        -> std::vector<AdmissionRequest>;
     /// Takes out what will not be reached before its caller leaves.
     [[nodiscard]] auto expire(const Ready& ready, Moment now) -> std::vector<AdmissionRefusal>;
     /// Takes everything out, as when the replica is gone.
@@ -124,6 +125,8 @@
     [[nodiscard]] auto queued() const noexcept -> std::size_t { return waiting_.size(); }
     /// The adapter of a granted request; empty when it is not granted.
     [[nodiscard]] auto adapterOf(const AttemptId& attempt) const -> std::optional<AdapterId>;
+    /// When it was granted; empty when it is not, or was by an earlier process.
+    [[nodiscard]] auto grantedAt(const AttemptId& attempt) const -> std::optional<Moment>;
     /// Prompt tokens to be read before a request that comes now. What waits for its adapter is not in the way of
     /// others: counted, it made replicas look busy that were not, and adapters were copied to more of them, which took
     /// the slots that they waited for.
@@ -138,6 +141,7 @@
     struct Running {
         AdmissionRequest request;
         bool started = false;
+        std::optional<Moment> grantedAt {};
     };
     /// Work that came lately, by urgency, in tokens a millisecond.
     struct Inflow {
--- a/packages/decisions/Forward.h
+++ b/packages/decisions/Forward.h
@@ -4,6 +4,7 @@
 namespace eelgrass::decisions {
 
 class AdapterSlots;
+class CircuitBreaker;
 class Fleet;
 class LoadPace;
 class LoadQueue;
--- a/packages/decisions/ReplicaChoice.cpp
+++ b/packages/decisions/ReplicaChoice.cpp
@@ -26,6 +26,8 @@
 constexpr auto disturbance = Duration(60ms);
 // Until one of many runs ends.
 constexpr auto runTime = Duration(500ms);
+// A request that fails is lost, or begins anew elsewhere at best. Where all replicas fail alike it changes nothing.
+constexpr auto failureCost = Duration(1500ms);
 // How much of their age figures may be wrong by: for all entries alike, and more for the replicas that an entry favours
 // less.
 constexpr auto ageShare = 0.1;
@@ -95,6 +97,7 @@
         start += share(unreadChance(replica, need), readTime(need.sharedTokens, need.readRate));
     if (share(replica.slowness, pauseWhileReading(need.unreadTokens + need.sharedTokens)) > need.pauseLimit)
         start += disturbance * replica.running;
+    start += share(replica.failures, failureCost);
     start += share(ageShare + entryShare * disfavour(nameHash(need.entry), replica.id), replica.age);
     if (replica.zone != need.zone)
         start += need.zonePenalty;
--- a/packages/decisions/ReplicaChoice.h
+++ b/packages/decisions/ReplicaChoice.h
@@ -35,6 +35,8 @@
     /// asked for since the replica's last word.
     std::size_t spareSlots = 0;
     std::size_t loadsWaiting = 0;
+    /// Share of the last requests that failed there.
+    double failures = 0;
     /// How old the figures are.
     Duration age { 0 };
     /// Whether it has read the shared part of the prompt, as far as this entry knows.
--- a/packages/serving/AgentLink.cpp
+++ b/packages/serving/AgentLink.cpp
@@ -9,7 +9,7 @@
 
 // A new session is tried this often: a restarted process is back within a second.
 constexpr auto reconnectAfter = Duration(500ms);
-constexpr auto millisecondsInSecond = 1000.0;
+constexpr auto thousand = 1000.0;
 
 } // namespace
 
@@ -116,7 +116,8 @@
     state_.spareSlots = state.getSpareSlots();
     state_.loadsWaiting = state.getLoadsWaiting();
     state_.loadTime = milliseconds(state.getLoadMs());
-    state_.readRate = static_cast<double>(state.getReadRate()) / millisecondsInSecond;
+    state_.readRate = static_cast<double>(state.getReadRate()) / thousand;
+    state_.failures = static_cast<double>(state.getFailures()) / thousand;
     state_.entries = state.getEntries();
     state_.at = loop_.timers().now();
     hooks_.onState();
@@ -175,7 +176,7 @@
     }
 }
 
-auto AgentLink::release(const AttemptId& attempt) -> void
+auto AgentLink::release(const AttemptId& attempt, RunEnd end) -> void
 {
     granted_.erase(attempt);
     if (!session_)
@@ -183,6 +184,7 @@
     KJ_IF_MAYBE (client, session_->client) {
         auto call = client->releaseRequest();
         call.setAttempt(attempt.str());
+        call.setEnd(static_cast<wire::schema::RunEnd>(end));
         detail::sendOneWay(loop_, call);
     }
 }
--- a/packages/serving/AgentLink.h
+++ b/packages/serving/AgentLink.h
@@ -32,6 +32,8 @@
     milliseconds loadTime { 0 };
     /// Prompt tokens that it reads in a millisecond.
     double readRate = 0;
+    /// Share of the last requests that failed or broke off there, whoever sent them.
+    double failures = 0;
     /// The highest configuration that any entry told it of, and the entry to ask for it.
     ConfigVersion configVersion;
     std::string configHolder;
@@ -88,7 +90,7 @@
     /// Rejects when the session is lost; drop the promise and call `release` to take the request back.
     [[nodiscard]] auto admit(const AdmitOrder& order) -> kj::Promise<AdmitResult>;
     auto started(const AttemptId& attempt) -> void;
-    auto release(const AttemptId& attempt) -> void;
+    auto release(const AttemptId& attempt, RunEnd end = RunEnd::Plain) -> void;
     /// A request of this digest broke off at a replica, or ran to its end after it had.
     auto suspect(const std::string& digest, bool broke) -> void;
     /// Tells which configuration this entry has, where it can be asked for, and what it says of engines.
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -94,7 +94,7 @@
         const auto attempt = AttemptId(context.getParams().getAttempt().cStr());
         attempts_.erase(attempt);
         role_.waiting_.erase(attempt);
-        role_.agent_.release(attempt);
+        role_.agent_.release(attempt, static_cast<RunEnd>(context.getParams().getEnd()));
         role_.pushSoon();
         return kj::READY_NOW;
     }
@@ -256,7 +256,7 @@
 
 auto AgentRole::fillNumbers(wire::schema::ReplicaState::Builder state) const -> void
 {
-    state.setUsable(agent_.usable());
+    state.setUsable(agent_.admits());
     state.setRunning(static_cast<std::uint32_t>(agent_.queue().running()));
     state.setQueued(static_cast<std::uint32_t>(agent_.queue().queued()));
     state.setTokensAhead(agent_.tokensAhead());
@@ -265,8 +265,9 @@
     state.setMemoryUsed(agent_.queue().memoryUsed());
     state.setSpareSlots(static_cast<std::uint32_t>(agent_.spareSlots()));
     state.setLoadsWaiting(static_cast<std::uint32_t>(agent_.loadsWaiting()));
-    constexpr auto millisecondsInSecond = 1000;
-    state.setReadRate(static_cast<std::uint32_t>(agent_.queue().readRate() * millisecondsInSecond));
+    constexpr auto thousand = 1000;
+    state.setReadRate(static_cast<std::uint32_t>(agent_.queue().readRate() * thousand));
+    state.setFailures(static_cast<std::uint16_t>(agent_.failureShare() * thousand));
     state.setEntries(static_cast<std::uint32_t>(listeners_.size()));
 }
 
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -30,6 +30,7 @@
 constexpr auto conflictRest = Duration(40ms);
 constexpr auto fenceRetry = Duration(500ms);
 constexpr auto fenceTable = "epoch";
+constexpr auto microsecondsInMillisecond = 1000;
 constexpr auto reportsToForget = 2U;
 // When a request comes back to a replica that is empty or gone.
 constexpr auto comeBack = Duration(300ms);
@@ -213,8 +214,14 @@
     pace_ = {};
     if (slots_)
         slots_->reset({}, loop_.timers().now());
+    breaker_ = {};
+    refuseWaiting("replica lost");
+}
+
+auto ReplicaAgent::refuseWaiting(const std::string& reason) -> void
+{
     for (const auto& refusal : queue_.drain(comeBack))
-        decide(refusal.attempt, { .retryAfter = refusal.retryAfter, .reason = "replica lost" });
+        decide(refusal.attempt, { .retryAfter = refusal.retryAfter, .reason = reason });
 }
 
 /// Takes the replica's report as the truth about its slots.
@@ -305,6 +312,8 @@
     });
 }
 
+auto ReplicaAgent::admits() const -> bool { return usable() && breaker_.allows(loop_.timers().now()); }
+
 auto ReplicaAgent::usable() const -> bool { return report_ && report_->hasModel && slots_; }
 
 auto ReplicaAgent::admit(
@@ -313,6 +322,8 @@
     const auto attempt = request.attempt;
     if (!usable())
         return decide(attempt, { .retryAfter = comeBack, .reason = "replica not usable" });
+    if (!admits())
+        return decide(attempt, { .retryAfter = comeBack, .reason = "replica rests after failures" });
     if (!request.adapter.empty()) {
         auto& wanted = wantedVersions_[request.adapter];
         wanted = std::max(wanted, version);
@@ -338,12 +349,38 @@
 
 auto ReplicaAgent::started(const AttemptId& attempt) -> void
 {
+    if (const auto grantedAt = queue_.grantedAt(attempt))
+        breaker_.succeeded(*grantedAt, loop_.timers().now());
     queue_.started(attempt, loop_.timers().now());
     act();
 }
 
-auto ReplicaAgent::release(const AttemptId& attempt) -> void
+/// Where the replica has to rest, all entries hear of it at once: what waits here is refused, to be placed elsewhere.
+auto ReplicaAgent::noteEnd(const AttemptId& attempt, RunEnd end) -> void
+{
+    const auto now = loop_.timers().now();
+    const auto grantedAt = queue_.grantedAt(attempt);
+    if (!grantedAt)
+        return;
+    if (end == RunEnd::Plain)
+        return breaker_.ended(*grantedAt);
+    if (end == RunEnd::Failed)
+        return breaker_.failed(now);
+    const auto rested = breaker_.restsUntil();
+    breaker_.broke(now);
+    if (breaker_.restsUntil() == rested)
+        return;
+    const auto rest = breaker_.restsUntil() - now;
+    log::warn("replica rests",
+        { { "replica", instance_.str() }, { "rest_ms", std::to_string(rest.count() / microsecondsInMillisecond) } });
+    refuseWaiting("replica rests after failures");
+    onChange_();
+    rest_ = loop_.timers().after(rest, [this] { onChange_(); });
+}
+
+auto ReplicaAgent::release(const AttemptId& attempt, RunEnd end) -> void
 {
+    noteEnd(attempt, end);
     if (const auto adapter = queue_.adapterOf(attempt); adapter && slots_)
         slots_->unpin(modelName(*adapter));
     queue_.release(attempt);
@@ -374,7 +411,11 @@
     if (!usable())
         return;
     const auto now = loop_.timers().now();
-    for (const auto& request : queue_.grant(isReady(), now)) {
+    if (!breaker_.allows(now))
+        return;
+    const auto most = breaker_.open() ? std::size_t(1) : queue_.limits().batch;
+    for (const auto& request : queue_.grant(isReady(), now, most)) {
+        breaker_.tried();
         if (!request.adapter.empty())
             slots_->pin(modelName(request.adapter), now);
         decide(request.attempt,
--- a/packages/serving/ReplicaAgent.h
+++ b/packages/serving/ReplicaAgent.h
@@ -2,6 +2,7 @@
 
 #include "decisions/AdapterSlots.h"
 #include "decisions/AdmissionQueue.h"
+#include "decisions/CircuitBreaker.h"
 #include "decisions/LoadPace.h"
 #include "platform/Documents.h"
 #include "platform/Store.h"
@@ -52,9 +53,14 @@
         -> void;
     auto adopt(const decisions::AdmissionRequest& request) -> void;
     auto started(const AttemptId& attempt) -> void;
-    auto release(const AttemptId& attempt) -> void;
+    auto release(const AttemptId& attempt, RunEnd end = RunEnd::Plain) -> void;
 
+    /// Whether the replica answers and holds its base model.
     [[nodiscard]] auto usable() const -> bool;
+    /// Whether a request may come now: usable, and not resting after failures.
+    [[nodiscard]] auto admits() const -> bool;
+    /// Share of the last requests that failed or broke off.
+    [[nodiscard]] auto failureShare() const -> double { return breaker_.failureShare(loop_.timers().now()); }
     [[nodiscard]] auto instance() const noexcept -> const InstanceId& { return instance_; }
     [[nodiscard]] auto queue() const noexcept -> const decisions::AdmissionQueue& { return queue_; }
     [[nodiscard]] auto resident() const -> std::map<AdapterName, AdapterVersion>;
@@ -88,6 +94,8 @@
     auto act() -> void;
     auto grant() -> void;
     auto decide(const AttemptId& attempt, Decision decision) -> void;
+    auto noteEnd(const AttemptId& attempt, RunEnd end) -> void;
+    auto refuseWaiting(const std::string& reason) -> void;
     auto nextOrder() -> std::optional<hosting::ReplicaOrder>;
     auto baseOrder() -> std::optional<hosting::ReplicaOrder>;
     auto order(hosting::ReplicaOrder order) -> void;
@@ -121,6 +129,8 @@
     /// Loads under way, and since when.
     std::map<AdapterName, Moment> fetching_;
     decisions::LoadPace pace_;
+    decisions::CircuitBreaker breaker_;
+    Timer rest_;
     /// Since when each adapter that is not there is wanted, and how long the last ones took.
     std::map<AdapterName, Moment> wantedSince_;
     Duration loadTime_;
--- a/packages/serving/RequestAnswer.cpp
+++ b/packages/serving/RequestAnswer.cpp
@@ -32,7 +32,7 @@
     const auto self = shared_from_this();
     ++runs_;
     replica_->failed(gateway_.now());
-    leaveReplica(false);
+    leaveReplica(false, RunEnd::Broke);
     again("silence");
 }
 
@@ -130,7 +130,8 @@
         replica_->failed(now);
     else
         replica_->succeeded(now - sentAt_);
-    leaveReplica(true);
+    const auto failed = head_.status >= firstServerError && head_.status != gatewayTimeout;
+    leaveReplica(true, failed ? RunEnd::Failed : RunEnd::Plain);
     if (head_.status >= firstServerError && mayRunAgain())
         return again("replica failed");
     if (told_ == Told::Streaming)
@@ -148,7 +149,7 @@
     const auto self = shared_from_this();
     silence_.cancel();
     replica_->failed(gateway_.now());
-    leaveReplica(false);
+    leaveReplica(false, fault == LegFault::NotSent ? RunEnd::Plain : RunEnd::Broke);
     if (fault == LegFault::NotSent)
         return onNotRun("not reached");
     ++runs_;
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -164,6 +164,7 @@
     view.tokensWaiting = state.tokensWaiting;
     view.spareSlots = state.spareSlots;
     view.age = now - state.at;
+    view.failures = state.failures;
     view.loadsWaiting = state.loadsWaiting + replica->loadsAsked();
     return view;
 }
@@ -372,11 +373,11 @@
     wait_ = gateway_.loop.timers().after(Duration(0), guarded(&RequestRun::place));
 }
 
-auto RequestRun::leaveReplica(bool keepConnection) -> void
+auto RequestRun::leaveReplica(bool keepConnection, RunEnd end) -> void
 {
     silence_.cancel();
     if (grantedBy_)
-        grantedBy_->release(facts_.attempt);
+        grantedBy_->release(facts_.attempt, firstEventSeen_ ? RunEnd::Plain : end);
     grantedBy_ = nullptr;
     if (!connection_)
         return;
@@ -393,7 +394,7 @@
     const auto self = shared_from_this();
     if (connection_) {
         ++runs_;
-        leaveReplica(false);
+        leaveReplica(false, gateway_.now() - sentAt_ > longSilence ? RunEnd::Broke : RunEnd::Plain);
     }
     if (told_ == Told::Streaming) {
         caller_->abort();
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -52,7 +52,7 @@
     // What may still be tried.
     [[nodiscard]] auto mayRunAgain() const -> bool;
     auto again(std::string_view why) -> void;
-    auto leaveReplica(bool keepConnection) -> void;
+    auto leaveReplica(bool keepConnection, RunEnd end = RunEnd::Plain) -> void;
 
     // The end.
     auto onTimeUp() -> void;
--- a/packages/serving/Types.h
+++ b/packages/serving/Types.h
@@ -102,6 +102,16 @@
 
 enum class ReplicaPhase { Ready, Draining };
 
+/// How a request ended at a replica.
+enum class RunEnd {
+    /// It answered, or nothing can be said.
+    Plain,
+    /// It answered with a failure of its own.
+    Failed,
+    /// It broke off, or kept silent, before its first event.
+    Broke,
+};
+
 /// A replica as the platform's list has it.
 struct ReplicaRecord {
     InstanceId instance;
--- a/packages/serving/detail/RunLimits.h
+++ b/packages/serving/detail/RunLimits.h
@@ -31,6 +31,9 @@
 inline constexpr auto agentCheck = Duration(250ms);
 // A stream that may go on elsewhere is left after this silence; well before its client leaves, which takes two seconds.
 inline constexpr auto streamSilence = Duration(1200ms);
+// A replica that has not begun to answer after this long, when the time is up, counts as failed: reading takes under a
+// second.
+inline constexpr auto longSilence = Duration(1500ms);
 // Told to a caller when nothing is known of when to come back: a replica is back, or a place free, by then in most
 // cases.
 inline constexpr auto retryWhenUnknown = std::chrono::milliseconds(300);
--- a/packages/wire/Agent.capnp
+++ b/packages/wire/Agent.capnp
@@ -41,6 +41,8 @@
   numbersOnly @16 :Bool;
   # Prompt tokens that the replica reads in a second, as measured.
   readRate @17 :UInt32;
+  # Share of the last requests that failed or broke off, in thousandths.
+  failures @18 :UInt16;
 }
 
 struct SuspectRequest {
@@ -66,6 +68,16 @@
   leftMs @9 :UInt32;
 }
 
+# How a request ended at the replica.
+enum RunEnd {
+  # It answered, or nothing can be said.
+  plain @0;
+  # It answered with a failure of its own.
+  failed @1;
+  # It broke off, or kept silent, before its first event.
+  broke @2;
+}
+
 struct AdmitAnswer {
   granted @0 :Bool;
   # The version that the replica holds; to be expected from it.
@@ -106,7 +118,7 @@
   # The first event came: the prompt has been read.
   started @1 (attempt :Text);
   # The request is over at the replica, or was never sent.
-  release @2 (attempt :Text);
+  release @2 (attempt :Text, end :RunEnd);
   # This entry is at this configuration; `limits` are its figures for the replica's service.
   configured @3 (version :UInt64, holder :Text, limits :List(EngineLimits));
   # A request of this digest broke off at a replica, or ran to its end after it had.
