A failure share counts a third as much

Cause: one lost answer in five turned 300 ms of placement, enough to fetch adapters anew. Change: 500 ms for a share of one, not 1,500.

--- a/packages/decisions/ReplicaChoice.cpp
+++ b/packages/decisions/ReplicaChoice.cpp
@@ -27,7 +27,7 @@
 // Until one of many runs ends.
 constexpr auto runTime = Duration(500ms);
 // A request that fails is lost, or begins anew elsewhere at best. Where all replicas fail alike it changes nothing.
-constexpr auto failureCost = Duration(1500ms);
+constexpr auto failureCost = Duration(500ms);
 // How much of their age figures may be wrong by: for all entries alike, and more for the replicas that an entry favours
 // less.
 constexpr auto ageShare = 0.1;
