eelgrassctl trace; a fault soak of the users' roles; tests of the breaker and of lists

`trace ID FILE...` tells the story of one request from the logs of several processes. `./run soak` plays gateways and agents as processes with faults from outside and checks what clients, replicas and the store see. Tests: a flapping replica, a replica's last start in the list, states told to another zone.

--- a/packages/ctl/Commands.cpp
+++ b/packages/ctl/Commands.cpp
@@ -4,6 +4,7 @@
 #include "ctl/ConfigCommands.h"
 #include "ctl/File.h"
 #include "ctl/Print.h"
+#include "ctl/TraceCommand.h"
 
 #include <algorithm>
 #include <array>
@@ -87,6 +88,8 @@
     const auto& words = invocation.words;
     if (words.size() == 2 && words[0] == "check")
         return checkSettings(invocation, streams);
+    if (words.size() >= 3 && words[0] == "trace")
+        return traceRequest(invocation, streams);
     const auto* found
         = std::find_if(commands.begin(), commands.end(), [&](const Command& command) { return names(command, words); });
     if (found != commands.end())
@@ -113,6 +116,7 @@
   drain TARGET [--undo]             no new work for a target, at any entry
   explain MODEL [--member=M]        where a request would go now, and why
   check FILE [--role=entry|target]  check a settings file; asks no entry
+  trace ID FILE...                  the story of one request from the logs of all processes; asks no entry
 
   --json prints results and errors as JSON. The key is read from a file and never taken from the command line.
 
--- a/packages/decisions/CircuitBreaker.h
+++ b/packages/decisions/CircuitBreaker.h
@@ -14,10 +14,10 @@
 /// that all entries ask, the first failures turn all of them elsewhere.
 ///
 /// Two answers. `failureShare` is a figure to compare with other replicas: where all of them fail alike, as when the
-/// requests are the cause, none is worse than another and none may rest. Requests that break off one after another speak
-/// for themselves: after three of them the replica rests, and then one request tries at a time, after a rest that grows
-/// while the tries fail, so that a replica that flaps comes back slowly. Only what was sent after the rest speaks for it:
-/// a stream that began before may still end well on a replica that takes nothing new.
+/// requests are the cause, none is worse than another and none may rest. Requests that break off one after another
+/// speak for themselves: after three of them the replica rests, and then one request tries at a time, after a rest that
+/// grows while the tries fail, so that a replica that flaps comes back slowly. Only what was sent after the rest speaks
+/// for it: a stream that began before may still end well on a replica that takes nothing new.
 ///
 /// ```cpp
 /// if (breaker.allows(now)) { send(request); breaker.tried(); }
--- a/packages/decisions/ReplicaChoice.cpp
+++ b/packages/decisions/ReplicaChoice.cpp
@@ -17,8 +17,8 @@
 constexpr auto slotTurn = Duration(400ms);
 // Each place of the batch that is taken slows all tokens a little; counted so that idle replicas come first.
 constexpr auto fullBatch = Duration(60ms);
-// Pause of a running stream while a prompt is read, on a replica of usual speed: an event holds seven or eight tokens, a
-// step makes one of each stream's, reads a thousand of the prompt's and looks back at all that were read before. With
+// Pause of a running stream while a prompt is read, on a replica of usual speed: an event holds seven or eight tokens,
+// a step makes one of each stream's, reads a thousand of the prompt's and looks back at all that were read before. With
 // the engines' own figures 27 ms a step, and 0.75 ms more for each thousand tokens.
 constexpr auto readingPause = Duration(200ms);
 constexpr auto pausePerThousand = Duration(5500us);
--- a/packages/decisions/ReplicaChoice.h
+++ b/packages/decisions/ReplicaChoice.h
@@ -74,15 +74,15 @@
 /// for it at the same moment, shared parts read anew at each replica, a popular adapter bound to one full replica.
 ///
 /// Where every slot is in use, a load waits for the runs on one of them to end, and behind the loads that wait there
-/// already. Counted as one slot's time whatever the queue, ten adapters waited at one replica for slots that stood empty
-/// at another: two thirds of the late answers at the worst load.
+/// already. Counted as one slot's time whatever the queue, ten adapters waited at one replica for slots that stood
+/// empty at another: two thirds of the late answers at the worst load.
 ///
 /// A prompt that is so long, or a replica so slow, that running streams pause for too long while it is read, goes where
 /// few of them run.
 ///
-/// The older a replica's figures are, the more requests other entries sent there unseen: such a replica counts as later,
-/// and each entry prefers others among those that look alike. Without it all entries chose the same idle holder in the
-/// time between two of its reports, and work waited there while engines read a third of the time.
+/// The older a replica's figures are, the more requests other entries sent there unseen: such a replica counts as
+/// later, and each entry prefers others among those that look alike. Without it all entries chose the same idle holder
+/// in the time between two of its reports, and work waited there while engines read a third of the time.
 ///
 /// Among several holders of an adapter each shared part of a prompt has a favourite too. An entry knows only what it
 /// sent itself; with many entries the same parts were read anew at every holder, a fifth of all that was read.
--- a/packages/serving/AgentLink.cpp
+++ b/packages/serving/AgentLink.cpp
@@ -33,8 +33,7 @@
     std::shared_ptr<bool> alive_;
 };
 
-AgentLink::AgentLink(
-    wire::MainLoop& loop, Endpoint endpoint, std::string entry, AvailabilityZone zone, Hooks hooks)
+AgentLink::AgentLink(wire::MainLoop& loop, Endpoint endpoint, std::string entry, AvailabilityZone zone, Hooks hooks)
     : loop_(loop)
     , endpoint_(std::move(endpoint))
     , entry_(std::move(entry))
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -18,8 +18,8 @@
 // and agents spend on each other grows with the number of either and not with its square.
 constexpr auto gatherForEach = Duration(10ms);
 constexpr auto longestGather = Duration(300ms);
-// The same for entries of other zones: bytes between zones are paid for, and most requests stay in theirs. Told as often
-// as near ones, states were four fifths of all bytes between zones.
+// The same for entries of other zones: bytes between zones are paid for, and most requests stay in theirs. Told as
+// often as near ones, states were four fifths of all bytes between zones.
 constexpr auto farGatherForEach = Duration(50ms);
 constexpr auto longestFarGather = farHeartbeat;
 
--- a/packages/serving/GatewayRole.cpp
+++ b/packages/serving/GatewayRole.cpp
@@ -53,7 +53,8 @@
     , deferred_(loop.timers())
     , store_(loop.timers(), settings_.host.store)
     , configuration_(loop, store_, settings_.configurationBound, [this] { onConfiguration(); })
-    , directory_(loop, store_, { .entry = settings_.host.name,
+    , directory_(loop, store_,
+          { .entry = settings_.host.name,
               .zone = settings_.host.zone,
               .agentPort = settings_.host.agentPort,
               .drainBound = settings_.drainBound },
@@ -81,8 +82,8 @@
     directory_.start();
     timer_ = loop_.timers().every(peerCheck, [this] { askSeeds(); });
     log::info("listening",
-        { { "port", std::to_string(clients_->port()) }, { "version", EELGRASS_VERSION },
-            { "zone", settings_.host.zone.str() } });
+        { { "port", std::to_string(clients_->port()) }, { "peer_port", std::to_string(peers_->port()) },
+            { "version", EELGRASS_VERSION }, { "zone", settings_.host.zone.str() } });
 }
 
 auto GatewayRole::accept(wire::ObjectPtr<GSocket> socket) -> void
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -303,8 +303,8 @@
     for (const auto& wanted : adapters)
         wantedSince_.try_emplace(wanted.adapter, now);
     std::erase_if(wantedSince_, [&](const auto& entry) {
-        if (std::any_of(adapters.begin(), adapters.end(),
-                [&](const auto& wanted) { return wanted.adapter == entry.first; }))
+        if (std::any_of(
+                adapters.begin(), adapters.end(), [&](const auto& wanted) { return wanted.adapter == entry.first; }))
             return false;
         if (ready(entry.first))
             loadTime_ += (now - entry.second - loadTime_) / loadSmoothing;
@@ -419,7 +419,9 @@
         if (!request.adapter.empty())
             slots_->pin(modelName(request.adapter), now);
         decide(request.attempt,
-            { .granted = true, .version = versionOf(request.adapter), .waited = now - request.arrivedAt,
+            { .granted = true,
+                .version = versionOf(request.adapter),
+                .waited = now - request.arrivedAt,
                 .waitedForAdapter = request.readyAt - request.arrivedAt });
     }
 }
--- a/packages/serving/ReplicaDirectory.cpp
+++ b/packages/serving/ReplicaDirectory.cpp
@@ -247,9 +247,9 @@
                                         },
         .onLost = [this] { hooks_.onAgent(); },
         .onAttached = [this] { hooks_.onAgent(); } };
-    replica->setAgent(std::make_unique<AgentLink>(
-        loop_, Endpoint { replica->record().endpoint.address, options_.agentPort }, options_.entry,
-        options_.zone, std::move(hooks)));
+    replica->setAgent(
+        std::make_unique<AgentLink>(loop_, Endpoint { replica->record().endpoint.address, options_.agentPort },
+            options_.entry, options_.zone, std::move(hooks)));
     replica->agent()->configured(configuration_, holder_);
 }
 
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -30,7 +30,8 @@
     auto place() -> void;
     auto approach() -> void;
     [[nodiscard]] auto choose() -> ReplicaPtr;
-    [[nodiscard]] auto viewOf(const ReplicaPtr& replica, Duration fastest, double readRate) const -> decisions::ReplicaView;
+    [[nodiscard]] auto viewOf(const ReplicaPtr& replica, Duration fastest, double readRate) const
+        -> decisions::ReplicaView;
     auto waitForPlace() -> void;
     auto admit() -> void;
     auto admitted(const AdmitResult& result) -> void;
--- a/standins/FaultProxy.cpp
+++ b/standins/FaultProxy.cpp
@@ -62,7 +62,7 @@
     link.near = kj::mv(near);
     link.reordered = reorder_;
     link.work = thawed()
-                    .then([this] { return wire::connectTo(options_.address, options_.upstream); })
+                    .then([this] { return wire::connectTo(options_.upstreamAddress, options_.upstream); })
                     .then([this, &link](kj::Own<wire::GlibStream> far) {
                         link.far = kj::mv(far);
                         return carryBoth(link);
@@ -162,9 +162,8 @@
     return out;
 }
 
-auto FaultProxy::control(const wire::HttpExchangePtr& exchange) -> void
+auto FaultProxy::apply(const nlohmann::json& body) -> void
 {
-    const auto body = bodyOf(exchange);
     options_.upstream = body.value("upstream", options_.upstream);
     if (body.contains("delay_ms"))
         delay_ = std::chrono::milliseconds(body["delay_ms"].get<int>());
@@ -181,6 +180,11 @@
     }
     if (body.value("cut", false))
         links_.clear();
+}
+
+auto FaultProxy::control(const wire::HttpExchangePtr& exchange) -> void
+{
+    apply(bodyOf(exchange));
     answer(exchange, 200, { { "accepted", accepted_ }, { "open", links_.size() }, { "swapped", swapped_ } });
 }
 
--- a/standins/FaultProxy.h
+++ b/standins/FaultProxy.h
@@ -28,11 +28,14 @@
         std::string address = "127.0.0.1";
         std::uint16_t port = 0;
         std::uint16_t upstream = 0;
+        std::string upstreamAddress = "127.0.0.1";
     };
 
     FaultProxy(wire::MainLoop& loop, Options options);
 
     [[nodiscard]] auto port() const noexcept -> std::uint16_t { return listener_.port(); }
+    /// The same as a call to the control port.
+    auto apply(const nlohmann::json& faults) -> void;
     [[nodiscard]] auto controlPort() const noexcept -> std::uint16_t { return server_.port(); }
 
 private:
--- a/standins/StoreStandin.cpp
+++ b/standins/StoreStandin.cpp
@@ -61,6 +61,8 @@
 
 auto LoopServer::open() -> void
 {
+    if (listener_)
+        return;
     listener_ = std::make_unique<wire::TcpListener>(address_, port_, [this](auto socket) {
         auto connection
             = std::make_shared<serving::CallerConnection>(timers_, std::move(socket), serving::CallerLimits {},
--- a/tests/harness/ServingWorld.cpp
+++ b/tests/harness/ServingWorld.cpp
@@ -23,6 +23,25 @@
 
 } // namespace
 
+auto servingConfiguration(std::uint64_t version, const std::string& onceService) -> std::string
+{
+    const auto engine = Json { { "slots", 8 }, { "kvCapacity", 100000 }, { "adapterSlots", 2 }, { "weightsMb", 1000 },
+        { "loadsPerS", 2 }, { "models", { { { "name", "base" } } } } };
+    return Json {
+        { "version", version },
+        { "routes",
+            { route("resumable", "stream", "engine", true, 2), route("whole", "stream", "engine", false, 1),
+                route("safe", "idempotent", "plain", false, 2), route("once", "non_idempotent", onceService, false, 1),
+                route("v" + std::to_string(version), "idempotent", "plain", false, 2) } },
+        { "services",
+            { { { "name", "engine" }, { "healthPath", "/health" }, { "maxConns", 50 }, { "engine", engine } },
+                { { "name", "plain" }, { "healthPath", "/health" }, { "maxConns", 50 } } } },
+        { "limits",
+            { { "maxHeaderBytes", 4096 }, { "maxBodyBytes", 65536 }, { "headerTimeoutMs", 2000 },
+                { "idleTimeoutMs", 5000 } } }
+    }.dump();
+}
+
 ServingWorld::ServingWorld(std::size_t engines, std::size_t plain)
     : store_(loop_.timers())
 {
@@ -42,20 +61,7 @@
 
 auto ServingWorld::configure(std::uint64_t version, const std::string& onceService) -> void
 {
-    auto engine = Json { { "slots", 8 }, { "kvCapacity", 100000 }, { "adapterSlots", 2 }, { "weightsMb", 1000 },
-        { "loadsPerS", 2 }, { "models", { { { "name", "base" } } } } };
-    auto document = Json { { "version", version },
-        { "routes",
-            { route("resumable", "stream", "engine", true, 2), route("whole", "stream", "engine", false, 1),
-                route("safe", "idempotent", "plain", false, 2),
-                route("once", "non_idempotent", onceService, false, 1) } },
-        { "services",
-            { { { "name", "engine" }, { "healthPath", "/health" }, { "maxConns", 50 }, { "engine", engine } },
-                { { "name", "plain" }, { "healthPath", "/health" }, { "maxConns", 50 } } } },
-        { "limits",
-            { { "maxHeaderBytes", 4096 }, { "maxBodyBytes", 65536 }, { "headerTimeoutMs", 2000 },
-                { "idleTimeoutMs", 5000 } } } };
-    store_.put("op", "config", document.dump());
+    store_.put("op", "config", servingConfiguration(version, onceService));
 }
 
 auto ServingWorld::publishReplicas() -> void
@@ -66,10 +72,11 @@
         store_.put("servers", replica->instance(), replica->entry());
 }
 
-auto ServingWorld::hostSettings(const std::string& name, const std::string& address) const -> serving::HostSettings
+auto ServingWorld::hostSettings(const std::string& name, const std::string& address, const std::string& zone) const
+    -> serving::HostSettings
 {
     return { .name = name,
-        .zone = AvailabilityZone("zone-1"),
+        .zone = AvailabilityZone(zone),
         .store = store_.endpoint(),
         .address = address,
         .agentPort = agentPort_ };
@@ -89,9 +96,9 @@
 
 auto ServingWorld::stopAgent(std::size_t index) -> void { agents_[index].reset(); }
 
-auto ServingWorld::startGateway(bool wait) -> serving::GatewayRole&
+auto ServingWorld::startGateway(bool wait, const std::string& zone) -> serving::GatewayRole&
 {
-    auto settings = serving::GatewaySettings { .host = hostSettings("gateway", "127.0.0.1") };
+    auto settings = serving::GatewaySettings { .host = hostSettings("gateway", "127.0.0.1", zone) };
     settings.clients = settings.readiness = settings.peers = { "127.0.0.1", 0 };
     for (const auto& gateway : gateways_)
         settings.seeds.push_back({ "127.0.0.1", gateway->peerPort() });
--- a/tests/harness/ServingWorld.h
+++ b/tests/harness/ServingWorld.h
@@ -12,10 +12,14 @@
 
 namespace eelgrass::tests {
 
+/// Routes `/resumable/`, `/whole/` (streams that may and may not go on elsewhere), `/safe/`, `/once/` (plain) and one
+/// that only this version has, `/vVERSION/`; `/once/` goes to `onceService`.
+[[nodiscard]] auto servingConfiguration(std::uint64_t version, const std::string& onceService = "plain") -> std::string;
+
 /// The serving layer on the users' platform, in one process on one loop: the real roles against stand-ins that speak
 /// the published protocol, over loopback.
 ///
-/// Routes: `/resumable/`, `/whole/` (streams that may and may not go on elsewhere), `/safe/`, `/once/` (plain).
+/// Its routes are those of `servingConfiguration`.
 class ServingWorld {
 public:
     /// Engine replicas, each on a loopback address of its own with an agent beside it, and plain replicas.
@@ -25,7 +29,7 @@
     auto operator=(const ServingWorld&) -> ServingWorld& = delete;
 
     /// Starts one more gateway; returns when it is ready and its agents have spoken, or at once if not to `wait`.
-    auto startGateway(bool wait = true) -> serving::GatewayRole&;
+    auto startGateway(bool wait = true, const std::string& zone = "zone-1") -> serving::GatewayRole&;
     auto engine(std::size_t index) -> standins::ReplicaStandin& { return *engines_.at(index); }
     auto plain(std::size_t index) -> standins::ReplicaStandin& { return *plain_.at(index); }
     auto store() -> standins::StoreStandin& { return store_; }
@@ -56,7 +60,8 @@
     auto configure(std::uint64_t version, const std::string& onceService = "plain") -> void;
 
 private:
-    [[nodiscard]] auto hostSettings(const std::string& name, const std::string& address) const -> serving::HostSettings;
+    [[nodiscard]] auto hostSettings(const std::string& name, const std::string& address,
+        const std::string& zone = "zone-1") const -> serving::HostSettings;
 
     wire::MainLoop loop_;
     standins::StoreStandin store_;
--- a/tests/integration/ServingAgents.cpp
+++ b/tests/integration/ServingAgents.cpp
@@ -121,3 +121,46 @@
     }));
     BOOST_TEST(world.engine(0).orders().size() == 2U);
 }
+
+// The replica takes each request and breaks it off before the first event; its report looks well. Callers of the first
+// gateway lose three requests. The second gateway, which sent none, hears that the replica rests and sends nothing.
+BOOST_AUTO_TEST_CASE(a_replica_that_breaks_off_rests_for_every_gateway)
+{
+    auto world = ServingWorld(1, 0);
+    world.startGateway();
+    auto& other = world.startGateway();
+    BOOST_TEST(world.ask({ .path = "/whole/x", .attempt = "well" }).status == 200);
+    world.engine(0).behave({ .sent = 0, .then = standins::ReplicaStandin::Behaviour::Then::Reset });
+    for (auto count = 0; count < 3; ++count)
+        (void)world.ask({ .path = "/whole/x", .attempt = "lost-" + std::to_string(count) });
+    const auto& replicas = other.directory().of(serving::ServiceName("engine"));
+    BOOST_TEST(world.until([&] { return !replicas.at(0)->agent()->state().usable; }));
+    world.engine(0).behave({});
+    BOOST_TEST(world.until([&] { return replicas.at(0)->agent()->state().usable; }));
+}
+
+// A replica started anew at its old address, and the list still names its last start. What is sent to that one comes
+// back unrun, and each such send is paid from the retry budget.
+BOOST_AUTO_TEST_CASE(the_last_start_of_a_replica_gets_nothing)
+{
+    auto world = ServingWorld(0, 1);
+    auto& gateway = world.startGateway();
+    world.plain(0).restart("plain-0-again");
+    world.publishReplicas();
+    const auto& replicas = gateway.directory().all();
+    const auto listed = [&] { return replicas.size() == 2; };
+    BOOST_REQUIRE(world.until(listed));
+    const auto now = world.loop().timers().now();
+    BOOST_TEST(!replicas.at(serving::InstanceId("plain-0"))->usable(now));
+    BOOST_TEST(replicas.at(serving::InstanceId("plain-0-again"))->usable(now));
+}
+
+// Gateways of other zones hear less often of a replica, and hear of it all the same.
+BOOST_AUTO_TEST_CASE(a_gateway_of_another_zone_is_told_of_changes)
+{
+    auto world = ServingWorld(1, 0);
+    auto& gateway = world.startGateway(true, "zone-2");
+    BOOST_TEST(world.ask({ .attempt = "one", .adapter = "a7" }).status == 200);
+    const auto& replicas = gateway.directory().of(serving::ServiceName("engine"));
+    BOOST_TEST(world.until([&] { return replicas.at(0)->agent()->state().resident.contains(AdapterId("a7")); }));
+}
--- /dev/null
+++ b/tests/soak/Soak.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include "standins/FaultProxy.h"
+#include "standins/ReplicaStandin.h"
+#include "standins/StoreStandin.h"
+#include "tests/harness/Process.h"
+#include "wire/HttpCaller.h"
+#include "wire/MainLoop.h"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace eelgrass::soak {
+
+struct Size {
+    std::size_t gateways = 3;
+    std::size_t engines = 4;
+    std::size_t plain = 2;
+    std::size_t clients = 12;
+    Duration time = 6s;
+};
+
+/// One request as its client saw it.
+struct Call {
+    std::string attempt;
+    std::string path;
+    /// 0 when the connection ended before the answer was whole.
+    int status = 0;
+    std::string body;
+    bool sealed = false;
+    bool echoed = false;
+    std::size_t gateway = 0;
+    Moment began {};
+    Moment ended {};
+};
+
+/// The serving layer as real processes on loopback, with the store and the replicas played here, a fault proxy on each
+/// leg, clients that go on asking, and faults in overlapping series, all drawn from a seed.
+///
+/// A seed decides the faults, their victims, times and lengths; it does not decide how the processes interleave.
+class Soak {
+public:
+    Soak(std::uint64_t seed, Size size, std::string folder);
+    ~Soak();
+    Soak(const Soak&) = delete;
+    auto operator=(const Soak&) -> Soak& = delete;
+
+    /// Plays it; the promises that were broken, a line each.
+    [[nodiscard]] auto play() -> std::vector<std::string>;
+    [[nodiscard]] auto calls() const noexcept -> std::size_t { return calls_.size(); }
+    /// How many calls ended with each status; 0 for none.
+    [[nodiscard]] auto statuses() const -> std::map<int, int>;
+    [[nodiscard]] auto faults() const noexcept -> const std::map<std::string, int>& { return faults_; }
+
+private:
+    /// A process of the system that is stopped, killed and started again.
+    struct Node {
+        std::string name;
+        std::string role;
+        std::string settings;
+        std::unique_ptr<tests::Process> process;
+        std::unique_ptr<standins::FaultProxy> store;
+        std::uint16_t port = 0;
+        /// Of a gateway, for others.
+        std::uint16_t peerPort = 0;
+        bool frozen = false;
+        bool stopping = false;
+        /// When it was last killed, frozen, stopped or started.
+        Moment disturbedAt {};
+    };
+    /// A replica, and the proxies on the way to it and to its agent.
+    struct Engine {
+        std::unique_ptr<standins::ReplicaStandin> replica;
+        std::unique_ptr<standins::FaultProxy> leg;
+        std::unique_ptr<standins::FaultProxy> session;
+        int starts = 1;
+    };
+
+    // Start and end.
+    auto startEngine(std::size_t index) -> void;
+    auto startNode(Node& node) -> void;
+    auto writeSettings(Node& node, const std::string& address, const std::string& text) -> void;
+    auto publish() -> void;
+    auto listEntry(const Engine& engine) const -> std::string;
+    auto configure() -> void;
+
+    // Clients.
+    auto client(std::size_t index) -> kj::Promise<void>;
+    auto ask(wire::HttpCaller& caller, std::size_t gateway, const std::string& path) -> kj::Promise<Call>;
+
+    // Faults.
+    auto disturb() -> kj::Promise<void>;
+    auto fault() -> void;
+    auto faultOnNode(Node& node) -> void;
+    auto faultOnStore() -> void;
+    auto faultOnEngine(Engine& engine) -> void;
+    auto faultOnLeg(standins::FaultProxy& proxy, const std::string& leg) -> void;
+    auto later(Duration delay, std::function<void()> step) -> void;
+    auto restart(Node& node, Duration after) -> void;
+    auto mendAll() -> void;
+    auto note(const std::string& kind) -> void { ++faults_[kind]; }
+    [[nodiscard]] auto number(int least, int most) -> int;
+    [[nodiscard]] auto chance(double probability) -> bool;
+    [[nodiscard]] auto soon(int least, int most) -> Duration { return std::chrono::milliseconds(number(least, most)); }
+
+    // Judgement.
+    auto judgeCall(const Call& call, std::size_t runs, std::vector<std::string>& broken) const -> void;
+    auto judgeRuns(std::vector<std::string>& broken) const -> void;
+    auto judgeOrders(std::vector<std::string>& broken) const -> void;
+    auto judgeRecovery(std::vector<std::string>& broken) -> void;
+
+    wire::MainLoop loop_;
+    std::mt19937_64 random_;
+    Size size_;
+    std::string folder_;
+    standins::StoreStandin store_;
+    std::vector<Engine> engines_;
+    std::vector<std::unique_ptr<standins::ReplicaStandin>> plain_;
+    std::vector<Node> agents_;
+    std::vector<Node> gateways_;
+    std::vector<Call> calls_;
+    std::map<std::string, int> faults_;
+    std::vector<Timer> steps_;
+    std::vector<std::string> broken_;
+    std::uint16_t agentPort_ = 0;
+    std::uint64_t version_ = 0;
+    std::uint64_t asked_ = 0;
+    bool calm_ = false;
+    bool over_ = false;
+};
+
+} // namespace eelgrass::soak
--- /dev/null
+++ b/tests/soak/SoakMain.cpp
@@ -0,0 +1,71 @@
+#include "base/Log.h"
+#include "tests/soak/Soak.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <chrono>
+#include <filesystem>
+#include <iostream>
+#include <unistd.h>
+
+// NOLINTBEGIN
+ABSL_FLAG(std::uint64_t, first, 1, "the first seed");
+ABSL_FLAG(std::uint64_t, seeds, 1, "how many seeds, one after another");
+ABSL_FLAG(int, ms, 6000, "time of the faults of one seed, in milliseconds");
+ABSL_FLAG(int, minutes, 0, "plays fresh seeds for this long in place of the given ones");
+ABSL_FLAG(std::size_t, gateways, 3, "gateway processes");
+ABSL_FLAG(std::size_t, engines, 4, "model replicas, each with its agent process");
+ABSL_FLAG(std::size_t, clients, 12, "clients that ask at the same time");
+// NOLINTEND
+
+namespace {
+
+using namespace eelgrass;
+
+/// Plays one seed; whether every promise held.
+auto playSeed(std::uint64_t seed, std::size_t& calls, std::map<std::string, int>& faults) -> bool
+{
+    auto size = soak::Size { .gateways = absl::GetFlag(FLAGS_gateways), .engines = absl::GetFlag(FLAGS_engines) };
+    size.clients = absl::GetFlag(FLAGS_clients);
+    size.time = std::chrono::milliseconds(absl::GetFlag(FLAGS_ms));
+    const auto folder = std::filesystem::temp_directory_path() / ("eelgrass-soak-" + std::to_string(getpid()));
+    auto run = soak::Soak(seed, size, folder.string());
+    const auto broken = run.play();
+    for (const auto& line : broken)
+        std::cout << "BROKEN seed " << seed << ": " << line << "\n";
+    std::cout << "seed " << seed << ": " << run.calls() << " requests, " << (broken.empty() ? "well" : "broken");
+    for (const auto& [status, count] : run.statuses())
+        std::cout << ", " << count << " x " << status;
+    std::cout << std::endl;
+    calls += run.calls();
+    for (const auto& [kind, count] : run.faults())
+        faults[kind] += count;
+    return broken.empty();
+}
+
+} // namespace
+
+auto main(int argc, char** argv) -> int
+{
+    absl::SetProgramUsageMessage("Plays random faults on the serving layer and checks its promises.");
+    absl::ParseCommandLine(argc, argv);
+    log::start("soak", "ERROR");
+    const auto minutes = std::chrono::minutes(absl::GetFlag(FLAGS_minutes));
+    const auto until = std::chrono::steady_clock::now() + minutes;
+    const auto fresh = minutes.count() > 0;
+    const auto first = fresh
+        ? static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count() % 1000000)
+        : absl::GetFlag(FLAGS_first);
+    auto failed = 0;
+    auto played = std::uint64_t(0);
+    auto calls = std::size_t(0);
+    auto faults = std::map<std::string, int>();
+    while (fresh ? std::chrono::steady_clock::now() < until : played < absl::GetFlag(FLAGS_seeds))
+        failed += playSeed(first + played++, calls, faults) ? 0 : 1;
+    for (const auto& [kind, count] : faults)
+        std::cout << count << " " << kind << "\n";
+    std::cout << "SUMMARY " << played << " seeds, " << calls << " requests, " << failed << " seeds broken\n";
+    return failed == 0 ? 0 : 1;
+}
--- a/tests/unit/ReplicaChoice.cpp
+++ b/tests/unit/ReplicaChoice.cpp
@@ -149,7 +149,8 @@
 }
 
 // Twenty entries, ten holders of a popular adapter, 117 different shared parts. Each entry knows only what it sent
-// itself. With a favourite for each part among the holders, a part is read at three or four of them and not at six and more.
+// itself. With a favourite for each part among the holders, a part is read at three or four of them and not at six and
+// more.
 BOOST_AUTO_TEST_CASE(entries_send_a_shared_part_to_the_same_holder)
 {
     constexpr auto entries = 20;
