--- a/packages/decisions/AdmissionQueue.cpp
+++ b/packages/decisions/AdmissionQueue.cpp
@@ -191,8 +191,7 @@
 
 auto AdmissionQueue::adopt(const AdmissionRequest& request) -> void
 {
-    const auto found = running_.find(request.attempt);
-    if (found == running_.end() && run(request))
+    if (run(request))
         settle(running_.at(request.attempt));
 }
 
--- a/packages/serving/AgentLink.cpp
+++ b/packages/serving/AgentLink.cpp
@@ -114,7 +114,6 @@
     state_.memoryUsed = state.getMemoryUsed();
     state_.spareSlots = state.getSpareSlots();
     state_.loadsWaiting = state.getLoadsWaiting();
-    state_.loadTime = milliseconds(state.getLoadMs());
     state_.readRate = static_cast<double>(state.getReadRate()) / thousand;
     state_.failures = static_cast<double>(state.getFailures()) / thousand;
     state_.entries = state.getEntries();
--- a/packages/serving/AgentLink.h
+++ b/packages/serving/AgentLink.h
@@ -28,8 +28,6 @@
     Tokens memoryUsed = 0;
     std::size_t spareSlots = 0;
     std::size_t loadsWaiting = 0;
-    /// What an adapter takes there that is wanted now.
-    milliseconds loadTime { 0 };
     /// Prompt tokens that it reads in a millisecond.
     double readRate = 0;
     /// Share of the last requests that failed or broke off there, whoever sent them.
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -261,7 +261,6 @@
     state.setQueued(static_cast<std::uint32_t>(agent_.queue().queued()));
     state.setTokensAhead(agent_.tokensAhead());
     state.setTokensWaiting(agent_.tokensWaiting());
-    state.setLoadMs(static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(agent_.loadTime()).count()));
     state.setMemoryUsed(agent_.queue().memoryUsed());
     state.setSpareSlots(static_cast<std::uint32_t>(agent_.spareSlots()));
     state.setLoadsWaiting(static_cast<std::uint32_t>(agent_.loadsWaiting()));
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -451,9 +451,9 @@
     if (!report_->hasModel)
         return baseOrder();
     const auto now = loop_.timers().now();
-    const auto adapters = wanted();
-    for (const auto& candidate : adapters) {
-        if (!decisions::mayTakeSlot(candidate, spareSlots()))
+    const auto spare = spareSlots();
+    for (const auto& candidate : wanted()) {
+        if (!decisions::mayTakeSlot(candidate, spare))
             break;
         const auto& adapter = candidate.adapter;
         const auto name = modelName(adapter);
--- a/packages/wire/Agent.capnp
+++ b/packages/wire/Agent.capnp
@@ -33,7 +33,7 @@
   entries @12 :UInt32;
   # Requests that broke off at replicas, as entries told this agent.
   suspects @13 :List(SuspectRequest);
-  # How long an adapter takes that is wanted now, the wait for a slot included.
+  # Not told any more: entries count the loads that wait. Kept so that the fields behind it keep their numbers.
   loadMs @14 :UInt32;
   # Prompt tokens of requests that wait for an adapter.
   tokensWaiting @15 :UInt64;
