One start of a replica apart from the next under its name; what a first reading named and the next does not is gone

Cause 1: a replica may start again under its id. Known as leaving, it got nothing for good; its prompts, adapters, failures and order count were taken for those of the new start, and a late order of the earlier start met the new one. Change 1: ReplicaStart (id and birth) through list, directory, agent and its pushes. Another birth is another Replica; a late heartbeat of an earlier one is passed over; orders of each start bear a higher token than those before, without a call to the store. Entries with missing or other fields, unnamed states, no address, absurd numbers or unreadable bytes name no replica, told once a row. Cause 2: the directory took its first reading of the list for the store's return and for 2.5 s took no absence as gone; the same after an outage that only some entries had. Ruled out: the wait for a reading (1 s) alone. Change 2: LapseGrace: only what is known from before an outage gets grace, and none where a peer told that the store serves it; what a peer that reads the list no longer knows is gone. The token test expects 65536 in place of 1, since tokens now hold both numbers, and checks the second order too.

--- a/packages/decisions/Decisions.h
+++ b/packages/decisions/Decisions.h
@@ -6,6 +6,7 @@
 #include "decisions/CircuitBreaker.h"
 #include "decisions/Demand.h"
 #include "decisions/Fleet.h"
+#include "decisions/LapseGrace.h"
 #include "decisions/LoadPace.h"
 #include "decisions/LoadQueue.h"
 #include "decisions/Placer.h"
--- a/packages/serving/AgentLink.cpp
+++ b/packages/serving/AgentLink.cpp
@@ -123,7 +123,7 @@
 
 auto AgentLink::learnNames(wire::schema::ReplicaState::Reader state) -> void
 {
-    state_.instance = InstanceId(state.getInstance().cStr());
+    state_.start = { InstanceId(state.getInstance().cStr()), Birth(state.getBirth()) };
     state_.resident.clear();
     for (auto adapter : state.getResident())
         state_.resident.emplace(AdapterName(adapter.getName().cStr()), AdapterVersion(adapter.getVersion()));
--- a/packages/serving/AgentLink.h
+++ b/packages/serving/AgentLink.h
@@ -16,7 +16,7 @@
 
 /// What the process beside a replica last said of it.
 struct ReplicaSnapshot {
-    InstanceId instance;
+    ReplicaStart start;
     bool usable = false;
     std::map<AdapterName, AdapterVersion> resident;
     std::set<AdapterName> loading;
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -272,7 +272,8 @@
 
 auto AgentRole::namesText() const -> std::string
 {
-    auto text = agent_.instance().str() + "|" + std::to_string(configVersion_.value()) + "|" + configHolder_;
+    auto text = agent_.instance().str() + "|" + std::to_string(agent_.birth().value()) + "|"
+        + std::to_string(configVersion_.value()) + "|" + configHolder_;
     for (const auto& [adapter, version] : agent_.resident())
         text.append("|").append(adapter.str()).append("@").append(std::to_string(version.value()));
     for (const auto& adapter : agent_.loading())
@@ -285,6 +286,7 @@
 auto AgentRole::fillNames(wire::schema::ReplicaState::Builder state) const -> void
 {
     state.setInstance(agent_.instance().str());
+    state.setBirth(agent_.birth().value());
     const auto resident = agent_.resident();
     auto list = state.initResident(static_cast<unsigned>(resident.size()));
     auto index = 0U;
--- a/packages/serving/GatewayRole.cpp
+++ b/packages/serving/GatewayRole.cpp
@@ -38,6 +38,9 @@
         if (configuration && configuration->version.value() > context.getParams().getHaveConfig())
             results.setConfig(configuration->text);
         results.setReplicas(role_.directory_.text());
+        constexpr auto longestAge = std::numeric_limits<std::uint32_t>::max();
+        const auto age = std::chrono::duration_cast<milliseconds>(role_.directory_.listAge()).count();
+        results.setListAgeMs(static_cast<std::uint32_t>(std::min<milliseconds::rep>(age, longestAge)));
         results.setAdapterVersions(role_.configuration_.versionsText());
         return kj::READY_NOW;
     }
@@ -183,7 +186,7 @@
         configuration_.offer(answer.getConfig().cStr(), peer);
     configuration_.offerVersions(answer.getAdapterVersions().cStr(), peer);
     if (!directory_.known() || directory_.lostSince())
-        directory_.offer(answer.getReplicas().cStr(), peer);
+        directory_.offer(answer.getReplicas().cStr(), milliseconds(answer.getListAgeMs()), peer);
 }
 
 auto GatewayRole::ready() const -> bool { return !stopping_ && configuration_.configuration() && directory_.known(); }
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -153,12 +153,11 @@
         });
     if (answer.status != ok || !read)
         return reportFailed("status " + std::to_string(answer.status));
-    // A report may be a little older than the answer to the last order; much later, fewer orders mean another start.
-    const auto fresh = loop_.timers().now() - orderedAt_ < reportLag;
-    if (report_ && read->sequence < report_->sequence && fresh)
-        read->sequence = report_->sequence;
-    else if (report_ && read->sequence < report_->sequence)
-        forgetReplica("restarted");
+    if (startedAgain(*read))
+        forgetReplica("started again");
+    // A report may be a little older than the answer to the last order.
+    else if (report_)
+        read->sequence = std::max(read->sequence, report_->sequence);
     reportFailures_ = 0;
     if (!report_)
         log::info("replica regained", { { "sequence", std::to_string(read->sequence) } });
@@ -171,6 +170,18 @@
     reportTimer_ = loop_.timers().after(busy ? busyInterval : idleInterval, [this] { report(); });
 }
 
+/// A replica may start again under its name between two reports: it is empty and counts its orders anew. Taken for the
+/// start before, requests are sent to adapters that are not there, and orders wait for a count that never comes.
+auto ReplicaAgent::startedAgain(const hosting::ReplicaReport& read) const -> bool
+{
+    if (!report_)
+        return false;
+    if (read.birth != Birth() && report_->birth != Birth())
+        return read.birth != report_->birth;
+    // Where no birth is told: fewer orders than before, for longer than a report may lag behind the last order.
+    return read.sequence < report_->sequence && loop_.timers().now() - orderedAt_ >= reportLag;
+}
+
 auto ReplicaAgent::reportFailed(const std::string& reason) -> void
 {
     reporting_ = false;
@@ -212,7 +223,10 @@
 /// The replica's start that we knew is over: what it held, ran and was ordered is gone with it.
 auto ReplicaAgent::forgetReplica(std::string_view why) -> void
 {
-    log::warn("replica lost", { { "replica", instance_.str() }, { "reason", std::string(why) } });
+    log::warn("replica lost",
+        { { "replica", instance_.str() }, { "birth", std::to_string(birth().value()) },
+            { "reason", std::string(why) } });
+    ++startsSeen_;
     report_.reset();
     instance_ = {};
     prompts_.clear();
@@ -482,12 +496,23 @@
     return std::nullopt;
 }
 
+/// An order without an answer may be carried out seconds later, by the replica's next start under the same name, whose
+/// count of orders may just meet its condition: a load too many crashes it. So orders of each start that we see bear a
+/// higher token than those before, below all tokens of the next process here. No call to the store is needed for it.
+auto ReplicaAgent::orderFence() const -> Epoch
+{
+    constexpr auto startBits = 16U;
+    constexpr auto mostStarts = (std::uint64_t(1) << startBits) - 1;
+    return Epoch((token_.value() << startBits) + std::min(startsSeen_, mostStarts));
+}
+
 auto ReplicaAgent::order(hosting::ReplicaOrder order) -> void
 {
     ordering_ = true;
     order.precondition = report_->sequence;
+    order.birth = report_->birth;
     order.holder = settings_.host.name;
-    order.fence = token_;
+    order.fence = orderFence();
     const auto name = modelName(order.adapter);
     if (order.kind == hosting::ReplicaOrder::Kind::Unload)
         slots_->unloadStarted(name);
@@ -512,16 +537,14 @@
             { "reason", answer.status >= 300 ? answer.body.substr(0, 200) : std::string() } });
     const auto now = loop_.timers().now();
     const auto counted = outcome == hosting::OrderOutcome::Accepted || outcome == hosting::OrderOutcome::Holds;
-    if (counted && report_) {
+    // What an earlier start accepted says nothing of this one, which counts anew.
+    const auto current = report_ && order.birth == report_->birth;
+    if (counted && current) {
         report_->sequence = std::max(report_->sequence, order.precondition + 1);
         orderedAt_ = now;
     }
-    if (outcome == hosting::OrderOutcome::Accepted && unload)
-        unloading_[order.adapter] = now;
-    else if (outcome == hosting::OrderOutcome::Accepted && report_ && report_->resident.contains(order.adapter))
-        replacing_[order.adapter] = now;
-    else if (outcome == hosting::OrderOutcome::Accepted && !order.adapter.empty())
-        fetching_[order.adapter] = now;
+    if (outcome == hosting::OrderOutcome::Accepted && current)
+        noteAccepted(order);
     if (outcome == hosting::OrderOutcome::Conflict) {
         ordersRestUntil_ = now + conflictRest;
         orderRest_ = loop_.timers().after(conflictRest, [this] { act(); });
@@ -536,6 +559,17 @@
     report();
 }
 
+auto ReplicaAgent::noteAccepted(const hosting::ReplicaOrder& order) -> void
+{
+    const auto now = loop_.timers().now();
+    if (order.kind == hosting::ReplicaOrder::Kind::Unload)
+        unloading_[order.adapter] = now;
+    else if (report_->resident.contains(order.adapter))
+        replacing_[order.adapter] = now;
+    else if (!order.adapter.empty())
+        fetching_[order.adapter] = now;
+}
+
 auto ReplicaAgent::orderFailed(const hosting::ReplicaOrder& order, const std::string& reason) -> void
 {
     ordering_ = false;
--- a/packages/serving/ReplicaAgent.h
+++ b/packages/serving/ReplicaAgent.h
@@ -62,6 +62,8 @@
     /// Share of the last requests that failed or broke off.
     [[nodiscard]] auto failureShare() const -> double { return breaker_.failureShare(loop_.timers().now()); }
     [[nodiscard]] auto instance() const noexcept -> const InstanceId& { return instance_; }
+    /// When the replica started, as its last report says.
+    [[nodiscard]] auto birth() const noexcept -> Birth { return report_ ? report_->birth : Birth(); }
     [[nodiscard]] auto queue() const noexcept -> const decisions::AdmissionQueue& { return queue_; }
     [[nodiscard]] auto resident() const -> std::map<AdapterName, AdapterVersion>;
     [[nodiscard]] auto loading() const -> std::vector<AdapterName>;
@@ -84,6 +86,8 @@
     // The replica's own word.
     auto report() -> void;
     auto reported(const wire::HttpAnswer& answer) -> void;
+    /// Whether the report is of a later start than the last one.
+    [[nodiscard]] auto startedAgain(const hosting::ReplicaReport& read) const -> bool;
     auto reportFailed(const std::string& reason) -> void;
     /// Asks the replica which instance it is; orders name it, so that none reaches the one after a restart.
     auto identify() -> void;
@@ -100,7 +104,9 @@
     auto nextOrder() -> std::optional<hosting::ReplicaOrder>;
     auto baseOrder() -> std::optional<hosting::ReplicaOrder>;
     auto order(hosting::ReplicaOrder order) -> void;
+    [[nodiscard]] auto orderFence() const -> Epoch;
     auto ordered(const hosting::ReplicaOrder& order, const wire::HttpAnswer& answer) -> void;
+    auto noteAccepted(const hosting::ReplicaOrder& order) -> void;
     auto orderFailed(const hosting::ReplicaOrder& order, const std::string& reason) -> void;
     auto settlePending() -> void;
     auto noteLoads() -> void;
@@ -141,6 +147,8 @@
 
     Fence fence_ = Fence::Wanted;
     Epoch token_;
+    /// Starts of the replica that this process has seen end.
+    std::uint64_t startsSeen_ = 0;
     InstanceId instance_;
     std::optional<hosting::ReplicaReport> report_;
     Moment reportedAt_ {};
--- a/packages/serving/ReplicaDirectory.cpp
+++ b/packages/serving/ReplicaDirectory.cpp
@@ -15,8 +15,8 @@
 // in which a leaving replica must get nothing new. The other half is for the answer and for what is on its way by then.
 constexpr auto listShare = 2;
 constexpr auto listRetry = Duration(500ms);
-// Entries that lapsed while the store was away come back within two seconds of its return.
-constexpr auto lapsedReturn = Duration(2500ms);
+// A peer's list of this age shows that the store serves that peer: it is read once a second there.
+constexpr auto freshList = Duration(1500ms);
 // Failures in a row after which a replica rests, and for how long: doubled each time, up to the longest.
 constexpr auto failuresToRest = 2U;
 constexpr auto shortestRest = Duration(300ms);
@@ -70,12 +70,23 @@
 
 auto Replica::usable(Moment now) const noexcept -> bool
 {
-    if (leaving_ || superseded_ || now < restsUntil_)
+    if (leaving_ || unreadable_ || superseded_ || now < restsUntil_)
         return false;
     // After a rest one request tries it; the others wait for what becomes of it.
     return failures_ < failuresToRest || inFlight_ == 0;
 }
 
+auto Replica::outlived(const Birth& birth, std::uint64_t listVersion) -> bool
+{
+    if (birth > record_.start.birth)
+        return true;
+    // Replicas heartbeat about once a second, and late ones are a second or two late.
+    constexpr auto rowsToBelieve = 3U;
+    if (std::exchange(earlierVersion_, listVersion) != listVersion)
+        ++earlierBirths_;
+    return earlierBirths_ >= rowsToBelieve;
+}
+
 auto Replica::rememberPrompt(std::uint64_t sharedId) -> void
 {
     prompts_[sharedId] = ++promptClock_;
@@ -130,64 +141,121 @@
     }
     lostSince_.reset();
     if (!std::exchange(reachable_, true)) {
-        regainedAt_ = now;
+        grace_.regained(now);
         log::info("store regained", { { "step", "platform" } });
     }
     auto list = std::vector<Listed>();
     for (auto& row : answer.rows)
         list.push_back({ InstanceId(row.key), std::move(row.value), row.version });
-    apply(list, now - regainedAt_ > lapsedReturn, "store");
+    apply(list, "store");
+    readAt_ = now;
+    noteListed(list, now);
+    removeMissing(list, [&](const Replica& replica) { return grace_.gone(replica.listedAt(), now); });
     timer_ = loop_.timers().after(options_.drainBound / listShare, [this] { poll(); });
 }
 
-auto ReplicaDirectory::apply(const std::vector<Listed>& list, bool whole, std::string_view source) -> void
+auto ReplicaDirectory::apply(const std::vector<Listed>& list, std::string_view source) -> void
 {
     known_ = true;
     for (const auto& listed : list)
         put(listed, source);
-    if (whole) {
-        auto missing = std::vector<ReplicaPtr>();
-        for (const auto& [instance, replica] : replicas_) {
-            const auto named = std::any_of(list.begin(), list.end(),
-                [&id = replica->id()](const Listed& listed) { return listed.instance == id; });
-            if (!named)
-                missing.push_back(replica);
-        }
-        for (const auto& replica : missing)
-            remove(replica, "not listed");
-    }
     index();
     findSuperseded();
 }
 
+auto ReplicaDirectory::noteListed(const std::vector<Listed>& list, Moment now) -> void
+{
+    for (const auto& listed : list) {
+        if (const auto found = replicas_.find(listed.instance); found != replicas_.end())
+            found->second->setListedAt(now);
+    }
+}
+
+auto ReplicaDirectory::removeMissing(const std::vector<Listed>& list, const std::function<bool(const Replica&)>& gone)
+    -> void
+{
+    auto missing = std::vector<ReplicaPtr>();
+    for (const auto& [instance, replica] : replicas_) {
+        const auto named = std::any_of(
+            list.begin(), list.end(), [&id = instance](const Listed& listed) { return listed.instance == id; });
+        if (!named && gone(*replica))
+            missing.push_back(replica);
+    }
+    for (const auto& replica : missing)
+        remove(replica, "not listed");
+    if (!missing.empty())
+        index();
+}
+
+auto ReplicaDirectory::made(ReplicaRecord record, std::string_view source) -> ReplicaPtr
+{
+    log::info("replica known",
+        { { "replica", record.start.instance.str() }, { "birth", std::to_string(record.start.birth.value()) },
+            { "service", record.service.str() }, { "peer", record.endpoint.str() },
+            { "source", std::string(source) } });
+    auto replica = std::make_shared<Replica>(loop_.timers(), std::move(record));
+    linkAgent(replica);
+    return replica;
+}
+
 auto ReplicaDirectory::put(const Listed& listed, std::string_view source) -> void
 {
+    auto failure = std::string();
     auto read = orElse(
         [&]() -> Result<std::optional<ReplicaRecord>> {
             BOOST_LEAF_AUTO(record, hosting::readReplica(listed.instance.str(), listed.text));
             return std::optional(std::move(record));
         },
         [&](const Error& error) -> std::optional<ReplicaRecord> {
-            log::error("replica not understood", { { "peer", listed.instance.str() }, { "reason", error.message() } });
+            failure = error.message();
             return std::nullopt;
         });
     if (!read)
-        return;
-    texts_[listed.instance] = listed.text;
+        return putUnreadable(listed, failure);
     auto& replica = replicas_[listed.instance];
-    if (!replica) {
-        replica = std::make_shared<Replica>(loop_.timers(), *read);
-        log::info("replica known",
-            { { "replica", listed.instance.str() }, { "service", read->service.str() },
-                { "peer", read->endpoint.str() }, { "source", std::string(source) } });
-        linkAgent(replica);
+    // A peer's list may be older than what is known here.
+    if (replica && listed.version < replica->listVersion())
+        return;
+    // The earlier start is over, whatever it was doing: requests that run there see that it is leaving.
+    if (replica && !sameStart(replica->record().start, read->start)) {
+        if (!replica->outlived(read->start.birth, listed.version))
+            return;
+        remove(ReplicaPtr(replica), "started again");
     }
-    if (read->phase == ReplicaPhase::Draining && !replica->leaving()) {
-        replica->setLeaving();
+    auto& current = replicas_[listed.instance];
+    if (!current)
+        current = made(*read, source);
+    if (read->phase == ReplicaPhase::Draining && !current->leaving()) {
+        current->setLeaving();
         log::info("replica leaving", { { "replica", listed.instance.str() }, { "source", std::string(source) } });
     }
-    replica->update(std::move(*read));
-    replica->setListVersion(listed.version);
+    unreadable_.erase(listed.instance);
+    texts_[listed.instance] = listed;
+    current->setUnreadable(false);
+    current->heardOf();
+    current->update(std::move(*read));
+    current->setListVersion(listed.version);
+}
+
+/// The entry names no replica to use. Replicas heartbeat, so a row that something else has overwritten is readable
+/// again with the next one; what runs at the replica meanwhile goes on.
+auto ReplicaDirectory::putUnreadable(const Listed& listed, const std::string& reason) -> void
+{
+    const auto known = replicas_.find(listed.instance);
+    if (known != replicas_.end() && listed.version < known->second->listVersion())
+        return;
+    if (known != replicas_.end())
+        known->second->setUnreadable(true);
+    texts_.erase(listed.instance);
+    if (const auto told = unreadable_.find(listed.instance);
+        told != unreadable_.end() && told->second == listed.version)
+        return;
+    constexpr auto mostTold = std::size_t(1000);
+    if (unreadable_.size() >= mostTold)
+        unreadable_.clear();
+    unreadable_[listed.instance] = listed.version;
+    log::error("list entry not understood",
+        { { "peer", listed.instance.str() }, { "version", std::to_string(listed.version) }, { "reason", reason } });
 }
 
 auto ReplicaDirectory::remove(const ReplicaPtr& replica, std::string_view why) -> void
@@ -292,20 +360,32 @@
 auto ReplicaDirectory::text() const -> std::string
 {
     auto json = nlohmann::json::object();
-    for (const auto& [instance, text] : texts_)
-        json[instance.str()] = text;
-    return json.dump();
+    for (const auto& [instance, listed] : texts_)
+        json[instance.str()] = { { "entry", listed.text }, { "version", listed.version } };
+    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-auto ReplicaDirectory::offer(std::string_view text, std::string_view source) -> void
+auto ReplicaDirectory::listAge() const -> Duration
+{
+    return readAt_ ? loop_.timers().now() - *readAt_ : Duration::max();
+}
+
+auto ReplicaDirectory::offer(std::string_view text, Duration age, std::string_view source) -> void
 {
     const auto json = nlohmann::json::parse(text, nullptr, false);
     if (!json.is_object())
         return log::error("replica list not understood", { { "source", std::string(source) } });
     auto list = std::vector<Listed>();
-    for (const auto& [instance, value] : json.items())
-        list.push_back({ InstanceId(instance), value.get<std::string>() });
-    apply(list, false, source);
+    for (const auto& [instance, value] : json.items()) {
+        if (value.is_object() && value.contains("entry") && value["entry"].is_string())
+            list.push_back({ InstanceId(instance), value["entry"], value.value("version", std::uint64_t(0)) });
+    }
+    apply(list, source);
+    if (age > freshList)
+        return;
+    // The store serves that entry: what it no longer knows has left.
+    grace_.servedElsewhere(loop_.timers().now());
+    removeMissing(list, [](const Replica&) { return true; });
 }
 
 } // namespace eelgrass::serving
--- a/packages/serving/ReplicaDirectory.h
+++ b/packages/serving/ReplicaDirectory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decisions/LapseGrace.h"
 #include "decisions/ReplicaChoice.h"
 #include "platform/Documents.h"
 #include "platform/Store.h"
@@ -24,16 +25,28 @@
 public:
     Replica(TimerService& timers, ReplicaRecord record);
 
-    [[nodiscard]] auto id() const noexcept -> const InstanceId& { return record_.instance; }
+    [[nodiscard]] auto id() const noexcept -> const InstanceId& { return record_.start.instance; }
     [[nodiscard]] auto record() const noexcept -> const ReplicaRecord& { return record_; }
     auto update(ReplicaRecord record) -> void { record_ = std::move(record); }
     [[nodiscard]] auto pool() noexcept -> ConnectionPool& { return pool_; }
     [[nodiscard]] auto agent() const noexcept -> AgentLink* { return agent_.get(); }
     auto setAgent(std::unique_ptr<AgentLink> agent) -> void { agent_ = std::move(agent); }
 
-    /// Not in the list any more, or leaving: runs end there, nothing new is sent.
+    /// Not in the list any more, or leaving: runs end there, nothing new is sent. A start that leaves never comes back;
+    /// the next one of the same name is a `Replica` of its own.
     [[nodiscard]] auto leaving() const noexcept -> bool { return leaving_; }
     auto setLeaving() -> void { leaving_ = true; }
+    /// Its entry in the list cannot be read, as when something else has written there: it gets nothing new until it
+    /// can.
+    [[nodiscard]] auto unreadable() const noexcept -> bool { return unreadable_; }
+    auto setUnreadable(bool unreadable) -> void { unreadable_ = unreadable; }
+    auto heardOf() -> void { earlierBirths_ = 0; }
+    /// When the store's list last named it; empty when only a peer's did.
+    [[nodiscard]] auto listedAt() const noexcept -> std::optional<Moment> { return listedAt_; }
+    auto setListedAt(Moment at) -> void { listedAt_ = at; }
+    /// The list told of a start under its name with that birth. A late heartbeat of an earlier start may stand there
+    /// until the next one; a birth that stays is of a newer start, on a host whose time of day has jumped back.
+    [[nodiscard]] auto outlived(const Birth& birth, std::uint64_t listVersion) -> bool;
     /// The store has a newer entry at its address: this start of the replica is over, or its list entry is old.
     [[nodiscard]] auto superseded() const noexcept -> bool { return superseded_; }
     auto setSuperseded(bool superseded) -> void { superseded_ = superseded; }
@@ -79,8 +92,13 @@
     ConnectionPool pool_;
     std::unique_ptr<AgentLink> agent_;
     bool leaving_ = false;
+    bool unreadable_ = false;
     bool superseded_ = false;
     std::uint64_t listVersion_ = 0;
+    std::optional<Moment> listedAt_;
+    /// Rows that told of an earlier birth, one after another.
+    std::uint32_t earlierBirths_ = 0;
+    std::uint64_t earlierVersion_ = 0;
     std::size_t inFlight_ = 0;
     Tokens tokensSent_ = 0;
     /// Adapters that this entry asked for there since the agent spoke.
@@ -128,8 +146,10 @@
     auto shareConnections(std::size_t entries) -> void;
     /// The list as peers are told it.
     [[nodiscard]] auto text() const -> std::string;
-    /// A peer's list, for an entry that has none of its own.
-    auto offer(std::string_view text, std::string_view source) -> void;
+    /// A peer's list, for an entry that has none of its own, and how long ago the peer read it.
+    auto offer(std::string_view text, Duration age, std::string_view source) -> void;
+    /// How long ago the store told the list; the longest time when it never did.
+    [[nodiscard]] auto listAge() const -> Duration;
     /// Another replica answers at this address: the instance is gone.
     auto gone(const InstanceId& instance, std::string_view why) -> void;
 
@@ -137,13 +157,17 @@
     struct Listed {
         InstanceId instance;
         std::string text;
-        /// Of its row in the store; 0 from a peer.
+        /// Of its row in the store.
         std::uint64_t version = 0;
     };
     auto poll() -> void;
     auto take(hosting::StoreAnswer answer) -> void;
-    auto apply(const std::vector<Listed>& list, bool whole, std::string_view source) -> void;
+    auto apply(const std::vector<Listed>& list, std::string_view source) -> void;
     auto put(const Listed& listed, std::string_view source) -> void;
+    auto putUnreadable(const Listed& listed, const std::string& reason) -> void;
+    auto noteListed(const std::vector<Listed>& list, Moment now) -> void;
+    auto removeMissing(const std::vector<Listed>& list, const std::function<bool(const Replica&)>& gone) -> void;
+    [[nodiscard]] auto made(ReplicaRecord record, std::string_view source) -> ReplicaPtr;
     auto remove(const ReplicaPtr& replica, std::string_view why) -> void;
     auto index() -> void;
     auto findSuperseded() -> void;
@@ -156,12 +180,16 @@
     std::shared_ptr<const ServingConfiguration> configuration_;
     std::string holder_;
     std::map<InstanceId, ReplicaPtr> replicas_;
-    std::map<InstanceId, std::string> texts_;
+    /// The list's readable entries as they were read, for peers.
+    std::map<InstanceId, Listed> texts_;
+    /// Versions of the rows that could not be read, so that each is told once.
+    std::map<InstanceId, std::uint64_t> unreadable_;
     std::map<ServiceName, std::vector<ReplicaPtr>> byService_;
     bool known_ = false;
     bool reachable_ = false;
-    Moment regainedAt_ {};
+    decisions::LapseGrace grace_;
     std::optional<Moment> lostSince_;
+    std::optional<Moment> readAt_;
     kj::Maybe<kj::Promise<void>> work_;
     Timer timer_;
 };
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -155,7 +155,7 @@
     }
     const auto& state = agent->state();
     // After a restart both starts of a replica are listed for a while, at one address and with one agent.
-    view.usable = view.usable && state.usable && state.instance == replica->id();
+    view.usable = view.usable && state.usable && sameStart(state.start, replica->record().start);
     view.running = std::max(state.running, replica->inFlight());
     view.holds = facts_.adapter.empty() || state.resident.contains(facts_.adapter);
     view.loading = state.loading.contains(facts_.adapter) || replica->hasAskedLoad(facts_.adapter);
--- a/packages/serving/Types.h
+++ b/packages/serving/Types.h
@@ -18,8 +18,10 @@
 
 using ServiceName = StrongId<struct ServiceNameTag>;
 using RouteName = StrongId<struct RouteNameTag>;
-/// One start of a replica; a restart is another one.
+/// A replica's name; it may start again under the same one, see `ReplicaStart`.
 using InstanceId = StrongId<struct InstanceIdTag>;
+/// When a replica started, in Unix milliseconds; 0 where it has not said.
+using Birth = StrongNumber<struct BirthTag>;
 /// Within its base model; empty for the base model itself.
 using AdapterName = AdapterId;
 using BaseModel = StrongId<struct BaseModelTag>;
@@ -100,6 +102,20 @@
     std::string text;
 };
 
+/// One start of a replica. What was known of an earlier start under the same name (adapters, prompts, failures,
+/// leaving) says nothing of this one: it begins empty.
+struct ReplicaStart {
+    InstanceId instance;
+    Birth birth;
+};
+
+/// Whether both may be the same start. A birth that was not told tells no two starts apart.
+[[nodiscard]] inline auto sameStart(const ReplicaStart& left, const ReplicaStart& right) noexcept -> bool
+{
+    const auto told = left.birth != Birth() && right.birth != Birth();
+    return left.instance == right.instance && (!told || left.birth == right.birth);
+}
+
 enum class ReplicaPhase { Ready, Draining };
 
 /// How a request ended at a replica.
@@ -114,7 +130,7 @@
 
 /// A replica as the platform's list has it.
 struct ReplicaRecord {
-    InstanceId instance;
+    ReplicaStart start;
     ServiceName service;
     Endpoint endpoint;
     AvailabilityZone zone;
--- a/packages/wire/Agent.capnp
+++ b/packages/wire/Agent.capnp
@@ -43,6 +43,8 @@
   readRate @17 :UInt32;
   # Share of the last requests that failed or broke off, in thousandths.
   failures @18 :UInt16;
+  # When the instance started, in Unix milliseconds: it may start again under its name. 0 where it has not said.
+  birth @19 :UInt64;
 }
 
 struct SuspectRequest {
@@ -136,5 +138,7 @@
 interface EntryPeer {
   # Whatever is newer than the version that the caller has: the configuration's text, the list of replicas, and the
   # versions of adapters.
-  snapshot @0 (haveConfig :UInt64) -> (config :Text, replicas :Text, adapterVersions :Text);
+  # `listAgeMs` is how long ago that entry read the list in the store, at most 0xffffffff.
+  snapshot @0 (haveConfig :UInt64)
+      -> (config :Text, replicas :Text, adapterVersions :Text, listAgeMs :UInt32 = 0xffffffff);
 }
--- a/standins/ReplicaStandin.cpp
+++ b/standins/ReplicaStandin.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace eelgrass::standins {
 
 namespace {
@@ -46,7 +48,7 @@
         models.push_back({ { "name", base }, { "version", 1 }, { "adapters", adapterNames() } });
     return Json {
         { "service", service_ }, { "address", endpoint().str() }, { "zone", "zone-1" }, { "slots", 8 },
-        { "state", state }, { "models", models }, { "sequence", sequence_ }
+        { "state", state }, { "models", models }, { "sequence", sequence_ }, { "born", born_ }
     }.dump();
 }
 
@@ -57,6 +59,7 @@
     sequence_ = 0;
     highestFence_ = 0;
     hasModel_ = false;
+    ++born_;
     server_.resetAll();
 }
 
@@ -83,8 +86,8 @@
     if (hasModel_)
         models.push_back({ { "name", base }, { "version", 1 }, { "adapters", adapterNames() } });
     respond(caller, 200,
-        Json { { "models", models }, { "busy", false }, { "sequence", sequence_ }, { "queued", 0 }, { "running", 0 },
-            { "kvUsed", 0 } }
+        Json { { "models", models }, { "busy", false }, { "sequence", sequence_ }, { "born", born_ }, { "queued", 0 },
+            { "running", 0 }, { "kvUsed", 0 } }
             .dump());
 }
 
@@ -124,10 +127,12 @@
     return 202;
 }
 
-auto ReplicaStandin::carryOutLost() -> void
+auto ReplicaStandin::carryOutLost() -> std::size_t
 {
-    for (const auto& body : std::exchange(lostOrders_, {}))
-        (void)carryOut(body);
+    constexpr auto firstRefusal = 400;
+    const auto lost = std::exchange(lostOrders_, {});
+    return static_cast<std::size_t>(std::count_if(
+        lost.begin(), lost.end(), [&](const std::string& body) { return carryOut(body) < firstRefusal; }));
 }
 
 auto ReplicaStandin::answerHead(const wire::HttpRequestMessage& request, int status) const -> wire::HttpResponseHead
--- a/standins/ReplicaStandin.h
+++ b/standins/ReplicaStandin.h
@@ -57,10 +57,10 @@
     [[nodiscard]] auto crashed() const noexcept -> bool { return crashed_; }
     /// Requests that were ended by their caller's close.
     [[nodiscard]] auto cancelled() const noexcept -> std::size_t { return cancelled_; }
-    /// A new start at the same address: empty, with a new instance.
+    /// A new start at the same address, also under the same name: empty, born later.
     auto restart(const std::string& instance) -> void;
-    /// Carries out the orders whose answers were lost, as far as their conditions still hold.
-    auto carryOutLost() -> void;
+    /// Carries out the orders whose answers were lost, as far as their conditions still hold; tells how many did.
+    auto carryOutLost() -> std::size_t;
     auto server() noexcept -> LoopServer& { return server_; }
 
 private:
@@ -84,6 +84,7 @@
     std::map<std::string, std::uint64_t> adapters_;
     std::uint64_t sequence_ = 0;
     std::uint64_t highestFence_ = 0;
+    std::uint64_t born_ = 1'700'000'000'000;
     std::size_t slots_ = 2;
     bool hasModel_ = true;
     bool crashed_ = false;
--- a/tests/integration/ServingAgents.cpp
+++ b/tests/integration/ServingAgents.cpp
@@ -32,14 +32,16 @@
     BOOST_TEST(world.engine(0).runs().size() == 6U);
 }
 
-// Every order bears the fencing token and the count of orders before it.
+// Every order bears the fencing token and the count of orders before it. The token is the agent's number from the
+// store, above the number of the replica's starts that it has seen end.
 BOOST_AUTO_TEST_CASE(orders_carry_a_fence_and_a_condition)
 {
     auto world = ServingWorld(1, 0);
     world.startGateway();
     (void)world.ask({ .attempt = "one", .adapter = "a1" });
     (void)world.ask({ .attempt = "two", .adapter = "a2" });
-    BOOST_TEST(orderAt(world, 0).at("fencingToken") == 1);
+    BOOST_TEST(orderAt(world, 0).at("fencingToken") == 1U << 16U);
+    BOOST_TEST(orderAt(world, 1).at("fencingToken") == 1U << 16U);
     BOOST_TEST(orderAt(world, 0).at("precondition") == 0);
     BOOST_TEST(orderAt(world, 1).at("precondition") == 1);
 }
@@ -71,7 +73,7 @@
     auto first = world.begin({ .attempt = "one", .adapter = "a1" });
     BOOST_TEST(world.until([&] { return world.engine(0).orders().size() >= 2; }));
     world.engine(0).behave({});
-    world.engine(0).carryOutLost();
+    BOOST_TEST(world.engine(0).carryOutLost() == 1U);
     BOOST_TEST(world.loop().wait(kj::mv(first)).status == 200);
     for (auto count = 0; count < 4; ++count)
         (void)world.ask({ .attempt = "at-" + std::to_string(count), .adapter = "b" + std::to_string(count) });
--- a/tests/unit/UsersPlatform.cpp
+++ b/tests/unit/UsersPlatform.cpp
@@ -139,3 +139,64 @@
     BOOST_REQUIRE(report.coming.size() == 1U);
     BOOST_TEST(report.coming[0].str() == "a3");
 }
+
+namespace {
+
+auto entryWith(const std::string& name, const std::string& value) -> std::string
+{
+    auto fields = std::map<std::string, std::string> { { "service", R"("s")" }, { "address", R"("10.0.0.1:80")" },
+        { "zone", R"("z")" }, { "state", R"("ready")" }, { "slots", "24" }, { "models", "[]" },
+        { "born", "1700000000000" } };
+    fields[name] = value;
+    auto text = std::string();
+    for (const auto& [field, content] : fields) {
+        if (!content.empty())
+            text.append(text.empty() ? "{\"" : ",\"").append(field).append("\":").append(content);
+    }
+    return text + "}";
+}
+
+auto unreadable(const std::string& name, const std::string& value) -> bool
+{
+    return failed<serving::ReplicaRecord>([&] { return readReplica("i", entryWith(name, value)); });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(an_entry_of_a_replica_tells_its_start)
+{
+    BOOST_TEST(!unreadable("zone", R"("z")"));
+    BOOST_TEST(!unreadable("more", R"({"new":[1]})"));
+    // Written before replicas told their birth.
+    BOOST_TEST(!unreadable("born", ""));
+}
+
+// Another writer's entry, read as far as it goes, would be a replica with four thousand million places, or one at no
+// address, to which requests are sent and lost.
+BOOST_AUTO_TEST_CASE(an_entry_with_missing_or_other_fields_is_no_replica)
+{
+    for (const auto* name : { "service", "address", "zone", "state", "slots" }) {
+        for (const auto* value : { "", "null", "[]", "{}", "-1", "1.5", "true", R"("")" }) {
+            const auto allowed = std::string_view(value) == R"("")"
+                && (std::string_view(name) == "service" || std::string_view(name) == "zone");
+            BOOST_TEST(unreadable(name, value) == !allowed, name << " = " << value);
+        }
+    }
+    for (const auto* value : { "-1", "1.5", "true", R"("1700000000000")", "[]" })
+        BOOST_TEST(unreadable("born", value), value);
+    BOOST_TEST(unreadable("slots", "4294967297"));
+    BOOST_TEST(unreadable("state", R"("resting")"));
+    BOOST_TEST(unreadable("address", R"("somewhere")"));
+    BOOST_TEST(unreadable("address", R"("host.example:80")"));
+    BOOST_TEST(unreadable("address", R"("10.0.0.1:0")"));
+    BOOST_TEST(unreadable("models", "{}"));
+    BOOST_TEST(unreadable("models", R"(["m"])"));
+    BOOST_TEST(unreadable("models", R"([{"name":"m","adapters":[7]}])"));
+}
+
+BOOST_AUTO_TEST_CASE(a_report_without_its_count_of_orders_is_none)
+{
+    BOOST_TEST(failed<ReplicaReport>([] { return readReport(R"({"models":[]})"); }));
+    BOOST_TEST(failed<ReplicaReport>([] { return readReport(R"({"models":[],"sequence":-1})"); }));
+    BOOST_TEST(!failed<ReplicaReport>([] { return readReport(R"({"models":[],"sequence":1,"born":5})"); }));
+}
