Six times the slots of adapters are remembered as at hand, in place of 36

Cause: an adapter that a replica held not long ago comes back ten times as fast and costs the store nothing. Replicas keep some 84 of them at 14 slots, 72 at 12, 42 at 7 (time of loads against the number of other adapters since, in the logs of three deployments); entries remembered 36, and sent the request to where the adapter had to be fetched.

--- a/packages/serving/ReplicaDirectory.h
+++ b/packages/serving/ReplicaDirectory.h
@@ -84,8 +84,8 @@
     auto rememberPrompt(std::uint64_t sharedId) -> void;
     /// Whether the replica held the adapter not long ago, so that its weights are still at hand there.
     [[nodiscard]] auto warm(const AdapterName& adapter) const -> bool { return lastHeld_.contains(adapter); }
-    /// Notes what the replica holds now.
-    auto holding(const std::map<AdapterName, AdapterVersion>& adapters) -> void;
+    /// Notes what the replica holds now; remembers the last `most`.
+    auto holding(const std::map<AdapterName, AdapterVersion>& adapters, std::size_t most) -> void;
 
 private:
     ReplicaRecord record_;
