--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -156,7 +156,7 @@
     if (startedAgain(*read))
         forgetReplica("started again");
     // A report may be a little older than the answer to the last order.
-    else if (report_)
+    if (report_)
         read->sequence = std::max(read->sequence, report_->sequence);
     reportFailures_ = 0;
     if (!report_)
