A peer's reading from before the outage is no sign that the store serves others

Cause, found by reading the diff: a peer's list up to 1.5 s old counted as evidence that the store was away for one entry alone. In an outage for all, the last reading before it can be that young when the first question is asked; if the store then came back within three seconds, replicas whose entries had lapsed would have counted as gone at once. Change: only a reading later than this entry's loss of the store is evidence. Test: fails with the condition taken out (run so).

--- a/packages/decisions/LapseGrace.h
+++ b/packages/decisions/LapseGrace.h
@@ -18,19 +18,33 @@
 /// turned away alone kept replicas that had left for 3.0 s after it was let in again.
 ///
 /// ```cpp
-/// grace.servedElsewhere(now);
+/// grace.lost(now);
+/// grace.servedElsewhere(peersReading);
 /// grace.regained(now);
 /// if (grace.gone(replica.listedAt(), now)) remove(replica);
 /// ```
 class LapseGrace {
 public:
-    /// The store serves another entry, though maybe not this one.
-    auto servedElsewhere(Moment now) noexcept -> void { servedElsewhereAt_ = now; }
+    /// The store does not answer, at `now` or since earlier.
+    auto lost(Moment now) noexcept -> void
+    {
+        if (!lostAt_)
+            lostAt_ = now;
+    }
+    /// Another entry read the list at `readAt`. Only a reading after this entry lost the store shows that it serves
+    /// others meanwhile: taken for that, the last reading before an outage for all took the grace away, and the entries
+    /// of living replicas that lapsed in it counted as gone.
+    auto servedElsewhere(Moment readAt) noexcept -> void
+    {
+        if (!lostAt_ || readAt > *lostAt_)
+            servedElsewhereAt_ = readAt;
+    }
     /// The store answers again, or for the first time.
     auto regained(Moment now) noexcept -> void
     {
         if (!servedElsewhereAt_ || now - *servedElsewhereAt_ > evidenceHolds)
             regainedAt_ = now;
+        lostAt_.reset();
     }
     /// Of a replica that the reading of `now` does not name. `listedAt` is when a reading last did; empty when only a
     /// peer told of it.
@@ -46,6 +60,7 @@
     static constexpr auto evidenceHolds = Duration(3s);
 
     Moment regainedAt_ {};
+    std::optional<Moment> lostAt_;
     std::optional<Moment> servedElsewhereAt_;
 };
 
--- a/packages/serving/ReplicaDirectory.cpp
+++ b/packages/serving/ReplicaDirectory.cpp
@@ -136,6 +136,7 @@
     if (answer.outcome != hosting::StoreOutcome::Done) {
         if (std::exchange(reachable_, false))
             log::warn("store lost", { { "step", "platform" }, { "reason", answer.reason } });
+        grace_.lost(now);
         if (!lostSince_)
             lostSince_ = now;
         timer_ = loop_.timers().after(listRetry, [this] { poll(); });
@@ -387,7 +388,7 @@
     if (age > freshList)
         return;
     // The store serves that entry: what it no longer knows has left.
-    grace_.servedElsewhere(loop_.timers().now());
+    grace_.servedElsewhere(loop_.timers().now() - age);
     removeMissing(list, [](const Replica&) { return true; });
 }
 
--- a/tests/unit/LapseGrace.cpp
+++ b/tests/unit/LapseGrace.cpp
@@ -61,6 +61,7 @@
 {
     auto grace = LapseGrace();
     grace.regained(at(0s));
+    grace.lost(at(15s));
     grace.servedElsewhere(at(19s));
     grace.regained(at(20s));
     BOOST_TEST(grace.gone(at(5s), at(20s)));
@@ -74,3 +75,17 @@
     grace.regained(at(20s));
     BOOST_TEST(!grace.gone(at(5s), at(20s)));
 }
+
+// Callers are turned away everywhere as the store comes back.
+// 1. The store goes away for all; another entry had read the list just before. 2. Entries of living replicas lapse. 3.
+// It comes back within three seconds; taken for a sign that the store served others, that reading made them all count
+// as gone.
+BOOST_AUTO_TEST_CASE(a_peers_last_reading_before_the_outage_takes_no_grace_away)
+{
+    auto grace = LapseGrace();
+    grace.regained(at(0s));
+    grace.lost(at(18s));
+    grace.servedElsewhere(at(17s) + 900ms);
+    grace.regained(at(20s));
+    BOOST_TEST(!grace.gone(at(17s), at(20s)));
+}
