--- a/packages/decisions/AdmissionQueue.h
+++ b/packages/decisions/AdmissionQueue.h
@@ -84,8 +84,7 @@
 /// would leave the engine idle between two grants, more would take the order out of our hands.
 /// Order: what can still be on time, the more urgent first, then by the moment it will be late; behind it what will be
 /// late anyway, in order of arrival. Taking the earliest moment first without asking whether it can still be met serves
-/// everything a little too late once there is more work than time: in the replayed burst 23 % of the questions were on
-/// time that way.
+/// everything a little too late once there is more work than time.
 /// What cannot be reached before its caller leaves is refused when that is known and not when it has waited for it; the
 /// share of the engine that more urgent requests have lately taken is counted as not there.
 ///
@@ -105,8 +104,7 @@
     /// adapter still needs.
     ///
     /// A request that would be late here and can go elsewhere is told so. Its entry chose by figures that are some
-    /// hundred milliseconds old, in which others chose the same replica: in the replayed load of 24 replicas and 14
-    /// entries, with figures 400 ms old, 4.5 % of the requests are late in place of 12.4 %.
+    /// hundred milliseconds old, in which others chose the same replica; the queue's own figures are true.
     [[nodiscard]] auto offer(AdmissionRequest request, const Ready& ready, Duration loadTime, Moment now)
         -> std::optional<AdmissionRefusal>;
     /// Takes out what may be sent now, `most` at the most.
--- a/packages/decisions/LoadPace.h
+++ b/packages/decisions/LoadPace.h
@@ -12,7 +12,7 @@
 /// Harm prevented: the weight store divides what it gives among all loads, so that with four from each replica all of
 /// them arrive late together. One after another, most requests have theirs in time, and as many arrive in all.
 /// What only late requests wait for is fetched one at a time: on a shared store each such load is a wait for somebody
-/// who could have been on time. At the worst load mean worth 0.646 to 0.651, 2,529 to 2,440 adapters fetched a day.
+/// who could have been on time.
 /// Nobody counts the loads of all replicas; each goes back to one when its own took too long, and adds one for each
 /// that did not, as senders on a shared line do. What a replica has at hand comes without the store and says nothing of
 /// it.
--- a/packages/decisions/ReplicaChoice.h
+++ b/packages/decisions/ReplicaChoice.h
@@ -79,14 +79,13 @@
 ///
 /// Where every slot is in use, a load waits for the runs on one of them to end, and behind the loads that wait there
 /// already. Counted as one slot's time whatever the queue, ten adapters waited at one replica for slots that stood
-/// empty at another: two thirds of the late answers at the worst load.
+/// empty at another.
 ///
 /// The weight store gives all replicas together a few loads at a time, so a load waits for those before it though slots
-/// are free, and most of all after a loss of power. Counted, mean worth at the worst load rose from 0.634 to 0.642.
+/// are free, and most of all after a loss of power.
 ///
 /// What is fetched a second time, while one replica holds it, loads it or has it at hand, takes the store from adapters
-/// that are nowhere: 1,406 of 3,345 fetches of one day. Counted as the time that it takes others, fetches at the worst
-/// load fell from 2,735 to 2,512 a day and mean worth rose from 0.634 to 0.642; with both, 2,529 and 0.646.
+/// that are nowhere. It counts as the time that it takes others.
 ///
 /// A prompt that is so long, or a replica so slow, that running streams pause for too long while it is read, goes where
 /// few of them run.
@@ -96,12 +95,11 @@
 /// in the time between two of its reports, and work waited there while engines read a third of the time.
 ///
 /// Among several holders of an adapter each shared part of a prompt has a favourite too. An entry knows only what it
-/// sent itself; with many entries the same parts were read anew at every holder, a fifth of all that was read.
+/// sent itself; with many entries the same parts were read anew at every holder.
 ///
 /// An adapter that nobody holds goes to the replica that its name favours, unless that one is much later than others.
 /// Entries that do not know of each other then ask the same one, and an adapter that comes back finds its weights still
-/// at hand there: on nine replicas of seven slots, with demand spread by Zipf's law over 3,000 adapters, that is nine
-/// requests in ten.
+/// at hand there.
 [[nodiscard]] auto chooseReplica(std::span<const ReplicaView> replicas, const PlacementNeed& need)
     -> std::optional<std::size_t>;
 
--- a/packages/decisions/SharedReading.h
+++ b/packages/decisions/SharedReading.h
@@ -10,8 +10,7 @@
 ///
 /// Load made for: dozens of entries, each of which must know within a bound what the operator and the list of replicas
 /// say, while every call to the store is paid for.
-/// Harm prevented: 68 entries that each read for themselves made 3,000 calls in a minute, more than all else that the
-/// system asks of the store together.
+/// Harm prevented: entries that each read for themselves ask more of the store than all else in the system together.
 /// Reason for the limits: the reader reads, and the others ask it, every quarter of the bound, so that what they know
 /// is at most half of it old. A reader that falls silent, or whose own reading gets old, is left after five eighths:
 /// the rest is for one reading of one's own and for what is on its way by then.
