Members: known by their keys, held to their quotas, and nobody runs whose key was taken away

Cause: configurations name members now. The key went on to the replicas, the member was not told them, unknown keys ran, keys taken away ran on at entries that had not heard of it, and quotas were not counted.

- A request's key tells its member before anything else is looked at; 401 for none, two or an unknown one.
The key goes to no replica, log or metric; the member's name is set whatever the client sent, also on second sends.
- ConfigurationFreshness: an entry acts on keys only while its configuration is known to have been the newest less than the bound ago, asked right before each send.
RemoteClock proves a long poll's answer as of the store's own clock: by its sending it would be a poll older.
The reader of a zone tells the age of its configuration apart from that of its list: a reader whose poll hung while its list was fresh made a whole zone stay behind.
Entries that hear nothing ask peers, and are not ready beyond the bound.
- Quotas are counted by two agents for each member (rendezvous hashing): the first decides, the second is told.
An agent that begins to count has an empty bucket; an entry that reaches neither grants its equal share.

Ruled out: a bound counted from a poll's sending (needs polls of half a second); the freshness of the list as that of the configuration; rows in the store (nothing could be granted while it is away).

--- /dev/null
+++ b/packages/decisions/QuotaBucket.cpp
@@ -0,0 +1,63 @@
+#include "decisions/QuotaBucket.h"
+
+#include <algorithm>
+
+namespace eelgrass::decisions {
+
+namespace {
+
+constexpr auto longestWait = 10.0;
+
+auto secondsOf(Duration time) noexcept -> double { return std::chrono::duration<double>(time).count(); }
+
+} // namespace
+
+auto QuotaBucket::refill(Moment now) noexcept -> void
+{
+    // A bucket that has just begun to count is empty: what was granted before, by others, is not known here.
+    const auto credit = at_ == Moment() ? 0 : rate_.perSecond * secondsOf(std::max(now - at_, Duration(0)));
+    at_ = std::max(at_, now);
+    level_ = std::min(level_ + credit, rate_.burst);
+    told_ = std::max(told_ - credit, 0.0);
+}
+
+auto QuotaBucket::setRate(const QuotaRate& rate, Moment now) noexcept -> void
+{
+    refill(now);
+    rate_ = rate;
+    level_ = std::min(level_, rate_.burst);
+}
+
+auto QuotaBucket::take(double amount, Moment now) noexcept -> Verdict
+{
+    refill(now);
+    const auto least = std::min(amount, rate_.burst + rate_.lenience);
+    const auto missing = least - (level_ + rate_.lenience);
+    if (missing <= 0) {
+        level_ -= amount;
+        return { .granted = true };
+    }
+    const auto wait = rate_.perSecond > 0 ? std::min((missing + told_) / rate_.perSecond, longestWait) : longestWait;
+    told_ = std::min(told_ + amount, longestWait * rate_.perSecond);
+    return { .retryAfter = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait)) };
+}
+
+auto QuotaBucket::charge(double amount, Moment now) noexcept -> void
+{
+    refill(now);
+    level_ = std::min(level_ - amount, rate_.burst);
+}
+
+auto QuotaBucket::atMost(double level, Moment now) noexcept -> void
+{
+    refill(now);
+    level_ = std::min(level_, level);
+}
+
+auto QuotaBucket::level(Moment now) noexcept -> double
+{
+    refill(now);
+    return level_;
+}
+
+} // namespace eelgrass::decisions
--- a/packages/serving/AgentLink.cpp
+++ b/packages/serving/AgentLink.cpp
@@ -19,6 +19,16 @@
 constexpr auto nearAge = Duration(400ms);
 constexpr auto farAge = Duration(700ms);
 
+auto fill(wire::schema::QuotaCharge::Builder into, const QuotaCharge& charge) -> void
+{
+    into.setMember(charge.member.str());
+    into.setAmount(charge.amount);
+    into.setConfigVersion(charge.version.value());
+    into.setRatePerSecond(charge.rate.perSecond);
+    into.setBurst(charge.rate.burst);
+    into.setLenience(charge.rate.lenience);
+}
+
 } // namespace
 
 class AgentLink::Listener final : public wire::schema::ReplicaListener::Server {
@@ -224,6 +234,32 @@
     }
 }
 
+auto AgentLink::takeQuota(const QuotaCharge& charge) -> kj::Promise<QuotaVerdict>
+{
+    if (!session_)
+        return KJ_EXCEPTION(DISCONNECTED, "no session with the agent");
+    KJ_IF_MAYBE (client, session_->client) {
+        auto call = client->takeQuotaRequest();
+        fill(call.initCharge(), charge);
+        return call.send().then([](auto&& answer) {
+            return QuotaVerdict { answer.getGranted(), milliseconds(answer.getRetryAfterMs()), answer.getLevel() };
+        });
+    }
+    return KJ_EXCEPTION(DISCONNECTED, "no session with the agent");
+}
+
+auto AgentLink::noteQuota(const QuotaCharge& charge, double level) -> void
+{
+    if (!session_)
+        return;
+    KJ_IF_MAYBE (client, session_->client) {
+        auto call = client->noteQuotaRequest();
+        fill(call.initCharge(), charge);
+        call.setLevel(level);
+        detail::sendOneWay(loop_, call);
+    }
+}
+
 auto AgentLink::configured(std::shared_ptr<const ServingConfiguration> configuration, const std::string& holder) -> void
 {
     configuration_ = std::move(configuration);
--- a/packages/serving/AgentLink.h
+++ b/packages/serving/AgentLink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decisions/QuotaBucket.h"
 #include "serving/Types.h"
 #include "wire/Door.h"
 #include "wire/MainLoop.h"
@@ -71,6 +72,23 @@
     bool late = false;
 };
 
+/// What a request counts against its member's quota.
+struct QuotaCharge {
+    MemberId member;
+    /// Less than 0 where something is given back.
+    double amount = 0;
+    /// Where the rate comes from: of two agents' the newer one counts.
+    ConfigVersion version;
+    decisions::QuotaRate rate;
+};
+
+struct QuotaVerdict {
+    bool granted = false;
+    milliseconds retryAfter { 0 };
+    /// What is left for others.
+    double level = 0;
+};
+
 /// An entry's session with the process beside one replica: admission there, and what it pushes about the replica.
 class AgentLink {
 public:
@@ -107,6 +125,11 @@
     auto release(const AttemptId& attempt, RunEnd end = RunEnd::Plain) -> void;
     /// A request of this digest broke off at a replica, or ran to its end after it had.
     auto suspect(const std::string& digest, bool broke) -> void;
+    /// Counts a request against its member's quota, if there is credit. Rejects when the session is lost.
+    [[nodiscard]] auto takeQuota(const QuotaCharge& charge) -> kj::Promise<QuotaVerdict>;
+    /// Another agent granted it and had `level` left, or it is given back.
+    auto noteQuota(const QuotaCharge& charge, double level) -> void;
+    [[nodiscard]] auto endpoint() const noexcept -> const Endpoint& { return endpoint_; }
     /// Tells which configuration this entry has, where it can be asked for, and what it says of engines.
     auto configured(std::shared_ptr<const ServingConfiguration> configuration, const std::string& holder) -> void;
 
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -118,6 +118,31 @@
         return kj::READY_NOW;
     }
 
+    auto takeQuota(TakeQuotaContext context) -> kj::Promise<void> override
+    {
+        const auto charge = context.getParams().getCharge();
+        const auto now = role_.loop_.timers().now();
+        auto& bucket = role_.quotas_.of(charge, now);
+        const auto verdict = bucket.take(charge.getAmount(), now);
+        auto results = context.getResults();
+        results.setGranted(verdict.granted);
+        results.setRetryAfterMs(
+            static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(verdict.retryAfter).count()));
+        results.setLevel(bucket.level(now));
+        return kj::READY_NOW;
+    }
+
+    auto noteQuota(NoteQuotaContext context) -> kj::Promise<void> override
+    {
+        const auto charge = context.getParams().getCharge();
+        const auto now = role_.loop_.timers().now();
+        auto& bucket = role_.quotas_.of(charge, now);
+        bucket.charge(charge.getAmount(), now);
+        if (charge.getAmount() > 0)
+            bucket.atMost(context.getParams().getLevel(), now);
+        return kj::READY_NOW;
+    }
+
 private:
     AgentRole& role_;
     std::string entry_;
--- a/packages/serving/AgentRole.h
+++ b/packages/serving/AgentRole.h
@@ -2,6 +2,7 @@
 
 #include "decisions/Quarantine.h"
 #include "router/Metrics.h"
+#include "serving/QuotaBoard.h"
 #include "serving/ReplicaAgent.h"
 #include "serving/StatePublisher.h"
 #include "serving/TextServer.h"
@@ -54,6 +55,7 @@
     /// Where the entries of this zone can be asked.
     std::map<const Session*, std::string> nearPeers_;
     decisions::Quarantine suspects_;
+    QuotaBoard quotas_;
     ConfigVersion configVersion_;
     std::string configHolder_;
     std::unique_ptr<wire::Listener> listener_;
--- a/packages/serving/ConfigurationFollower.cpp
+++ b/packages/serving/ConfigurationFollower.cpp
@@ -14,20 +14,39 @@
 // A long poll that hears nothing ends after this share of the bound: a connection gone silent for good is found by then
 // and a little more, within the time that a host has to be in touch again. Each call to the store is paid for.
 constexpr auto pollShare = 0.75;
+// Keys want a shorter one: what an entry knows gets older by it, by the interval of the reader of its zone, and by the
+// time for which entries go on without the store. A fifth of the bound for keys leaves three for that time.
+constexpr auto keyShare = 0.2;
+// Of the bound for keys, left for a request on its way to a replica and for a process that was slow to send it.
+constexpr auto keyMargin = Duration(300ms);
 // After a failure; a store that turns this host away is asked twice a second.
 constexpr auto retryAfter = Duration(500ms);
 
 } // namespace
 
 ConfigurationFollower::ConfigurationFollower(
-    wire::MainLoop& loop, hosting::Store& store, Duration bound, OnChange onChange)
+    wire::MainLoop& loop, hosting::Store& store, const Bounds& bounds, OnChange onChange)
     : loop_(loop)
     , store_(store)
-    , pollWait_(std::chrono::duration_cast<Duration>(pollShare * bound))
+    , bounds_(bounds)
     , onChange_(std::move(onChange))
+    , freshness_(bounds.keys ? std::max(*bounds.keys - keyMargin, Duration(0)) : Duration::max())
 {
 }
 
+auto ConfigurationFollower::pollWait() const -> Duration
+{
+    const auto usual = std::chrono::duration_cast<Duration>(pollShare * bounds_.inForce);
+    if (!bounds_.keys || members_.empty())
+        return usual;
+    return std::min(usual, std::chrono::duration_cast<Duration>(keyShare * *bounds_.keys));
+}
+
+auto ConfigurationFollower::keysHold() const -> bool
+{
+    return !bounds_.keys || freshness_.holds(loop_.timers().now());
+}
+
 auto ConfigurationFollower::poll() -> void
 {
     const auto now = loop_.timers().now();
@@ -35,7 +54,7 @@
         retry_ = loop_.timers().after(sparedUntil_ - now, [this] { poll(); });
         return;
     }
-    auto answer = known_ ? store_.follow(table, *known_, pollWait_) : store_.read(table);
+    auto answer = known_ ? store_.follow(table, *known_, pollWait()) : store_.read(table);
     work_ = answer.then([this](hosting::StoreAnswer&& received) { take(std::move(received)); })
                 .eagerlyEvaluate([](kj::Exception&& error) {
                     log::error("configuration poll failed", { { "reason", error.getDescription().cStr() } });
@@ -52,6 +71,7 @@
         known_ = std::max(answer.version, known_.value_or(0));
         for (const auto& row : answer.rows)
             takeRow(row);
+        noteConfirmed(answer);
     } else if (answer.outcome == hosting::StoreOutcome::HistoryGone) {
         log::warn("store forgot its history", { { "known", std::to_string(known_.value_or(0)) } });
         known_.reset();
@@ -68,12 +88,27 @@
     if (row.deleted)
         return;
     if (row.key == configurationKey)
-        offer(row.value, "store");
+        misread_ = !offer(row.value, "store");
     else if (row.key.starts_with(versionPrefix))
         offerVersion(row.value, "store");
 }
 
-auto ConfigurationFollower::offer(std::string_view text, std::string_view source) -> void
+auto ConfigurationFollower::noteConfirmed(const hosting::StoreAnswer& answer) -> void
+{
+    if (answer.storeTime)
+        storeClock_.note(answer.askedAt, *answer.storeTime);
+    if (misread_)
+        return;
+    freshness_.confirmed(answer.storeTime ? storeClock_.earliest(answer.askedAt, *answer.storeTime) : answer.askedAt);
+}
+
+auto ConfigurationFollower::learn(std::string_view text, Moment at, std::string_view source) -> void
+{
+    if (text.empty() || offer(text, source))
+        freshness_.confirmed(at);
+}
+
+auto ConfigurationFollower::offer(std::string_view text, std::string_view source) -> bool
 {
     auto read = orElse(
         [&]() -> Result<std::shared_ptr<const ServingConfiguration>> {
@@ -86,13 +121,16 @@
             return nullptr;
         });
     if (!read || (configuration_ && configuration_->version >= read->version))
-        return;
+        return read != nullptr;
     configuration_ = std::move(read);
     routes_ = RouteTable(*configuration_);
+    members_ = MemberTable(*configuration_);
     log::info("configuration in force",
         { { "version", std::to_string(configuration_->version.value()) }, { "source", std::string(source) },
-            { "routes", std::to_string(configuration_->routes.size()) } });
+            { "routes", std::to_string(configuration_->routes.size()) },
+            { "members", std::to_string(configuration_->members.size()) } });
     onChange_();
+    return true;
 }
 
 auto ConfigurationFollower::offerVersion(std::string_view text, std::string_view source) -> void
--- a/packages/serving/ConfigurationFollower.h
+++ b/packages/serving/ConfigurationFollower.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "decisions/ConfigurationFreshness.h"
+#include "decisions/RemoteClock.h"
 #include "platform/Documents.h"
 #include "platform/Store.h"
+#include "serving/MemberTable.h"
 #include "serving/RouteTable.h"
 #include "serving/Types.h"
 #include "wire/MainLoop.h"
@@ -20,9 +23,15 @@
 class ConfigurationFollower {
 public:
     using OnChange = std::function<void()>;
+    struct Bounds {
+        /// Within this a configuration must be in force.
+        Duration inForce = 2s;
+        /// Within this a key that was taken away must be out of use, also at entries that cannot hear of it; empty
+        /// where such entries may go on.
+        std::optional<Duration> keys;
+    };
 
-    /// `bound` is the time within which a configuration must be in force.
-    ConfigurationFollower(wire::MainLoop& loop, hosting::Store& store, Duration bound, OnChange onChange);
+    ConfigurationFollower(wire::MainLoop& loop, hosting::Store& store, const Bounds& bounds, OnChange onChange);
 
     auto start() -> void { poll(); }
     /// Null until there is one.
@@ -31,11 +40,19 @@
         return configuration_;
     }
     [[nodiscard]] auto routes() const noexcept -> const RouteTable& { return routes_; }
+    [[nodiscard]] auto members() const noexcept -> const MemberTable& { return members_; }
+    /// Whether a request with a key may be sent now, for all that is known of what was taken away.
+    [[nodiscard]] auto keysHold() const -> bool;
+    /// How long ago the configuration was surely the newest.
+    [[nodiscard]] auto age() const -> Duration { return freshness_.age(loop_.timers().now()); }
     /// The version that requests for an adapter must run; the first one unless a newer one was named.
     [[nodiscard]] auto versionOf(const BaseModel& model, const AdapterName& adapter) const -> AdapterVersion;
 
-    /// Takes a configuration from `source`, if it is newer.
-    auto offer(std::string_view text, std::string_view source) -> void;
+    /// Another entry's configuration, of which that entry knew `at`, at the earliest, that it was the newest. The text is
+    /// empty where it is not newer than this entry's.
+    auto learn(std::string_view text, Moment at, std::string_view source) -> void;
+    /// Takes a configuration from `source`, if it is newer; false where it cannot be understood.
+    auto offer(std::string_view text, std::string_view source) -> bool;
     auto offerVersion(std::string_view text, std::string_view source) -> void;
     /// The named versions as peers are told them.
     [[nodiscard]] auto versionsText() const -> std::string;
@@ -49,13 +66,20 @@
     auto poll() -> void;
     auto take(hosting::StoreAnswer answer) -> void;
     auto takeRow(const hosting::Row& row) -> void;
+    auto noteConfirmed(const hosting::StoreAnswer& answer) -> void;
+    [[nodiscard]] auto pollWait() const -> Duration;
 
     wire::MainLoop& loop_;
     hosting::Store& store_;
-    Duration pollWait_;
+    Bounds bounds_;
     OnChange onChange_;
     std::shared_ptr<const ServingConfiguration> configuration_;
     RouteTable routes_;
+    MemberTable members_;
+    decisions::ConfigurationFreshness freshness_;
+    decisions::RemoteClock storeClock_;
+    /// The store's configuration could not be understood: what is in force is not the newest.
+    bool misread_ = false;
     std::map<std::pair<BaseModel, AdapterName>, AdapterVersion> versions_;
     /// The store's version up to which everything is known; empty until the table was read.
     std::optional<std::uint64_t> known_;
--- a/packages/serving/Gateway.h
+++ b/packages/serving/Gateway.h
@@ -4,6 +4,7 @@
 #include "decisions/SharedRetryBudget.h"
 #include "router/Metrics.h"
 #include "serving/ConfigurationFollower.h"
+#include "serving/MemberQuotas.h"
 #include "serving/ReplicaDirectory.h"
 #include "serving/Settings.h"
 #include "serving/SuspectRequests.h"
@@ -21,6 +22,7 @@
     router::Metrics& metrics;
     DeferredCalls& deferred;
     SuspectRequests& suspects;
+    MemberQuotas& quotas;
     std::map<ServiceName, decisions::SharedRetryBudget> budgets {};
     /// Entries that share the retry budget, as far as is known.
     std::size_t entries = 6;
--- a/packages/serving/GatewayRole.cpp
+++ b/packages/serving/GatewayRole.cpp
@@ -16,6 +16,9 @@
 constexpr auto behindTooLong = Duration(600ms);
 // How long an entry does without the store's list of replicas before it asks a peer, and between two such questions.
 constexpr auto listTooOld = Duration(1s);
+// The share of the bound for keys after which an entry that is told nothing asks others, and between two questions then.
+constexpr auto keysTooOld = 0.4;
+constexpr auto keysAgain = Duration(400ms);
 // The platform takes an entry out after two probes a second apart; then idle connections may be closed.
 constexpr auto balancerDelay = Duration(2500ms);
 // From here on a stopping entry takes no connection: what comes later could not be finished in the time for a stop.
@@ -46,6 +49,9 @@
         constexpr auto longestAge = std::numeric_limits<std::uint32_t>::max();
         const auto age = std::chrono::duration_cast<milliseconds>(role_.directory_.listAge()).count();
         results.setListAgeMs(static_cast<std::uint32_t>(std::min<milliseconds::rep>(age, longestAge)));
+        // Rounded up: it must not seem newer than it is.
+        const auto configAge = std::chrono::ceil<milliseconds>(role_.configuration_.age()).count();
+        results.setConfigAgeMs(static_cast<std::uint32_t>(std::min<milliseconds::rep>(configAge, longestAge)));
         const auto versions = role_.configuration_.versionsText();
         results.setVersions(decisions::nameHash(versions));
         if (context.getParams().getHaveVersions() != results.getVersions())
@@ -63,7 +69,8 @@
     , metrics_(metricClasses)
     , deferred_(loop.timers())
     , store_(loop.timers(), settings_.host.store)
-    , configuration_(loop, store_, settings_.configurationBound, [this] { onConfiguration(); })
+    , configuration_(
+          loop, store_, { settings_.configurationBound, settings_.keyBound }, [this] { onConfiguration(); })
     , directory_(loop, store_,
           { .entry = settings_.host.name,
               .zone = settings_.host.zone,
@@ -71,7 +78,8 @@
               .drainBound = settings_.drainBound },
           { .onState = [this](const ReplicaSnapshot& state) { onState(state); } })
     , suspects_(directory_)
-    , gateway_ { loop, settings_, configuration_, directory_, metrics_, deferred_, suspects_ }
+    , quotas_(loop, directory_, settings_.quotas)
+    , gateway_ { loop, settings_, configuration_, directory_, metrics_, deferred_, suspects_, quotas_ }
     , peerSessions_(loop.timers())
     , reader_(loop, decisions::SharedReading(settings_.drainBound).sharedInterval(),
           { .ask = [this](ReaderLink::Question question) { askReader(question); },
@@ -101,7 +109,7 @@
     timer_ = loop_.timers().every(peerCheck, [this] {
         countEntries();
         findReader();
-        askSeeds();
+        askPeers();
     });
     log::info("listening",
         { { "port", std::to_string(clients_->port()) }, { "peer_port", std::to_string(peers_->port()) },
@@ -163,19 +171,37 @@
     directory_.shareConnections(gateway_.entries);
 }
 
-auto GatewayRole::askSeeds() -> void
+auto GatewayRole::peersToAsk() const -> std::vector<Endpoint>
+{
+    auto peers = settings_.seeds;
+    for (const auto& [instance, replica] : directory_.all()) {
+        const auto* agent = replica->agent();
+        const auto reader = agent && agent->alive() ? parseEndpoint(agent->state().reader) : std::nullopt;
+        if (reader && std::find(peers.begin(), peers.end(), *reader) == peers.end())
+            peers.push_back(*reader);
+    }
+    return peers;
+}
+
+auto GatewayRole::askPeers() -> void
 {
     const auto knowsAll = configuration_.configuration() && directory_.known();
     const auto now = loop_.timers().now();
-    // An entry to which the store is closed learns of new and leaving replicas from its peers.
-    const auto cutOff
-        = directory_.lostSince() && now - *directory_.lostSince() > listTooOld && now - askedAt_ > listTooOld;
-    if ((knowsAll && !cutOff) || settings_.seeds.empty())
+    // An entry to which the store is closed learns of configurations, and of new and leaving replicas, from its peers.
+    const auto listOld = directory_.lostSince() && now - *directory_.lostSince() > listTooOld;
+    const auto keyAge = std::chrono::duration_cast<Duration>(
+        keysTooOld * std::chrono::duration<double, std::milli>(settings_.keyBound.value_or(milliseconds(0))));
+    const auto keysOld = settings_.keyBound && !configuration_.members().empty() && configuration_.age() > keyAge;
+    const auto due = now - askedAt_ > (keysOld ? keysAgain : listTooOld);
+    if (knowsAll && !((listOld || keysOld) && due))
+        return;
+    const auto peers = peersToAsk();
+    if (peers.empty())
         return;
     askedAt_ = now;
-    const auto& seed = settings_.seeds[nextSeed_++ % settings_.seeds.size()];
-    if (seed != settings_.peers)
-        askPeer(seed, knowsAll ? "store closed" : "nothing known");
+    const auto& peer = peers[nextPeer_++ % peers.size()];
+    if (peer != settings_.peers)
+        askPeer(peer, knowsAll ? "store closed" : "nothing known");
 }
 
 auto GatewayRole::askPeer(const Endpoint& peer, std::string_view why) -> void
@@ -190,7 +216,8 @@
               auto call = session->bootstrap().castAs<wire::schema::EntryPeer>().snapshotRequest();
               call.setHaveConfig(mine.value());
               return call.send()
-                  .then([this, name](auto&& answer) { learnFromPeer(answer, name); })
+                  .then([this, name, asked = loop_.timers().now()](
+                            auto&& answer) { learnFromPeer(answer, asked, name); })
                   .attach(std::move(session));
           });
     constexpr auto peerTimeout = Duration(1s);
@@ -202,12 +229,9 @@
             .then([this] { asking_ = false; }));
 }
 
-auto GatewayRole::learnFromPeer(wire::schema::EntryPeer::SnapshotResults::Reader answer, const std::string& peer)
-    -> void
+auto GatewayRole::learnFromPeer(ReaderLink::Answer answer, Moment asked, const std::string& peer) -> void
 {
-    if (answer.getConfig().size() > 0)
-        configuration_.offer(answer.getConfig().cStr(), peer);
-    configuration_.offerVersions(answer.getAdapterVersions().cStr(), peer);
+    learnConfiguration(answer, asked, peer);
     if (!directory_.known() || directory_.lostSince())
         directory_.offer(answer.getReplicas().cStr(), milliseconds(answer.getListAgeMs()), peer);
 }
@@ -242,28 +266,41 @@
     question.setHaveVersions(readersVersions_);
 }
 
+/// Each fact is judged by its own age: a reader whose list is new may not have heard of configurations for long, and the
+/// other way round. What is too old spares nothing, and one's own reading is not held up by it.
 auto GatewayRole::learnFromReader(ReaderLink::Answer answer, const Endpoint& reader, Moment asked) -> void
 {
     const auto now = loop_.timers().now();
-    const auto age = Duration(milliseconds(answer.getListAgeMs())) + (now - asked);
-    const auto spared = sharing_.sparedUntil(now, age);
-    // The store tells that entry nothing, or late: one's own reading may be better, and is not held up.
-    if (spared <= now)
-        return;
-    if (answer.getConfig().size() > 0)
-        configuration_.offer(answer.getConfig().cStr(), reader.str());
-    if (answer.getAdapterVersions().size() > 0)
-        configuration_.offerVersions(answer.getAdapterVersions().cStr(), reader.str());
-    directory_.follow(answer.getReplicas().cStr(), age, reader.str());
-    readersList_ = answer.getList();
+    learnConfiguration(answer, asked, reader.str());
     readersVersions_ = answer.getVersions();
-    if (!configuration_.configuration() || directory_.lostSince())
+    const auto spared = [&](std::uint32_t ageMs) {
+        return sharing_.sparedUntil(now, Duration(milliseconds(ageMs)) + (now - asked));
+    };
+    if (const auto until = spared(answer.getConfigAgeMs()); until > now && configuration_.configuration())
+        configuration_.spare(until);
+    const auto until = spared(answer.getListAgeMs());
+    if (until <= now)
         return;
-    directory_.spare(spared);
-    configuration_.spare(spared);
+    directory_.follow(
+        answer.getReplicas().cStr(), Duration(milliseconds(answer.getListAgeMs())) + (now - asked), reader.str());
+    readersList_ = answer.getList();
+    if (!directory_.lostSince())
+        directory_.spare(until);
 }
 
-auto GatewayRole::ready() const -> bool { return !stopping_ && configuration_.configuration() && directory_.known(); }
+auto GatewayRole::learnConfiguration(ReaderLink::Answer answer, Moment asked, const std::string& peer) -> void
+{
+    configuration_.learn(answer.getConfig().cStr(), asked - Duration(milliseconds(answer.getConfigAgeMs())), peer);
+    if (answer.getAdapterVersions().size() > 0)
+        configuration_.offerVersions(answer.getAdapterVersions().cStr(), peer);
+}
+
+/// An entry that may not use any key would refuse all that comes: new connections go to others while some of them can.
+auto GatewayRole::ready() const -> bool
+{
+    const auto serves = configuration_.members().empty() || configuration_.keysHold();
+    return !stopping_ && configuration_.configuration() && directory_.known() && serves;
+}
 
 auto GatewayRole::reload(const GatewaySettings& settings) -> void
 {
--- a/packages/serving/GatewayRole.h
+++ b/packages/serving/GatewayRole.h
@@ -44,12 +44,16 @@
     auto onState(const ReplicaSnapshot& state) -> void;
     auto countEntries() -> void;
     auto askPeer(const Endpoint& peer, std::string_view why) -> void;
-    auto askSeeds() -> void;
-    auto learnFromPeer(wire::schema::EntryPeer::SnapshotResults::Reader answer, const std::string& peer) -> void;
+    /// Where the store does not tell enough, one peer after another.
+    auto askPeers() -> void;
+    auto learnFromPeer(ReaderLink::Answer answer, Moment asked, const std::string& peer) -> void;
     /// The entry that reads the store for this zone, by what the zone's agents say.
     auto findReader() -> void;
     auto askReader(ReaderLink::Question question) -> void;
     auto learnFromReader(ReaderLink::Answer answer, const Endpoint& reader, Moment asked) -> void;
+    auto learnConfiguration(ReaderLink::Answer answer, Moment asked, const std::string& peer) -> void;
+    /// Where to ask when the store does not tell: the settings' entries, and those that read for their zones.
+    [[nodiscard]] auto peersToAsk() const -> std::vector<Endpoint>;
     auto endIfIdle() -> void;
 
     wire::MainLoop& loop_;
@@ -60,6 +64,7 @@
     ConfigurationFollower configuration_;
     ReplicaDirectory directory_;
     SuspectRequests suspects_;
+    MemberQuotas quotas_;
     Gateway gateway_;
     std::map<CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
     std::unique_ptr<wire::TcpListener> clients_;
@@ -73,7 +78,7 @@
     std::uint64_t readersList_ = 0;
     std::uint64_t readersVersions_ = 0;
     std::uint64_t readingsByThen_ = 0;
-    std::size_t nextSeed_ = 0;
+    std::size_t nextPeer_ = 0;
     bool asking_ = false;
     Moment askedAt_ {};
     /// Since when an entry is known to have a newer configuration.
--- a/packages/serving/RequestPlacing.cpp
+++ b/packages/serving/RequestPlacing.cpp
@@ -175,7 +175,7 @@
         .sharedTokens = sharedTokens_,
         .sharedId = sharedId_,
         .outputTokens = facts_.outputTokens,
-        .priority = route_->priority,
+        .priority = urgency(),
         .untilLate = left(firstEventSeen_ ? now + Duration(route_->pauseAim) : lateAt_),
         .untilGone = left(firstEventSeen_ ? std::min(endAt_, lastTold_ + patience(*route_)) : firstBy_),
         .elsewhere = sentOn_ < mostSentOn && !late_.contains(replica_->id()) };
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -43,7 +43,7 @@
                     self->connection_->resume();
             } });
     end_ = gateway_.loop.timers().after(firstBy_ - gateway_.now(), guarded(&RequestRun::onTimeUp));
-    place();
+    takeQuota();
 }
 
 auto RequestRun::readRequest() -> bool
@@ -64,7 +64,9 @@
         fail(badRequest, "no attempt id");
         return false;
     }
-    digest_ = digestOf(request_, facts_);
+    if (!authenticate())
+        return false;
+    digest_ = digestOf(request_, facts_, member_ ? member_->name : MemberId());
     if (gateway_.suspects.refused(digest_)) {
         fail(badGateway, "breaks off wherever it runs");
         return false;
@@ -85,6 +87,76 @@
     return true;
 }
 
+auto RequestRun::authenticate() -> bool
+{
+    const auto& members = gateway_.configuration.members();
+    if (route_->open || members.empty())
+        return true;
+    // What is not known to be in force says nothing, neither for a key nor against it.
+    if (!gateway_.configuration.keysHold()) {
+        gateway_.metrics.count("eelgrass_failed_closed_total", {});
+        refuse("configuration not confirmed", retryWhenUnknown);
+        return false;
+    }
+    member_ = members.find(hosting::readKey(request_));
+    if (!member_)
+        fail(unauthorized, "key not known");
+    return member_ != nullptr;
+}
+
+auto RequestRun::keyHolds() -> bool
+{
+    if (!member_)
+        return true;
+    if (!gateway_.configuration.keysHold()) {
+        gateway_.metrics.count("eelgrass_failed_closed_total", {});
+        giveUp("configuration not confirmed");
+        return false;
+    }
+    // It may have waited for longer than a key that was taken away may be used.
+    if (gateway_.configuration.configuration() == configuration_)
+        return true;
+    const auto* holder = gateway_.configuration.members().find(hosting::readKey(request_));
+    if (holder && holder->name == member_->name)
+        return true;
+    if (runs_ > 0 || told_ != Told::Nothing)
+        giveUp("key taken away");
+    else
+        fail(unauthorized, "key taken away");
+    return false;
+}
+
+auto RequestRun::urgency() const -> std::uint32_t
+{
+    return member_ && member_->priority ? *member_->priority : route_->priority;
+}
+
+/// Counted before anything is asked of a replica: who is over its limit hears so at once.
+auto RequestRun::takeQuota() -> void
+{
+    charged_ = member_ ? gateway_.quotas.chargeFor(*member_, configuration_->version, facts_) : std::nullopt;
+    if (!charged_)
+        return place();
+    // Answered from the loop, as an admission is.
+    admission_ = gateway_.quotas.take(*charged_, gateway_.entries)
+                     .then([this](QuotaVerdict&& verdict) {
+                         gateway_.deferred.add([self = shared_from_this(), verdict] { self->quotaAnswered(verdict); });
+                     })
+                     .eagerlyEvaluate([](kj::Exception&& error) {
+                         log::error("quota not counted", { { "reason", error.getDescription().cStr() } });
+                     });
+}
+
+auto RequestRun::quotaAnswered(const QuotaVerdict& verdict) -> void
+{
+    if (over_)
+        return;
+    if (verdict.granted)
+        return place();
+    charged_.reset();
+    refuseWith(tooManyRequests, "over the member's limit", verdict.retryAfter);
+}
+
 auto RequestRun::guarded(void (RequestRun::*step)()) -> std::function<void()>
 {
     return [weak = weak_from_this(), step] {
@@ -100,6 +172,8 @@
     // Not enough time to be an offer: it would be cut off at once, and then nobody could say that it has not run.
     if (timeLeft() < leastTime)
         return onTimeUp();
+    if (!keyHolds())
+        return;
     const auto now = gateway_.now();
     auto& budget = gateway_.budget(service_);
     if (sends_ == 0)
@@ -122,7 +196,9 @@
     auto options = hosting::ForwardOptions { .instance = replica_->id(), .version = version };
     options.timeLeft = std::max(std::chrono::duration_cast<milliseconds>(timeLeft()), milliseconds(1));
     if (replica_->agent())
-        options.priority = std::min(route_->priority, 9U);
+        options.priority = std::min(urgency(), leastUrgent);
+    if (member_)
+        options.member = member_->name;
     if (told_ == Told::Streaming)
         options.lastEvent = lastEvent_;
     const auto fields = hosting::forwardedFields(request_, options);
@@ -203,9 +279,15 @@
     // A refusal promises that the request has not run; where it may have, or part of its answer is out, that is untrue.
     if (runs_ > 0 || told_ != Told::Nothing)
         return giveUp(why);
+    refuseWith(unavailable, why, retryAfter);
+}
+
+auto RequestRun::refuseWith(int status, std::string_view why, milliseconds retryAfter) -> void
+{
+    const auto self = shared_from_this();
     told_ = Told::Whole;
-    caller_->respond({ unavailable, hosting::ownFields(facts_.attempt, retryAfter) }, {});
-    finish(unavailable, "refused", why);
+    caller_->respond({ status, hosting::ownFields(facts_.attempt, retryAfter) }, {});
+    finish(status, "refused", why);
 }
 
 auto RequestRun::fail(int status, std::string_view why) -> void
@@ -239,6 +321,9 @@
     if (grantedBy_)
         grantedBy_->release(facts_.attempt);
     grantedBy_ = nullptr;
+    // A refusal promises that it has not run.
+    if (charged_ && outcome == "refused")
+        gateway_.quotas.giveBack(*charged_);
     const auto now = gateway_.now();
     const auto name = route_ ? route_->name.str() : std::string("none");
     // A caller that left or was answered is the ordinary case; of everything else no line may be left out.
@@ -246,11 +331,13 @@
     (ordinary ? log::info : log::warn)("request over",
         { { "request", facts_.attempt.str() }, { "route", name }, { "outcome", std::string(outcome) },
             { "status", std::to_string(status) }, { "reason", std::string(why) },
+            { "member", member_ ? member_->name.str() : "" }, { "configuration_age_ms", member_ ? text(gateway_.configuration.age()) : "" },
             { "replica", replica_ ? replica_->id().str() : "" }, { "sends", std::to_string(sends_) },
             { "runs", std::to_string(runs_) }, { "took_ms", text(now - beganAt_) },
             { "first_ms", firstAt_ == Moment() ? "" : text(firstAt_ - beganAt_) },
             { "pause_ms", text(longestPause_) } });
-    const auto member = MemberId(service_.str());
+    // Where nobody is asked for a key the service stands in for the member.
+    const auto member = member_ ? member_->name : MemberId(service_.str());
     gateway_.metrics.observe("eelgrass_request_seconds", member, RequestClass(name), now - beganAt_);
     gateway_.metrics.count("eelgrass_requests_total",
         { { "class", name }, { "outcome", std::string(outcome) }, { "status", std::to_string(status) } });
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -28,6 +28,13 @@
 
     // The way to a replica.
     [[nodiscard]] auto readRequest() -> bool;
+    /// Who asks, by the key; false when the request is over, since nobody may or it cannot be told.
+    [[nodiscard]] auto authenticate() -> bool;
+    /// Whether the key may still be used, by what is known now; asked before each send.
+    [[nodiscard]] auto keyHolds() -> bool;
+    auto takeQuota() -> void;
+    auto quotaAnswered(const QuotaVerdict& verdict) -> void;
+    [[nodiscard]] auto urgency() const -> std::uint32_t;
     auto place() -> void;
     auto approach() -> void;
     struct Choice {
@@ -70,6 +77,7 @@
     auto onTimeUp() -> void;
     auto onCallerGone() -> void;
     auto refuse(std::string_view why, milliseconds retryAfter) -> void;
+    auto refuseWith(int status, std::string_view why, milliseconds retryAfter) -> void;
     auto fail(int status, std::string_view why) -> void;
     auto giveUp(std::string_view why) -> void;
     auto finish(int status, std::string_view outcome, std::string_view why) -> void;
@@ -85,6 +93,10 @@
     RequestFacts facts_;
     std::shared_ptr<const ServingConfiguration> configuration_;
     const RouteRecord* route_ = nullptr;
+    /// Who asks; null where nobody is asked for a key.
+    const MemberRecord* member_ = nullptr;
+    /// What was counted against the member's quota.
+    std::optional<QuotaCharge> charged_;
     ServiceName service_;
     Moment beganAt_ {};
     Moment lateAt_ {};
--- a/packages/serving/Settings.cpp
+++ b/packages/serving/Settings.cpp
@@ -51,6 +51,28 @@
     into = milliseconds(value);
 }
 
+/// A bound that fails closed must leave time to hear from the store, or every request with a key would be refused.
+auto readKeyBound(MapReader& reader, std::optional<milliseconds>& into) -> void
+{
+    constexpr auto least = milliseconds(1000);
+    auto bound = milliseconds(0);
+    readMilliseconds(reader, "key_bound_ms", bound);
+    if (bound.count() == 0)
+        return;
+    if (bound < least)
+        reader.noteAt("key_bound_ms", "must be 0 for none, or " + std::to_string(least.count()) + " and more");
+    into = bound;
+}
+
+auto readQuotas(MapReader& reader, QuotaBounds& quotas) -> void
+{
+    reader.read("quota_overage", quotas.overage);
+    reader.read("quota_slack", quotas.slack);
+    readMilliseconds(reader, "quota_window_ms", quotas.window);
+    if (quotas.overage < 0 || quotas.slack < 0)
+        reader.noteAt("quota_slack", "and quota_overage must not be less than 0");
+}
+
 /// Parses the file and runs `read` on its top level.
 template <typename T, typename Read>
 auto parseWith(const std::string& yaml, std::string_view file, Read&& read) -> Checked<T>
@@ -83,6 +105,8 @@
         settings.retries.window = window;
         readMilliseconds(reader, "drain_bound_ms", settings.drainBound);
         readMilliseconds(reader, "configuration_bound_ms", settings.configurationBound);
+        readKeyBound(reader, settings.keyBound);
+        readQuotas(reader, settings.quotas);
         readMilliseconds(reader, "grace_ms", settings.grace);
         readMilliseconds(reader, "zone_penalty_ms", settings.zonePenalty);
         readMilliseconds(reader, "zone_penalty_per_kib_ms", settings.zonePenaltyPerKiB);
--- a/packages/serving/Settings.h
+++ b/packages/serving/Settings.h
@@ -4,6 +4,7 @@
 #include "decisions/SharedRetryBudget.h"
 #include "serving/Types.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,14 @@
     std::string logLevel = "INFO";
 };
 
+/// How far members may pass their quotas for a moment.
+struct QuotaBounds {
+    /// A share of the limit in each window, and units beside.
+    double overage = 0;
+    double slack = 0;
+    milliseconds window { 10000 };
+};
+
 /// Settings of `--role=gateway`.
 struct GatewaySettings {
     HostSettings host;
@@ -36,6 +45,10 @@
     /// Within this a replica that leaves gets nothing new, and a configuration is in force.
     milliseconds drainBound { 2000 };
     milliseconds configurationBound { 2000 };
+    /// Within this a key that was taken away is out of use, also where nobody can tell of it; empty where an entry may
+    /// go on by what it knows.
+    std::optional<milliseconds> keyBound;
+    QuotaBounds quotas;
     /// How long a planned stop may take.
     milliseconds grace { 8000 };
     /// What a request to a replica in another zone costs, as a time: the way there and back, and for each KiB of its
--- a/packages/serving/SuspectRequests.cpp
+++ b/packages/serving/SuspectRequests.cpp
@@ -15,10 +15,10 @@
 
 } // namespace
 
-auto digestOf(const wire::HttpRequestMessage& request, const RequestFacts& facts) -> std::string
+auto digestOf(const wire::HttpRequestMessage& request, const RequestFacts& facts, const MemberId& member) -> std::string
 {
     auto hash = hashed(0, request.method);
-    for (const auto* text : { &request.target, &facts.model.str(), &facts.adapter.str(), &request.body })
+    for (const auto* text : { &request.target, &facts.model.str(), &facts.adapter.str(), &request.body, &member.str() })
         hash = hashed(hash, *text);
     return std::to_string(hash);
 }
--- a/packages/serving/SuspectRequests.h
+++ b/packages/serving/SuspectRequests.h
@@ -35,6 +35,7 @@
 };
 
 /// Names a request by what a replica would run: method, target, model and body.
-[[nodiscard]] auto digestOf(const wire::HttpRequestMessage& request, const RequestFacts& facts) -> std::string;
+[[nodiscard]] auto digestOf(const wire::HttpRequestMessage& request, const RequestFacts& facts, const MemberId& member)
+    -> std::string;
 
 } // namespace eelgrass::serving
--- a/packages/serving/Types.h
+++ b/packages/serving/Types.h
@@ -26,6 +26,8 @@
 using AdapterName = AdapterId;
 using BaseModel = StrongId<struct BaseModelTag>;
 using Tokens = std::uint64_t;
+/// What a caller shows to be known as a member. It is never logged, counted by or passed on.
+using ApiKey = StrongId<struct ApiKeyTag>;
 
 /// What may be repeated.
 enum class Repeat {
@@ -35,6 +37,29 @@
     Once,
 };
 
+/// What a member may have run, over all entries together.
+struct Quota {
+    enum class Unit { Requests, Tokens };
+
+    Unit unit = Unit::Requests;
+    /// Units for each second, and how many beside at once; a rate of 0 sets no limit.
+    double ratePerSecond = 0;
+    double burst = 0;
+    /// Tokens that a request counts for which tells none.
+    double plainTokens = 0;
+
+    [[nodiscard]] auto limits() const noexcept -> bool { return ratePerSecond > 0; }
+};
+
+/// A customer of the deployment, known by its keys.
+struct MemberRecord {
+    MemberId name;
+    std::vector<ApiKey> keys;
+    /// Goes before the route's.
+    std::optional<std::uint32_t> priority;
+    Quota quota;
+};
+
 /// Where requests of one host and path prefix go, and how.
 struct RouteRecord {
     struct Share {
@@ -56,6 +81,8 @@
     milliseconds aim { 1000 };
     /// Longest pause between two events of a stream that is still on time.
     milliseconds pauseAim { 300 };
+    /// Whoever calls needs no key.
+    bool open = false;
     /// 0 is the most urgent.
     std::uint32_t priority = 5;
     /// Replicas that one attempt of a client may run on.
@@ -97,6 +124,8 @@
     ConfigVersion version;
     std::vector<RouteRecord> routes;
     std::map<ServiceName, ServiceRecord> services;
+    /// Without any, nobody needs a key.
+    std::vector<MemberRecord> members;
     CallerLimits limits;
     /// As the operator wrote it, to be handed to peers.
     std::string text;
--- a/packages/serving/detail/RunLimits.h
+++ b/packages/serving/detail/RunLimits.h
@@ -11,12 +11,16 @@
 
 inline constexpr auto ok = 200;
 inline constexpr auto badRequest = 400;
+inline constexpr auto unauthorized = 401;
 inline constexpr auto notFound = 404;
+inline constexpr auto tooManyRequests = 429;
 inline constexpr auto badGateway = 502;
 inline constexpr auto unavailable = 503;
 inline constexpr auto gatewayTimeout = 504;
 inline constexpr auto firstServerError = 500;
 
+// The last of the priorities that a replica is told.
+inline constexpr auto leastUrgent = 9U;
 // Sends of one attempt in all; refusals of replicas count. A third refusal tells that the service is full.
 inline constexpr auto mostSends = 4U;
 // Replicas that may send a request on because it would be late there; each costs the way there and back, and where all
--- a/packages/wire/Agent.capnp
+++ b/packages/wire/Agent.capnp
@@ -106,6 +106,17 @@
   outputTokens @3 :UInt64;
 }
 
+# What a request counts against its member's quota, and that quota as the entry knows it.
+struct QuotaCharge {
+  member @0 :Text;
+  # Less than 0 where something is given back.
+  amount @1 :Float64;
+  configVersion @2 :UInt64;
+  ratePerSecond @3 :Float64;
+  burst @4 :Float64;
+  lenience @5 :Float64;
+}
+
 struct EngineLimits {
   service @0 :Text;
   batch @1 :UInt32;
@@ -133,6 +144,10 @@
   configured @3 (version :UInt64, holder :Text, limits :List(EngineLimits));
   # A request of this digest broke off at a replica, or ran to its end after it had.
   suspect @4 (digest :Text, broke :Bool);
+  # Counts a request against its member's quota, if there is credit. `level` is what is left.
+  takeQuota @5 (charge :QuotaCharge) -> (granted :Bool, retryAfterMs :UInt32, level :Float64);
+  # The same was granted by another agent, which had `level` left; or is given back.
+  noteQuota @6 (charge :QuotaCharge, level :Float64);
 }
 
 # The bootstrap of the process beside a replica.
@@ -146,9 +161,10 @@
 interface EntryPeer {
   # Whatever is newer than the version that the caller has: the configuration's text, the list of replicas, and the
   # versions of adapters.
-  # `listAgeMs` is how long ago that entry read the list in the store, at most 0xffffffff. `list` and `versions` name
-  # what that entry has; told back as `haveList` and `haveVersions`, the same texts are left out.
+  # `listAgeMs` is how long ago that entry read the list in the store, and `configAgeMs` how long ago its configuration
+  # was surely the newest, both at most 0xffffffff. `list` and `versions` name what that entry has; told back as
+  # `haveList` and `haveVersions`, the same texts are left out.
   snapshot @0 (haveConfig :UInt64, haveList :UInt64, haveVersions :UInt64)
       -> (config :Text, replicas :Text, adapterVersions :Text, listAgeMs :UInt32 = 0xffffffff, list :UInt64,
-          versions :UInt64);
+          versions :UInt64, configAgeMs :UInt32 = 0xffffffff);
 }
--- a/standins/StoreStandin.cpp
+++ b/standins/StoreStandin.cpp
@@ -129,6 +129,13 @@
     respond(caller, 404, "{}");
 }
 
+auto StoreStandin::stamped(nlohmann::json answer) const -> std::string
+{
+    answer["ver"] = version_;
+    answer["nowMs"] = std::chrono::duration_cast<std::chrono::milliseconds>(timers_.now().time_since_epoch()).count();
+    return answer.dump();
+}
+
 auto StoreStandin::read(const Caller& caller, const std::string& table, const std::string& from) -> void
 {
     auto rows = Json::array();
@@ -137,7 +144,7 @@
             rows.push_back({ { "table", table }, { "part", "" }, { "key", key }, { "value", base64(row.value) },
                 { "ver", row.version } });
     }
-    respond(caller, 200, Json { { "rows", rows }, { "truncated", false }, { "ver", version_ } }.dump());
+    respond(caller, 200, stamped({ { "rows", rows }, { "truncated", false } }));
 }
 
 auto StoreStandin::changes(const std::string& table, std::uint64_t after) const -> std::string
@@ -151,7 +158,7 @@
                     { "ver", row.version }, { "tombstone", row.deleted } });
         }
     }
-    return rows.empty() ? std::string() : Json { { "rows", rows }, { "ver", version_ } }.dump();
+    return rows.empty() ? std::string() : stamped({ { "rows", rows } });
 }
 
 auto StoreStandin::follow(const Caller& caller, const std::string& table, std::uint64_t after, Duration wait) -> void
@@ -165,7 +172,7 @@
     auto* raw = poll.get();
     poll->timer = timers_.after(wait, [this, raw] {
         if (const auto& waiting = raw->caller; waiting->open())
-            respond(waiting, 200, Json { { "rows", Json::array() }, { "ver", version_ } }.dump());
+            respond(waiting, 200, stamped({ { "rows", Json::array() } }));
         std::erase_if(polls_, [&](const auto& poll) { return poll.get() == raw; });
     });
     polls_.push_back(std::move(poll));
@@ -199,14 +206,14 @@
                 { "ver", present.version } });
     }
     if (!holds)
-        return respond(caller, 412, Json { { "rows", rows }, { "ver", version_ } }.dump());
+        return respond(caller, 412, stamped({ { "rows", rows } }));
     ++version_;
     for (const auto& row : json.at("setKeys"))
         tables_[row.at("table").get<std::string>()][row.at("key").get<std::string>()]
             = { plain(row.at("value").get<std::string>()), version_ };
     if (std::exchange(loseWrite_, false))
         return caller->abort();
-    respond(caller, 200, Json { { "ver", version_ } }.dump());
+    respond(caller, 200, stamped(Json::object()));
     answerPolls();
 }
 
--- a/standins/StoreStandin.h
+++ b/standins/StoreStandin.h
@@ -2,6 +2,8 @@
 
 #include "serving/CallerExchange.h"
 
+#include <nlohmann/json.hpp>
+
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -71,6 +73,8 @@
     auto follow(const Caller& caller, const std::string& table, std::uint64_t after, Duration wait) -> void;
     auto transact(const Caller& caller, const std::string& body) -> void;
     auto answerPolls() -> void;
+    /// With the newest version and the store's clock, as text.
+    [[nodiscard]] auto stamped(nlohmann::json answer) const -> std::string;
     [[nodiscard]] auto changes(const std::string& table, std::uint64_t after) const -> std::string;
 
     TimerService& timers_;
--- a/tests/harness/ServingWorld.cpp
+++ b/tests/harness/ServingWorld.cpp
@@ -103,7 +103,10 @@
 
 auto ServingWorld::startGateway(bool wait, const std::string& zone) -> serving::GatewayRole&
 {
-    auto settings = serving::GatewaySettings { .host = hostSettings("gateway", "127.0.0.1", zone) };
+    auto settings = settings_;
+    settings.host = hostSettings("gateway", "127.0.0.1", zone);
+    if (settings_.host.store.port != 0)
+        settings.host.store = settings_.host.store;
     settings.clients = settings.readiness = settings.peers = { "127.0.0.1", 0 };
     for (const auto& gateway : gateways_)
         settings.seeds.push_back({ "127.0.0.1", gateway->peerPort() });
@@ -127,7 +130,8 @@
 
 auto ServingWorld::begin(const Request& request) -> kj::Promise<wire::HttpAnswer>
 {
-    callers_.push_back(std::make_unique<wire::HttpCaller>(loop_.timers(), "127.0.0.1", clientPort_));
+    const auto port = request.gateway ? gateways_.at(*request.gateway)->clientPort() : clientPort_;
+    callers_.push_back(std::make_unique<wire::HttpCaller>(loop_.timers(), "127.0.0.1", port));
     auto call
         = wire::HttpCall { .method = request.method, .target = request.path, .body = request.body, .timeout = 5s };
     call.fields = request.more;
--- a/tests/harness/ServingWorld.h
+++ b/tests/harness/ServingWorld.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,9 @@
     ServingWorld(const ServingWorld&) = delete;
     auto operator=(const ServingWorld&) -> ServingWorld& = delete;
 
+    /// What the gateways are told that are started from now on; hosts, ports and seeds are set for each, and the store
+    /// where none is named.
+    auto settings() -> serving::GatewaySettings& { return settings_; }
     /// Starts one more gateway; returns when it is ready and its agents have spoken, or at once if not to `wait`.
     auto startGateway(bool wait = true, const std::string& zone = "zone-1") -> serving::GatewayRole&;
     auto engine(std::size_t index) -> standins::ReplicaStandin& { return *engines_.at(index); }
@@ -51,6 +55,8 @@
         std::string body = "prompt";
         std::uint64_t deadlineMs = 4000;
         wire::HeaderFields more {};
+        /// The first one that was started, if not named.
+        std::optional<std::size_t> gateway {};
     };
     /// The answer; status 0 for a connection that ended before the answer was whole.
     [[nodiscard]] auto ask(const Request& request) -> wire::HttpAnswer;
@@ -73,6 +79,7 @@
     std::vector<std::unique_ptr<serving::AgentRole>> agents_;
     std::vector<std::unique_ptr<serving::GatewayRole>> gateways_;
     std::vector<std::unique_ptr<wire::HttpCaller>> callers_;
+    serving::GatewaySettings settings_;
     std::uint16_t agentPort_ = 0;
     /// Of the first gateway, also when it has stopped listening.
     std::uint16_t clientPort_ = 0;
