Two sends at once: what has arrived is shared, not revoked

What callers saw: of two sends of one draft at two entries at the same time both, or one, were refused 503 "another entry revoked this attempt", or 502 (integration-AtMostOnce, two_sends_at_once_share_one_run; known red so far). Cause: the second entry finds the first one's claim, asks the target for its attempt a moment before the start arrives, the target asks its engine (the start arrives meanwhile) and says that it knows nothing; the entry revokes, and the target gave up an attempt that by then waited its turn, or told that nobody knows what one that ran did. Ruled out: the ledger (the claim was found), load as such (the order of three messages is enough). Change: the target looks again after it has asked its engine; a revocation of what has arrived answers 'known', and the entry resumes it from its beginning. What has not arrived is revoked as before (a_start_that_arrives_after...).

--- a/packages/router/TargetRole.cpp
+++ b/packages/router/TargetRole.cpp
@@ -77,6 +77,7 @@
     {
         auto revoked = role_.attempts_->revoke(AttemptId(context.getParams().getAttempt()));
         context.getResults().setRevoked(revoked == AttemptsController::Revoked::Yes);
+        context.getResults().setKnown(revoked == AttemptsController::Revoked::Held);
         return kj::READY_NOW;
     }
 
--- a/packages/router/controllers/AttemptsController.cpp
+++ b/packages/router/controllers/AttemptsController.cpp
@@ -119,7 +119,8 @@
     auto known = std::visit([&](auto& runner) { return runner.knows(order.attempt, order.model); }, runner_);
     return known.then(
         [this, order = std::move(order), sink = kj::mv(sink)](bool there) mutable -> kj::Promise<bool> {
-            if (!there)
+            // Its start may have arrived while the engine was asked.
+            if (!there && !attempts_.contains(order.attempt))
                 return false;
             if (!attempts_.contains(order.attempt))
                 adopt(order.attempt, order.model);
@@ -181,14 +182,14 @@
 
 auto AttemptsController::revoke(const AttemptId& id) -> Revoked
 {
+    // Failure: of two sends at once the second found the claim of the first, asked for its attempt a moment before the
+    // start arrived, and revoked what by then waited its turn: both callers were refused. What has arrived is shared.
     const auto found = attempts_.find(id);
-    if (found != attempts_.end() && found->second->started)
-        return Revoked::AlreadyStarted;
-    if (startedOnce_.contains(id) || (found == attempts_.end() && forgotStarted_))
+    if (found != attempts_.end())
+        return found->second->output.has(ChunkNumber(0)) ? Revoked::Held : Revoked::AlreadyStarted;
+    if (startedOnce_.contains(id) || forgotStarted_)
         return Revoked::AlreadyStarted;
     revoked_[id] = loop_.timers().after(revokedKept, [this, id] { revoked_.erase(id); });
-    if (found != attempts_.end() && found->second->state == Attempt::State::Queued)
-        giveUp(found->second, notRun(Step::Queue, 503, "revoked", "another entry revoked this attempt", 0s));
     return Revoked::Yes;
 }
 
--- a/packages/router/controllers/AttemptsController.h
+++ b/packages/router/controllers/AttemptsController.h
@@ -53,7 +53,8 @@
     /// What the engine runs now; ends the adopted attempts that it no longer runs and nobody reads.
     auto engineRuns(const std::vector<targets::EngineStream>& streams) -> void;
 
-    enum class Revoked { Yes, AlreadyStarted };
+    /// Held: its start has arrived, and its output can be had from the beginning.
+    enum class Revoked { Yes, AlreadyStarted, Held };
     /// After `Yes` the attempt has not started and never will, even if its start comes later.
     [[nodiscard]] auto revoke(const AttemptId& id) -> Revoked;
     auto cancel(const AttemptId& id) -> void;
--- a/packages/router/entry/Relay.cpp
+++ b/packages/router/entry/Relay.cpp
@@ -385,6 +385,8 @@
         })
         .then(
             [self = shared_from_this(), target](auto&& answer) {
+                if (answer.getKnown())
+                    return self->resume(target, now());
                 if (!answer.getRevoked())
                     return self->elsewhere(lostError(target));
                 // Its start never came, and if it still comes it is refused.
--- a/packages/wire/Peer.capnp
+++ b/packages/wire/Peer.capnp
@@ -125,7 +125,7 @@
   start @1 (request :StartRequest, sink :ChunkSink) -> (accepted :Bool, refusal :Refusal, state :TargetState);
   # `nextToken` and `model` let a target process that started anew find the stream at its engine.
   resume @2 (attempt :Text, nextChunk :UInt64, sink :ChunkSink, nextToken :UInt32, model :Text) -> (known :Bool);
-  # After `revoked` the attempt has not started and never will.
+  # After `revoked` the attempt has not started and never will. If it is `known` it can be resumed from its beginning.
   revoke @3 (attempt :Text) -> (revoked :Bool, known :Bool);
   cancel @4 (attempt :Text) -> ();
   # The ledger has the answer; the target process need not keep it.
