A target that refused a revoked attempt may take the next one

The second entry revoked before the start had arrived, and passed over the only target that has the adapter, since it had tried it.

--- a/packages/router/entry/Relay.cpp
+++ b/packages/router/entry/Relay.cpp
@@ -314,8 +314,9 @@
         giveUp(error);
         return kj::READY_NOW;
     }
-    // Refused for its old epoch only: the same target takes it with the one that came with the refusal.
-    if (error.type() == "stale_epoch")
+    // Refused for its old epoch only, or as an attempt that was revoked: the same target takes it with the epoch that
+    // came with the refusal, or as a new attempt. Passed over, a draft was refused whose adapter is nowhere else.
+    if (error.type() == "stale_epoch" || error.type() == "not_started" || error.type() == "revoked")
         std::erase(tried_, target);
     mayReturn_ = mayReturn_ || error.type() == "stale_epoch" || error.type() == "engine_away"
         || error.type() == "adapter_not_loaded";
