Shared parts of a prompt are known one by one

Cause: one name stood for all shared parts but the last, so a replica that had read the first 2,520 tokens, which nearly all prompts begin with, counted as having read none of 6,300. Change: KnownPrompts remembers each prefix of the chain, at entries and agents alike, and forgets the older half.

--- a/packages/decisions/ReplicaChoice.cpp
+++ b/packages/decisions/ReplicaChoice.cpp
@@ -94,8 +94,9 @@
     // A full batch starts nothing until a run ends.
     if (full >= 1)
         start += runTime;
-    if (!replica.prompt)
-        start += share(unreadChance(replica, need), readTime(need.sharedTokens, need.readRate));
+    const auto unknown = need.sharedTokens - std::min(need.sharedTokens, replica.knownTokens);
+    if (unknown > 0)
+        start += share(unreadChance(replica, need), readTime(unknown, need.readRate));
     if (share(replica.slowness, pauseWhileReading(need.unreadTokens + need.sharedTokens)) > need.pauseLimit)
         start += disturbance * replica.running;
     start += share(replica.failures, failureCost);
--- a/packages/decisions/ReplicaChoice.h
+++ b/packages/decisions/ReplicaChoice.h
@@ -39,8 +39,8 @@
     double failures = 0;
     /// How old the figures are.
     Duration age { 0 };
-    /// Whether it has read the shared part of the prompt, as far as this entry knows.
-    bool prompt = false;
+    /// How much of the shared parts of the prompt it has read, as far as this entry knows.
+    std::uint64_t knownTokens = 0;
     /// What it takes for the same work against its peers; 1 for as fast as they.
     double slowness = 1;
 };
--- a/packages/serving/AgentLink.cpp
+++ b/packages/serving/AgentLink.cpp
@@ -175,8 +175,11 @@
         request.setAdapter(order.adapter.str());
         request.setVersion(order.version.value());
         request.setPromptTokens(order.promptTokens);
-        request.setSharedTokens(order.sharedTokens);
-        request.setSharedId(order.sharedId);
+        auto shared = request.initShared(static_cast<unsigned>(order.shared.size()));
+        for (auto index = 0U; index < order.shared.size(); ++index) {
+            shared[index].setId(order.shared[index].id);
+            shared[index].setTokens(order.shared[index].tokens);
+        }
         request.setOutputTokens(order.outputTokens);
         request.setPriority(order.priority);
         request.setAimMs(static_cast<std::uint32_t>(order.untilLate.count()));
--- a/packages/serving/AgentLink.h
+++ b/packages/serving/AgentLink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decisions/KnownPrompts.h"
 #include "decisions/QuotaBucket.h"
 #include "serving/Types.h"
 #include "wire/Door.h"
@@ -12,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace eelgrass::serving {
 
@@ -51,8 +53,7 @@
     AdapterName adapter;
     AdapterVersion version;
     Tokens promptTokens = 0;
-    Tokens sharedTokens = 0;
-    std::uint64_t sharedId = 0;
+    std::vector<decisions::SharedPrefix> shared;
     Tokens outputTokens = 0;
     std::uint32_t priority = 5;
     /// Until the first event is late, and until nobody waits for it.
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -55,6 +55,9 @@
         role_.waiting_.emplace(attempt, Waiting { this, kj::mv(pair.fulfiller) });
         attempts_.insert(attempt);
         role_.publisher_.asked(this);
+        auto shared = std::vector<decisions::SharedPrefix>();
+        for (auto prefix : request.getShared())
+            shared.push_back({ prefix.getId(), prefix.getTokens() });
         role_.agent_.admit({ .attempt = attempt,
                                .adapter = AdapterId(request.getAdapter().cStr()),
                                .promptTokens = request.getPromptTokens(),
@@ -64,7 +67,7 @@
                                .lateAt = now + Duration(milliseconds(request.getAimMs())),
                                .gaveUpAt = now + Duration(milliseconds(request.getLeftMs())),
                                .elsewhere = request.getElsewhere() },
-            AdapterVersion(request.getVersion()), request.getSharedId(), request.getSharedTokens());
+            AdapterVersion(request.getVersion()), shared);
         role_.publisher_.changed();
         return pair.promise.then([this, context](ReplicaAgent::Decision&& decision) mutable {
             auto answer = context.getResults().initAnswer();
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -50,6 +50,7 @@
     , onChange_(std::move(onChange))
     , replica_(loop.timers(), settings.replica.address, settings.replica.port)
     , loadTime_(adapterTime)
+    , prompts_(mostPrompts)
 {
 }
 
@@ -317,7 +318,7 @@
 auto ReplicaAgent::usable() const -> bool { return report_ && report_->hasModel && slots_; }
 
 auto ReplicaAgent::admit(
-    decisions::AdmissionRequest request, AdapterVersion version, std::uint64_t sharedId, Tokens sharedTokens) -> void
+    decisions::AdmissionRequest request, AdapterVersion version, std::span<const decisions::SharedPrefix> shared) -> void
 {
     const auto attempt = request.attempt;
     if (!usable())
@@ -328,8 +329,7 @@
         auto& wanted = wantedVersions_[request.adapter];
         wanted = std::max(wanted, version);
     }
-    const auto known = prompts_.contains(sharedId);
-    request.unreadTokens = request.promptTokens - (known ? std::min(sharedTokens, request.promptTokens) : 0);
+    request.unreadTokens = request.promptTokens - std::min(prompts_.tokens(shared), request.promptTokens);
     const auto now = loop_.timers().now();
     const auto adapter = request.adapter;
     const auto load = ready(adapter) ? Duration(0) : loadTime();
@@ -339,9 +339,7 @@
     }
     if (!adapter.empty())
         slots_->asked(modelName(adapter), now);
-    if (prompts_.size() >= mostPrompts)
-        prompts_.clear();
-    prompts_[sharedId] = sharedTokens;
+    prompts_.remember(shared);
     act();
 }
 
--- a/packages/serving/ReplicaAgent.h
+++ b/packages/serving/ReplicaAgent.h
@@ -3,6 +3,7 @@
 #include "decisions/AdapterSlots.h"
 #include "decisions/AdmissionQueue.h"
 #include "decisions/CircuitBreaker.h"
+#include "decisions/KnownPrompts.h"
 #include "decisions/LatelyHeld.h"
 #include "decisions/LoadPace.h"
 #include "platform/Documents.h"
@@ -15,6 +16,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <span>
 #include <unordered_map>
 
 namespace eelgrass::serving {
@@ -52,8 +54,8 @@
         const std::string& healthPath) -> void;
 
     /// Takes a request in; the decision comes by `onDecision`, maybe at once. `version` is the lowest that may run.
-    auto admit(decisions::AdmissionRequest request, AdapterVersion version, std::uint64_t sharedId, Tokens sharedTokens)
-        -> void;
+    auto admit(decisions::AdmissionRequest request, AdapterVersion version,
+        std::span<const decisions::SharedPrefix> shared) -> void;
     auto adopt(const decisions::AdmissionRequest& request) -> void;
     auto started(const AttemptId& attempt) -> void;
     auto release(const AttemptId& attempt, RunEnd end = RunEnd::Plain) -> void;
@@ -135,7 +137,7 @@
     std::size_t slotCount_ = 0;
     /// The lowest version of each adapter that any request asked for.
     std::map<AdapterName, AdapterVersion> wantedVersions_;
-    std::unordered_map<std::uint64_t, Tokens> prompts_;
+    decisions::KnownPrompts prompts_;
     /// Orders that wait at the replica for runs to end, and since when: unloads, and loads of a newer version.
     std::map<AdapterName, Moment> unloading_;
     std::map<AdapterName, Moment> replacing_;
--- a/packages/serving/ReplicaDirectory.cpp
+++ b/packages/serving/ReplicaDirectory.cpp
@@ -21,8 +21,6 @@
 constexpr auto longestRest = Duration(3s);
 // A full replica is asked again when a few of its requests have ended.
 constexpr auto restWhenFull = Duration(60ms);
-// Shared prompt parts remembered for a replica: more than its memory holds.
-constexpr auto mostPrompts = std::size_t(256);
 constexpr auto smoothing = 8;
 
 /// Whether peers need not be told of the difference: heartbeats change the rest once a second, and which adapters are
@@ -91,16 +89,6 @@
     return earlierBirths_ >= rowsToBelieve;
 }
 
-auto Replica::rememberPrompt(std::uint64_t sharedId) -> void
-{
-    prompts_[sharedId] = ++promptClock_;
-    if (prompts_.size() <= mostPrompts)
-        return;
-    const auto oldest = std::min_element(
-        prompts_.begin(), prompts_.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
-    prompts_.erase(oldest);
-}
-
 ReplicaDirectory::ReplicaDirectory(wire::MainLoop& loop, hosting::Store& store, Options options, Hooks hooks)
     : loop_(loop)
     , store_(store)
--- a/packages/serving/ReplicaDirectory.h
+++ b/packages/serving/ReplicaDirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decisions/LapseGrace.h"
+#include "decisions/KnownPrompts.h"
 #include "decisions/LatelyHeld.h"
 #include "decisions/ReplicaChoice.h"
 #include "decisions/SharedReading.h"
@@ -82,8 +83,9 @@
     [[nodiscard]] auto meanTime() const noexcept -> Duration { return meanTime_; }
 
     /// Whether this entry sent a request with that shared part there before.
-    [[nodiscard]] auto hasPrompt(std::uint64_t sharedId) const -> bool { return prompts_.contains(sharedId); }
-    auto rememberPrompt(std::uint64_t sharedId) -> void;
+    /// What of prompts it has read, as far as this entry sent them.
+    auto prompts() noexcept -> decisions::KnownPrompts& { return prompts_; }
+    [[nodiscard]] auto prompts() const noexcept -> const decisions::KnownPrompts& { return prompts_; }
     /// Whether the replica held the adapter not long ago, so that its weights are still at hand there.
     [[nodiscard]] auto warm(const AdapterName& adapter) const -> bool { return latelyHeld_.contains(adapter); }
     /// Notes what the replica holds now; remembers the last `most`.
@@ -93,6 +95,9 @@
     }
 
 private:
+    // Prefixes of prompts remembered for each replica.
+    static constexpr auto mostPrompts = std::size_t(256);
+
     ReplicaRecord record_;
     ConnectionPool pool_;
     std::unique_ptr<AgentLink> agent_;
@@ -111,8 +116,7 @@
     std::uint32_t failures_ = 0;
     Moment restsUntil_ {};
     Duration meanTime_ {};
-    std::unordered_map<std::uint64_t, std::uint64_t> prompts_;
-    std::uint64_t promptClock_ = 0;
+    decisions::KnownPrompts prompts_ { mostPrompts };
     decisions::LatelyHeld latelyHeld_;
 };
 
--- a/packages/serving/RequestPlacing.cpp
+++ b/packages/serving/RequestPlacing.cpp
@@ -51,7 +51,7 @@
     view.slowness = agent->alive() && agent->state().readRate > 0
         ? std::min(slowestFactor, readRate / agent->state().readRate)
         : 1;
-    view.prompt = replica->hasPrompt(sharedId_);
+    view.knownTokens = replica->prompts().tokens(shared_);
     if (!agent->alive()) {
         // Without its agent a replica serves what it holds, by the list.
         view.holds = replica->record().hasBaseModel
@@ -113,9 +113,9 @@
     const auto need = decisions::PlacementNeed { .adapter = facts_.adapter.view(),
         .entry = gateway_.settings.host.name,
         .zone = gateway_.settings.host.zone,
-        .unreadTokens = facts_.promptTokens - std::min(facts_.promptTokens, sharedTokens_),
-        .sharedTokens = sharedTokens_,
-        .sharedId = sharedId_,
+        .unreadTokens = facts_.promptTokens - std::min(facts_.promptTokens, sharedTokens()),
+        .sharedTokens = sharedTokens(),
+        .sharedId = shared_.empty() ? 0 : shared_.back().id,
         .pauseLimit = route_->pauseAim,
         .zonePenalty = zonePenalty() };
     const auto chosen = decisions::chooseReplica(views, need);
@@ -172,8 +172,7 @@
         .adapter = facts_.adapter,
         .version = gateway_.configuration.versionOf(facts_.model, facts_.adapter),
         .promptTokens = facts_.promptTokens,
-        .sharedTokens = sharedTokens_,
-        .sharedId = sharedId_,
+        .shared = shared_,
         .outputTokens = facts_.outputTokens,
         .priority = urgency(),
         .untilLate = left(firstEventSeen_ ? now + Duration(route_->pauseAim) : lateAt_),
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -13,6 +13,20 @@
 
 using namespace detail;
 
+/// All parts but the last are shared; the last one belongs to the request or its session.
+auto sharedPrefixes(const RequestFacts& facts) -> std::vector<decisions::SharedPrefix>
+{
+    auto prefixes = std::vector<decisions::SharedPrefix>();
+    auto prefix = decisions::SharedPrefix { XXH3_64bits(facts.adapter.str().data(), facts.adapter.str().size()) };
+    for (auto index = std::size_t(0); index + 1 < facts.prompt.size(); ++index) {
+        const auto& part = facts.prompt[index];
+        prefix.id = XXH3_64bits_withSeed(part.id.data(), part.id.size(), prefix.id);
+        prefix.tokens += part.tokens;
+        prefixes.push_back(prefix);
+    }
+    return prefixes;
+}
+
 auto text(Duration time) -> std::string { return std::to_string(time.count() / 1000); }
 
 } // namespace
@@ -77,13 +91,7 @@
     endAt_ = beganAt_ + std::min(timeout, deadline);
     firstBy_ = route_->streamed ? std::min(endAt_, beganAt_ + patience(*route_)) : endAt_;
     lateAt_ = beganAt_ + Duration(route_->aim);
-    // All parts but the last are shared; the last one belongs to the request or its session.
-    auto hash = XXH3_64bits(facts_.adapter.str().data(), facts_.adapter.str().size());
-    for (auto index = std::size_t(0); index + 1 < facts_.prompt.size(); ++index) {
-        sharedTokens_ += facts_.prompt[index].tokens;
-        hash = XXH3_64bits_withSeed(facts_.prompt[index].id.data(), facts_.prompt[index].id.size(), hash);
-    }
-    sharedId_ = hash;
+    shared_ = sharedPrefixes(facts_);
     return true;
 }
 
@@ -205,7 +213,7 @@
     const auto head = wire::requestHeadText(request_.method, request_.target, fields, request_.body.size());
     replica_->sent(facts_.promptTokens);
     if (replica_->agent())
-        replica_->rememberPrompt(sharedId_);
+        replica_->prompts().remember(shared_);
     logDecision("sent", {});
     armSilence();
     connection_->send(head, request_.body,
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -83,6 +83,7 @@
     auto finish(int status, std::string_view outcome, std::string_view why) -> void;
     auto logDecision(std::string_view event, std::string_view why) const -> void;
     [[nodiscard]] auto timeLeft() const -> Duration;
+    [[nodiscard]] auto sharedTokens() const -> Tokens { return shared_.empty() ? 0 : shared_.back().tokens; }
     [[nodiscard]] auto zonePenalty() const -> Duration;
     /// A timer's callback that holds the run while it is at work, since its last answer may let go of it.
     [[nodiscard]] auto guarded(void (RequestRun::*step)()) -> std::function<void()>;
@@ -105,8 +106,8 @@
     Moment firstBy_ {};
     /// Names what would run, whoever sends it.
     std::string digest_;
-    Tokens sharedTokens_ = 0;
-    std::uint64_t sharedId_ = 0;
+    /// The parts of the prompt that others share, from the first up to each of them.
+    std::vector<decisions::SharedPrefix> shared_;
 
     ReplicaPtr replica_;
     std::set<InstanceId> tried_;
--- a/packages/wire/Agent.capnp
+++ b/packages/wire/Agent.capnp
@@ -61,9 +61,8 @@
   # The lowest version that may run.
   version @2 :UInt64;
   promptTokens @3 :UInt64;
-  # Of these, parts that other requests share.
+  # Not told any more: `shared` names each part. Kept so that the fields behind them keep their numbers.
   sharedTokens @4 :UInt64;
-  # Names those shared parts.
   sharedId @5 :UInt64;
   outputTokens @6 :UInt64;
   priority @7 :UInt32;
@@ -72,6 +71,14 @@
   leftMs @9 :UInt32;
   # The entry can ask another replica, should the request be late at this one.
   elsewhere @10 :Bool;
+  # Of the prompt, the parts that other requests share, from the first up to each of them.
+  shared @11 :List(SharedPrefix);
+}
+
+# `id` names the first parts of a prompt together with the adapter, `tokens` counts them.
+struct SharedPrefix {
+  id @0 :UInt64;
+  tokens @1 :UInt64;
 }
 
 # How a request ended at the replica.
--- /dev/null
+++ b/tests/unit/KnownPrompts.cpp
@@ -0,0 +1,71 @@
+// What of prompts a replica has read.
+#include "decisions/KnownPrompts.h"
+#include "decisions/ReplicaChoice.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <vector>
+
+using namespace eelgrass;
+using namespace eelgrass::decisions;
+
+namespace {
+
+constexpr auto first = SharedPrefix { .id = 1, .tokens = 2500 };
+constexpr auto one = std::array { first, SharedPrefix { .id = 2, .tokens = 6300 } };
+constexpr auto another = std::array { first, SharedPrefix { .id = 3, .tokens = 5000 } };
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_part_counts_where_all_before_it_are_known)
+{
+    auto known = KnownPrompts(8);
+    BOOST_TEST(known.tokens(one) == 0U);
+    known.remember(one);
+    BOOST_TEST(known.tokens(one) == 6300U);
+    BOOST_TEST(known.tokens(another) == 2500U);
+    BOOST_TEST(known.tokens(std::array { SharedPrefix { .id = 9, .tokens = 10 }, one[1] }) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(the_last_ones_are_remembered_and_the_memory_is_bounded)
+{
+    auto known = KnownPrompts(8);
+    for (auto id = std::uint64_t(10); id < 1000; ++id)
+        known.remember(std::array { SharedPrefix { .id = id, .tokens = 1 } });
+    auto remembered = 0;
+    for (auto id = std::uint64_t(10); id < 1000; ++id)
+        remembered += known.tokens(std::array { SharedPrefix { .id = id, .tokens = 1 } }) > 0 ? 1 : 0;
+    BOOST_TEST(remembered >= 8);
+    BOOST_TEST(remembered <= 17);
+    for (auto id = std::uint64_t(992); id < 1000; ++id)
+        BOOST_TEST(known.tokens(std::array { SharedPrefix { .id = id, .tokens = 1 } }) == 1U);
+}
+
+// A caller waits longer than it has to: its prompt is read from the start, though a replica knew the first part.
+// 1. A replica that holds the adapter has read the part that nearly all prompts begin with, before another second part.
+// 2. With one name for both parts it knows nothing of the prompt, and looks no sooner than others.
+BOOST_AUTO_TEST_CASE(a_replica_that_knows_the_first_part_is_sooner)
+{
+    auto known = KnownPrompts(8);
+    known.remember(another);
+    auto views = std::vector<ReplicaView>(2);
+    views[0].id = "replica-0";
+    views[1].id = "replica-1";
+    for (auto& view : views) {
+        view.holds = true;
+        view.batch = 64;
+    }
+    for (auto id = std::uint64_t(0); id < 20; ++id) {
+        const auto need = PlacementNeed {
+            .adapter = "a", .unreadTokens = 800, .sharedTokens = one.back().tokens, .sharedId = id };
+        for (auto& view : views) {
+            view.knownTokens = 0;
+            const auto before = expectedStart(view, need);
+            view.knownTokens = known.tokens(one);
+            BOOST_TEST((expectedStart(view, need) < before));
+            view.knownTokens = one.back().tokens;
+            BOOST_TEST((expectedStart(view, need) < before));
+        }
+    }
+}
--- a/tests/unit/ReplicaChoice.cpp
+++ b/tests/unit/ReplicaChoice.cpp
@@ -39,7 +39,7 @@
 {
     auto views = std::vector { replica("one"), replica("two") };
     views[0].holds = views[1].holds = true;
-    views[1].prompt = true;
+    views[1].knownTokens = 6000;
     BOOST_TEST(chooseReplica(views, need()).value() == 1U);
 }
 
@@ -171,7 +171,7 @@
                 auto view = replica(names[index]);
                 view.holds = true;
                 view.tokensAhead = random() % 2000;
-                view.prompt = sent.contains({ entry, part, index });
+                view.knownTokens = sent.contains({ entry, part, index }) ? 6000 : 0;
                 views.push_back(view);
             }
             auto wanted = need();
