What a quota granted after its caller left is given back; format; docs of members

A charge that was not granted yet was given back when the time was up; now only what was granted is. A configuration that asks for no keys any more refuses nobody who waits.

--- a/packages/decisions/QuotaBucket.h
+++ b/packages/decisions/QuotaBucket.h
@@ -20,9 +20,9 @@
 ///
 /// Load made for: a member that sends many times its limit beside others, through many entries.
 /// Harm prevented: replicas taken up by what nobody has a right to. A request is granted while the level is not below
-/// `-lenience`, and takes the level down by what it counts; so one that is larger than the burst is granted as well, and
-/// paid for by those behind it. Who is refused is told when its turn comes behind those who were refused before, or all
-/// of them would come back at the same moment.
+/// `-lenience`, and takes the level down by what it counts; so one that is larger than the burst is granted as well,
+/// and paid for by those behind it. Who is refused is told when its turn comes behind those who were refused before, or
+/// all of them would come back at the same moment.
 ///
 /// ```cpp
 /// const auto verdict = bucket.take(tokens, now);
--- a/packages/serving/ConfigurationFollower.cpp
+++ b/packages/serving/ConfigurationFollower.cpp
@@ -42,10 +42,7 @@
     return std::min(usual, std::chrono::duration_cast<Duration>(keyShare * *bounds_.keys));
 }
 
-auto ConfigurationFollower::keysHold() const -> bool
-{
-    return !bounds_.keys || freshness_.holds(loop_.timers().now());
-}
+auto ConfigurationFollower::keysHold() const -> bool { return !bounds_.keys || freshness_.holds(loop_.timers().now()); }
 
 auto ConfigurationFollower::poll() -> void
 {
--- a/packages/serving/ConfigurationFollower.h
+++ b/packages/serving/ConfigurationFollower.h
@@ -48,8 +48,8 @@
     /// The version that requests for an adapter must run; the first one unless a newer one was named.
     [[nodiscard]] auto versionOf(const BaseModel& model, const AdapterName& adapter) const -> AdapterVersion;
 
-    /// Another entry's configuration, of which that entry knew `at`, at the earliest, that it was the newest. The text is
-    /// empty where it is not newer than this entry's.
+    /// Another entry's configuration, of which that entry knew `at`, at the earliest, that it was the newest. The text
+    /// is empty where it is not newer than this entry's.
     auto learn(std::string_view text, Moment at, std::string_view source) -> void;
     /// Takes a configuration from `source`, if it is newer; false where it cannot be understood.
     auto offer(std::string_view text, std::string_view source) -> bool;
--- a/packages/serving/GatewayRole.cpp
+++ b/packages/serving/GatewayRole.cpp
@@ -16,7 +16,8 @@
 constexpr auto behindTooLong = Duration(600ms);
 // How long an entry does without the store's list of replicas before it asks a peer, and between two such questions.
 constexpr auto listTooOld = Duration(1s);
-// The share of the bound for keys after which an entry that is told nothing asks others, and between two questions then.
+// The share of the bound for keys after which an entry that is told nothing asks others, and between two questions
+// then.
 constexpr auto keysTooOld = 0.4;
 constexpr auto keysAgain = Duration(400ms);
 // The platform takes an entry out after two probes a second apart; then idle connections may be closed.
@@ -69,8 +70,7 @@
     , metrics_(metricClasses)
     , deferred_(loop.timers())
     , store_(loop.timers(), settings_.host.store)
-    , configuration_(
-          loop, store_, { settings_.configurationBound, settings_.keyBound }, [this] { onConfiguration(); })
+    , configuration_(loop, store_, { settings_.configurationBound, settings_.keyBound }, [this] { onConfiguration(); })
     , directory_(loop, store_,
           { .entry = settings_.host.name,
               .zone = settings_.host.zone,
@@ -216,8 +216,8 @@
               auto call = session->bootstrap().castAs<wire::schema::EntryPeer>().snapshotRequest();
               call.setHaveConfig(mine.value());
               return call.send()
-                  .then([this, name, asked = loop_.timers().now()](
-                            auto&& answer) { learnFromPeer(answer, asked, name); })
+                  .then(
+                      [this, name, asked = loop_.timers().now()](auto&& answer) { learnFromPeer(answer, asked, name); })
                   .attach(std::move(session));
           });
     constexpr auto peerTimeout = Duration(1s);
@@ -266,16 +266,15 @@
     question.setHaveVersions(readersVersions_);
 }
 
-/// Each fact is judged by its own age: a reader whose list is new may not have heard of configurations for long, and the
-/// other way round. What is too old spares nothing, and one's own reading is not held up by it.
+/// Each fact is judged by its own age: a reader whose list is new may not have heard of configurations for long, and
+/// the other way round. What is too old spares nothing, and one's own reading is not held up by it.
 auto GatewayRole::learnFromReader(ReaderLink::Answer answer, const Endpoint& reader, Moment asked) -> void
 {
     const auto now = loop_.timers().now();
     learnConfiguration(answer, asked, reader.str());
     readersVersions_ = answer.getVersions();
-    const auto spared = [&](std::uint32_t ageMs) {
-        return sharing_.sparedUntil(now, Duration(milliseconds(ageMs)) + (now - asked));
-    };
+    const auto spared
+        = [&](std::uint32_t ageMs) { return sharing_.sparedUntil(now, Duration(milliseconds(ageMs)) + (now - asked)); };
     if (const auto until = spared(answer.getConfigAgeMs()); until > now && configuration_.configuration())
         configuration_.spare(until);
     const auto until = spared(answer.getListAgeMs());
--- a/packages/serving/MemberQuotas.cpp
+++ b/packages/serving/MemberQuotas.cpp
@@ -117,7 +117,8 @@
     const auto now = loop_.timers().now();
     const auto sharing = static_cast<double>(std::max<std::size_t>(entries, 1));
     auto& bucket = shares_[charge.member];
-    bucket.setRate({ charge.rate.perSecond / sharing, charge.rate.burst / sharing, charge.rate.lenience / sharing }, now);
+    bucket.setRate(
+        { charge.rate.perSecond / sharing, charge.rate.burst / sharing, charge.rate.lenience / sharing }, now);
     const auto verdict = bucket.take(charge.amount, now);
     return { verdict.granted, std::chrono::duration_cast<milliseconds>(verdict.retryAfter), bucket.level(now) };
 }
--- a/packages/serving/MemberQuotas.h
+++ b/packages/serving/MemberQuotas.h
@@ -38,8 +38,7 @@
     [[nodiscard]] auto boardsOf(const MemberId& member) const -> Boards;
     /// Asks one; an empty answer when it is silent or gone.
     [[nodiscard]] auto ask(AgentLink& board, const QuotaCharge& charge) -> kj::Promise<kj::Maybe<QuotaVerdict>>;
-    [[nodiscard]] auto askNext(QuotaCharge charge, std::size_t entries, std::size_t asked)
-        -> kj::Promise<QuotaVerdict>;
+    [[nodiscard]] auto askNext(QuotaCharge charge, std::size_t entries, std::size_t asked) -> kj::Promise<QuotaVerdict>;
     [[nodiscard]] auto takeShare(const QuotaCharge& charge, std::size_t entries) -> QuotaVerdict;
 
     wire::MainLoop& loop_;
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -317,8 +317,8 @@
 
 auto ReplicaAgent::usable() const -> bool { return report_ && report_->hasModel && slots_; }
 
-auto ReplicaAgent::admit(
-    decisions::AdmissionRequest request, AdapterVersion version, std::span<const decisions::SharedPrefix> shared) -> void
+auto ReplicaAgent::admit(decisions::AdmissionRequest request, AdapterVersion version,
+    std::span<const decisions::SharedPrefix> shared) -> void
 {
     const auto attempt = request.attempt;
     if (!usable())
--- a/packages/serving/ReplicaAgent.h
+++ b/packages/serving/ReplicaAgent.h
@@ -15,8 +15,8 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <string>
 #include <span>
+#include <string>
 #include <unordered_map>
 
 namespace eelgrass::serving {
--- a/packages/serving/ReplicaDirectory.h
+++ b/packages/serving/ReplicaDirectory.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "decisions/LapseGrace.h"
 #include "decisions/KnownPrompts.h"
+#include "decisions/LapseGrace.h"
 #include "decisions/LatelyHeld.h"
 #include "decisions/ReplicaChoice.h"
 #include "decisions/SharedReading.h"
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -124,8 +124,9 @@
     // It may have waited for longer than a key that was taken away may be used.
     if (gateway_.configuration.configuration() == configuration_)
         return true;
-    const auto* holder = gateway_.configuration.members().find(hosting::readKey(request_));
-    if (holder && holder->name == member_->name)
+    const auto& members = gateway_.configuration.members();
+    const auto* holder = members.find(hosting::readKey(request_));
+    if (members.empty() || (holder && holder->name == member_->name))
         return true;
     if (runs_ > 0 || told_ != Told::Nothing)
         giveUp("key taken away");
@@ -142,27 +143,31 @@
 /// Counted before anything is asked of a replica: who is over its limit hears so at once.
 auto RequestRun::takeQuota() -> void
 {
-    charged_ = member_ ? gateway_.quotas.chargeFor(*member_, configuration_->version, facts_) : std::nullopt;
-    if (!charged_)
+    const auto charge = member_ ? gateway_.quotas.chargeFor(*member_, configuration_->version, facts_) : std::nullopt;
+    if (!charge)
         return place();
     // Answered from the loop, as an admission is.
-    admission_ = gateway_.quotas.take(*charged_, gateway_.entries)
-                     .then([this](QuotaVerdict&& verdict) {
-                         gateway_.deferred.add([self = shared_from_this(), verdict] { self->quotaAnswered(verdict); });
+    admission_ = gateway_.quotas.take(*charge, gateway_.entries)
+                     .then([this, charge = *charge](QuotaVerdict&& verdict) {
+                         gateway_.deferred.add(
+                             [self = shared_from_this(), charge, verdict] { self->quotaAnswered(charge, verdict); });
                      })
                      .eagerlyEvaluate([](kj::Exception&& error) {
                          log::error("quota not counted", { { "reason", error.getDescription().cStr() } });
                      });
 }
 
-auto RequestRun::quotaAnswered(const QuotaVerdict& verdict) -> void
+auto RequestRun::quotaAnswered(const QuotaCharge& charge, const QuotaVerdict& verdict) -> void
 {
-    if (over_)
+    if (over_) {
+        if (verdict.granted)
+            gateway_.quotas.giveBack(charge);
         return;
-    if (verdict.granted)
-        return place();
-    charged_.reset();
-    refuseWith(tooManyRequests, "over the member's limit", verdict.retryAfter);
+    }
+    if (!verdict.granted)
+        return refuseWith(tooManyRequests, "over the member's limit", verdict.retryAfter);
+    charged_ = charge;
+    place();
 }
 
 auto RequestRun::guarded(void (RequestRun::*step)()) -> std::function<void()>
@@ -339,7 +344,8 @@
     (ordinary ? log::info : log::warn)("request over",
         { { "request", facts_.attempt.str() }, { "route", name }, { "outcome", std::string(outcome) },
             { "status", std::to_string(status) }, { "reason", std::string(why) },
-            { "member", member_ ? member_->name.str() : "" }, { "configuration_age_ms", member_ ? text(gateway_.configuration.age()) : "" },
+            { "member", member_ ? member_->name.str() : "" },
+            { "configuration_age_ms", member_ ? text(gateway_.configuration.age()) : "" },
             { "replica", replica_ ? replica_->id().str() : "" }, { "sends", std::to_string(sends_) },
             { "runs", std::to_string(runs_) }, { "took_ms", text(now - beganAt_) },
             { "first_ms", firstAt_ == Moment() ? "" : text(firstAt_ - beganAt_) },
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -33,7 +33,7 @@
     /// Whether the key may still be used, by what is known now; asked before each send.
     [[nodiscard]] auto keyHolds() -> bool;
     auto takeQuota() -> void;
-    auto quotaAnswered(const QuotaVerdict& verdict) -> void;
+    auto quotaAnswered(const QuotaCharge& charge, const QuotaVerdict& verdict) -> void;
     [[nodiscard]] auto urgency() const -> std::uint32_t;
     auto place() -> void;
     auto approach() -> void;
--- a/tests/unit/ConfigurationFreshness.cpp
+++ b/tests/unit/ConfigurationFreshness.cpp
@@ -13,10 +13,7 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_CASE(nothing_holds_before_it_is_confirmed)
-{
-    BOOST_TEST(!ConfigurationFreshness(5s).holds(start));
-}
+BOOST_AUTO_TEST_CASE(nothing_holds_before_it_is_confirmed) { BOOST_TEST(!ConfigurationFreshness(5s).holds(start)); }
 
 // A caller whose key was taken away is served.
 // 1. An entry stands still for six seconds. 2. What it knew was new when it stopped. 3. The first thing that it does
--- a/tests/unit/KnownPrompts.cpp
+++ b/tests/unit/KnownPrompts.cpp
@@ -57,8 +57,8 @@
         view.batch = 64;
     }
     for (auto id = std::uint64_t(0); id < 20; ++id) {
-        const auto need = PlacementNeed {
-            .adapter = "a", .unreadTokens = 800, .sharedTokens = one.back().tokens, .sharedId = id };
+        const auto need
+            = PlacementNeed { .adapter = "a", .unreadTokens = 800, .sharedTokens = one.back().tokens, .sharedId = id };
         for (auto& view : views) {
             view.knownTokens = 0;
             const auto before = expectedStart(view, need);
--- a/tests/unit/QuotaBucket.cpp
+++ b/tests/unit/QuotaBucket.cpp
@@ -78,7 +78,8 @@
 }
 
 // Everybody who was refused comes back at the same moment, and all but one are refused again.
-// 1. Ten requests are refused at once. 2. Each is told a time behind those before it, a request's worth of credit apart.
+// 1. Ten requests are refused at once. 2. Each is told a time behind those before it, a request's worth of credit
+// apart.
 BOOST_AUTO_TEST_CASE(the_refused_come_back_one_after_another)
 {
     auto bucket = filled({ .perSecond = 100, .burst = 100, .lenience = 0 });
