--- a/tests/integration/ServingProcess.cpp
+++ b/tests/integration/ServingProcess.cpp
@@ -8,6 +8,7 @@
 #include "wire/MainLoop.h"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 #include <cstdio>
 #include <fstream>
@@ -39,7 +40,7 @@
     auto operator=(const World&) -> World& = delete;
 
     /// A stream of the base model, or of an adapter.
-    auto ask(const std::string& model) -> kj::Promise<int>
+    auto ask(const std::string& model, const std::string& key = {}) -> kj::Promise<int>
     {
         auto call = wire::HttpCall { .method = "POST", .target = "/whole/x", .body = "prompt", .timeout = 20s };
         call.fields.add("Host", "users.example");
@@ -47,6 +48,8 @@
         call.fields.add(hosting::names::deadline, "20000");
         call.fields.add(hosting::names::model, model);
         call.fields.add(hosting::names::tokenCount, "100,20");
+        if (!key.empty())
+            call.fields.add(hosting::names::apiKey, key);
         return caller->call(std::move(call))
             .then([](wire::HttpAnswer&& answer) { return answer.status; }, [](kj::Exception&&) { return 0; });
     }
@@ -101,3 +104,33 @@
     world.until([&] { return !world.gateway->running(); });
     BOOST_TEST(world.gateway->exitCode() == 0);
 }
+
+// Whoever reads the logs could call in a member's name.
+// 1. A member calls, a stranger calls, and the member's key is taken away. 2. All that the process wrote names the
+// member, and neither key.
+BOOST_AUTO_TEST_CASE(no_key_is_in_the_output)
+{
+    constexpr auto key = "key-of-armor-7f3a91c2";
+    constexpr auto strangersKey = "key-of-nobody-5c1e07a2";
+    auto world = World();
+    auto json = nlohmann::json::parse(tests::servingConfiguration(2));
+    json["tenants"] = nlohmann::json::array({ { { "name", "armor" }, { "apiKeys", { key } } } });
+    world.store.put("op", "config", json.dump());
+    // In force once a stranger is refused.
+    auto status = 0;
+    while (status != 401)
+        status = world.loop.wait(world.ask("base", strangersKey));
+    while (status != 200)
+        status = world.loop.wait(world.ask("base", key));
+    json["version"] = 3;
+    json["tenants"][0]["apiKeys"] = nlohmann::json::array();
+    world.store.put("op", "config", json.dump());
+    while (status != 401)
+        status = world.loop.wait(world.ask("base", key));
+    world.gateway->signal(SIGTERM);
+    world.until([&] { return !world.gateway->running(); });
+    const auto output = world.gateway->output();
+    BOOST_TEST(output.find("armor") != std::string::npos);
+    BOOST_TEST(output.find(key) == std::string::npos);
+    BOOST_TEST(output.find(strangersKey) == std::string::npos);
+}
