Read once more: hashes of agents kept, one test for one thing, nothing that nobody calls

- Every request of a limited member ranked all agents twice, writing out and hashing each endpoint again; the hash is kept in the link, as decisions/Rendezvous.h asks for.
- An attempt that arrived while the engine was asked is tested for once.
- The share of the bound for keys is counted in whole durations; two comparisons, three includes that nobody uses go; two comments said that a request's digest does not depend on who asks.

--- a/packages/decisions/KnownPrompts.h
+++ b/packages/decisions/KnownPrompts.h
@@ -13,8 +13,6 @@
 struct SharedPrefix {
     std::uint64_t id = 0;
     std::uint64_t tokens = 0;
-
-    friend auto operator==(const SharedPrefix&, const SharedPrefix&) -> bool = default;
 };
 
 /// What of prompts a replica has read, as far as is known here.
--- a/packages/decisions/QuotaBucket.h
+++ b/packages/decisions/QuotaBucket.h
@@ -12,8 +12,6 @@
     /// By how much the limit may be passed for a moment: entries that lose sight of each other, or of those that count,
     /// for a moment must not refuse what is below it.
     double lenience = 0;
-
-    friend auto operator==(const QuotaRate&, const QuotaRate&) -> bool = default;
 };
 
 /// Counts what one member was granted, against its limit.
--- a/packages/router/controllers/AttemptsController.cpp
+++ b/packages/router/controllers/AttemptsController.cpp
@@ -120,10 +120,11 @@
     return known.then(
         [this, order = std::move(order), sink = kj::mv(sink)](bool there) mutable -> kj::Promise<bool> {
             // Its start may have arrived while the engine was asked.
-            if (!there && !attempts_.contains(order.attempt))
-                return false;
-            if (!attempts_.contains(order.attempt))
+            if (!attempts_.contains(order.attempt)) {
+                if (!there)
+                    return false;
                 adopt(order.attempt, order.model);
+            }
             return resume(std::move(order), kj::mv(sink));
         },
         [](kj::Exception&&) { return false; });
--- a/packages/serving/AgentLink.cpp
+++ b/packages/serving/AgentLink.cpp
@@ -1,6 +1,7 @@
 #include "serving/AgentLink.h"
 
 #include "base/Log.h"
+#include "decisions/Rendezvous.h"
 #include "serving/detail/OneWayCall.h"
 
 namespace eelgrass::serving {
@@ -54,6 +55,7 @@
 AgentLink::AgentLink(wire::MainLoop& loop, Endpoint endpoint, Caller caller, Hooks hooks)
     : loop_(loop)
     , endpoint_(std::move(endpoint))
+    , endpointHash_(decisions::nameHash(endpoint_.str()))
     , caller_(std::move(caller))
     , hooks_(std::move(hooks))
 {
--- a/packages/serving/AgentLink.h
+++ b/packages/serving/AgentLink.h
@@ -131,6 +131,8 @@
     /// Another agent granted it and had `level` left, or it is given back.
     auto noteQuota(const QuotaCharge& charge, double level) -> void;
     [[nodiscard]] auto endpoint() const noexcept -> const Endpoint& { return endpoint_; }
+    /// Kept, since every request of a limited member ranks all agents by it.
+    [[nodiscard]] auto endpointHash() const noexcept -> std::uint64_t { return endpointHash_; }
     /// Tells which configuration this entry has, where it can be asked for, and what it says of engines.
     auto configured(std::shared_ptr<const ServingConfiguration> configuration, const std::string& holder) -> void;
 
@@ -155,6 +157,7 @@
 
     wire::MainLoop& loop_;
     Endpoint endpoint_;
+    std::uint64_t endpointHash_;
     Caller caller_;
     Hooks hooks_;
     std::unique_ptr<Session> session_;
--- a/packages/serving/GatewayRole.cpp
+++ b/packages/serving/GatewayRole.cpp
@@ -16,9 +16,7 @@
 constexpr auto behindTooLong = Duration(600ms);
 // How long an entry does without the store's list of replicas before it asks a peer, and between two such questions.
 constexpr auto listTooOld = Duration(1s);
-// The share of the bound for keys after which an entry that is told nothing asks others, and between two questions
-// then.
-constexpr auto keysTooOld = 0.4;
+// Between two questions of an entry whose configuration gets too old for keys.
 constexpr auto keysAgain = Duration(400ms);
 // The platform takes an entry out after two probes a second apart; then idle connections may be closed.
 constexpr auto balancerDelay = Duration(2500ms);
@@ -28,6 +26,9 @@
 constexpr auto stopMargin = Duration(500ms);
 constexpr auto stopCheck = Duration(100ms);
 
+/// After two fifths of the bound for keys an entry that is told nothing asks others.
+constexpr auto keysTooOld(Duration bound) -> Duration { return 2 * bound / 5; }
+
 } // namespace
 
 /// Tells other entries what this one knows.
@@ -189,9 +190,8 @@
     const auto now = loop_.timers().now();
     // An entry to which the store is closed learns of configurations, and of new and leaving replicas, from its peers.
     const auto listOld = directory_.lostSince() && now - *directory_.lostSince() > listTooOld;
-    const auto keyAge = std::chrono::duration_cast<Duration>(
-        keysTooOld * std::chrono::duration<double, std::milli>(settings_.keyBound.value_or(milliseconds(0))));
-    const auto keysOld = settings_.keyBound && !configuration_.members().empty() && configuration_.age() > keyAge;
+    const auto keysOld = settings_.keyBound && !configuration_.members().empty()
+        && configuration_.age() > keysTooOld(*settings_.keyBound);
     const auto due = now - askedAt_ > (keysOld ? keysAgain : listTooOld);
     if (knowsAll && !((listOld || keysOld) && due))
         return;
--- a/packages/serving/MemberQuotas.cpp
+++ b/packages/serving/MemberQuotas.cpp
@@ -61,7 +61,7 @@
             continue;
         const auto resting = resting_.find(agent->endpoint());
         candidates.push_back({ agent, resting != resting_.end() && now < resting->second,
-            decisions::rendezvousScore(key, decisions::nameHash(agent->endpoint().str())) });
+            decisions::rendezvousScore(key, agent->endpointHash()) });
     }
     const auto count = std::min(boardsOfMember, candidates.size());
     std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count), candidates.end(),
--- a/packages/serving/MemberQuotas.h
+++ b/packages/serving/MemberQuotas.h
@@ -4,7 +4,6 @@
 #include "serving/Settings.h"
 
 #include <map>
-#include <string>
 #include <vector>
 
 namespace eelgrass::serving {
--- a/packages/serving/ReplicaAgent.h
+++ b/packages/serving/ReplicaAgent.h
@@ -17,7 +17,6 @@
 #include <optional>
 #include <span>
 #include <string>
-#include <unordered_map>
 
 namespace eelgrass::serving {
 
--- a/packages/serving/ReplicaDirectory.h
+++ b/packages/serving/ReplicaDirectory.h
@@ -17,7 +17,6 @@
 #include <memory>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace eelgrass::serving {
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -104,7 +104,7 @@
     Moment endAt_ {};
     /// When a client that has seen no event of its stream leaves.
     Moment firstBy_ {};
-    /// Names what would run, whoever sends it.
+    /// Names what would run, and for whom, through whichever entry it comes.
     std::string digest_;
     /// The parts of the prompt that others share, from the first up to each of them.
     std::vector<decisions::SharedPrefix> shared_;
--- a/packages/serving/SuspectRequests.h
+++ b/packages/serving/SuspectRequests.h
@@ -34,7 +34,7 @@
     decisions::Quarantine own_;
 };
 
-/// Names a request by what a replica would run: method, target, model and body.
+/// Names a request by what a replica would run, and for whom: method, target, model, body and member.
 [[nodiscard]] auto digestOf(const wire::HttpRequestMessage& request, const RequestFacts& facts, const MemberId& member)
     -> std::string;
 
