Replica in files of its own; members of ReplicaAgent initialized in their order

Ruled out: a change of behaviour; the code is moved as it stood. ReplicaAgent's members had initializers in another order than their declaration and none reads another. Change: Replica.h and Replica.cpp; the stray line of the comment is gone; the order of two initializers.

--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -49,8 +49,8 @@
     , onDecision_(std::move(onDecision))
     , onChange_(std::move(onChange))
     , replica_(loop.timers(), settings.replica.address, settings.replica.port)
-    , loadTime_(adapterTime)
     , prompts_(mostPrompts)
+    , loadTime_(adapterTime)
 {
 }
 
--- a/packages/serving/ReplicaDirectory.h
+++ b/packages/serving/ReplicaDirectory.h
@@ -1,126 +1,20 @@
 #pragma once
 
-#include "decisions/KnownPrompts.h"
 #include "decisions/LapseGrace.h"
-#include "decisions/LatelyHeld.h"
-#include "decisions/ReplicaChoice.h"
 #include "decisions/SharedReading.h"
 #include "platform/Documents.h"
 #include "platform/Store.h"
-#include "serving/AgentLink.h"
-#include "serving/ReplicaLeg.h"
+#include "serving/Replica.h"
 #include "serving/Types.h"
 
-#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
 namespace eelgrass::serving {
 
-/// One replica as this entry knows it: its entry in the list, the session with its agent, the connections to it, and
-/// what this entry has seen of it.
-class Replica {
-public:
-    Replica(TimerService& timers, ReplicaRecord record);
-
-    [[nodiscard]] auto id() const noexcept -> const InstanceId& { return record_.start.instance; }
-    [[nodiscard]] auto record() const noexcept -> const ReplicaRecord& { return record_; }
-    auto update(ReplicaRecord record) -> void { record_ = std::move(record); }
-    [[nodiscard]] auto pool() noexcept -> ConnectionPool& { return pool_; }
-    [[nodiscard]] auto agent() const noexcept -> AgentLink* { return agent_.get(); }
-    auto setAgent(std::unique_ptr<AgentLink> agent) -> void { agent_ = std::move(agent); }
-
-    /// Not in the list any more, or leaving: runs end there, nothing new is sent. A start that leaves never comes back;
-    /// the next one of the same name is a `Replica` of its own.
-    [[nodiscard]] auto leaving() const noexcept -> bool { return leaving_; }
-    auto setLeaving() -> void { leaving_ = true; }
-    /// Its entry in the list cannot be read, as when something else has written there: it gets nothing new until it
-    /// can.
-    [[nodiscard]] auto unreadable() const noexcept -> bool { return unreadable_; }
-    auto setUnreadable(bool unreadable) -> void { unreadable_ = unreadable; }
-    auto heardOf() -> void { earlierBirths_ = 0; }
-    /// When the store's list last named it; empty when only a peer's did.
-    [[nodiscard]] auto listedAt() const noexcept -> std::optional<Moment> { return listedAt_; }
-    auto setListedAt(Moment at) -> void { listedAt_ = std::max(listedAt_.value_or(at), at); }
-    /// The list told of a start under its name with that birth. A late heartbeat of an earlier start may stand there
-    /// until the next one; a birth that stays is of a newer start, on a host whose time of day has jumped back.
-    [[nodiscard]] auto outlived(const Birth& birth, std::uint64_t listVersion) -> bool;
-    /// The store has a newer entry at its address: this start of the replica is over, or its list entry is old.
-    [[nodiscard]] auto superseded() const noexcept -> bool { return superseded_; }
-    auto setSuperseded(bool superseded) -> void { superseded_ = superseded; }
-    /// The store's version of its list entry.
-    [[nodiscard]] auto listVersion() const noexcept -> std::uint64_t { return listVersion_; }
-    auto setListVersion(std::uint64_t version) -> void { listVersion_ = std::max(listVersion_, version); }
-
-    /// A request was sent.
-    auto sent(Tokens tokens) -> void;
-    auto ended() -> void;
-    [[nodiscard]] auto inFlight() const noexcept -> std::size_t { return inFlight_; }
-    /// The agent spoke: what was sent before is in its figures.
-    auto reported() -> void
-    {
-        tokensSent_ = 0;
-        loadsAsked_.clear();
-    }
-    [[nodiscard]] auto tokensSent() const noexcept -> Tokens { return tokensSent_; }
-    /// A request was sent for admission whose adapter is not there.
-    auto askedLoad(const AdapterName& adapter) -> void { loadsAsked_.insert(adapter); }
-    [[nodiscard]] auto hasAskedLoad(const AdapterName& adapter) const -> bool { return loadsAsked_.contains(adapter); }
-    [[nodiscard]] auto loadsAsked() const noexcept -> std::size_t { return loadsAsked_.size(); }
-
-    /// The replica answered well after `took`, or failed; see `usable`.
-    auto succeeded(Duration took) -> void;
-    auto failed(Moment now) -> void;
-    /// It said that it is full.
-    auto refused(Moment now) -> void;
-    /// False while it rests after failures; then one request at a time tries it.
-    [[nodiscard]] auto usable(Moment now) const noexcept -> bool;
-    [[nodiscard]] auto meanTime() const noexcept -> Duration { return meanTime_; }
-
-    /// Whether this entry sent a request with that shared part there before.
-    /// What of prompts it has read, as far as this entry sent them.
-    auto prompts() noexcept -> decisions::KnownPrompts& { return prompts_; }
-    [[nodiscard]] auto prompts() const noexcept -> const decisions::KnownPrompts& { return prompts_; }
-    /// Whether the replica held the adapter not long ago, so that its weights are still at hand there.
-    [[nodiscard]] auto warm(const AdapterName& adapter) const -> bool { return latelyHeld_.contains(adapter); }
-    /// Notes what the replica holds now; remembers the last `most`.
-    auto holding(const std::map<AdapterName, AdapterVersion>& adapters, std::size_t most) -> void
-    {
-        latelyHeld_.note(adapters, most);
-    }
-
-private:
-    // Prefixes of prompts remembered for each replica.
-    static constexpr auto mostPrompts = std::size_t(256);
-
-    ReplicaRecord record_;
-    ConnectionPool pool_;
-    std::unique_ptr<AgentLink> agent_;
-    bool leaving_ = false;
-    bool unreadable_ = false;
-    bool superseded_ = false;
-    std::uint64_t listVersion_ = 0;
-    std::optional<Moment> listedAt_;
-    /// Rows that told of an earlier birth, one after another.
-    std::uint32_t earlierBirths_ = 0;
-    std::uint64_t earlierVersion_ = 0;
-    std::size_t inFlight_ = 0;
-    Tokens tokensSent_ = 0;
-    /// Adapters that this entry asked for there since the agent spoke.
-    std::set<AdapterName> loadsAsked_;
-    std::uint32_t failures_ = 0;
-    Moment restsUntil_ {};
-    Duration meanTime_ {};
-    decisions::KnownPrompts prompts_ { mostPrompts };
-    decisions::LatelyHeld latelyHeld_;
-};
-
-using ReplicaPtr = std::shared_ptr<Replica>;
-
 /// All replicas of all services, from the platform's list.
 class ReplicaDirectory {
 public:
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decisions/ReplicaChoice.h"
 #include "platform/RequestHeaders.h"
 #include "serving/CallerExchange.h"
 #include "serving/EventSplitter.h"
