--- a/packages/decisions/SharedReading.h
+++ b/packages/decisions/SharedReading.h
@@ -20,6 +20,16 @@
 /// ```
 class SharedReading {
 public:
+    /// The part of an entry in reading the store for its zone.
+    enum class Role {
+        /// Reads the store for itself only.
+        Alone,
+        /// Reads the store and answers the other entries of the zone.
+        Reader,
+        /// Asks the reader of the zone.
+        Follower,
+    };
+
     /// With fewer entries in a zone the reader's shorter interval costs more calls than are saved.
     static constexpr auto fewestEntries = std::size_t(4);
 
@@ -39,6 +49,16 @@
         return heardAt + bound_ * eighths / 8 - age;
     }
 
+    /// Delay before a failed call to the store is retried; longer for a follower, which also learns from the reader.
+    [[nodiscard]] static constexpr auto retryInterval(Role role) noexcept -> Duration
+    {
+        constexpr auto usual = Duration(500ms);
+        constexpr auto followers = Duration(2s);
+        return role == Role::Follower ? followers : usual;
+    }
+    /// How often a follower that the store refuses checks whether it is served again.
+    static constexpr auto probeInterval = Duration(5s);
+
 private:
     Duration bound_;
 };
--- a/packages/router/Metrics.cpp
+++ b/packages/router/Metrics.cpp
@@ -49,6 +49,14 @@
     observe(series(name, member, requestClass), time);
 }
 
+auto Metrics::observe(const std::string& name, const std::map<std::string, std::string>& labels, Duration time) -> void
+{
+    auto& family = times_[name];
+    if (!family)
+        family = &prometheus::BuildHistogram().Name(name).Register(registry_);
+    observe(family->Add(labels, timeBounds), time);
+}
+
 auto Metrics::observeShare(const std::string& name, double share) -> void
 {
     auto& family = times_[name];
--- a/packages/router/Metrics.h
+++ b/packages/router/Metrics.h
@@ -28,6 +28,8 @@
     /// A time for one member and class; `name` is a metric's whole name, ending in `_seconds`.
     auto observe(const std::string& name, const MemberId& member, const RequestClass& requestClass, Duration time)
         -> void;
+    /// A time with arbitrary labels.
+    auto observe(const std::string& name, const std::map<std::string, std::string>& labels, Duration time) -> void;
     /// A share from 0 to 1, as how full an engine step was.
     auto observeShare(const std::string& name, double share) -> void;
     static auto observe(Series& series, Duration time) -> void;
--- a/packages/serving/AgentLink.cpp
+++ b/packages/serving/AgentLink.cpp
@@ -3,6 +3,7 @@
 #include "base/Log.h"
 #include "decisions/Rendezvous.h"
 #include "serving/detail/OneWayCall.h"
+#include "serving/detail/RunLimits.h"
 
 namespace eelgrass::serving {
 
@@ -59,13 +60,37 @@
     , caller_(std::move(caller))
     , hooks_(std::move(hooks))
 {
-    connect();
 }
 
 AgentLink::~AgentLink() { *alive_ = false; }
 
+auto AgentLink::setSessionPolicy(decisions::SessionPolicy policy) -> void
+{
+    policy_ = policy;
+    if (persistent() && phase_ == Phase::Closed)
+        connect();
+    else if (phase_ == Phase::Open)
+        scheduleIdleClose();
+}
+
+auto AgentLink::open() -> kj::Promise<void>
+{
+    usedAt_ = loop_.timers().now();
+    if (alive())
+        return kj::READY_NOW;
+    if (phase_ == Phase::Closed)
+        connect();
+    if (phase_ != Phase::Opening)
+        return KJ_EXCEPTION(DISCONNECTED, "no session with the agent");
+    auto pair = kj::newPromiseAndFulfiller<void>();
+    pendingOpens_.push_back(kj::mv(pair.fulfiller));
+    return kj::mv(pair.promise);
+}
+
 auto AgentLink::connect() -> void
 {
+    phase_ = Phase::Opening;
+    openingSince_ = loop_.timers().now();
     work_ = wire::connectTo(endpoint_.address, endpoint_.port)
                 .then([this](kj::Own<wire::GlibStream>&& stream) { return attach(kj::mv(stream)); })
                 .eagerlyEvaluate([this](kj::Exception&& error) { lost(error.getDescription().cStr()); });
@@ -88,29 +113,97 @@
         item.setPromptTokens(order.promptTokens);
         item.setOutputTokens(order.outputTokens);
     }
-    return request.send()
+    auto attached = request.send();
+    // Pipelined with the attachment: the agent cannot admit requests before it has the limits.
+    auto client = attached.getSession();
+    sendNotice(client);
+    return attached
         .then([this](auto&& answer) {
             session_->client = answer.getSession();
             log::info("agent attached", { { "peer", endpoint_.str() } });
-            sendConfigured();
+            completeOpening();
             return session_->connection.closed();
         })
         .then([this] { lost("closed"); });
 }
 
+/// The session is open once both the attach answer and the first state update have arrived, in either order.
+auto AgentLink::completeOpening() -> void
+{
+    if (phase_ != Phase::Opening || !alive())
+        return;
+    phase_ = Phase::Open;
+    for (auto& pending : std::exchange(pendingOpens_, {}))
+        pending->fulfill();
+    scheduleIdleClose();
+}
+
+auto AgentLink::abandonOpening() -> void
+{
+    if (phase_ == Phase::Opening)
+        lost("timed out while opening");
+}
+
+auto AgentLink::inUse() const -> bool
+{
+    return !granted_.empty() || loop_.timers().now() - usedAt_ < decisions::SessionPlan::idleTime;
+}
+
+auto AgentLink::scheduleIdleClose() -> void
+{
+    if (persistent())
+        return;
+    idleTimer_ = loop_.timers().after(decisions::SessionPlan::idleTime, [this] {
+        if (persistent() || phase_ != Phase::Open)
+            return;
+        if (inUse())
+            scheduleIdleClose();
+        else
+            close();
+    });
+}
+
+auto AgentLink::close() -> void
+{
+    log::info("agent detached", { { "peer", endpoint_.str() } });
+    phase_ = Phase::Closed;
+    state_.at = {};
+    dropSession();
+}
+
+auto AgentLink::dropSession() -> void
+{
+    work_ = nullptr;
+    session_.reset();
+}
+
 auto AgentLink::lost(const std::string& reason) -> void
 {
     if (session_ && session_->client != nullptr)
         log::warn("agent lost", { { "peer", endpoint_.str() }, { "reason", reason } });
+    phase_ = Phase::Backoff;
     state_.at = {};
+    for (auto& pending : std::exchange(pendingOpens_, {}))
+        pending->reject(KJ_EXCEPTION(DISCONNECTED, "agent unreachable"));
     // Not from within one of the session's own callbacks.
     retry_ = loop_.timers().after(Duration(0), [this] {
-        work_ = nullptr;
-        session_.reset();
-        retry_ = loop_.timers().after(reconnectAfter, [this] { connect(); });
+        dropSession();
+        retry_ = loop_.timers().after(reconnectAfter, [this] {
+            phase_ = Phase::Closed;
+            if (persistent() || !granted_.empty())
+                connect();
+        });
     });
 }
 
+auto AgentLink::mayOpen() const -> bool
+{
+    if (persistent())
+        return false;
+    return phase_ == Phase::Closed
+        || (phase_ == Phase::Opening && loop_.timers().now() - openingSince_ < detail::sessionOpenLimit);
+}
+
 auto AgentLink::alive() const -> bool
 {
     return session_ && session_->client != nullptr && state_.at != Moment()
@@ -133,6 +226,7 @@
         learnNames(state);
     learnFigures(state);
     hooks_.onState();
+    completeOpening();
 }
 
 auto AgentLink::learnFigures(wire::schema::ReplicaState::Reader state) -> void
@@ -170,6 +264,9 @@
 
 auto AgentLink::admit(const AdmitOrder& order) -> kj::Promise<AdmitResult>
 {
+    usedAt_ = loop_.timers().now();
+    if (!session_)
+        return KJ_EXCEPTION(DISCONNECTED, "no session with the agent");
     KJ_IF_MAYBE (client, session_->client) {
         auto call = client->admitRequest();
         auto request = call.initRequest();
@@ -241,6 +338,13 @@
 
 auto AgentLink::takeQuota(const QuotaCharge& charge) -> kj::Promise<QuotaVerdict>
 {
+    if (!alive() && mayOpen())
+        return open().then([this, charge, alive = alive_]() -> kj::Promise<QuotaVerdict> {
+            if (!*alive)
+                return KJ_EXCEPTION(DISCONNECTED, "the agent was removed");
+            return takeQuota(charge);
+        });
+    usedAt_ = loop_.timers().now();
     if (!session_)
         return KJ_EXCEPTION(DISCONNECTED, "no session with the agent");
     KJ_IF_MAYBE (client, session_->client) {
@@ -255,6 +359,14 @@
 
 auto AgentLink::noteQuota(const QuotaCharge& charge, double level) -> void
 {
+    if (!alive() && mayOpen())
+        return loop_.spawn(open()
+                               .then([this, charge, level, alive = alive_] {
+                                   if (*alive)
+                                       noteQuota(charge, level);
+                               })
+                               .catch_([](kj::Exception&&) {}));
+    usedAt_ = loop_.timers().now();
     if (!session_)
         return;
     KJ_IF_MAYBE (client, session_->client) {
@@ -265,38 +377,40 @@
     }
 }
 
-auto AgentLink::configured(std::shared_ptr<const ServingConfiguration> configuration, const std::string& holder) -> void
+auto AgentLink::notify(const EntryNotice& notice) -> void
 {
-    configuration_ = std::move(configuration);
-    holder_ = holder;
-    sendConfigured();
+    notice_ = notice;
+    if (!session_)
+        return;
+    KJ_IF_MAYBE (client, session_->client)
+        sendNotice(*client);
 }
 
-auto AgentLink::sendConfigured() -> void
+auto AgentLink::sendNotice(wire::schema::AgentSession::Client& client) -> void
 {
-    if (!session_ || !configuration_)
+    if (!notice_.configuration)
         return;
-    KJ_IF_MAYBE (client, session_->client) {
-        auto call = client->configuredRequest();
-        call.setVersion(configuration_->version.value());
-        call.setHolder(holder_);
-        auto engines = std::vector<const ServiceRecord*>();
-        for (const auto& [name, service] : configuration_->services) {
-            if (service.engine)
-                engines.push_back(&service);
-        }
-        auto limits = call.initLimits(static_cast<unsigned>(engines.size()));
-        for (auto index = 0U; index < engines.size(); ++index) {
-            const auto& engine = *engines[index]->engine;
-            limits[index].setService(engines[index]->name.str());
-            limits[index].setHealthPath(engines[index]->healthPath);
-            limits[index].setBatch(engine.batch);
-            limits[index].setMemory(engine.memory);
-            limits[index].setAdapterSlots(engine.adapterSlots);
-            limits[index].setBaseModel(engine.models.empty() ? "" : engine.models.front().str());
-        }
-        detail::sendOneWay(loop_, call);
+    const auto& configuration = *notice_.configuration;
+    auto call = client.configuredRequest();
+    call.setVersion(configuration.version.value());
+    call.setHolder(notice_.holder);
+    call.setReaderWeight(notice_.readerWeight);
+    auto engines = std::vector<const ServiceRecord*>();
+    for (const auto& [name, service] : configuration.services) {
+        if (service.engine)
+            engines.push_back(&service);
+    }
+    auto limits = call.initLimits(static_cast<unsigned>(engines.size()));
+    for (auto index = 0U; index < engines.size(); ++index) {
+        const auto& engine = *engines[index]->engine;
+        limits[index].setService(engines[index]->name.str());
+        limits[index].setHealthPath(engines[index]->healthPath);
+        limits[index].setBatch(engine.batch);
+        limits[index].setMemory(engine.memory);
+        limits[index].setAdapterSlots(engine.adapterSlots);
+        limits[index].setBaseModel(engine.models.empty() ? "" : engine.models.front().str());
     }
+    detail::sendOneWay(loop_, call);
 }
 
 } // namespace eelgrass::serving
--- a/packages/serving/AgentLink.h
+++ b/packages/serving/AgentLink.h
@@ -2,6 +2,7 @@
 
 #include "decisions/KnownPrompts.h"
 #include "decisions/QuotaBucket.h"
+#include "decisions/SessionPlan.h"
 #include "serving/Types.h"
 #include "wire/Door.h"
 #include "wire/MainLoop.h"
@@ -90,7 +91,18 @@
     double level = 0;
 };
 
+/// What an entry announces to the agents it has sessions with.
+struct EntryNotice {
+    std::shared_ptr<const ServingConfiguration> configuration;
+    /// The address at which the entry serves this configuration.
+    std::string holder;
+    /// Preference for this entry as its zone's reader; 0 while the store does not serve it.
+    double readerWeight = 0;
+};
+
 /// An entry's session with the process beside one replica: admission there, and what it pushes about the replica.
+///
+/// A persistent session stays open; an on-demand session is closed when idle.
 class AgentLink {
 public:
     struct Hooks {
@@ -109,8 +121,17 @@
     ~AgentLink();
     KJ_DISALLOW_COPY(AgentLink);
 
+    /// Opens the session if the policy is persistent, and lets it be closed when idle otherwise.
+    auto setSessionPolicy(decisions::SessionPolicy policy) -> void;
+    [[nodiscard]] auto hub() const noexcept -> bool { return policy_ == decisions::SessionPolicy::Hub; }
     /// Whether it can be asked now.
     [[nodiscard]] auto alive() const -> bool;
+    /// Whether `open` may succeed: the session is on demand, and closed or opening within its time limit.
+    [[nodiscard]] auto mayOpen() const -> bool;
+    /// Opens the session if needed; resolves once it is alive, and is rejected if the agent cannot be reached.
+    [[nodiscard]] auto open() -> kj::Promise<void>;
+    /// Drops a session that is still opening when the caller's timeout expires.
+    auto abandonOpening() -> void;
     [[nodiscard]] auto near() const noexcept -> bool { return caller_.near; }
     /// Whether it said something after `asked`, or still has time to. An agent tells whoever asks it of its figures
     /// within half a second, also while the request waits; one that does not is frozen or cut off.
@@ -133,18 +154,33 @@
     [[nodiscard]] auto endpoint() const noexcept -> const Endpoint& { return endpoint_; }
     /// Kept, since every request of a limited member ranks all agents by it.
     [[nodiscard]] auto endpointHash() const noexcept -> std::uint64_t { return endpointHash_; }
-    /// Tells which configuration this entry has, where it can be asked for, and what it says of engines.
-    auto configured(std::shared_ptr<const ServingConfiguration> configuration, const std::string& holder) -> void;
+    /// Sends the notice now and on every new session.
+    auto notify(const EntryNotice& notice) -> void;
 
 private:
     class Listener;
+    enum class Phase {
+        Closed,
+        /// Connecting, or waiting for the agent's first state update.
+        Opening,
+        Open,
+        /// Lost; waiting for the reconnect delay.
+        Backoff,
+    };
+    [[nodiscard]] auto persistent() const noexcept -> bool { return policy_ != decisions::SessionPolicy::OnDemand; }
+    [[nodiscard]] auto inUse() const -> bool;
+    auto completeOpening() -> void;
+    auto close() -> void;
+    /// Starts the idle timer of an on-demand session.
+    auto scheduleIdleClose() -> void;
+    auto dropSession() -> void;
     auto connect() -> void;
     auto attach(kj::Own<wire::GlibStream> stream) -> kj::Promise<void>;
     auto lost(const std::string& reason) -> void;
     auto learn(wire::schema::ReplicaState::Reader state) -> void;
     auto learnFigures(wire::schema::ReplicaState::Reader state) -> void;
     auto learnNames(wire::schema::ReplicaState::Reader state) -> void;
-    auto sendConfigured() -> void;
+    auto sendNotice(wire::schema::AgentSession::Client& client) -> void;
 
     struct Session {
         Session(kj::Own<wire::GlibStream> stream)
@@ -164,9 +200,14 @@
     kj::Maybe<kj::Promise<void>> work_;
     ReplicaSnapshot state_;
     std::map<AttemptId, AdmitOrder> granted_;
-    std::shared_ptr<const ServingConfiguration> configuration_;
-    std::string holder_;
+    EntryNotice notice_;
+    decisions::SessionPolicy policy_ = decisions::SessionPolicy::OnDemand;
+    Phase phase_ = Phase::Closed;
+    Moment openingSince_ {};
+    Moment usedAt_ {};
+    std::vector<kj::Own<kj::PromiseFulfiller<void>>> pendingOpens_;
     Timer retry_;
+    Timer idleTimer_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -3,15 +3,19 @@
 #include "base/Log.h"
 #include "decisions/Rendezvous.h"
 #include "decisions/SharedReading.h"
+#include "serving/StoreCalls.h"
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 
 namespace eelgrass::serving {
 
 namespace {
 
 constexpr auto metricClasses = std::size_t(10);
+// Entries attach within a second of the first configuration, which may arrive a few seconds after the agent starts.
+constexpr auto limitsWait = Duration(8s);
 
 } // namespace
 
@@ -27,7 +31,7 @@
     ~Session() noexcept(false)
     {
         role_.publisher_.remove(this);
-        if (role_.nearPeers_.erase(this) > 0)
+        if (role_.nearEntries_.erase(this) > 0)
             role_.publisher_.changed();
         for (const auto& attempt : std::exchange(attempts_, {}))
             role_.agent_.release(attempt);
@@ -103,10 +107,11 @@
     {
         const auto params = context.getParams();
         if (near_) {
-            role_.nearPeers_[this] = params.getHolder().cStr();
+            role_.nearEntries_[this] = { params.getHolder().cStr(), params.getReaderWeight() };
             role_.publisher_.changed();
         }
         role_.learnConfiguration(params.getVersion(), params.getHolder().cStr(), params.getLimits());
+        role_.publisher_.publishInitial(this);
         return kj::READY_NOW;
     }
 
@@ -181,7 +186,7 @@
     : loop_(loop)
     , settings_(std::move(settings))
     , metrics_(metricClasses)
-    , store_(loop.timers(), settings_.host.store)
+    , store_(loop.timers(), settings_.host.store, storeCallCounter(metrics_))
     , agent_(
           loop, settings_, store_,
           [this](const AttemptId& attempt, const ReplicaAgent::Decision& decision) { decided(attempt, decision); },
@@ -203,6 +208,7 @@
     metricsServer_ = serveMetrics(loop_.timers(), { settings_.host.address, settings_.host.metricsPort }, metrics_);
     agent_.start();
     publisher_.start();
+    limitsTimer_ = loop_.timers().every(limitsWait, [this] { readLimits(); });
     log::info("listening",
         { { "port", std::to_string(listener_->port()) }, { "version", EELGRASS_VERSION },
             { "peer", settings_.replica.str() } });
@@ -251,11 +257,48 @@
     for (auto item : limits) {
         if (settings_.service.str() != item.getService().cStr())
             continue;
+        limitsKnown_ = true;
         agent_.configure({ .batch = item.getBatch(), .memory = item.getMemory() }, item.getAdapterSlots(),
             BaseModel(item.getBaseModel().cStr()), item.getHealthPath().cStr());
     }
 }
 
+auto AgentRole::readLimits() -> void
+{
+    if (limitsKnown_)
+        return limitsTimer_.cancel();
+    limitsWork_ = store_.readRow("op", "config")
+                      .then([this](hosting::StoreAnswer&& answer) { takeLimits(answer); })
+                      .eagerlyEvaluate([](kj::Exception&& error) {
+                          log::error("reading limits failed", { { "reason", error.getDescription().cStr() } });
+                      });
+}
+
+auto AgentRole::takeLimits(const hosting::StoreAnswer& answer) -> void
+{
+    if (limitsKnown_ || answer.rows.empty())
+        return;
+    const auto configuration = orElse(
+        [&]() -> Result<std::optional<ServingConfiguration>> {
+            BOOST_LEAF_AUTO(read, hosting::readConfiguration(answer.rows.front().value));
+            return std::optional(std::move(read));
+        },
+        [](const Error& error) -> std::optional<ServingConfiguration> {
+            log::error("configuration not understood", { { "source", "store" }, { "reason", error.message() } });
+            return std::nullopt;
+        });
+    if (!configuration)
+        return;
+    const auto service = configuration->services.find(settings_.service);
+    if (service == configuration->services.end() || !service->second.engine)
+        return;
+    limitsKnown_ = true;
+    const auto& engine = *service->second.engine;
+    agent_.configure({ .batch = engine.batch, .memory = engine.memory }, engine.adapterSlots,
+        engine.models.empty() ? BaseModel() : engine.models.front(), service->second.healthPath);
+    log::info("limits read", { { "source", "store" } });
+}
+
 auto AgentRole::figures() const -> decisions::ReplicaFigures
 {
     const auto& queue = agent_.queue();
@@ -273,12 +316,15 @@
 
 auto AgentRole::reader() const -> std::string
 {
-    if (nearPeers_.size() < decisions::SharedReading::fewestEntries)
+    if (nearEntries_.size() < decisions::SharedReading::fewestEntries)
         return {};
-    const auto first = std::min_element(nearPeers_.begin(), nearPeers_.end(), [](const auto& left, const auto& right) {
-        return decisions::nameHash(left.second) < decisions::nameHash(right.second);
+    const auto first = std::min_element(nearEntries_.begin(), nearEntries_.end(), [](const auto& l, const auto& r) {
+        const auto& [left, right] = std::tie(l.second, r.second);
+        if (left.readerWeight != right.readerWeight)
+            return left.readerWeight > right.readerWeight;
+        return decisions::nameHash(left.holder) < decisions::nameHash(right.holder);
     });
-    return first->second;
+    return first->second.holder;
 }
 
 auto AgentRole::namesText() const -> std::string
--- a/packages/serving/AgentRole.h
+++ b/packages/serving/AgentRole.h
@@ -42,6 +42,10 @@
     /// The entry of this zone that is to read the store for the others; the same at every agent that sees the same
     /// ones.
     [[nodiscard]] auto reader() const -> std::string;
+    /// Reads the service's limits from the store if no entry has sent them: without them the replica loads no base
+    /// model after a power loss.
+    auto readLimits() -> void;
+    auto takeLimits(const hosting::StoreAnswer& answer) -> void;
     auto learnConfiguration(std::uint64_t version, const std::string& holder,
         capnp::List<wire::schema::EngineLimits>::Reader limits) -> void;
 
@@ -52,8 +56,15 @@
     ReplicaAgent agent_;
     std::map<AttemptId, Waiting> waiting_;
     StatePublisher publisher_;
-    /// Where the entries of this zone can be asked.
-    std::map<const Session*, std::string> nearPeers_;
+    /// An attached entry of this zone: its peer address and its preference as the zone's reader.
+    struct NearEntry {
+        std::string holder;
+        double readerWeight = 0;
+    };
+    std::map<const Session*, NearEntry> nearEntries_;
+    bool limitsKnown_ = false;
+    kj::Maybe<kj::Promise<void>> limitsWork_;
+    Timer limitsTimer_;
     decisions::Quarantine suspects_;
     QuotaBoard quotas_;
     ConfigVersion configVersion_;
--- a/packages/serving/ConfigurationFollower.cpp
+++ b/packages/serving/ConfigurationFollower.cpp
@@ -19,8 +19,9 @@
 constexpr auto keyShare = 0.2;
 // Of the bound for keys, left for a request on its way to a replica and for a process that was slow to send it.
 constexpr auto keyMargin = Duration(300ms);
-// After a failure; a store that turns this host away is asked twice a second.
-constexpr auto retryAfter = Duration(500ms);
+// Share of the bound between the first reading and the first long poll. Most entries have found their zone's reader by
+// then and need no poll of their own.
+constexpr auto firstPollShare = 0.2;
 
 } // namespace
 
@@ -36,7 +37,10 @@
 
 auto ConfigurationFollower::pollWait() const -> Duration
 {
-    const auto usual = std::chrono::duration_cast<Duration>(pollShare * bounds_.inForce);
+    // The reader polls often enough that its answers spare the followers their own polls.
+    const auto usual = role_ == decisions::SharedReading::Role::Reader
+        ? decisions::SharedReading(bounds_.inForce).sharedInterval()
+        : std::chrono::duration_cast<Duration>(pollShare * bounds_.inForce);
     if (!bounds_.keys || members_.empty())
         return usual;
     return std::min(usual, std::chrono::duration_cast<Duration>(keyShare * *bounds_.keys));
@@ -64,6 +68,8 @@
     if (answer.outcome == hosting::StoreOutcome::Done) {
         if (!std::exchange(reachable_, true))
             log::info("store regained", { { "step", "configure" } });
+        if (!heardAt_ && !answer.rows.empty())
+            wait = std::chrono::duration_cast<Duration>(firstPollShare * bounds_.inForce);
         heardAt_ = loop_.timers().now();
         known_ = std::max(answer.version, known_.value_or(0));
         for (const auto& row : answer.rows)
@@ -75,7 +81,8 @@
     } else {
         if (std::exchange(reachable_, false))
             log::warn("store lost", { { "step", "configure" }, { "reason", answer.reason } });
-        wait = retryAfter;
+        // With a bound for keys, the configuration expires too soon for a follower's longer delay.
+        wait = decisions::SharedReading::retryInterval(bounds_.keys ? decisions::SharedReading::Role::Alone : role_);
     }
     retry_ = loop_.timers().after(wait, [this] { poll(); });
 }
@@ -99,10 +106,12 @@
     freshness_.confirmed(answer.storeTime ? storeClock_.earliest(answer.askedAt, *answer.storeTime) : answer.askedAt);
 }
 
-auto ConfigurationFollower::learn(std::string_view text, Moment at, std::string_view source) -> void
+auto ConfigurationFollower::learn(std::string_view text, Moment at, std::string_view source) -> bool
 {
+    const auto before = configuration_;
     if (text.empty() || offer(text, source))
         freshness_.confirmed(at);
+    return configuration_ != before;
 }
 
 auto ConfigurationFollower::offer(std::string_view text, std::string_view source) -> bool
--- a/packages/serving/ConfigurationFollower.h
+++ b/packages/serving/ConfigurationFollower.h
@@ -2,6 +2,7 @@
 
 #include "decisions/ConfigurationFreshness.h"
 #include "decisions/RemoteClock.h"
+#include "decisions/SharedReading.h"
 #include "platform/Documents.h"
 #include "platform/Store.h"
 #include "serving/MemberTable.h"
@@ -49,8 +50,8 @@
     [[nodiscard]] auto versionOf(const BaseModel& model, const AdapterName& adapter) const -> AdapterVersion;
 
     /// Another entry's configuration, of which that entry knew `at`, at the earliest, that it was the newest. The text
-    /// is empty where it is not newer than this entry's.
-    auto learn(std::string_view text, Moment at, std::string_view source) -> void;
+    /// is empty where it is not newer than this entry's. Returns whether a new configuration came into force.
+    auto learn(std::string_view text, Moment at, std::string_view source) -> bool;
     /// Takes a configuration from `source`, if it is newer; false where it cannot be understood.
     auto offer(std::string_view text, std::string_view source) -> bool;
     auto offerVersion(std::string_view text, std::string_view source) -> void;
@@ -59,6 +60,8 @@
     auto offerVersions(std::string_view text, std::string_view source) -> void;
     /// Another entry tells what the store has: it is not asked before `until`, once the present question is answered.
     auto spare(Moment until) -> void { sparedUntil_ = until; }
+    /// Sets how this entry takes part in reading the store for its zone.
+    auto setReadingRole(decisions::SharedReading::Role role) -> void { role_ = role; }
     /// When the store last answered; empty before it did.
     [[nodiscard]] auto heardAt() const noexcept -> std::optional<Moment> { return heardAt_; }
 
@@ -86,6 +89,7 @@
     std::optional<Moment> heardAt_;
     bool reachable_ = false;
     Moment sparedUntil_ {};
+    decisions::SharedReading::Role role_ = decisions::SharedReading::Role::Alone;
     kj::Maybe<kj::Promise<void>> work_;
     Timer retry_;
 };
--- a/packages/serving/GatewayRole.cpp
+++ b/packages/serving/GatewayRole.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Log.h"
 #include "decisions/Rendezvous.h"
+#include "serving/StoreCalls.h"
 
 #include <algorithm>
 
@@ -39,18 +40,17 @@
     {
     }
 
-    auto snapshot(SnapshotContext context) -> kj::Promise<void> override
+    auto changes(ChangesContext context) -> kj::Promise<void> override
     {
         const auto& configuration = role_.configuration_.configuration();
         auto results = context.getResults();
         if (configuration && configuration->version.value() > context.getParams().getHaveConfig())
             results.setConfig(configuration->text);
-        results.setList(role_.directory_.listNumber());
-        if (context.getParams().getHaveList() != role_.directory_.listNumber())
-            results.setReplicas(role_.directory_.text());
         constexpr auto longestAge = std::numeric_limits<std::uint32_t>::max();
+        auto list = results.initList();
+        fillChanges(list, role_.directory_.changesSince(context.getParams().getHaveList()));
         const auto age = std::chrono::duration_cast<milliseconds>(role_.directory_.listAge()).count();
-        results.setListAgeMs(static_cast<std::uint32_t>(std::min<milliseconds::rep>(age, longestAge)));
+        list.setAgeMs(static_cast<std::uint32_t>(std::min<milliseconds::rep>(age, longestAge)));
         // Rounded up: it must not seem newer than it is.
         const auto configAge = std::chrono::ceil<milliseconds>(role_.configuration_.age()).count();
         results.setConfigAgeMs(static_cast<std::uint32_t>(std::min<milliseconds::rep>(configAge, longestAge)));
@@ -70,14 +70,16 @@
     , settings_(std::move(settings))
     , metrics_(metricClasses)
     , deferred_(loop.timers())
-    , store_(loop.timers(), settings_.host.store)
+    , store_(loop.timers(), settings_.host.store, storeCallCounter(metrics_))
     , configuration_(loop, store_, { settings_.configurationBound, settings_.keyBound }, [this] { onConfiguration(); })
     , directory_(loop, store_,
           { .entry = settings_.host.name,
               .zone = settings_.host.zone,
               .agentPort = settings_.host.agentPort,
-              .drainBound = settings_.drainBound },
-          { .onState = [this](const ReplicaSnapshot& state) { onState(state); } })
+              .drainBound = settings_.drainBound,
+              .readerWeight = settings_.processorShare },
+          { .onState = [this](const ReplicaSnapshot& state) { onState(state); },
+              .onLeaving = [this](Duration age) { inForce("leaving", age); } })
     , suspects_(directory_)
     , quotas_(loop, directory_, settings_.quotas)
     , gateway_ { loop, settings_, configuration_, directory_, metrics_, deferred_, suspects_, quotas_ }
@@ -106,7 +108,6 @@
     settings_.peers.port = peers_->port();
     metricsServer_ = serveMetrics(loop_.timers(), { settings_.host.address, settings_.host.metricsPort }, metrics_);
     configuration_.start();
-    directory_.start();
     timer_ = loop_.timers().every(peerCheck, [this] {
         countEntries();
         findReader();
@@ -140,6 +141,9 @@
     for (const auto& [raw, connection] : connections_)
         connection->setLimits(configuration->limits);
     directory_.configure(configuration, settings_.peers.str());
+    // The list is not needed before the first configuration: nothing is sent to replicas, and no agent names a reader.
+    if (!std::exchange(directoryStarted_, true))
+        directory_.start();
     // Whoever has a newer one still says so with its next update.
     behindSince_.reset();
 }
@@ -177,7 +181,8 @@
     auto peers = settings_.seeds;
     for (const auto& [instance, replica] : directory_.all()) {
         const auto* agent = replica->agent();
-        const auto reader = agent && agent->alive() ? parseEndpoint(agent->state().reader) : std::nullopt;
+        const auto reader
+            = agent && agent->hub() && agent->alive() ? parseEndpoint(agent->state().reader) : std::nullopt;
         if (reader && std::find(peers.begin(), peers.end(), *reader) == peers.end())
             peers.push_back(*reader);
     }
@@ -189,7 +194,7 @@
     const auto knowsAll = configuration_.configuration() && directory_.known();
     const auto now = loop_.timers().now();
     // An entry to which the store is closed learns of configurations, and of new and leaving replicas, from its peers.
-    const auto listOld = directory_.lostSince() && now - *directory_.lostSince() > listTooOld;
+    const auto listOld = directory_.lostSince() && now - *directory_.lostSince() > listTooOld && !directory_.spared();
     const auto keysOld = settings_.keyBound && !configuration_.members().empty()
         && configuration_.age() > keysTooOld(*settings_.keyBound);
     const auto due = now - askedAt_ > (keysOld ? keysAgain : listTooOld);
@@ -213,8 +218,9 @@
     auto asked
         = wire::connectTo(peer.address, peer.port).then([this, mine, name = peer.str()](kj::Own<wire::GlibStream>&& s) {
               auto session = std::make_unique<wire::Connection>(kj::mv(s));
-              auto call = session->bootstrap().castAs<wire::schema::EntryPeer>().snapshotRequest();
+              auto call = session->bootstrap().castAs<wire::schema::EntryPeer>().changesRequest();
               call.setHaveConfig(mine.value());
+              call.setHaveList(directory_.knownVersion());
               return call.send()
                   .then(
                       [this, name, asked = loop_.timers().now()](auto&& answer) { learnFromPeer(answer, asked, name); })
@@ -233,7 +239,7 @@
 {
     learnConfiguration(answer, asked, peer);
     if (!directory_.known() || directory_.lostSince())
-        directory_.offer(answer.getReplicas().cStr(), milliseconds(answer.getListAgeMs()), peer);
+        learnList(answer, asked, peer);
 }
 
 auto GatewayRole::findReader() -> void
@@ -241,17 +247,21 @@
     auto votes = std::map<std::string, std::size_t>();
     for (const auto& [instance, replica] : directory_.all()) {
         const auto* agent = replica->agent();
-        if (agent && agent->near() && agent->alive() && !agent->state().reader.empty())
+        if (agent && agent->hub() && agent->near() && agent->alive() && !agent->state().reader.empty())
             ++votes[agent->state().reader];
     }
     const auto chosen = std::max_element(
         votes.begin(), votes.end(), [](const auto& left, const auto& right) { return left.second < right.second; });
     auto reader = chosen == votes.end() ? std::nullopt : parseEndpoint(chosen->first);
-    directory_.readForOthers(reader == settings_.peers);
-    if (reader == settings_.peers)
+    const auto own = reader == settings_.peers;
+    if (own)
         reader.reset();
+    using Role = decisions::SharedReading::Role;
+    const auto role = own ? Role::Reader : reader ? Role::Follower : Role::Alone;
+    directory_.setReadingRole(role);
+    configuration_.setReadingRole(role);
     if (reader_.reader() != reader)
-        readersList_ = readersVersions_ = 0;
+        readersVersions_ = 0;
     reader_.follow(reader);
 }
 
@@ -259,10 +269,7 @@
 {
     const auto& configuration = configuration_.configuration();
     question.setHaveConfig(configuration ? configuration->version.value() : 0);
-    // A reading of one's own may have changed what the reader's list was applied to.
-    if (std::exchange(readingsByThen_, directory_.readings()) != directory_.readings())
-        readersList_ = 0;
-    question.setHaveList(readersList_);
+    question.setHaveList(directory_.knownVersion());
     question.setHaveVersions(readersVersions_);
 }
 
@@ -277,23 +284,36 @@
         = [&](std::uint32_t ageMs) { return sharing_.sparedUntil(now, Duration(milliseconds(ageMs)) + (now - asked)); };
     if (const auto until = spared(answer.getConfigAgeMs()); until > now && configuration_.configuration())
         configuration_.spare(until);
-    const auto until = spared(answer.getListAgeMs());
+    if (Duration(milliseconds(answer.getList().getAgeMs())) > sharing_.sharedInterval())
+        reader_.askSoon();
+    const auto until = spared(answer.getList().getAgeMs());
     if (until <= now)
         return;
-    directory_.follow(
-        answer.getReplicas().cStr(), Duration(milliseconds(answer.getListAgeMs())) + (now - asked), reader.str());
-    readersList_ = answer.getList();
-    if (!directory_.lostSince())
-        directory_.spare(until);
+    learnList(answer, asked, reader.str());
+    directory_.spare(until);
+}
+
+auto GatewayRole::learnList(ReaderLink::Answer answer, Moment asked, const std::string& peer) -> void
+{
+    const auto list = answer.getList();
+    const auto age = Duration(milliseconds(list.getAgeMs())) + (loop_.timers().now() - asked);
+    directory_.learn(readChanges(list), age, peer);
 }
 
 auto GatewayRole::learnConfiguration(ReaderLink::Answer answer, Moment asked, const std::string& peer) -> void
 {
-    configuration_.learn(answer.getConfig().cStr(), asked - Duration(milliseconds(answer.getConfigAgeMs())), peer);
+    const auto heardAt = asked - Duration(milliseconds(answer.getConfigAgeMs()));
+    if (configuration_.learn(answer.getConfig().cStr(), heardAt, peer))
+        inForce("configuration", loop_.timers().now() - heardAt);
     if (answer.getAdapterVersions().size() > 0)
         configuration_.offerVersions(answer.getAdapterVersions().cStr(), peer);
 }
 
+auto GatewayRole::inForce(const std::string& what, Duration age) -> void
+{
+    metrics_.observe("eelgrass_in_force_seconds", { { "what", what } }, age);
+}
+
 /// An entry that may not use any key would refuse all that comes: new connections go to others while some of them can.
 auto GatewayRole::ready() const -> bool
 {
--- a/packages/serving/GatewayRole.h
+++ b/packages/serving/GatewayRole.h
@@ -51,7 +51,10 @@
     auto findReader() -> void;
     auto askReader(ReaderLink::Question question) -> void;
     auto learnFromReader(ReaderLink::Answer answer, const Endpoint& reader, Moment asked) -> void;
+    auto learnList(ReaderLink::Answer answer, Moment asked, const std::string& peer) -> void;
     auto learnConfiguration(ReaderLink::Answer answer, Moment asked, const std::string& peer) -> void;
+    /// Records that what another entry read `age` ago is in force here.
+    auto inForce(const std::string& what, Duration age) -> void;
     /// Where to ask when the store does not tell: the settings' entries, and those that read for their zones.
     [[nodiscard]] auto peersToAsk() const -> std::vector<Endpoint>;
     auto endIfIdle() -> void;
@@ -74,12 +77,11 @@
     wire::ConnectionSet peerSessions_;
     ReaderLink reader_;
     decisions::SharedReading sharing_;
-    /// What that entry last told, by its numbers, and the readings of one's own by then.
-    std::uint64_t readersList_ = 0;
+    /// The reader's number for the adapter versions that it last sent.
     std::uint64_t readersVersions_ = 0;
-    std::uint64_t readingsByThen_ = 0;
     std::size_t nextPeer_ = 0;
     bool asking_ = false;
+    bool directoryStarted_ = false;
     Moment askedAt_ {};
     /// Since when an entry is known to have a newer configuration.
     std::optional<Moment> behindSince_;
--- a/packages/serving/MemberQuotas.cpp
+++ b/packages/serving/MemberQuotas.cpp
@@ -57,7 +57,7 @@
     auto candidates = std::vector<Candidate>();
     for (const auto& [instance, replica] : directory_.all()) {
         auto* agent = replica->agent();
-        if (!agent || !agent->alive())
+        if (!agent || !(agent->alive() || agent->mayOpen()))
             continue;
         const auto resting = resting_.find(agent->endpoint());
         candidates.push_back({ agent, resting != resting_.end() && now < resting->second,
--- a/packages/serving/ReaderLink.cpp
+++ b/packages/serving/ReaderLink.cpp
@@ -31,9 +31,16 @@
     ask();
 }
 
+auto ReaderLink::askSoon() -> void
+{
+    constexpr auto share = 4;
+    earlyAskTimer_ = loop_.timers().after(interval_ / share, [this] { ask(); });
+}
+
 auto ReaderLink::drop() -> void
 {
     broken_ = {};
+    earlyAskTimer_ = {};
     work_ = nullptr;
     session_.reset();
     asking_ = false;
@@ -62,7 +69,7 @@
 auto ReaderLink::question() -> kj::Promise<void>
 {
     return connected().then([this] {
-        auto call = session_->peer.snapshotRequest();
+        auto call = session_->peer.changesRequest();
         hooks_.ask(call);
         return call.send().then([this](auto&& answer) {
             asking_ = false;
--- a/packages/serving/ReaderLink.h
+++ b/packages/serving/ReaderLink.h
@@ -16,8 +16,8 @@
 /// A reader that does not answer is simply not heard; what is known gets old, and the entry reads for itself.
 class ReaderLink {
 public:
-    using Question = wire::schema::EntryPeer::SnapshotParams::Builder;
-    using Answer = wire::schema::EntryPeer::SnapshotResults::Reader;
+    using Question = wire::schema::EntryPeer::ChangesParams::Builder;
+    using Answer = wire::schema::EntryPeer::ChangesResults::Reader;
     struct Hooks {
         /// Fills in what is known already.
         std::function<void(Question)> ask;
@@ -30,6 +30,8 @@
 
     /// Whom to ask; empty for nobody.
     auto follow(const std::optional<Endpoint>& reader) -> void;
+    /// Asks again before the interval ends, for a reader whose data is old because it has only just become the reader.
+    auto askSoon() -> void;
     [[nodiscard]] auto reader() const noexcept -> const std::optional<Endpoint>& { return reader_; }
 
 private:
@@ -53,6 +55,7 @@
     bool asking_ = false;
     Moment askedAt_ {};
     Timer timer_;
+    Timer earlyAskTimer_;
     /// Lets go of a session that has failed.
     Timer broken_;
 };
--- a/packages/serving/Replica.cpp
+++ b/packages/serving/Replica.cpp
@@ -1,5 +1,7 @@
 #include "serving/Replica.h"
 
+#include "decisions/Rendezvous.h"
+
 #include <algorithm>
 
 namespace eelgrass::serving {
@@ -18,6 +20,7 @@
 
 Replica::Replica(TimerService& timers, ReplicaRecord record)
     : record_(std::move(record))
+    , idHash_(decisions::nameHash(record_.start.instance.view()))
     , pool_(timers, record_.endpoint)
 {
 }
--- a/packages/serving/Replica.h
+++ b/packages/serving/Replica.h
@@ -7,6 +7,7 @@
 #include "serving/Types.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -22,6 +23,8 @@
     Replica(TimerService& timers, ReplicaRecord record);
 
     [[nodiscard]] auto id() const noexcept -> const InstanceId& { return record_.start.instance; }
+    /// Hash of the instance's name, cached because placement among many replicas ranks all of them by it.
+    [[nodiscard]] auto idHash() const noexcept -> std::uint64_t { return idHash_; }
     [[nodiscard]] auto record() const noexcept -> const ReplicaRecord& { return record_; }
     auto update(ReplicaRecord record) -> void { record_ = std::move(record); }
     [[nodiscard]] auto pool() noexcept -> ConnectionPool& { return pool_; }
@@ -91,6 +94,7 @@
     static constexpr auto mostPrompts = std::size_t(256);
 
     ReplicaRecord record_;
+    std::uint64_t idHash_;
     ConnectionPool pool_;
     std::unique_ptr<AgentLink> agent_;
     bool leaving_ = false;
--- a/packages/serving/ReplicaDirectory.cpp
+++ b/packages/serving/ReplicaDirectory.cpp
@@ -1,27 +1,43 @@
 #include "serving/ReplicaDirectory.h"
 
 #include "base/Log.h"
-
-#include <nlohmann/json.hpp>
+#include "decisions/FirstByRendezvous.h"
+#include "decisions/Rendezvous.h"
 
 #include <algorithm>
-#include <random>
+#include <iterator>
+#include <set>
 
 namespace eelgrass::serving {
 
 namespace {
 
 constexpr auto table = "servers";
-constexpr auto listRetry = Duration(500ms);
-// A peer's list of this age shows that the store serves that peer: it is read once a second there.
-constexpr auto freshList = Duration(1500ms);
+// Number of candidates for a request among the replicas without a session: those preferred by the adapter's name, the
+// same at every entry, and holders of the adapter.
+constexpr auto preferredPerAdapter = std::size_t(2);
+constexpr auto holdersPerSharedPart = std::size_t(2);
+constexpr auto holdersPerEntry = std::size_t(1);
+
+// Longer lists are logged in one line.
+constexpr auto mostLoggedRows = std::size_t(20);
 
-/// Whether peers need not be told of the difference: heartbeats change the rest once a second, and which adapters are
-/// where is told by agents.
+using AdapterVersions = std::map<AdapterName, AdapterVersion>;
+
+/// Whether peers need not be told of the difference: heartbeats change the rest once a second.
 auto alike(const ReplicaRecord& left, const ReplicaRecord& right) -> bool
 {
     return left.service == right.service && left.endpoint == right.endpoint && left.zone == right.zone
-        && left.phase == right.phase && left.slots == right.slots && left.hasBaseModel == right.hasBaseModel;
+        && left.phase == right.phase && left.slots == right.slots && left.hasBaseModel == right.hasBaseModel
+        && left.adapters == right.adapters;
+}
+
+auto instancesOf(const std::vector<ListedReplica>& list) -> std::set<InstanceId>
+{
+    auto names = std::set<InstanceId>();
+    for (const auto& listed : list)
+        names.insert(listed.instance);
+    return names;
 }
 
 } // namespace
@@ -31,8 +47,8 @@
     , store_(store)
     , options_(std::move(options))
     , hooks_(std::move(hooks))
+    , entryHash_(decisions::nameHash(options_.entry))
     , sharing_(options_.drainBound)
-    , listNumber_(1 + (std::uint64_t(std::random_device()()) << 32U))
 {
 }
 
@@ -42,10 +58,13 @@
 auto ReplicaDirectory::poll() -> void
 {
     const auto now = loop_.timers().now();
-    if (now < sparedUntil_) {
-        timer_ = loop_.timers().after(sparedUntil_ - now, [this] { poll(); });
+    const auto until
+        = lostSince_ ? std::min(sparedUntil_, askedAt_ + decisions::SharedReading::probeInterval) : sparedUntil_;
+    if (now < until) {
+        timer_ = loop_.timers().after(until - now, [this] { poll(); });
         return;
     }
+    askedAt_ = now;
     work_ = store_.read(table)
                 .then([this](hosting::StoreAnswer&& answer) { take(std::move(answer)); })
                 .eagerlyEvaluate([](kj::Exception&& error) {
@@ -53,53 +72,92 @@
                 });
 }
 
-auto ReplicaDirectory::readForOthers(bool shared) -> void
+auto ReplicaDirectory::setReadingRole(decisions::SharedReading::Role role) -> void
 {
+    using Role = decisions::SharedReading::Role;
     // What is known already may be as old as one's own interval, which spares nobody.
-    if (shared && !shared_ && timer_.active())
+    if (role == Role::Reader && role_ != Role::Reader && timer_.active())
         timer_ = loop_.timers().after(Duration(0), [this] { poll(); });
-    shared_ = shared;
+    role_ = role;
 }
 
 auto ReplicaDirectory::take(hosting::StoreAnswer answer) -> void
 {
     const auto now = loop_.timers().now();
     if (answer.outcome != hosting::StoreOutcome::Done) {
-        if (std::exchange(reachable_, false))
+        if (std::exchange(reachable_, false)) {
             log::warn("store lost", { { "step", "platform" }, { "reason", answer.reason } });
+            notifyAgents();
+        }
         grace_.lost(now);
         if (!lostSince_)
             lostSince_ = now;
-        timer_ = loop_.timers().after(listRetry, [this] { poll(); });
+        timer_ = loop_.timers().after(decisions::SharedReading::retryInterval(role_), [this] { poll(); });
         return;
     }
     lostSince_.reset();
     if (!std::exchange(reachable_, true)) {
         grace_.regained(now);
         log::info("store regained", { { "step", "platform" } });
+        notifyAgents();
     }
-    auto list = std::vector<Listed>();
+    auto list = std::vector<ListedReplica>();
     for (auto& row : answer.rows)
         list.push_back({ InstanceId(row.key), std::move(row.value), row.version });
+    advanceNewestVersion(answer.newestVersion);
+    appliedListAge_ = Duration(0);
     apply(list, "store");
     readAt_ = now;
     noteListed(list, now);
-    removeMissing(list, [&](const Replica& replica) { return grace_.gone(replica.listedAt(), now); });
+    const auto named = instancesOf(list);
+    const auto missing = missingFrom(named);
+    auto gone = std::vector<ReplicaPtr>();
+    std::copy_if(missing.begin(), missing.end(), std::back_inserter(gone),
+        [&](const ReplicaPtr& replica) { return grace_.gone(replica->listedAt(), now); });
+    removeAll(gone);
+    // Unreadable rows that never became a replica are dropped too.
+    std::erase_if(
+        texts_, [&](const auto& entry) { return !named.contains(entry.first) && !replicas_.contains(entry.first); });
+    // While a missing replica is retained, peers may still report its removal at or before this version.
+    if (gone.size() == missing.size())
+        knownVersion_ = std::max(knownVersion_, answer.version);
     ++readings_;
-    const auto interval = shared_ ? sharing_.sharedInterval() : sharing_.ownInterval();
+    const auto interval
+        = role_ == decisions::SharedReading::Role::Reader ? sharing_.sharedInterval() : sharing_.ownInterval();
     timer_ = loop_.timers().after(interval, [this] { poll(); });
 }
 
-auto ReplicaDirectory::apply(const std::vector<Listed>& list, std::string_view source) -> void
+/// Changes recorded after this call are attributed to this reading.
+auto ReplicaDirectory::advanceNewestVersion(std::uint64_t newestVersion) -> void
+{
+    newestVersion_ = std::max(newestVersion_, newestVersion);
+    if (!history_.started())
+        history_.begin(newestVersion_);
+}
+
+auto ReplicaDirectory::reportLeaving() -> void
+{
+    if (hooks_.onLeaving)
+        hooks_.onLeaving(appliedListAge_);
+}
+
+auto ReplicaDirectory::apply(const std::vector<ListedReplica>& list, std::string_view source) -> void
 {
     known_ = true;
+    if (list.empty())
+        return;
+    const auto before = replicas_.size();
+    logEachReplica_ = list.size() <= mostLoggedRows;
     for (const auto& listed : list)
         put(listed, source);
+    if (!logEachReplica_ && replicas_.size() > before)
+        log::info(
+            "replicas known", { { "count", std::to_string(replicas_.size()) }, { "source", std::string(source) } });
     index();
     findSuperseded();
 }
 
-auto ReplicaDirectory::noteListed(const std::vector<Listed>& list, Moment now) -> void
+auto ReplicaDirectory::noteListed(const std::vector<ListedReplica>& list, Moment now) -> void
 {
     for (const auto& listed : list) {
         if (const auto found = replicas_.find(listed.instance); found != replicas_.end())
@@ -107,34 +165,37 @@
     }
 }
 
-auto ReplicaDirectory::removeMissing(const std::vector<Listed>& list, const std::function<bool(const Replica&)>& gone)
-    -> void
+auto ReplicaDirectory::missingFrom(const std::set<InstanceId>& named) const -> std::vector<ReplicaPtr>
 {
     auto missing = std::vector<ReplicaPtr>();
     for (const auto& [instance, replica] : replicas_) {
-        const auto named = std::any_of(
-            list.begin(), list.end(), [&id = instance](const Listed& listed) { return listed.instance == id; });
-        if (!named && gone(*replica))
+        if (!named.contains(instance))
             missing.push_back(replica);
     }
-    for (const auto& replica : missing)
+    return missing;
+}
+
+auto ReplicaDirectory::removeAll(const std::vector<ReplicaPtr>& replicas) -> void
+{
+    for (const auto& replica : replicas)
         remove(replica, "not listed");
-    if (!missing.empty())
+    if (!replicas.empty())
         index();
 }
 
 auto ReplicaDirectory::made(ReplicaRecord record, std::string_view source) -> ReplicaPtr
 {
-    log::info("replica known",
-        { { "replica", record.start.instance.str() }, { "birth", std::to_string(record.start.birth.value()) },
-            { "service", record.service.str() }, { "peer", record.endpoint.str() },
-            { "source", std::string(source) } });
+    if (logEachReplica_)
+        log::info("replica known",
+            { { "replica", record.start.instance.str() }, { "birth", std::to_string(record.start.birth.value()) },
+                { "service", record.service.str() }, { "peer", record.endpoint.str() },
+                { "source", std::string(source) } });
     auto replica = std::make_shared<Replica>(loop_.timers(), std::move(record));
     linkAgent(replica);
     return replica;
 }
 
-auto ReplicaDirectory::put(const Listed& listed, std::string_view source) -> void
+auto ReplicaDirectory::put(const ListedReplica& listed, std::string_view source) -> void
 {
     auto failure = std::string();
     auto read = orElse(
@@ -159,37 +220,41 @@
         remove(ReplicaPtr(replica), "started again");
     }
     auto& current = replicas_[listed.instance];
-    if (!current) {
+    const auto fresh = !current;
+    if (fresh) {
         current = made(*read, source);
-        noteChange();
+        noteChange(listed.instance);
     }
     if (!alike(current->record(), *read) || current->unreadable())
-        noteChange();
+        noteChange(listed.instance);
     if (read->phase == ReplicaPhase::Draining && !current->leaving()) {
         current->setLeaving();
-        noteChange();
+        reportLeaving();
+        agentsChanged_ = true;
+        noteChange(listed.instance);
         log::info("replica leaving", { { "replica", listed.instance.str() }, { "source", std::string(source) } });
     }
     unreadable_.erase(listed.instance);
     texts_[listed.instance] = listed;
     current->setUnreadable(false);
     current->heardOf();
+    holders_.note(current, fresh ? AdapterVersions() : current->record().adapters, read->adapters);
     current->update(std::move(*read));
     current->setListVersion(listed.version);
 }
 
 /// The entry names no replica to use. Replicas heartbeat, so a row that something else has overwritten is readable
 /// again with the next one; what runs at the replica meanwhile goes on.
-auto ReplicaDirectory::putUnreadable(const Listed& listed, const std::string& reason) -> void
+auto ReplicaDirectory::putUnreadable(const ListedReplica& listed, const std::string& reason) -> void
 {
     const auto known = replicas_.find(listed.instance);
     if (known != replicas_.end() && listed.version < known->second->listVersion())
         return;
     if (known != replicas_.end() && !known->second->unreadable()) {
         known->second->setUnreadable(true);
-        noteChange();
+        noteChange(listed.instance);
     }
-    texts_.erase(listed.instance);
+    texts_[listed.instance] = listed;
     if (const auto told = unreadable_.find(listed.instance);
         told != unreadable_.end() && told->second == listed.version)
         return;
@@ -204,7 +269,11 @@
 auto ReplicaDirectory::remove(const ReplicaPtr& replica, std::string_view why) -> void
 {
     log::info("replica gone", { { "replica", replica->id().str() }, { "reason", std::string(why) } });
-    noteChange();
+    if (!replica->leaving())
+        reportLeaving();
+    history_.removed(replica->id(), newestVersion_);
+    holders_.note(replica, replica->record().adapters, {});
+    agentsChanged_ = true;
     replica->setLeaving();
     replica->pool().clear();
     texts_.erase(replica->id());
@@ -226,6 +295,8 @@
     byService_.clear();
     for (const auto& [instance, replica] : replicas_)
         byService_[replica->record().service].push_back(replica);
+    if (agentsChanged_)
+        planSessions();
 }
 
 /// A replica that started anew is listed beside its last start until that lapses. What is sent to the old one comes
@@ -243,10 +314,11 @@
 
 auto ReplicaDirectory::linkAgent(const ReplicaPtr& replica) -> void
 {
-    if (replica->agent() || !configuration_)
+    if (replica->agent() || !notice_.configuration)
         return;
-    const auto service = configuration_->services.find(replica->record().service);
-    if (service == configuration_->services.end() || !service->second.engine)
+    const auto& services = notice_.configuration->services;
+    const auto service = services.find(replica->record().service);
+    if (service == services.end() || !service->second.engine)
         return;
     const auto weak = std::weak_ptr<Replica>(replica);
     const auto mostWarm = decisions::LatelyHeld::perSlot * service->second.engine->adapterSlots;
@@ -269,32 +341,63 @@
     };
     replica->setAgent(std::make_unique<AgentLink>(
         loop_, Endpoint { replica->record().endpoint.address, options_.agentPort }, caller, std::move(hooks)));
-    replica->agent()->configured(configuration_, holder_);
+    replica->agent()->notify(notice_);
+    agentsChanged_ = true;
 }
 
 auto ReplicaDirectory::configure(std::shared_ptr<const ServingConfiguration> configuration, const std::string& holder)
     -> void
 {
-    configuration_ = std::move(configuration);
-    holder_ = holder;
+    notice_.configuration = std::move(configuration);
+    notice_.holder = holder;
+    for (const auto& [instance, replica] : replicas_)
+        linkAgent(replica);
+    notifyAgents();
+    if (agentsChanged_)
+        planSessions();
+}
+
+auto ReplicaDirectory::notifyAgents() -> void
+{
+    notice_.readerWeight = reachable_ ? options_.readerWeight : 0;
     for (const auto& [instance, replica] : replicas_) {
         if (replica->agent())
-            replica->agent()->configured(configuration_, holder_);
-        else
-            linkAgent(replica);
+            replica->agent()->notify(notice_);
     }
 }
 
+auto ReplicaDirectory::planSessions() -> void
+{
+    agentsChanged_ = false;
+    auto links = std::vector<AgentLink*>();
+    auto agents = std::vector<decisions::PlannedAgent>();
+    for (const auto& [instance, replica] : replicas_) {
+        auto* agent = replica->agent();
+        if (!agent)
+            continue;
+        if (replica->leaving()) {
+            agent->setSessionPolicy(decisions::SessionPolicy::OnDemand);
+            continue;
+        }
+        links.push_back(agent);
+        agents.push_back({ agent->endpointHash(), replica->record().zone });
+    }
+    const auto plan = decisions::SessionPlan::of(agents, entryHash_);
+    for (auto index = std::size_t(0); index < links.size(); ++index)
+        links[index]->setSessionPolicy(plan[index]);
+    fullMesh_ = links.size() <= decisions::SessionPlan::fullMeshLimit;
+}
+
 auto ReplicaDirectory::shareConnections(std::size_t entries) -> void
 {
-    if (!configuration_)
+    if (!notice_.configuration)
         return;
     // Half of the share: the other half is for connections in use and for new ones.
     constexpr auto least = std::size_t(1);
     constexpr auto most = std::size_t(16);
     for (const auto& [instance, replica] : replicas_) {
-        const auto service = configuration_->services.find(replica->record().service);
-        if (service == configuration_->services.end())
+        const auto service = notice_.configuration->services.find(replica->record().service);
+        if (service == notice_.configuration->services.end())
             continue;
         const auto share = service->second.connectionLimit / (2 * std::max<std::size_t>(entries, 1));
         replica->pool().setMostIdle(std::clamp(share, least, most));
@@ -308,66 +411,93 @@
     return found == byService_.end() ? none : found->second;
 }
 
-auto ReplicaDirectory::text() const -> std::string
+auto ReplicaDirectory::candidates(const CandidateQuery& query, const Condition& condition) const
+    -> std::vector<ReplicaPtr>
 {
-    auto json = nlohmann::json::object();
-    for (const auto& [instance, listed] : texts_)
-        json[instance.str()] = { { "entry", listed.text }, { "version", listed.version } };
-    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
-auto ReplicaDirectory::listAge() const -> Duration
-{
-    return readAt_ ? loop_.timers().now() - *readAt_ : Duration::max();
+    auto found = std::vector<ReplicaPtr>();
+    const auto sharedKey = query.sharedId ^ decisions::nameHash(query.adapter.view());
+    auto preferred = decisions::FirstByRendezvous<ReplicaPtr>(
+        query.adapter.empty() ? sharedKey : decisions::nameHash(query.adapter.view()), preferredPerAdapter);
+    for (const auto& replica : of(query.service)) {
+        if (!condition(*replica))
+            continue;
+        if (fullMesh_ || !replica->agent() || replica->agent()->alive())
+            found.push_back(replica);
+        else
+            preferred.offer(replica, replica->idHash());
+    }
+    if (fullMesh_)
+        return found;
+    // Requests with the same shared part go to the same few holders, to reuse its prefill; one further holder per entry
+    // spreads the load.
+    auto byPart = decisions::FirstByRendezvous<ReplicaPtr>(sharedKey, holdersPerSharedPart);
+    auto byEntry = decisions::FirstByRendezvous<ReplicaPtr>(sharedKey ^ entryHash_, holdersPerEntry);
+    for (const auto& replica : holders_.of(query.adapter)) {
+        if (replica->record().service != query.service || !condition(*replica) || !replica->agent()
+            || replica->agent()->alive())
+            continue;
+        byPart.offer(replica, replica->idHash());
+        byEntry.offer(replica, replica->idHash());
+    }
+    const auto known = static_cast<std::ptrdiff_t>(found.size());
+    for (const auto& nodes : { preferred.nodes(), byPart.nodes(), byEntry.nodes() }) {
+        for (const auto& replica : nodes) {
+            if (std::find(found.begin() + known, found.end(), replica) == found.end())
+                found.push_back(replica);
+        }
+    }
+    return found;
 }
 
-auto ReplicaDirectory::parsePeerList(std::string_view text, std::string_view source) const
-    -> std::optional<std::vector<Listed>>
+auto ReplicaDirectory::changesSince(std::uint64_t since) const -> ListDifference
 {
-    const auto json = nlohmann::json::parse(text, nullptr, false);
-    if (!json.is_object()) {
-        log::error("replica list not understood", { { "source", std::string(source) } });
-        return std::nullopt;
+    auto difference = ListDifference { .version = knownVersion_, .newestVersion = newestVersion_ };
+    if (knownVersion_ == 0)
+        return difference;
+    difference.whole = !history_.covers(since);
+    if (difference.whole) {
+        for (const auto& [instance, listed] : texts_)
+            difference.listed.push_back(listed);
+        return difference;
     }
-    auto list = std::vector<Listed>();
-    for (const auto& [instance, value] : json.items()) {
-        if (value.is_object() && value.contains("entry") && value["entry"].is_string())
-            list.push_back({ InstanceId(instance), value["entry"], value.value("version", std::uint64_t(0)) });
+    auto changes = history_.since(since);
+    for (const auto& instance : changes.changed) {
+        if (const auto found = texts_.find(instance); found != texts_.end())
+            difference.listed.push_back(found->second);
     }
-    return list;
+    difference.removed = std::move(changes.removed);
+    return difference;
 }
 
-auto ReplicaDirectory::offer(std::string_view text, Duration age, std::string_view source) -> void
+auto ReplicaDirectory::listAge() const -> Duration
 {
-    const auto list = parsePeerList(text, source);
-    if (!list)
-        return;
-    apply(*list, source);
-    if (age > freshList)
-        return;
-    // The store serves that entry: what it no longer knows has left.
-    grace_.servedElsewhere(loop_.timers().now() - age);
-    removeMissing(*list, [](const Replica&) { return true; });
+    return readAt_ ? loop_.timers().now() - *readAt_ : Duration::max();
 }
 
-auto ReplicaDirectory::follow(std::string_view text, Duration age, std::string_view source) -> void
+auto ReplicaDirectory::learn(const ListDifference& difference, Duration age, std::string_view source) -> void
 {
+    if (difference.version == 0)
+        return;
     const auto readAt = loop_.timers().now() - age;
     grace_.servedElsewhere(readAt);
-    if (!text.empty()) {
-        const auto list = parsePeerList(text, source);
-        if (!list)
-            return;
-        apply(*list, source);
-        // What was read here since that reading is newer.
-        removeMissing(
-            *list, [&](const Replica& replica) { return !replica.listedAt() || *replica.listedAt() < readAt; });
+    advanceNewestVersion(difference.newestVersion);
+    appliedListAge_ = age;
+    apply(difference.listed, source);
+    auto missing = difference.whole ? missingFrom(instancesOf(difference.listed)) : std::vector<ReplicaPtr>();
+    for (const auto& instance : difference.removed) {
+        if (const auto found = replicas_.find(instance); found != replicas_.end())
+            missing.push_back(found->second);
     }
+    // What was read here since that reading is newer.
+    std::erase_if(
+        missing, [&](const ReplicaPtr& replica) { return replica->listVersion() > difference.newestVersion; });
+    removeAll(missing);
     for (const auto& [instance, listed] : texts_) {
         if (const auto found = replicas_.find(instance); found != replicas_.end())
             found->second->setListedAt(readAt);
     }
     readAt_ = std::max(readAt_.value_or(readAt), readAt);
+    knownVersion_ = std::max(knownVersion_, difference.version);
 }
 
 } // namespace eelgrass::serving
--- a/packages/serving/RequestPlacing.cpp
+++ b/packages/serving/RequestPlacing.cpp
@@ -56,7 +56,16 @@
         // Without its agent a replica serves what it holds, by the list.
         view.holds = replica->record().hasBaseModel
             && (facts_.adapter.empty() || replica->record().adapters.contains(facts_.adapter));
-        view.canLoad = false;
+        view.canLoad = agent->mayOpen();
+        if (!view.canLoad)
+            return view;
+        // Assumed idle; its agent reports at once if it is not. Ranked lower, each entry would load the adapter on
+        // whichever replicas it has sessions with.
+        view.loading = replica->hasAskedLoad(facts_.adapter);
+        view.warm = replica->warm(facts_.adapter);
+        view.spareSlots = 1;
+        view.tokensAhead = replica->tokensSent();
+        view.loadsWaiting = replica->loadsAsked();
         return view;
     }
     const auto& state = agent->state();
@@ -94,18 +103,17 @@
 auto RequestRun::choose() -> std::optional<Choice>
 {
     const auto now = gateway_.now();
-    const auto& replicas = gateway_.directory.of(service_);
-    auto usable = std::vector<ReplicaPtr>();
-    std::copy_if(replicas.begin(), replicas.end(), std::back_inserter(usable),
-        [&](const ReplicaPtr& replica) { return mayTry(*replica, now); });
+    const auto sharedId = shared_.empty() ? 0 : shared_.back().id;
+    const auto usable = gateway_.directory.candidates(
+        { service_, facts_.adapter, sharedId }, [&](const Replica& replica) { return mayTry(replica, now); });
     if (usable.empty())
         return std::nullopt;
     auto fastest = Duration::max();
-    for (const auto& replica : replicas) {
+    for (const auto& replica : gateway_.directory.of(service_)) {
         if (replica->meanTime().count() > 0)
             fastest = std::min(fastest, replica->meanTime());
     }
-    const auto readRate = usualReadRate(replicas);
+    const auto readRate = usualReadRate(usable);
     auto views = std::vector<decisions::ReplicaView>();
     views.reserve(usable.size());
     for (const auto& replica : usable)
@@ -115,7 +123,7 @@
         .zone = gateway_.settings.host.zone,
         .unreadTokens = facts_.promptTokens - std::min(facts_.promptTokens, sharedTokens()),
         .sharedTokens = sharedTokens(),
-        .sharedId = shared_.empty() ? 0 : shared_.back().id,
+        .sharedId = sharedId,
         .pauseLimit = route_->pauseAim,
         .zonePenalty = zonePenalty() };
     const auto chosen = decisions::chooseReplica(views, need);
@@ -143,11 +151,45 @@
 /// Asks for admission at the chosen replica, or sends at once where nobody gives it.
 auto RequestRun::approach() -> void
 {
+    if (over_)
+        return;
     if (replica_->agent() && replica_->agent()->alive())
         return admit();
+    if (replica_->agent() && replica_->agent()->mayOpen())
+        return openSession();
     send(std::nullopt);
 }
 
+auto RequestRun::openSession() -> void
+{
+    const auto number = ++admissions_;
+    const auto deferred = [this, number](void (RequestRun::*step)()) {
+        gateway_.deferred.add([self = shared_from_this(), number, step] {
+            if (number == self->admissions_)
+                (self.get()->*step)();
+        });
+    };
+    admission_ = replica_->agent()
+                     ->open()
+                     .then([deferred] { deferred(&RequestRun::sessionOpened); })
+                     .eagerlyEvaluate([deferred](kj::Exception&&) { deferred(&RequestRun::sessionFailed); });
+    wait_ = gateway_.loop.timers().after(sessionOpenLimit, guarded(&RequestRun::sessionFailed));
+}
+
+auto RequestRun::sessionOpened() -> void
+{
+    wait_.cancel();
+    approach();
+}
+
+auto RequestRun::sessionFailed() -> void
+{
+    if (over_)
+        return;
+    replica_->agent()->abandonOpening();
+    abandonAdmission("agent not reached");
+}
+
 /// No replica can be tried now. Waits a little if one may be soon, and says at once that it is hopeless otherwise.
 auto RequestRun::waitForPlace() -> void
 {
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -38,6 +38,10 @@
     [[nodiscard]] auto urgency() const -> std::uint32_t;
     auto place() -> void;
     auto approach() -> void;
+    /// Opens the session with the chosen replica's agent before asking for admission.
+    auto openSession() -> void;
+    auto sessionOpened() -> void;
+    auto sessionFailed() -> void;
     struct Choice {
         ReplicaPtr replica;
         /// When it would begin there, as far as is known here.
--- a/packages/serving/Settings.cpp
+++ b/packages/serving/Settings.cpp
@@ -107,6 +107,9 @@
         readMilliseconds(reader, "configuration_bound_ms", settings.configurationBound);
         readKeyBound(reader, settings.keyBound);
         readQuotas(reader, settings.quotas);
+        reader.read("processor_share", settings.processorShare);
+        if (!(settings.processorShare > 0))
+            reader.noteAt("processor_share", "must be greater than 0");
         readMilliseconds(reader, "grace_ms", settings.grace);
         readMilliseconds(reader, "zone_penalty_ms", settings.zonePenalty);
         readMilliseconds(reader, "zone_penalty_per_kib_ms", settings.zonePenaltyPerKiB);
--- a/packages/serving/Settings.h
+++ b/packages/serving/Settings.h
@@ -49,6 +49,8 @@
     /// go on by what it knows.
     std::optional<milliseconds> keyBound;
     QuotaBounds quotas;
+    /// Share of a core available to this process. The entry with the largest share reads the store for its zone.
+    double processorShare = 1;
     /// How long a planned stop may take.
     milliseconds grace { 8000 };
     /// What a request to a replica in another zone costs, as a time: the way there and back, and for each KiB of its
--- a/packages/serving/StatePublisher.cpp
+++ b/packages/serving/StatePublisher.cpp
@@ -35,6 +35,13 @@
     changed();
 }
 
+auto StatePublisher::publishInitial(Key key) -> void
+{
+    const auto found = subscribers_.find(key);
+    if (found != subscribers_.end() && found->second.publishedAt == Moment())
+        publish(found->second, source_.namesText(), source_.figures());
+}
+
 auto StatePublisher::asked(Key key) -> void
 {
     if (const auto found = subscribers_.find(key); found != subscribers_.end())
--- a/packages/serving/StatePublisher.h
+++ b/packages/serving/StatePublisher.h
@@ -37,6 +37,8 @@
     auto start() -> void;
     auto add(Key key, wire::schema::ReplicaListener::Client client, bool near) -> void;
     auto remove(Key key) -> void { subscribers_.erase(key); }
+    /// Publishes the state to a subscriber that has not received any yet.
+    auto publishInitial(Key key) -> void;
     /// A request came from that entry: it waits to hear something.
     auto asked(Key key) -> void;
     /// Something may have changed.
--- a/packages/serving/SuspectRequests.cpp
+++ b/packages/serving/SuspectRequests.cpp
@@ -1,8 +1,8 @@
 #include "serving/SuspectRequests.h"
 
-#include <xxhash.h>
+#include "decisions/FirstByRendezvous.h"
 
-#include <vector>
+#include <xxhash.h>
 
 namespace eelgrass::serving {
 
@@ -25,14 +25,14 @@
 
 auto SuspectRequests::agentFor(const std::string& digest) const -> AgentLink*
 {
-    auto alive = std::vector<AgentLink*>();
+    auto first = decisions::FirstByRendezvous<AgentLink*>(hashed(0, digest), 1);
     for (const auto& [instance, replica] : directory_.all()) {
-        if (replica->agent() && replica->agent()->alive())
-            alive.push_back(replica->agent());
+        auto* agent = replica->agent();
+        if (agent && agent->hub() && agent->alive())
+            first.offer(agent, agent->endpointHash());
     }
-    if (alive.empty())
-        return nullptr;
-    return alive[hashed(0, digest) % alive.size()];
+    const auto agents = first.nodes();
+    return agents.empty() ? nullptr : agents.front();
 }
 
 auto SuspectRequests::broke(const std::string& digest) -> void
--- a/packages/serving/detail/RunLimits.h
+++ b/packages/serving/detail/RunLimits.h
@@ -35,6 +35,8 @@
 inline constexpr auto configurationWait = Duration(250ms);
 // When no replica can be tried just now: one rests, or its agent is being reached.
 inline constexpr auto placeAgain = Duration(25ms);
+// For opening a session with an agent: usually a few milliseconds, some hundred on a slow host.
+inline constexpr auto sessionOpenLimit = Duration(400ms);
 // An agent that says nothing is looked at this often.
 inline constexpr auto agentCheck = Duration(250ms);
 // A stream that may go on elsewhere is left after this silence; well before its client leaves, which takes two seconds.
--- a/packages/wire/Agent.capnp
+++ b/packages/wire/Agent.capnp
@@ -147,8 +147,9 @@
   started @1 (attempt :Text);
   # The request is over at the replica, or was never sent.
   release @2 (attempt :Text, end :RunEnd);
-  # This entry is at this configuration; `limits` are its figures for the replica's service.
-  configured @3 (version :UInt64, holder :Text, limits :List(EngineLimits));
+  # This entry is at this configuration; `limits` are its figures for the replica's service. `readerWeight` is its
+  # preference as the zone's reader: the entry with the greatest reads the store; 0 while the store does not serve it.
+  configured @3 (version :UInt64, holder :Text, limits :List(EngineLimits), readerWeight :Float64);
   # A request of this digest broke off at a replica, or ran to its end after it had.
   suspect @4 (digest :Text, broke :Bool);
   # Counts a request against its member's quota, if there is credit. `level` is what is left.
@@ -164,14 +165,39 @@
       -> (session :AgentSession);
 }
 
-# The bootstrap of an entry, for other entries that cannot read the platform's store.
+# A replica's row in the platform's list.
+struct ListedReplica {
+  instance @0 :Text;
+  # The row's value as read from the store; it may not be parseable.
+  entry @1 :Data;
+  # The row's version in the store.
+  version @2 :UInt64;
+}
+
+# The changes of the platform's list since the version that the caller named.
+struct ListChanges {
+  # Contains every change up to this version of the store and none after `newest`; 0 while the list is unknown.
+  version @0 :UInt64;
+  newest @1 :UInt64;
+  # Whether `listed` is the whole list, so that a replica missing from it has been removed.
+  whole @2 :Bool;
+  listed @3 :List(ListedReplica);
+  removed @4 :List(Text);
+  # How long ago the list was read from the store.
+  ageMs @5 :UInt32 = 0xffffffff;
+}
+
+# The bootstrap of an entry, for other entries of its zone and for those that cannot read the platform's store.
 interface EntryPeer {
-  # Whatever is newer than the version that the caller has: the configuration's text, the list of replicas, and the
-  # versions of adapters.
-  # `listAgeMs` is how long ago that entry read the list in the store, and `configAgeMs` how long ago its configuration
-  # was surely the newest, both at most 0xffffffff. `list` and `versions` name what that entry has; told back as
-  # `haveList` and `haveVersions`, the same texts are left out.
+  # Obsolete, no longer implemented; replaced by `changes`. Kept to preserve method ordinals.
   snapshot @0 (haveConfig :UInt64, haveList :UInt64, haveVersions :UInt64)
       -> (config :Text, replicas :Text, adapterVersions :Text, listAgeMs :UInt32 = 0xffffffff, list :UInt64,
           versions :UInt64, configAgeMs :UInt32 = 0xffffffff);
+  # Returns what is newer than the caller's state: the configuration's text, the changes of the list of replicas after
+  # the store's version `haveList`, and the versions of adapters.
+  # `configAgeMs` is how long ago the answering entry's configuration was last known to be the newest. `versions`
+  # identifies `adapterVersions`; passed back as `haveVersions`, it omits unchanged text.
+  changes @1 (haveConfig :UInt64, haveList :UInt64, haveVersions :UInt64)
+      -> (config :Text, list :ListChanges, adapterVersions :Text, versions :UInt64,
+          configAgeMs :UInt32 = 0xffffffff);
 }
--- a/standins/StoreStandin.cpp
+++ b/standins/StoreStandin.cpp
@@ -120,7 +120,8 @@
     const auto path = request.path();
     const auto& target = request.target;
     if (path == "/rows-get")
-        return read(caller, query(target, "table"), query(target, "from"));
+        return read(caller, query(target, "table"),
+            { query(target, "from"), query(target, "to"), number(query(target, "limit")) });
     if (path == "/rows-feed")
         return follow(caller, query(target, "table"), number(query(target, "after")),
             std::chrono::milliseconds(number(query(target, "waitMs"))));
@@ -136,15 +137,20 @@
     return answer.dump();
 }
 
-auto StoreStandin::read(const Caller& caller, const std::string& table, const std::string& from) -> void
+auto StoreStandin::read(const Caller& caller, const std::string& table, const Range& range) -> void
 {
     auto rows = Json::array();
+    auto truncated = false;
     for (const auto& [key, row] : tables_[table]) {
-        if (!row.deleted && key >= from)
-            rows.push_back({ { "table", table }, { "part", "" }, { "key", key }, { "value", base64(row.value) },
-                { "ver", row.version } });
+        if (row.deleted || key < range.from || (!range.to.empty() && key >= range.to))
+            continue;
+        truncated = range.limit > 0 && rows.size() == range.limit;
+        if (truncated)
+            break;
+        rows.push_back({ { "table", table }, { "part", "" }, { "key", key }, { "value", base64(row.value) },
+            { "ver", row.version } });
     }
-    respond(caller, 200, stamped({ { "rows", rows }, { "truncated", false } }));
+    respond(caller, 200, stamped({ { "rows", rows }, { "truncated", truncated } }));
 }
 
 auto StoreStandin::changes(const std::string& table, std::uint64_t after) const -> std::string
--- a/standins/StoreStandin.h
+++ b/standins/StoreStandin.h
@@ -69,7 +69,13 @@
     using Caller = std::shared_ptr<serving::CallerExchange>;
 
     auto handle(const Caller& caller, const wire::HttpRequestMessage& request) -> void;
-    auto read(const Caller& caller, const std::string& table, const std::string& from) -> void;
+    /// Keys in [from, to), and the maximum number of rows. An empty `to` and a `limit` of 0 mean no bound.
+    struct Range {
+        std::string from;
+        std::string to;
+        std::uint64_t limit = 0;
+    };
+    auto read(const Caller& caller, const std::string& table, const Range& range) -> void;
     auto follow(const Caller& caller, const std::string& table, std::uint64_t after, Duration wait) -> void;
     auto transact(const Caller& caller, const std::string& body) -> void;
     auto answerPolls() -> void;
--- a/tests/harness/ServingWorld.cpp
+++ b/tests/harness/ServingWorld.cpp
@@ -1,9 +1,12 @@
 #include "tests/harness/ServingWorld.h"
 
 #include "platform/Names.h"
+#include "wire/TcpConnection.h"
 
 #include <nlohmann/json.hpp>
 
+#include <stdexcept>
+
 namespace eelgrass::tests {
 
 namespace {
@@ -13,6 +16,27 @@
 
 auto engineAddress(std::size_t index) -> std::string { return "127.0.1." + std::to_string(index + 1); }
 
+/// All agents share one port on different addresses, which an ephemeral port of a stand-in or of another test may
+/// occupy on one of them.
+auto findPortFreeOnAllEngines(std::size_t engines) -> std::uint16_t
+{
+    constexpr auto mostTries = 100;
+    for (auto count = 0; count < mostTries; ++count) {
+        auto probes = std::vector<std::unique_ptr<wire::TcpListener>>();
+        auto port = std::uint16_t(0);
+        try {
+            for (auto index = std::size_t(0); index < engines; ++index) {
+                probes.push_back(std::make_unique<wire::TcpListener>(engineAddress(index), port, [](auto) {}));
+                port = probes.back()->port();
+            }
+            return port;
+        } catch (const std::exception&) {
+            continue;
+        }
+    }
+    throw std::runtime_error("no port is free on all addresses");
+}
+
 auto route(const std::string& name, const std::string& kind, const std::string& service, bool resumable, int runs)
     -> Json
 {
@@ -85,13 +109,13 @@
 auto ServingWorld::startAgent(std::size_t index) -> void
 {
     agents_.resize(std::max(agents_.size(), index + 1));
+    if (agentPort_ == 0)
+        agentPort_ = findPortFreeOnAllEngines(engines_.size());
     agents_[index] = std::make_unique<serving::AgentRole>(loop_,
         serving::AgentSettings { .host = hostSettings("agent-" + std::to_string(index), engineAddress(index)),
             .replica = engines_[index]->endpoint(),
             .service = serving::ServiceName("engine") });
     agents_[index]->start();
-    // Entries find every agent at the same port.
-    agentPort_ = agents_[index]->port();
 }
 
 auto ServingWorld::stopAgent(std::size_t index) -> void { agents_[index].reset(); }
--- a/tests/integration/SharedReading.cpp
+++ b/tests/integration/SharedReading.cpp
@@ -1,8 +1,10 @@
 // The entries of a zone share what one of them reads in the store.
+#include "standins/FaultProxy.h"
 #include "tests/harness/ServingWorld.h"
 
 #include <boost/test/unit_test.hpp>
 
+#include <optional>
 #include <set>
 
 using namespace eelgrass;
@@ -85,6 +87,83 @@
     BOOST_TEST(readers == 1);
 }
 
+// Guards against a reader whose long poll outlasts the time for which its answers spare the followers.
+BOOST_AUTO_TEST_CASE(only_the_reader_long_polls_the_configuration)
+{
+    auto zone = Zone();
+    // Lets polls in progress finish.
+    const auto begun = zone.readings();
+    BOOST_REQUIRE(zone.world.until([&] { return zone.readings() >= begun + 4; }));
+    auto heardAt = std::vector<std::optional<Moment>>();
+    for (auto index = std::size_t(0); index < entries; ++index)
+        heardAt.push_back(zone.world.gateway(index).configuration().heardAt());
+    BOOST_REQUIRE(zone.world.until([&] { return zone.readings() >= begun + 10; }));
+    auto heard = 0;
+    for (auto index = std::size_t(0); index < entries; ++index)
+        heard += zone.world.gateway(index).configuration().heardAt() != heardAt[index] ? 1 : 0;
+    BOOST_TEST(heard == 1);
+}
+
+// Guards against sending the whole list on every change, which overloads entries with little bandwidth.
+BOOST_AUTO_TEST_CASE(followers_receive_only_changed_rows)
+{
+    auto zone = Zone();
+    const auto& directory = zone.world.gateway(0).directory();
+    const auto before = directory.knownVersion();
+    BOOST_TEST(directory.changesSince(0).whole);
+    BOOST_TEST(directory.changesSince(0).listed.size() == 3U);
+    BOOST_TEST(directory.changesSince(before).listed.empty());
+    zone.drainEngine();
+    BOOST_REQUIRE(zone.world.until([&] { return zone.leaving(zone.world.gateway(0)); }));
+    const auto difference = directory.changesSince(before);
+    BOOST_TEST(!difference.whole);
+    BOOST_REQUIRE(difference.listed.size() == 1U);
+    BOOST_TEST(difference.listed.front().instance.str() == "engine-0");
+    zone.world.store().remove("servers", "engine-0");
+    BOOST_REQUIRE(zone.world.until(
+        [&] { return !zone.world.gateway(0).directory().all().contains(serving::InstanceId("engine-0")); }));
+    BOOST_TEST(directory.changesSince(before).removed.size() == 1U);
+}
+
+// Guards against a reader with too little processor time to answer its followers before its data is too old.
+BOOST_AUTO_TEST_CASE(the_entry_with_the_largest_processor_share_is_the_reader)
+{
+    auto world = ServingWorld(2, 1);
+    for (auto index = std::size_t(0); index < entries; ++index) {
+        world.settings().processorShare = index == 2 ? 1 : 0.1;
+        world.startGateway();
+    }
+    const auto reader = Endpoint { "127.0.0.1", world.gateway(2).peerPort() };
+    const auto followed = [&] {
+        for (auto index = std::size_t(0); index < entries; ++index) {
+            if (index != 2 && world.gateway(index).reader() != reader)
+                return false;
+        }
+        return true;
+    };
+    BOOST_TEST(world.until(followed));
+}
+
+// Guards against a zone that keeps a reader refused by the store, so that every entry reads for itself.
+// 1. The entry with the largest share reads. 2. The store refuses it alone. 3. Another reads, and the first follows it.
+BOOST_AUTO_TEST_CASE(a_reader_that_the_store_refuses_is_replaced)
+{
+    auto world = ServingWorld(2, 1);
+    auto proxy = standins::FaultProxy(world.loop(), { .upstream = world.store().endpoint().port });
+    for (auto index = std::size_t(0); index < entries; ++index) {
+        world.settings().processorShare = index == 0 ? 1 : 0.1;
+        world.settings().host.store = { "127.0.0.1", index == 0 ? proxy.port() : world.store().endpoint().port };
+        world.startGateway();
+    }
+    const auto first = Endpoint { "127.0.0.1", world.gateway(0).peerPort() };
+    BOOST_REQUIRE(world.until([&] { return world.gateway(1).reader() == first; }));
+    proxy.apply({ { "cut", true }, { "refuse", true } });
+    BOOST_TEST(world.until([&] {
+        const auto& second = world.gateway(0).reader();
+        return second && world.gateway(1).reader() != first && world.gateway(0).directory().spared();
+    }));
+}
+
 // The same for what the operator puts in force.
 BOOST_AUTO_TEST_CASE(all_entries_get_a_configuration_and_a_version)
 {
