Queue bursts of connections between processes instead of dropping them

Cause: wire::Listener used GLib's default accept backlog of 10. When the whole fleet starts, 357 entries connect to each hub within a few milliseconds; the kernel drops connections beyond the backlog and retries them after 1, 3, 7 s and more. A session that hung while opening was not retried. Ruled out: the hub's processor (other entries attached to it within 3 ms at the same time). Change: the accept backlog is 1,024; a session that has not opened after 2 s is abandoned and retried. Figures: integration-ConnectionBursts (300 connections before the listener runs) failed before the change and passes after it.

--- a/packages/serving/AgentLink.cpp
+++ b/packages/serving/AgentLink.cpp
@@ -12,6 +12,9 @@
 // A new session is tried this often: a restarted process is back within a second.
 constexpr auto reconnectAfter = Duration(500ms);
 constexpr auto thousand = 1000.0;
+// When the first packets of a connection are lost, the kernel retransmits them only after seconds; reconnecting is
+// faster.
+constexpr auto openingTimeout = Duration(2s);
 // Without an update for this long the agent is taken for gone: two heartbeats and some, in its zone and in others.
 constexpr auto nearSilence = Duration(1500ms);
 constexpr auto farSilence = Duration(4500ms);
@@ -91,6 +94,7 @@
 {
     phase_ = Phase::Opening;
     openingSince_ = loop_.timers().now();
+    openingTimer_ = loop_.timers().after(openingTimeout, [this] { abandonOpening(); });
     work_ = wire::connectTo(endpoint_.address, endpoint_.port)
                 .then([this](kj::Own<wire::GlibStream>&& stream) { return attach(kj::mv(stream)); })
                 .eagerlyEvaluate([this](kj::Exception&& error) { lost(error.getDescription().cStr()); });
--- a/packages/serving/AgentLink.h
+++ b/packages/serving/AgentLink.h
@@ -207,6 +207,7 @@
     Moment usedAt_ {};
     std::vector<kj::Own<kj::PromiseFulfiller<void>>> pendingOpens_;
     Timer retry_;
+    Timer openingTimer_;
     Timer idleTimer_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/packages/wire/GlibStream.cpp
+++ b/packages/wire/GlibStream.cpp
@@ -152,6 +152,9 @@
     : service_(g_socket_service_new())
     , onStream_(std::move(onStream))
 {
+    // With GLib's default of 10, connections are dropped when a whole zone connects at once, and retried seconds later.
+    constexpr auto acceptBacklog = 1024;
+    g_socket_listener_set_backlog(G_SOCKET_LISTENER(service_.get()), acceptBacklog);
     auto local = ipAddress(address, port);
     auto* raw = static_cast<GError*>(nullptr);
     auto* effective = static_cast<GSocketAddress*>(nullptr);
