--- a/packages/serving/AgentLink.cpp
+++ b/packages/serving/AgentLink.cpp
@@ -342,12 +342,13 @@
 
 auto AgentLink::takeQuota(const QuotaCharge& charge) -> kj::Promise<QuotaVerdict>
 {
-    if (!alive() && mayOpen())
+    if (!alive() && mayOpen()) {
         return open().then([this, charge, alive = alive_]() -> kj::Promise<QuotaVerdict> {
             if (!*alive)
                 return KJ_EXCEPTION(DISCONNECTED, "the agent was removed");
             return takeQuota(charge);
         });
+    }
     usedAt_ = loop_.timers().now();
     if (!session_)
         return KJ_EXCEPTION(DISCONNECTED, "no session with the agent");
@@ -363,13 +364,14 @@
 
 auto AgentLink::noteQuota(const QuotaCharge& charge, double level) -> void
 {
-    if (!alive() && mayOpen())
+    if (!alive() && mayOpen()) {
         return loop_.spawn(open()
                                .then([this, charge, level, alive = alive_] {
                                    if (*alive)
                                        noteQuota(charge, level);
                                })
                                .catch_([](kj::Exception&&) {}));
+    }
     usedAt_ = loop_.timers().now();
     if (!session_)
         return;
--- a/packages/serving/ReplicaDirectory.cpp
+++ b/packages/serving/ReplicaDirectory.cpp
@@ -185,11 +185,12 @@
 
 auto ReplicaDirectory::made(ReplicaRecord record, std::string_view source) -> ReplicaPtr
 {
-    if (logEachReplica_)
+    if (logEachReplica_) {
         log::info("replica known",
             { { "replica", record.start.instance.str() }, { "birth", std::to_string(record.start.birth.value()) },
                 { "service", record.service.str() }, { "peer", record.endpoint.str() },
                 { "source", std::string(source) } });
+    }
     auto replica = std::make_shared<Replica>(loop_.timers(), std::move(record));
     linkAgent(replica);
     return replica;
--- a/tests/integration/ConnectionBursts.cpp
+++ b/tests/integration/ConnectionBursts.cpp
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <vector>
 
 using namespace eelgrass;
@@ -24,7 +25,8 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(port);
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::connect(socket, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    const auto begun = ::connect(socket, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    BOOST_REQUIRE((begun == 0 || errno == EINPROGRESS));
     return socket;
 }
 
