--- a/packages/router/Metrics.cpp
+++ b/packages/router/Metrics.cpp
@@ -13,6 +13,18 @@
     = prometheus::Histogram::BucketBoundaries { 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 0.95, 1 };
 const auto otherMember = std::string("other");
 
+using HistogramFamily = prometheus::Family<prometheus::Histogram>;
+
+/// The family of that name, registered on first use.
+auto familyOf(std::map<std::string, HistogramFamily*>& families, prometheus::Registry& registry,
+    const std::string& name) -> HistogramFamily&
+{
+    auto& family = families[name];
+    if (!family)
+        family = &prometheus::BuildHistogram().Name(name).Register(registry);
+    return *family;
+}
+
 } // namespace
 
 Metrics::Metrics(std::size_t memberCap)
@@ -32,10 +44,8 @@
 
 auto Metrics::series(const std::string& name, const MemberId& member, const RequestClass& requestClass) -> Series&
 {
-    auto& family = times_[name];
-    if (!family)
-        family = &prometheus::BuildHistogram().Name(name).Register(registry_);
-    return family->Add({ { "member", memberLabel(member) }, { "class", requestClass.str() } }, timeBounds);
+    return familyOf(times_, registry_, name)
+        .Add({ { "member", memberLabel(member) }, { "class", requestClass.str() } }, timeBounds);
 }
 
 auto Metrics::observe(Series& series, Duration time) -> void
@@ -51,18 +61,12 @@
 
 auto Metrics::observe(const std::string& name, const std::map<std::string, std::string>& labels, Duration time) -> void
 {
-    auto& family = times_[name];
-    if (!family)
-        family = &prometheus::BuildHistogram().Name(name).Register(registry_);
-    observe(family->Add(labels, timeBounds), time);
+    observe(familyOf(times_, registry_, name).Add(labels, timeBounds), time);
 }
 
 auto Metrics::observeShare(const std::string& name, double share) -> void
 {
-    auto& family = times_[name];
-    if (!family)
-        family = &prometheus::BuildHistogram().Name(name).Register(registry_);
-    family->Add({}, shareBounds).Observe(share);
+    familyOf(times_, registry_, name).Add({}, shareBounds).Observe(share);
 }
 
 auto Metrics::count(const std::string& name, const std::map<std::string, std::string>& labels, double by) -> void
