Show the rate limits that replicas name, at the gateways

Callers saw nothing; operators could not see that a replica had named a limit, which process knew of it, or how much was sent to it all the same. Cause: the header was passed on to the client and read by nobody. Change: a gateway reads Server-Limit, keeps the newest statement of each start of a replica (answers may overtake each other), writes a line when it is learned, changes or ends, and shows it as a gauge beside a counter of sends to limited replicas. Metrics gets gauges. Nothing is held back yet.

--- a/packages/router/Metrics.cpp
+++ b/packages/router/Metrics.cpp
@@ -77,6 +77,20 @@
     family->Add(labels).Increment(increment);
 }
 
+auto Metrics::set(const std::string& name, const std::map<std::string, std::string>& labels, double value) -> void
+{
+    auto& family = gauges_[name];
+    if (!family)
+        family = &prometheus::BuildGauge().Name(name).Register(registry_);
+    family->Add(labels).Set(value);
+}
+
+auto Metrics::unset(const std::string& name, const std::map<std::string, std::string>& labels) -> void
+{
+    if (auto* family = gauges_[name])
+        family->Remove(&family->Add(labels));
+}
+
 auto Metrics::text() const -> std::string { return prometheus::TextSerializer().Serialize(registry_.Collect()); }
 
 } // namespace eelgrass::router
--- a/packages/router/Metrics.h
+++ b/packages/router/Metrics.h
@@ -4,6 +4,7 @@
 #include "base/Ids.h"
 
 #include <prometheus/counter.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
@@ -37,6 +38,10 @@
     static auto observe(Series& series, Duration time) -> void;
     /// Increments a counter.
     auto count(const std::string& name, const std::map<std::string, std::string>& labels, double increment = 1) -> void;
+    /// Sets a gauge.
+    auto set(const std::string& name, const std::map<std::string, std::string>& labels, double value) -> void;
+    /// Removes a gauge, for what no longer exists.
+    auto unset(const std::string& name, const std::map<std::string, std::string>& labels) -> void;
 
     /// All metrics in the Prometheus text format.
     [[nodiscard]] auto text() const -> std::string;
@@ -50,6 +55,7 @@
     prometheus::Registry registry_;
     std::map<std::string, prometheus::Family<prometheus::Histogram>*> histograms_;
     std::map<std::string, prometheus::Family<prometheus::Counter>*> counters_;
+    std::map<std::string, prometheus::Family<prometheus::Gauge>*> gauges_;
 };
 
 } // namespace eelgrass::router
--- a/packages/serving/GatewayContext.h
+++ b/packages/serving/GatewayContext.h
@@ -5,6 +5,7 @@
 #include "router/Metrics.h"
 #include "serving/ConfigurationFollower.h"
 #include "serving/MemberQuotas.h"
+#include "serving/RateLimits.h"
 #include "serving/ReplicaDirectory.h"
 #include "serving/Settings.h"
 #include "serving/SuspectRequests.h"
@@ -23,6 +24,7 @@
     DeferredCalls& deferred;
     SuspectRequests& suspects;
     MemberQuotas& quotas;
+    RateLimits& rateLimits;
     std::map<ServiceName, decisions::SharedRetryBudget> budgets {};
     /// Estimated number of entries that share the retry budget.
     std::size_t entries = 6;
--- a/packages/serving/GatewayRole.cpp
+++ b/packages/serving/GatewayRole.cpp
@@ -84,7 +84,8 @@
               .onLeaving = [this](Duration age) { observeInForce("leaving", age); } })
     , suspects_(directory_)
     , quotas_(loop, directory_, settings_.quotas)
-    , gateway_ { loop, settings_, configuration_, directory_, metrics_, deferred_, suspects_, quotas_ }
+    , rateLimits_(metrics_)
+    , gateway_ { loop, settings_, configuration_, directory_, metrics_, deferred_, suspects_, quotas_, rateLimits_ }
     , peerSessions_(loop.timers())
     , reader_(loop, decisions::SharedReading(settings_.drainBound).sharedInterval(),
           { .fillQuery = [this](ReaderLink::Query query) { fillReaderQuery(query); },
--- a/packages/serving/GatewayRole.h
+++ b/packages/serving/GatewayRole.h
@@ -69,6 +69,7 @@
     ReplicaDirectory directory_;
     SuspectRequests suspects_;
     MemberQuotas quotas_;
+    RateLimits rateLimits_;
     GatewayContext gateway_;
     std::map<CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
     std::unique_ptr<wire::TcpListener> clients_;
--- a/packages/serving/Replica.h
+++ b/packages/serving/Replica.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decisions/AnnouncedRateLimit.h"
 #include "decisions/KnownPrefixes.h"
 #include "decisions/RecentAdapters.h"
 #include "serving/AgentLink.h"
@@ -82,6 +83,10 @@
     [[nodiscard]] auto usable(Moment now) const noexcept -> bool;
     [[nodiscard]] auto meanTime() const noexcept -> Duration { return meanTime_; }
 
+    /// The rate limit that this start of the replica has announced.
+    auto rateLimit() noexcept -> decisions::AnnouncedRateLimit& { return rateLimit_; }
+    [[nodiscard]] auto rateLimit() const noexcept -> const decisions::AnnouncedRateLimit& { return rateLimit_; }
+
     /// The prompt prefixes that this entry has sent to the replica.
     auto prompts() noexcept -> decisions::KnownPrefixes& { return prompts_; }
     [[nodiscard]] auto prompts() const noexcept -> const decisions::KnownPrefixes& { return prompts_; }
@@ -116,6 +121,7 @@
     std::uint32_t failures_ = 0;
     Moment pausedUntil_ {};
     Duration meanTime_ {};
+    decisions::AnnouncedRateLimit rateLimit_;
     decisions::KnownPrefixes prompts_ { maxPrompts };
     decisions::RecentAdapters recentAdapters_;
 };
--- a/packages/serving/RequestAnswer.cpp
+++ b/packages/serving/RequestAnswer.cpp
@@ -39,6 +39,8 @@
 auto RequestRun::onHead(const wire::HttpResponseHead& head) -> void
 {
     head_ = head;
+    answer_ = hosting::readAnswerMetadata(head, metadata_.attempt);
+    gateway_.rateLimits.observe(*replica_, answer_, sentAt_, gateway_.now());
     streaming_ = route_->streamed && head.status == ok;
     if (streaming_)
         startSilenceTimer();
@@ -101,13 +103,12 @@
 auto RequestRun::onDone() -> void
 {
     const auto self = shared_from_this();
-    const auto metadata = hosting::readAnswerMetadata(head_, metadata_.attempt);
     const auto now = gateway_.now();
     silenceTimer_.cancel();
-    if (metadata.notRun) {
-        if (metadata.otherInstance && !metadata.instance.empty() && metadata.instance != replica_->id())
+    if (answer_.notRun) {
+        if (answer_.otherInstance && !answer_.instance.empty() && answer_.instance != replica_->id())
             gateway_.directory.markGone(replica_->id(), "another instance has its address");
-        else if (!metadata.otherInstance)
+        else if (!answer_.otherInstance)
             replica_->reportedFull(now);
         releaseReplica(true);
         return onNotRun(head_.status == unavailable ? "replica full" : "replica did not run it");
@@ -139,7 +140,7 @@
         return giveUp("stream not resumed");
     // An answer without the replica's seal is not forwarded. A status that promises that the request has not run is not
     // forwarded without the header that confirms this.
-    if (!metadata.sealed || promisesNotRun(head_.status))
+    if (!answer_.sealed || promisesNotRun(head_.status))
         return fail(badGateway, "answer not to be trusted");
     delivered_ = Delivered::Everything;
     caller_->respond({ head_.status, hosting::returnedFields(head_) }, body_);
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -206,6 +206,7 @@
     ++sends_;
     sentAt_ = now;
     head_ = {};
+    answer_ = {};
     body_.clear();
     streaming_ = false;
     events_.clear();
@@ -222,6 +223,7 @@
     replica_->requestSent(metadata_.promptTokens);
     if (replica_->agent())
         replica_->prompts().remember(sharedPrefixes_);
+    gateway_.rateLimits.countSend(*replica_);
     logDecision("sent", {});
     startSilenceTimer();
     connection_->send(head, request_.body,
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -137,6 +137,7 @@
     Moment admissionAskedAt_ {};
     std::shared_ptr<ReplicaConnection> connection_;
     wire::HttpResponseHead head_;
+    hosting::AnswerMetadata answer_;
     std::string body_;
     EventSplitter events_;
     std::optional<std::uint64_t> lastEventId_;
