--- a/standins/ReplicaStandin.cpp
+++ b/standins/ReplicaStandin.cpp
@@ -59,6 +59,7 @@
     sequence_ = 0;
     highestFence_ = 0;
     hasModel_ = false;
+    announcements_.push_back({ timers_.now(), {} });
     ++born_;
     server_.resetAll();
 }
@@ -139,11 +140,14 @@
 {
     auto head = wire::HttpResponseHead { .status = status };
     head.fields.add(names::attemptId, request.fields.get(names::attemptId));
+    if (!announcements_.empty() && !announcements_.back().limit.empty())
+        head.fields.add(names::rateLimit, announcements_.back().limit);
     return head;
 }
 
 auto ReplicaStandin::runModel(const Caller& caller, const wire::HttpRequestMessage& request) -> void
 {
+    arrivals_.push_back({ timers_.now(), std::string(request.fields.get(names::attemptId)) });
     if (request.fields.get(names::expectInstance) != instance_)
         return respond(caller, 421, {});
     auto head = answerHead(request, behaviour_.status);
--- a/standins/ReplicaStandin.h
+++ b/standins/ReplicaStandin.h
@@ -44,6 +44,17 @@
         std::string body;
     };
 
+    /// A request that reached the replica, whether it ran or was refused.
+    struct Arrival {
+        Moment at {};
+        std::string attempt;
+    };
+    /// What its answers said about its rate limit from `since` on; empty for nothing.
+    struct Announcement {
+        Moment since {};
+        std::string limit;
+    };
+
     ReplicaStandin(TimerService& timers, const std::string& address, std::string instance, std::string service);
 
     [[nodiscard]] auto port() const noexcept -> std::uint16_t { return server_.port(); }
@@ -52,6 +63,10 @@
     /// Its entry in the platform's list.
     [[nodiscard]] auto entry(const std::string& state = "ready") const -> std::string;
     auto behave(Behaviour behaviour) -> void { behaviour_ = behaviour; }
+    /// Names this rate limit, in requests per second, in every answer to a request from now on; none if empty.
+    auto announceLimit(const std::string& limit) -> void { announcements_.push_back({ timers_.now(), limit }); }
+    [[nodiscard]] auto announcements() const noexcept -> const std::vector<Announcement>& { return announcements_; }
+    [[nodiscard]] auto arrivals() const noexcept -> const std::vector<Arrival>& { return arrivals_; }
     [[nodiscard]] auto runs() const noexcept -> const std::vector<Run>& { return runs_; }
     [[nodiscard]] auto orders() const noexcept -> const std::vector<std::string>& { return orders_; }
     [[nodiscard]] auto crashed() const noexcept -> bool { return crashed_; }
@@ -79,6 +94,8 @@
     std::string service_;
     Behaviour behaviour_;
     std::vector<Run> runs_;
+    std::vector<Arrival> arrivals_;
+    std::vector<Announcement> announcements_;
     std::vector<std::string> orders_;
     std::vector<std::string> lostOrders_;
     std::map<std::string, std::uint64_t> adapters_;
