--- a/packages/decisions/AdmissionQueue.cpp
+++ b/packages/decisions/AdmissionQueue.cpp
@@ -107,18 +107,26 @@
     -> std::optional<AdmissionRefusal>
 {
     auto ahead = unstartedTokens_;
+    auto requestsAhead = std::size_t(0);
     for (const auto& other : waiting_) {
-        if (ready(other.adapter) && !goesBefore(request, other, now))
-            ahead += other.unreadTokens;
+        if (!ready(other.adapter) || goesBefore(request, other, now))
+            continue;
+        ahead += other.unreadTokens;
+        ++requestsAhead;
     }
-    const auto wait = std::max(prefillTime(ahead, request.priority, now), loadTime);
+    const auto work = std::max(prefillTime(ahead, request.priority, now), loadTime);
+    const auto permitWait = arrivals_.timeUntilPermit(requestsAhead, now);
+    const auto wait = std::max(work, permitWait);
+    const auto rateLimited = permitWait > work;
     const auto firstEventAt = now + wait + prefillTime(request.unreadTokens);
     // A request that is already late loses nothing by waiting in this queue.
     if (request.elsewhere && now < request.firstEventDeadline && firstEventAt > request.firstEventDeadline)
-        return AdmissionRefusal { request.attempt, wait, true };
+        return AdmissionRefusal { request.attempt, wait, true, rateLimited };
     recordInflow(request, now);
-    if (firstEventAt >= request.callerDeadline)
-        return AdmissionRefusal { request.attempt, std::max(wait, minRetry) };
+    if (firstEventAt >= request.callerDeadline) {
+        const auto retry = rateLimited ? wait + arrivals_.permits().refuse(now) : wait;
+        return AdmissionRefusal { request.attempt, std::max(retry, minRetry), false, rateLimited };
+    }
     waiting_.push_back(std::move(request));
     return std::nullopt;
 }
@@ -152,6 +160,8 @@
         // forever.
         if (!fits(*request))
             break;
+        if (arrivals_.limited() && !arrivals_.permits().take(now))
+            break;
         if (run(*request)) {
             running_.at(request->attempt).grantedAt = now;
             rate_.granted(now);
@@ -167,13 +177,20 @@
     auto refused = std::vector<AdmissionRefusal>();
     sortWaiting(now);
     auto ahead = unstartedTokens_;
+    auto requestsAhead = std::size_t(0);
     std::erase_if(waiting_, [&](const AdmissionRequest& request) {
-        const auto wait = prefillTime(ahead, request.priority, now);
+        const auto work = prefillTime(ahead, request.priority, now);
+        const auto permitWait = arrivals_.timeUntilPermit(requestsAhead, now);
+        const auto wait = std::max(work, permitWait);
         if (now + wait + prefillTime(request.unreadTokens) < request.callerDeadline) {
-            ahead += ready(request.adapter) ? request.unreadTokens : 0;
+            const auto isReady = ready(request.adapter);
+            ahead += isReady ? request.unreadTokens : 0;
+            requestsAhead += isReady ? 1 : 0;
             return false;
         }
-        refused.push_back({ request.attempt, std::max(wait, minRetry) });
+        const auto rateLimited = permitWait > work;
+        const auto retry = rateLimited ? wait + arrivals_.permits().refuse(now) : wait;
+        refused.push_back({ request.attempt, std::max(retry, minRetry), false, rateLimited });
         return true;
     });
     return refused;
--- a/packages/decisions/AdmissionQueue.h
+++ b/packages/decisions/AdmissionQueue.h
@@ -2,6 +2,7 @@
 
 #include "base/Clock.h"
 #include "base/Ids.h"
+#include "decisions/LimitedArrivals.h"
 #include "decisions/PrefillRate.h"
 
 #include <cstdint>
@@ -53,6 +54,8 @@
     Duration retryAfter {};
     /// Whether the replica would serve the request, but late; another replica may be on time.
     bool late = false;
+    /// Whether the replica's rate limit is what delays the request most.
+    bool rateLimited = false;
 };
 
 /// An adapter that queued requests wait for.
@@ -93,6 +96,8 @@
 /// A request that cannot start before its caller leaves is refused as soon as this is known. The estimate of its start
 /// excludes the share of the engine that more urgent requests have recently used.
 ///
+/// If the replica has announced a rate limit, each granted request takes a permit, in the same order.
+///
 /// ```cpp
 /// if (auto refusal = queue.offer(request, ready, loadTime, now)) answer(*refusal);
 /// for (auto& granted : queue.grant(ready, now)) send(granted);
@@ -104,6 +109,20 @@
 
     auto setLimits(ReplicaLimits limits) -> void;
     [[nodiscard]] auto limits() const noexcept -> const ReplicaLimits& { return limits_; }
+    /// The rate limit that the replica has announced, and the permits under it.
+    [[nodiscard]] auto arrivals() noexcept -> LimitedArrivals& { return arrivals_; }
+    [[nodiscard]] auto arrivals() const noexcept -> const LimitedArrivals& { return arrivals_; }
+    /// Time until a request that arrives now, behind all queued ones, gets a permit; 0 if there is no rate limit.
+    [[nodiscard]] auto permitWait(Moment now) const -> Duration
+    {
+        return arrivals_.timeUntilPermit(waiting_.size(), now);
+    }
+    /// Time until the next queued request gets a permit; no value if none waits for one.
+    [[nodiscard]] auto nextPermit(Moment now) const -> std::optional<Duration>
+    {
+        return arrivals_.limited() && !waiting_.empty() ? std::optional(arrivals_.timeUntilPermit(0, now))
+                                                        : std::nullopt;
+    }
 
     /// Queues the request, unless the work ahead of it takes longer than its caller waits. `loadTime` is the remaining
     /// load time of the request's adapter.
@@ -179,6 +198,7 @@
     auto run(const AdmissionRequest& request) -> bool;
     auto markStarted(Running& running) -> void;
     ReplicaLimits limits_;
+    LimitedArrivals arrivals_;
     PrefillRate rate_ { ReplicaLimits().readRate };
     std::vector<AdmissionRequest> waiting_;
     std::map<AttemptId, Running> running_;
--- a/packages/decisions/PublishPolicy.cpp
+++ b/packages/decisions/PublishPolicy.cpp
@@ -28,6 +28,7 @@
 constexpr auto significantRuns = std::size_t(8);
 constexpr auto significantLoads = std::size_t(2);
 constexpr auto significantFailures = 0.1;
+constexpr auto significantWait = Duration(200ms);
 
 template <typename Number> auto difference(Number left, Number right) -> Number
 {
@@ -60,7 +61,8 @@
         || difference(last.running, now.running) >= significantRuns
         || difference(last.loadsWaiting, now.loadsWaiting) >= significantLoads
         || (last.spareSlots == 0) != (now.spareSlots == 0)
-        || difference(last.failures, now.failures) >= significantFailures;
+        || difference(last.failures, now.failures) >= significantFailures
+        || difference(last.permitWait, now.permitWait) >= significantWait;
 }
 
 auto PublishPolicy::heartbeat(Audience audience) noexcept -> Duration
--- a/packages/decisions/PublishPolicy.h
+++ b/packages/decisions/PublishPolicy.h
@@ -23,6 +23,8 @@
     double readRate = 0;
     /// Share of the latest requests that failed at the replica, from 0 to 1.
     double failures = 0;
+    /// Time until a request that arrives now may be sent under the replica's rate limit.
+    Duration permitWait { 0 };
 
     [[nodiscard]] auto operator==(const ReplicaLoad&) const -> bool = default;
 };
--- a/packages/decisions/ReplicaChoice.cpp
+++ b/packages/decisions/ReplicaChoice.cpp
@@ -92,7 +92,7 @@
     const auto ahead = prefillTime(replica.tokensAhead + (replica.holds ? 0 : replica.tokensWaiting), query.readRate);
     const auto fill
         = static_cast<double>(replica.running) / static_cast<double>(std::max<std::size_t>(replica.batch, 1));
-    auto start = std::max(load, ahead) + scaled(fill, fullBatchCost);
+    auto start = std::max({ load, ahead, replica.permitWait }) + scaled(fill, fullBatchCost);
     // A full batch starts no request until a running one ends.
     if (fill >= 1)
         start += batchReleaseTime;
--- a/packages/decisions/ReplicaChoice.h
+++ b/packages/decisions/ReplicaChoice.h
@@ -40,6 +40,8 @@
     std::size_t loadsWaiting = 0;
     /// Share of the latest requests that failed at the replica, from 0 to 1.
     double failures = 0;
+    /// Time until the replica's rate limit lets a further request be sent.
+    Duration permitWait { 0 };
     /// Age of these values.
     Duration age { 0 };
     /// Tokens of the prompt's shared prefix that the replica has processed, as far as this entry knows.
--- a/packages/serving/AgentLink.cpp
+++ b/packages/serving/AgentLink.cpp
@@ -121,6 +121,8 @@
     auto attached = request.send();
     // The notice is pipelined with the attachment, because the agent cannot admit requests before it has the limits.
     auto client = attached.getSession();
+    if (const auto limit = hooks_.knownRateLimit())
+        sendRateLimit(client, *limit, true);
     sendNotice(client);
     return attached
         .then([this](auto&& answer) {
@@ -225,6 +227,11 @@
     return std::min(loop_.timers().now() - state_.receivedAt, caller_.sameZone ? sameZoneAge : otherZoneAge);
 }
 
+auto AgentLink::permitWait() const -> Duration
+{
+    return std::max(state_.receivedAt + Duration(state_.permitWait) - loop_.timers().now(), Duration(0));
+}
+
 auto AgentLink::applyState(wire::schema::ReplicaState::Reader state) -> void
 {
     if (!state.getNumbersOnly())
@@ -246,6 +253,7 @@
     state_.loadsWaiting = state.getLoadsWaiting();
     state_.readRate = static_cast<double>(state.getReadRate()) / fixedPointScale;
     state_.failureShare = static_cast<double>(state.getFailures()) / fixedPointScale;
+    state_.permitWait = milliseconds(state.getPermitWaitMs());
     state_.entries = state.getEntries();
     state_.receivedAt = loop_.timers().now();
 }
@@ -265,6 +273,11 @@
     state_.suspects.clear();
     for (auto suspect : state.getSuspects())
         state_.suspects.emplace(suspect.getDigest().cStr(), suspect.getBreaks());
+    auto limits = std::vector<ReplicaRateLimit>();
+    for (auto limit : state.getRateLimits())
+        limits.push_back(detail::readRateLimit(limit, loop_.timers().now()));
+    if (!limits.empty())
+        hooks_.onRateLimits(limits);
 }
 
 auto AgentLink::admit(const AgentAdmissionRequest& admission) -> kj::Promise<AdmitResult>
@@ -385,6 +398,41 @@
     }
 }
 
+auto AgentLink::noteRateLimit(const ReplicaRateLimit& limit, bool own) -> void
+{
+    if (!session_)
+        return;
+    KJ_IF_MAYBE (client, session_->client)
+        sendRateLimit(*client, limit, own);
+}
+
+auto AgentLink::sendRateLimit(wire::schema::AgentSession::Client& client, const ReplicaRateLimit& limit, bool own)
+    -> void
+{
+    auto call = client.noteRateLimitRequest();
+    detail::fill(call.initStatement(), limit, loop_.timers().now());
+    call.setOwn(own);
+    detail::sendOneWay(loop_, call);
+}
+
+auto AgentLink::takePermit(const ReplicaRateLimit& limit, std::uint32_t priority, bool standIn)
+    -> kj::Promise<PermitDecision>
+{
+    usedAt_ = loop_.timers().now();
+    if (!session_)
+        return KJ_EXCEPTION(DISCONNECTED, "no session with the agent");
+    KJ_IF_MAYBE (client, session_->client) {
+        auto call = client->takePermitRequest();
+        detail::fill(call.initStatement(), limit, loop_.timers().now());
+        call.setPriority(priority);
+        call.setStandIn(standIn);
+        return call.send().then([](auto&& answer) {
+            return PermitDecision { answer.getGranted(), milliseconds(answer.getAskAgainAfterMs()) };
+        });
+    }
+    return KJ_EXCEPTION(DISCONNECTED, "no session with the agent");
+}
+
 auto AgentLink::notify(const EntryNotice& notice) -> void
 {
     notice_ = notice;
--- a/packages/serving/AgentLink.h
+++ b/packages/serving/AgentLink.h
@@ -3,6 +3,7 @@
 #include "decisions/KnownPrefixes.h"
 #include "decisions/QuotaBucket.h"
 #include "decisions/SessionPlan.h"
+#include "serving/RateLimitMessages.h"
 #include "serving/Types.h"
 #include "wire/Door.h"
 #include "wire/MainLoop.h"
@@ -36,6 +37,8 @@
     double readRate = 0;
     /// Share of the recent requests that failed or broke off at the replica, from any entry; 0 to 1.
     double failureShare = 0;
+    /// Time from `receivedAt` until a request may be sent under the replica's rate limit.
+    milliseconds permitWait { 0 };
     /// The highest configuration version that any entry reported to the agent, and the address of an entry that serves
     /// it.
     ConfigVersion configVersion;
@@ -93,6 +96,13 @@
     double level = 0;
 };
 
+/// Whether a request may be sent to a replica with a rate limit.
+struct PermitDecision {
+    bool granted = false;
+    /// When to ask again, for this request or another one.
+    milliseconds askAgainAfter { 0 };
+};
+
 /// Data that an entry announces to every agent with which it has a session.
 struct EntryNotice {
     std::shared_ptr<const ServingConfiguration> configuration;
@@ -112,6 +122,10 @@
         std::function<void()> onState;
         /// Called when the answer to an admission request contains the replica's load figures.
         std::function<void()> onFigures;
+        /// Called with the rate limits that the agent publishes, when its names have changed.
+        std::function<void(const std::vector<ReplicaRateLimit>&)> onRateLimits;
+        /// Returns what this entry knows of the replica's rate limit; a new agent process is told it.
+        std::function<std::optional<ReplicaRateLimit>()> knownRateLimit;
     };
     /// The entry at this end. Agents send updates less often to entries of other zones.
     struct Caller {
@@ -146,6 +160,8 @@
     /// fixed time.
     [[nodiscard]] auto stateAge() const -> Duration;
     [[nodiscard]] auto state() const noexcept -> const ReplicaSnapshot& { return state_; }
+    /// Time until a request that arrives at the agent now may be sent under the replica's rate limit.
+    [[nodiscard]] auto permitWait() const -> Duration;
     /// Asks for admission. The promise is rejected when the session is lost; to withdraw the request, drop the promise
     /// and call `release`.
     [[nodiscard]] auto admit(const AgentAdmissionRequest& admission) -> kj::Promise<AdmitResult>;
@@ -159,6 +175,13 @@
     [[nodiscard]] auto takeQuota(const QuotaCharge& charge) -> kj::Promise<QuotaDecision>;
     /// Reports a refund, or a charge that another agent granted; `level` is the credit that remained at that agent.
     auto noteQuota(const QuotaCharge& charge, double level) -> void;
+    /// Reports what an answer said about a rate limit: of the agent's replica if `own`, or of one whose permits it
+    /// keeps.
+    auto noteRateLimit(const ReplicaRateLimit& limit, bool own) -> void;
+    /// Asks for a permit to send a request to a replica whose permits the agent keeps. The promise is rejected when the
+    /// session is lost.
+    [[nodiscard]] auto takePermit(const ReplicaRateLimit& limit, std::uint32_t priority, bool standIn)
+        -> kj::Promise<PermitDecision>;
     [[nodiscard]] auto endpoint() const noexcept -> const Endpoint& { return endpoint_; }
     /// Hash of the endpoint, cached because each request of a member with a quota ranks all agents by it.
     [[nodiscard]] auto endpointHash() const noexcept -> std::uint64_t { return endpointHash_; }
@@ -189,6 +212,7 @@
     auto applyFigures(wire::schema::ReplicaState::Reader state) -> void;
     auto applyNames(wire::schema::ReplicaState::Reader state) -> void;
     auto sendNotice(wire::schema::AgentSession::Client& client) -> void;
+    auto sendRateLimit(wire::schema::AgentSession::Client& client, const ReplicaRateLimit& limit, bool own) -> void;
 
     struct Session {
         Session(kj::Own<wire::GlibStream> stream)
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -152,6 +152,34 @@
         return kj::READY_NOW;
     }
 
+    auto noteRateLimit(NoteRateLimitContext context) -> kj::Promise<void> override
+    {
+        const auto params = context.getParams();
+        role_.applyRateLimit(
+            detail::readRateLimit(params.getStatement(), role_.loop_.timers().now()), params.getOwn(), entry_);
+        return kj::READY_NOW;
+    }
+
+    auto takePermit(TakePermitContext context) -> kj::Promise<void> override
+    {
+        const auto params = context.getParams();
+        const auto now = role_.loop_.timers().now();
+        const auto limit = detail::readRateLimit(params.getStatement(), now);
+        role_.applyRateLimit(limit, false, entry_);
+        auto* arrivals = role_.keptRateLimits_.find(limit.start);
+        // The entry has not heard yet that the limit has ended.
+        auto verdict = decisions::ArrivalPermits::Verdict { .granted = true };
+        if (arrivals && arrivals->limited())
+            verdict = arrivals->permits().take(
+                params.getPriority(), params.getStandIn() ? decisions::ArrivalPermits::standInCost : 1, now);
+        role_.metrics_.count("eelgrass_permits_total",
+            { { "granted", verdict.granted ? "yes" : "no" }, { "stand_in", params.getStandIn() ? "yes" : "no" } });
+        context.getResults().setGranted(verdict.granted);
+        context.getResults().setAskAgainAfterMs(
+            static_cast<std::uint32_t>(std::chrono::ceil<milliseconds>(verdict.askAgainAfter).count()));
+        return kj::READY_NOW;
+    }
+
 private:
     AgentRole& role_;
     std::string entry_;
@@ -197,6 +225,7 @@
           { .figures = [this] { return figures(); },
               .namesFingerprint = [this] { return namesFingerprint(); },
               .fillNames = [this](wire::schema::ReplicaState::Builder state) { fillNames(state); } })
+    , keptRateLimits_(metrics_)
     , connections_(loop.timers())
 {
 }
@@ -301,6 +330,28 @@
     log::info("limits read", { { "source", "store" } });
 }
 
+auto AgentRole::applyRateLimit(const ReplicaRateLimit& limit, bool own, std::string_view source) -> void
+{
+    if (!own) {
+        if (keptRateLimits_.apply(limit, source, loop_.timers().now()))
+            publisher_.changed();
+        return;
+    }
+    const auto before = agent_.queue().arrivals().announced().perSecond();
+    const auto change = agent_.noteRateLimit(limit);
+    recordRateLimitChange(metrics_, change, limit, before, source, loop_.timers().now());
+    if (change != decisions::AnnouncedRateLimit::Change::None)
+        publisher_.changed();
+}
+
+auto AgentRole::rateLimits() const -> std::vector<ReplicaRateLimit>
+{
+    auto limits = keptRateLimits_.statements();
+    if (auto own = agent_.rateLimit())
+        limits.push_back(std::move(*own));
+    return limits;
+}
+
 auto AgentRole::figures() const -> decisions::ReplicaLoad
 {
     const auto& queue = agent_.queue();
@@ -313,7 +364,8 @@
         .spareSlots = agent_.spareSlots(),
         .loadsWaiting = agent_.loadsWaiting(),
         .readRate = queue.readRate(),
-        .failures = agent_.failureShare() };
+        .failures = agent_.failureShare(),
+        .permitWait = queue.permitWait(loop_.timers().now()) };
 }
 
 auto AgentRole::reader() const -> std::string
@@ -340,6 +392,11 @@
         text.append("|+").append(adapter.str());
     for (const auto& [digest, breaks] : suspects_.known())
         text.append("|!").append(digest).append(":").append(std::to_string(breaks));
+    for (const auto& limit : rateLimits())
+        text.append("|=")
+            .append(limit.start.instance.str())
+            .append(":")
+            .append(std::to_string(limit.statement.perSecond.value_or(-1)));
     return text;
 }
 
@@ -358,16 +415,20 @@
     auto loading = state.initLoading(static_cast<unsigned>(coming.size()));
     for (index = 0; index < coming.size(); ++index)
         loading.set(index, coming[index].str());
-    const auto& known = suspects_.known();
-    auto suspects = state.initSuspects(static_cast<unsigned>(known.size()));
+    const auto& broken = suspects_.known();
+    auto suspects = state.initSuspects(static_cast<unsigned>(broken.size()));
     index = 0;
-    for (const auto& [digest, breaks] : known) {
+    for (const auto& [digest, breaks] : broken) {
         suspects[index].setDigest(digest);
         suspects[index++].setBreaks(breaks);
     }
     state.setConfigVersion(configVersion_.value());
     state.setConfigHolder(configHolder_);
     state.setReader(reader());
+    const auto known = rateLimits();
+    auto limits = state.initRateLimits(static_cast<unsigned>(known.size()));
+    for (index = 0; index < known.size(); ++index)
+        detail::fill(limits[index], known[index], loop_.timers().now());
 }
 
 } // namespace eelgrass::serving
--- a/packages/serving/AgentRole.h
+++ b/packages/serving/AgentRole.h
@@ -2,6 +2,7 @@
 
 #include "decisions/Quarantine.h"
 #include "router/Metrics.h"
+#include "serving/KeptRateLimits.h"
 #include "serving/QuotaBuckets.h"
 #include "serving/ReplicaAgent.h"
 #include "serving/StatePublisher.h"
@@ -40,6 +41,9 @@
     [[nodiscard]] auto figures() const -> decisions::ReplicaLoad;
     auto fillNames(wire::schema::ReplicaState::Builder state) const -> void;
     [[nodiscard]] auto namesFingerprint() const -> std::string;
+    /// Applies what an answer said about a rate limit: of the replica on this host if `own`, otherwise of another one.
+    auto applyRateLimit(const ReplicaRateLimit& limit, bool own, std::string_view source) -> void;
+    [[nodiscard]] auto rateLimits() const -> std::vector<ReplicaRateLimit>;
     /// Returns the address of the entry that is to read the store for its zone. All agents to which the same entries
     /// are attached select the same entry. The result is empty if there are too few entries.
     [[nodiscard]] auto reader() const -> std::string;
@@ -68,6 +72,7 @@
     Timer limitsTimer_;
     decisions::Quarantine suspects_;
     QuotaBuckets quotas_;
+    KeptRateLimits keptRateLimits_;
     ConfigVersion configVersion_;
     std::string configHolder_;
     std::unique_ptr<wire::Listener> listener_;
--- a/packages/serving/GatewayRole.cpp
+++ b/packages/serving/GatewayRole.cpp
@@ -81,10 +81,12 @@
               .drainBound = settings_.drainBound,
               .readerWeight = settings_.processorShare },
           { .onState = [this](const ReplicaSnapshot& state) { onState(state); },
-              .onLeaving = [this](Duration age) { observeInForce("leaving", age); } })
+              .onLeaving = [this](Duration age) { observeInForce("leaving", age); },
+              .onRateLimits = [this](const std::vector<ReplicaRateLimit>& limits,
+                                  const Endpoint& agent) { rateLimits_.applyPublished(limits, agent); } })
     , suspects_(directory_)
     , quotas_(loop, directory_, settings_.quotas)
-    , rateLimits_(metrics_)
+    , rateLimits_(loop, directory_, metrics_, settings_.host.name)
     , gateway_ { loop, settings_, configuration_, directory_, metrics_, deferred_, suspects_, quotas_, rateLimits_ }
     , peerSessions_(loop.timers())
     , reader_(loop, decisions::SharedReading(settings_.drainBound).sharedInterval(),
@@ -113,6 +115,7 @@
     configuration_.start();
     peerCheckTimer_ = loop_.timers().every(peerCheckInterval, [this] {
         countEntries();
+        rateLimits_.forgetRemoved();
         chooseReader();
         askPeers();
     });
--- a/packages/serving/RateLimits.cpp
+++ b/packages/serving/RateLimits.cpp
@@ -1,39 +1,22 @@
 #include "serving/RateLimits.h"
 
 #include "base/Log.h"
+#include "decisions/Rendezvous.h"
+#include "serving/RateLimitRecord.h"
 
 namespace eelgrass::serving {
 
-namespace {
-
-using decisions::AnnouncedRateLimit;
-
-constexpr auto limitGauge = "eelgrass_replica_rate_limit";
-
-auto rateText(const std::optional<double>& perSecond) -> std::string
-{
-    return perSecond ? std::to_string(*perSecond) : "none";
-}
-
-auto toString(AnnouncedRateLimit::Change change) noexcept -> std::string_view
+RateLimits::RateLimits(
+    wire::MainLoop& loop, const ReplicaDirectory& directory, router::Metrics& metrics, const std::string& entry)
+    : loop_(loop)
+    , directory_(directory)
+    , metrics_(metrics)
+    , entryHash_(decisions::nameHash(entry))
+    , agents_(loop, directory, "rate limit agent did not answer")
 {
-    switch (change) {
-    case AnnouncedRateLimit::Change::None:
-        break;
-    case AnnouncedRateLimit::Change::Learned:
-        return "replica rate limit learned";
-    case AnnouncedRateLimit::Change::Changed:
-        return "replica rate limit changed";
-    case AnnouncedRateLimit::Change::Ended:
-        return "replica rate limit ended";
-    }
-    return {};
 }
 
-} // namespace
-
-auto RateLimits::observe(Replica& replica, const hosting::AnswerMetadata& answer, Moment requestedAt, Moment now)
-    -> void
+auto RateLimits::observe(Replica& replica, const hosting::AnswerMetadata& answer, Moment requestedAt) -> void
 {
     if (answer.rateLimitInvalid)
         log::warn("replica rate limit invalid", { { "replica", replica.id().str() } });
@@ -41,7 +24,18 @@
     const auto canEnd = answer.sealed && !answer.rateLimitInvalid;
     if (answer.otherInstance || (!answer.rateLimit && !(canEnd && replica.rateLimit().perSecond())))
         return;
-    apply(replica, { answer.rateLimit, requestedAt, now }, "answer");
+    const auto statement = decisions::RateLimitStatement { answer.rateLimit, requestedAt, loop_.timers().now() };
+    apply(replica, statement, "answer");
+    report(replica, statement);
+}
+
+auto RateLimits::applyPublished(const std::vector<ReplicaRateLimit>& limits, const Endpoint& agent) -> void
+{
+    for (const auto& limit : limits) {
+        const auto found = directory_.all().find(limit.start.instance);
+        if (found != directory_.all().end() && sameStart(found->second->record().start, limit.start))
+            apply(*found->second, limit.statement, agent.str());
+    }
 }
 
 auto RateLimits::apply(Replica& replica, const decisions::RateLimitStatement& statement, std::string_view source)
@@ -49,22 +43,103 @@
 {
     const auto before = replica.rateLimit().perSecond();
     const auto change = replica.rateLimit().apply(statement);
-    if (change == AnnouncedRateLimit::Change::None)
-        return;
-    log::info(toString(change),
-        { { "replica", replica.id().str() }, { "per_second", rateText(statement.perSecond) },
-            { "before", rateText(before) }, { "source", std::string(source) } });
-    const auto labels = std::map<std::string, std::string> { { "replica", replica.id().str() } };
-    if (statement.perSecond)
-        metrics_.set(limitGauge, labels, *statement.perSecond);
+    recordRateLimitChange(
+        metrics_, change, { replica.record().start, statement }, before, source, loop_.timers().now());
+    if (replica.rateLimit().perSecond())
+        recorded_.insert(replica.id());
     else
-        metrics_.unset(limitGauge, labels);
+        replica.rateLimitEnded();
+}
+
+auto RateLimits::report(const Replica& replica, const decisions::RateLimitStatement& statement) -> void
+{
+    const auto limit = ReplicaRateLimit { replica.record().start, statement };
+    if (replica.agent() && replica.agent()->alive())
+        return replica.agent()->noteRateLimit(limit, true);
+    for (const auto& keeper : keepersOf(replica))
+        keeper.agent->noteRateLimit(limit, false);
+}
+
+auto RateLimits::keepersOf(const Replica& replica) const -> std::vector<Keeper>
+{
+    constexpr auto keepers = std::size_t(2);
+    const auto* own = replica.agent();
+    // The replica's own agent is the first choice where there is one.
+    const auto hubs = agents_.first(replica.idHash(), own ? keepers - 1 : keepers,
+        [own](const AgentLink& agent) { return agent.isHub() && &agent != own; });
+    auto list = std::vector<Keeper>();
+    for (auto* agent : hubs)
+        list.push_back({ agent, own || agent != hubs.front() });
+    return list;
+}
+
+auto RateLimits::take(const Replica& replica, std::uint32_t priority, std::size_t entries)
+    -> kj::Promise<PermitDecision>
+{
+    const auto limit = ReplicaRateLimit { replica.record().start, *replica.rateLimit().last() };
+    return askNextKeeper(limit, priority, keepersOf(replica))
+        .then([this, limit, entries](kj::Maybe<PermitDecision>&& decision) {
+            KJ_IF_MAYBE (given, decision)
+                return *given;
+            return takeFromShare(limit, entries);
+        });
+}
+
+auto RateLimits::askNextKeeper(ReplicaRateLimit limit, std::uint32_t priority, std::vector<Keeper> keepers)
+    -> kj::Promise<kj::Maybe<PermitDecision>>
+{
+    std::erase_if(keepers, [this](const Keeper& keeper) { return !agents_.canBeAsked(*keeper.agent); });
+    if (keepers.empty())
+        return kj::Maybe<PermitDecision>();
+    const auto keeper = keepers.front();
+    auto asked = keeper.agent->takePermit(limit, priority, keeper.standIn);
+    return agents_.answerOf(*keeper.agent, kj::mv(asked))
+        .then([this, limit, priority, number = keepers.size()](
+                  kj::Maybe<PermitDecision>&& decision) -> kj::Promise<kj::Maybe<PermitDecision>> {
+            if (decision != nullptr || number == 1)
+                return kj::mv(decision);
+            // The agents may have changed meanwhile, so they are chosen anew.
+            const auto replica = directory_.all().find(limit.start.instance);
+            if (replica == directory_.all().end())
+                return kj::Maybe<PermitDecision>();
+            return askNextKeeper(limit, priority, keepersOf(*replica->second));
+        });
+}
+
+auto RateLimits::takeFromShare(const ReplicaRateLimit& limit, std::size_t entries) -> PermitDecision
+{
+    const auto& instance = limit.start.instance;
+    const auto seed = decisions::rendezvousScore(entryHash_, decisions::nameHash(instance.view()));
+    auto& share = shares_.try_emplace(instance, seed).first->second;
+    const auto verdict = share.take(limit.statement.perSecond.value_or(0), entries, loop_.timers().now());
+    return { verdict.granted, std::chrono::ceil<milliseconds>(verdict.askAgainAfter) };
+}
+
+auto RateLimits::retryAfter(const Replica& replica) -> milliseconds
+{
+    const auto now = loop_.timers().now();
+    auto& returns = returns_[replica.id()];
+    returns.setRate({ .perSecond = replica.rateLimit().perSecond().value_or(0) }, now);
+    const auto wait = std::max(replica.nextPermitAt() - now, Duration(0)) + returns.refuse(1, now);
+    return std::chrono::ceil<milliseconds>(wait);
 }
 
 auto RateLimits::countSend(const Replica& replica) -> void
 {
-    if (replica.rateLimit().perSecond())
+    if (needsPermit(replica))
         metrics_.count("eelgrass_sends_to_limited_total", {});
 }
 
+auto RateLimits::forgetRemoved() -> void
+{
+    std::erase_if(recorded_, [this](const InstanceId& instance) {
+        if (directory_.all().contains(instance))
+            return false;
+        forgetRateLimitGauge(metrics_, instance);
+        shares_.erase(instance);
+        returns_.erase(instance);
+        return true;
+    });
+}
+
 } // namespace eelgrass::serving
--- a/packages/serving/Replica.cpp
+++ b/packages/serving/Replica.cpp
@@ -58,7 +58,7 @@
 
 auto Replica::usable(Moment now) const noexcept -> bool
 {
-    if (leaving_ || unreadable_ || superseded_ || now < pausedUntil_)
+    if (leaving_ || unreadable_ || superseded_ || now < pausedUntil_ || now < nextPermitAt_)
         return false;
     // After a pause for failures, one request is sent at a time until one succeeds.
     return failures_ < failuresToPause || inFlight_ == 0;
--- a/packages/serving/Replica.h
+++ b/packages/serving/Replica.h
@@ -63,6 +63,8 @@
     {
         tokensSent_ = 0;
         loadsRequested_.clear();
+        // The agent admits requests again, so no permit of its stand-in is needed.
+        nextPermitAt_ = {};
     }
     [[nodiscard]] auto tokensSent() const noexcept -> Tokens { return tokensSent_; }
     /// Notes that a request whose adapter is not loaded at the replica was sent to the agent for admission.
@@ -78,14 +80,24 @@
     auto failed(Moment now) -> void;
     /// Records that the replica refused a request because it is full.
     auto reportedFull(Moment now) -> void;
-    /// Whether a request may be sent: false if the replica is leaving, unreadable or superseded, and during a pause
-    /// after failures or a refusal. After a pause for failures, one request at a time is allowed until one succeeds.
+    /// Whether a request may be sent: false if the replica is leaving, unreadable or superseded, before its next
+    /// permit, and during a pause after failures or a refusal. After a pause for failures, one request at a time is
+    /// allowed until one succeeds.
     [[nodiscard]] auto usable(Moment now) const noexcept -> bool;
     [[nodiscard]] auto meanTime() const noexcept -> Duration { return meanTime_; }
 
     /// The rate limit that this start of the replica has announced.
     auto rateLimit() noexcept -> decisions::AnnouncedRateLimit& { return rateLimit_; }
     [[nodiscard]] auto rateLimit() const noexcept -> const decisions::AnnouncedRateLimit& { return rateLimit_; }
+    /// When to ask again for a permit to send a request, after a refusal.
+    [[nodiscard]] auto nextPermitAt() const noexcept -> Moment { return nextPermitAt_; }
+    /// Notes a refused permit. Of several refusals, the one that allows to ask soonest counts.
+    auto permitRefused(Moment now, Duration askAgainAfter) -> void
+    {
+        const auto at = now + askAgainAfter;
+        nextPermitAt_ = nextPermitAt_ > now ? std::min(nextPermitAt_, at) : at;
+    }
+    auto rateLimitEnded() -> void { nextPermitAt_ = {}; }
 
     /// The prompt prefixes that this entry has sent to the replica.
     auto prompts() noexcept -> decisions::KnownPrefixes& { return prompts_; }
@@ -122,6 +134,7 @@
     Moment pausedUntil_ {};
     Duration meanTime_ {};
     decisions::AnnouncedRateLimit rateLimit_;
+    Moment nextPermitAt_ {};
     decisions::KnownPrefixes prompts_ { maxPrompts };
     decisions::RecentAdapters recentAdapters_;
 };
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Log.h"
 #include "decisions/Rendezvous.h"
+#include "serving/detail/RunLimits.h"
 #include "serving/detail/SlotNames.h"
 
 #include <algorithm>
@@ -11,6 +12,7 @@
 namespace {
 
 using detail::modelName;
+using detail::rateLimitReason;
 
 // The replica runs on this host and answers within a millisecond, so a failed call means that the replica has ended.
 constexpr auto reportTimeout = Duration(400ms);
@@ -40,6 +42,8 @@
 // The moving average of load times gives the newest one a weight of 1/4.
 constexpr auto loadSmoothing = 4;
 constexpr auto expiryInterval = Duration(50ms);
+// Shortest time until a queue that waits for a permit is looked at again: it may wait for a place in the batch instead.
+constexpr auto minPermitInterval = Duration(10ms);
 constexpr auto maxRememberedPrompts = std::size_t(512);
 
 } // namespace
@@ -67,7 +71,8 @@
     requestReport();
     expiryTimer_ = loop_.timers().every(expiryInterval, [this] {
         for (const auto& refusal : queue_.expire(readinessPredicate(), loop_.timers().now()))
-            reportDecision(refusal.attempt, { .retryAfter = refusal.retryAfter, .reason = "not in time" });
+            reportDecision(refusal.attempt,
+                { .retryAfter = refusal.retryAfter, .reason = refusal.rateLimited ? rateLimitReason : "not in time" });
     });
 }
 
@@ -172,6 +177,7 @@
         log::info("replica available", { { "sequence", std::to_string(read->sequence) } });
     report_ = std::move(read);
     reportedAt_ = loop_.timers().now();
+    dropForeignRateLimit();
     synchronizeSlots();
     runPendingWork();
     onChange_();
@@ -235,6 +241,7 @@
 /// Continues from a timer, because asking again from here would replace the promise that is running this function.
 auto ReplicaAgent::identified(const std::string& failure) -> void
 {
+    dropForeignRateLimit();
     if (failure.empty())
         log::info("replica identified", { { "replica", instance_.str() } });
     else
@@ -263,9 +270,50 @@
     if (slots_)
         slots_->reset({}, loop_.timers().now());
     breaker_ = {};
+    queue_.arrivals() = {};
     refuseQueued("replica lost");
 }
 
+auto ReplicaAgent::noteRateLimit(const ReplicaRateLimit& limit) -> decisions::AnnouncedRateLimit::Change
+{
+    if (!mayBeCurrentStart(limit.start))
+        return decisions::AnnouncedRateLimit::Change::None;
+    if (!sameStart(rateLimitOf_, limit.start))
+        queue_.arrivals() = {};
+    rateLimitOf_ = limit.start;
+    const auto change = queue_.arrivals().apply(limit.statement, loop_.timers().now());
+    if (change != decisions::AnnouncedRateLimit::Change::None)
+        runPendingWork();
+    return change;
+}
+
+/// Before the replica has been identified, its name is not known here, but to the entries.
+auto ReplicaAgent::mayBeCurrentStart(const ReplicaStart& start) const -> bool
+{
+    return sameStart(start, { instance_.empty() ? start.instance : instance_, startTime() });
+}
+
+auto ReplicaAgent::dropForeignRateLimit() -> void
+{
+    if (!mayBeCurrentStart(rateLimitOf_))
+        queue_.arrivals() = {};
+}
+
+auto ReplicaAgent::rateLimit() const -> std::optional<ReplicaRateLimit>
+{
+    const auto& last = queue_.arrivals().announced().last();
+    return last ? std::optional(ReplicaRateLimit { rateLimitOf_, *last }) : std::nullopt;
+}
+
+auto ReplicaAgent::scheduleNextPermit() -> void
+{
+    const auto wait = queue_.nextPermit(loop_.timers().now());
+    if (wait)
+        permitTimer_ = loop_.timers().after(std::max(*wait, minPermitInterval), [this] { runPendingWork(); });
+    else
+        permitTimer_.cancel();
+}
+
 auto ReplicaAgent::refuseQueued(const std::string& reason) -> void
 {
     for (const auto& refusal : queue_.drain(retryDelay))
@@ -360,7 +408,8 @@
     const auto adapter = request.adapter;
     const auto load = isReady(adapter) ? Duration(0) : loadTime();
     if (const auto refusal = queue_.offer(std::move(request), readinessPredicate(), load, now)) {
-        const auto* reason = refusal->late ? "late here" : "hopeless here";
+        const auto* work = refusal->late ? "late here" : "hopeless here";
+        const auto* reason = refusal->rateLimited ? rateLimitReason : work;
         return reportDecision(attempt, { .retryAfter = refusal->retryAfter, .reason = reason, .late = refusal->late });
     }
     if (!adapter.empty())
@@ -429,6 +478,7 @@
     if (std::exchange(runningPendingWork_, true))
         return;
     grantRequests();
+    scheduleNextPermit();
     updateWantedAdapters();
     updateLoadTime();
     if (report_ && instance_.empty())
--- a/packages/serving/ReplicaAgent.h
+++ b/packages/serving/ReplicaAgent.h
@@ -8,6 +8,7 @@
 #include "decisions/RecentAdapters.h"
 #include "platform/Documents.h"
 #include "platform/Store.h"
+#include "serving/RateLimitMessages.h"
 #include "serving/Settings.h"
 #include "wire/HttpCaller.h"
 #include "wire/MainLoop.h"
@@ -61,6 +62,11 @@
     auto adopt(const decisions::AdmissionRequest& request) -> void;
     auto started(const AttemptId& attempt) -> void;
     auto release(const AttemptId& attempt, RunEnd end = RunEnd::Plain) -> void;
+    /// Applies what an answer of the replica said about its rate limit. Nothing is applied that belongs to another
+    /// start.
+    auto noteRateLimit(const ReplicaRateLimit& limit) -> decisions::AnnouncedRateLimit::Change;
+    /// What the replica last said about its rate limit; empty if nothing.
+    [[nodiscard]] auto rateLimit() const -> std::optional<ReplicaRateLimit>;
 
     /// Whether the replica responds and holds its base model.
     [[nodiscard]] auto isUsable() const -> bool;
@@ -115,6 +121,12 @@
     auto reportDecision(const AttemptId& attempt, Decision decision) -> void;
     auto recordRunEnd(const AttemptId& attempt, RunEnd end) -> void;
     auto refuseQueued(const std::string& reason) -> void;
+    /// Whether the replica's current start may be this one, as far as it is known.
+    [[nodiscard]] auto mayBeCurrentStart(const ReplicaStart& start) const -> bool;
+    /// Drops the rate limit if another start has announced it.
+    auto dropForeignRateLimit() -> void;
+    /// Grants the next request when it gets its permit.
+    auto scheduleNextPermit() -> void;
     auto nextOrder() -> std::optional<hosting::ReplicaOrder>;
     auto baseModelOrder() -> std::optional<hosting::ReplicaOrder>;
     auto sendOrder(hosting::ReplicaOrder order) -> void;
@@ -160,6 +172,7 @@
     decisions::LoadConcurrency loadConcurrency_;
     decisions::CircuitBreaker breaker_;
     Timer pauseTimer_;
+    Timer permitTimer_;
     /// Adapters to be loaded, in that order. Cached, because it is read often and computing it takes a pass over the
     /// whole queue; updated at each change of the queue.
     std::vector<decisions::WantedAdapter> wantedAdapters_;
@@ -176,6 +189,8 @@
     /// Number of times that this process has seen a start of the replica end.
     std::uint64_t replicaLosses_ = 0;
     InstanceId instance_;
+    /// The start whose rate limit is in the queue.
+    ReplicaStart rateLimitOf_;
     std::optional<hosting::ReplicaReport> report_;
     Moment reportedAt_ {};
     std::uint32_t reportFailures_ = 0;
--- a/packages/serving/ReplicaDirectory.cpp
+++ b/packages/serving/ReplicaDirectory.cpp
@@ -339,7 +339,18 @@
             [weak] {
                 if (const auto held = weak.lock())
                     held->agentReported();
-            } };
+            },
+        .onRateLimits =
+            [this, weak](const std::vector<ReplicaRateLimit>& limits) {
+                if (const auto held = weak.lock(); held && hooks_.onRateLimits)
+                    hooks_.onRateLimits(limits, held->agent()->endpoint());
+            },
+        .knownRateLimit = [weak]() -> std::optional<ReplicaRateLimit> {
+            const auto held = weak.lock();
+            if (!held || !held->rateLimit().last())
+                return std::nullopt;
+            return ReplicaRateLimit { held->record().start, *held->rateLimit().last() };
+        } };
     const auto caller = AgentLink::Caller {
         .entry = options_.entry, .zone = options_.zone, .sameZone = replica->record().zone == options_.zone
     };
--- a/packages/serving/ReplicaDirectory.h
+++ b/packages/serving/ReplicaDirectory.h
@@ -27,6 +27,8 @@
         std::function<void(const ReplicaSnapshot&)> onState;
         /// A replica is leaving and gets no new requests. `age` is the time since the list that showed it was read.
         std::function<void(Duration age)> onLeaving {};
+        /// An agent published rate limits, of its own replica or of others.
+        std::function<void(const std::vector<ReplicaRateLimit>&, const Endpoint& agent)> onRateLimits {};
     };
 
     /// Identity of this entry, what it tells agents, and its time limit for replicas that leave.
--- a/packages/serving/RequestAnswer.cpp
+++ b/packages/serving/RequestAnswer.cpp
@@ -40,7 +40,7 @@
 {
     head_ = head;
     answer_ = hosting::readAnswerMetadata(head, metadata_.attempt);
-    gateway_.rateLimits.observe(*replica_, answer_, sentAt_, gateway_.now());
+    gateway_.rateLimits.observe(*replica_, answer_, sentAt_);
     streaming_ = route_->streamed && head.status == ok;
     if (streaming_)
         startSilenceTimer();
--- a/packages/serving/RequestPlacing.cpp
+++ b/packages/serving/RequestPlacing.cpp
@@ -1,4 +1,5 @@
 // The part of RequestRun that chooses a replica for the request and gets it admitted there.
+#include "base/Log.h"
 #include "serving/RequestRun.h"
 #include "serving/detail/RunLimits.h"
 
@@ -78,6 +79,7 @@
     view.age = agent->stateAge();
     view.failures = state.failureShare;
     view.loadsWaiting = state.loadsWaiting + replica->loadsRequested();
+    view.permitWait = agent->permitWait();
     return view;
 }
 
@@ -158,9 +160,54 @@
         return admit();
     if (replica_->agent() && replica_->agent()->mayOpen())
         return openSession();
+    if (RateLimits::needsPermit(*replica_))
+        return requestPermit();
     send(std::nullopt);
 }
 
+auto RequestRun::requestPermit() -> void
+{
+    const auto number = ++admissionCount_;
+    admission_ = gateway_.rateLimits.take(*replica_, priority(), gateway_.entries)
+                     .then([this, number](PermitDecision&& decision) {
+                         gateway_.deferred.add([self = shared_from_this(), decision, number] {
+                             if (number == self->admissionCount_)
+                                 self->onPermitDecision(decision);
+                         });
+                     })
+                     .eagerlyEvaluate([](kj::Exception&& error) {
+                         log::error("permit request failed", { { "reason", error.getDescription().cStr() } });
+                     });
+}
+
+auto RequestRun::onPermitDecision(const PermitDecision& decision) -> void
+{
+    if (finished_)
+        return;
+    if (decision.granted && !replica_->leaving())
+        return send(std::nullopt);
+    if (!decision.granted) {
+        replica_->permitRefused(gateway_.now(), decision.askAgainAfter);
+        logDecision("permit refused", rateLimitReason);
+    }
+    place();
+}
+
+auto RequestRun::nextWithPermit() const -> ReplicaPtr
+{
+    const auto now = gateway_.now();
+    auto next = ReplicaPtr();
+    for (const auto& replica : gateway_.directory.replicasOf(service_)) {
+        if (replica->leaving() || tried_.contains(replica->id()))
+            continue;
+        if (replica->nextPermitAt() <= now)
+            return nullptr;
+        if (!next || replica->nextPermitAt() < next->nextPermitAt())
+            next = replica;
+    }
+    return next;
+}
+
 auto RequestRun::openSession() -> void
 {
     const auto number = ++admissionCount_;
@@ -200,6 +247,13 @@
         [&](const ReplicaPtr& replica) { return !replica->leaving() && !tried_.contains(replica->id()); });
     if (!untried || sends_ >= maxSends)
         return giveUp(replicas.empty() ? "no replica" : "every replica refused or failed");
+    if (const auto next = nextWithPermit()) {
+        // Refused at once if no permit comes in time, so that the client can return when there is one.
+        if (next->nextPermitAt() + minTimeToSend >= std::min(lateAt_, endAt_))
+            return refuse(rateLimitReason, gateway_.rateLimits.retryAfter(*next));
+        waitTimer_ = gateway_.loop.timers().after(next->nextPermitAt() - now, guarded(&RequestRun::place));
+        return;
+    }
     if (now + placementRetryDelay >= lateAt_)
         return giveUp("no replica free in time");
     waitTimer_ = gateway_.loop.timers().after(placementRetryDelay, guarded(&RequestRun::place));
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -56,6 +56,12 @@
     [[nodiscard]] auto viewOf(const ReplicaPtr& replica, Duration fastest, double readRate) const
         -> decisions::ReplicaView;
     auto waitForPlace() -> void;
+    /// The untried replica that can be asked for a permit soonest; null if one can be tried without waiting for a
+    /// permit.
+    [[nodiscard]] auto nextWithPermit() const -> ReplicaPtr;
+    /// Asks for a permit to send to a replica with a rate limit that is not admitted to by its agent.
+    auto requestPermit() -> void;
+    auto onPermitDecision(const PermitDecision& decision) -> void;
     auto admit() -> void;
     auto onAdmitResult(const AdmitResult& result) -> void;
     /// Called when the replica refused admission because the request would start late. Moves the request to a replica
--- a/packages/serving/StatePublisher.cpp
+++ b/packages/serving/StatePublisher.cpp
@@ -137,6 +137,8 @@
     state.setLoadsWaiting(static_cast<std::uint32_t>(figures.loadsWaiting));
     state.setReadRate(static_cast<std::uint32_t>(figures.readRate * fixedPointScale));
     state.setFailures(static_cast<std::uint16_t>(figures.failures * fixedPointScale));
+    state.setPermitWaitMs(
+        static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(figures.permitWait).count()));
     state.setEntries(static_cast<std::uint32_t>(entries()));
 }
 
--- a/packages/serving/detail/RunLimits.h
+++ b/packages/serving/detail/RunLimits.h
@@ -47,6 +47,8 @@
 // A replica counts as failed if, when a request's deadline passes, the request was sent longer ago than this and
 // the replica has sent no event. Prefill takes less than a second.
 inline constexpr auto failureSilence = Duration(1500ms);
+// Reason in log lines for requests that a replica's rate limit delays or refuses.
+inline constexpr auto rateLimitReason = "over the replica's rate limit";
 // Retry-After for clients when there is no estimate; by then a replica has usually recovered or has a free slot.
 inline constexpr auto defaultRetryAfter = std::chrono::milliseconds(300);
 // Bytes buffered for a slow client before reading from its replica pauses.
--- a/packages/wire/Agent.capnp
+++ b/packages/wire/Agent.capnp
@@ -47,6 +47,24 @@
   birth @19 :UInt64;
   # Where the entry can be asked that reads the platform's store for the entries of the agent's zone; empty for none.
   reader @20 :Text;
+  # Time until a request that arrives now may be sent under the replica's rate limit; 0 where there is none.
+  permitWaitMs @21 :UInt32;
+  # Rate limits of this replica and of those whose permits this agent keeps, also those that have ended.
+  rateLimits @22 :List(RateLimitStatement);
+}
+
+# What an answer of a replica says about its rate limit.
+struct RateLimitStatement {
+  instance @0 :Text;
+  # When the instance started, in Unix milliseconds; 0 if unknown.
+  birth @1 :UInt64;
+  # Whether the answer names a limit.
+  limited @2 :Bool;
+  # The requests per second that the replica accepts from all entries together.
+  perSecond @3 :Float64;
+  # How long ago the request of that answer was sent, and the answer arrived.
+  requestedAgoMs @4 :UInt32;
+  answeredAgoMs @5 :UInt32;
 }
 
 struct SuspectRequest {
@@ -156,6 +174,12 @@
   takeQuota @5 (charge :QuotaCharge) -> (granted :Bool, retryAfterMs :UInt32, level :Float64);
   # The same was granted by another agent, which had `level` left; or is given back.
   noteQuota @6 (charge :QuotaCharge, level :Float64);
+  # An answer named a rate limit, or showed that one has ended: of this agent's replica if `own`, otherwise of another
+  # one, whose permits this agent keeps.
+  noteRateLimit @7 (statement :RateLimitStatement, own :Bool);
+  # Asks for a permit to send a request to another replica. `standIn` if the process that should keep its permits cannot
+  # be reached.
+  takePermit @8 (statement :RateLimitStatement, priority :UInt32, standIn :Bool) -> (granted :Bool, askAgainAfterMs :UInt32);
 }
 
 # The bootstrap of the process beside a replica.
--- a/tests/integration/RateLimits.cpp
+++ b/tests/integration/RateLimits.cpp
@@ -96,3 +96,176 @@
     BOOST_TEST(keepsToLimit(limited.world.plain(0)));
     BOOST_TEST(withStatus(answers, 200) + withStatus(answers, 503) == 60U);
 }
+
+// Guards against permits divided among the entries, of which an entry with all the traffic could use only its share.
+BOOST_AUTO_TEST_CASE(an_entry_with_all_the_traffic_gets_all_permits)
+{
+    auto limited = Limited(1, 0, 3);
+    limited.announce(limited.world.engine(0), "4", "/resumable/x");
+    limited.wait(1s);
+    const auto before = limited.world.engine(0).arrivals().size();
+    (void)limited.burst("/resumable/x", 60, 1, 2500);
+    BOOST_TEST(keepsToLimit(limited.world.engine(0)));
+    BOOST_TEST(limited.world.engine(0).arrivals().size() >= before + 8);
+}
+
+// Guards against refusing at a limited replica what another one could have taken.
+BOOST_AUTO_TEST_CASE(other_replicas_take_what_they_can)
+{
+    auto limited = Limited(2, 2, 3);
+    limited.announce(limited.world.plain(0), "0.5", "/safe/x");
+    BOOST_TEST(withStatus(limited.burst("/safe/x", 30), 200) == 30U);
+    BOOST_TEST(keepsToLimit(limited.world.plain(0)));
+    limited.announce(limited.world.engine(0), "0.5", "/resumable/x");
+    BOOST_TEST(withStatus(limited.burst("/resumable/x", 30, {}, 2500), 200) == 30U);
+    BOOST_TEST(keepsToLimit(limited.world.engine(0)));
+}
+
+// Guards against callers that wait for a permit which comes too late, or that all return at the same moment.
+BOOST_AUTO_TEST_CASE(what_cannot_be_served_in_time_is_refused_at_once_with_different_retry_delays)
+{
+    for (const auto* path : { "/resumable/x", "/safe/x" }) {
+        auto limited = Limited(1, 1, 2);
+        auto& replica = path == std::string("/safe/x") ? limited.world.plain(0) : limited.world.engine(0);
+        limited.announce(replica, "0.5", path);
+        auto delays = std::set<std::string>();
+        auto refused = std::size_t(0);
+        for (const auto& answer : limited.burst(path, 20)) {
+            if (answer.status != 503)
+                continue;
+            ++refused;
+            delays.emplace(answer.fields.get(names::retryAfter));
+        }
+        BOOST_TEST(refused >= 15U);
+        BOOST_TEST(delays.size() >= 4U);
+        BOOST_TEST(!delays.contains(""));
+    }
+}
+
+// Guards against an entry that learns of a limit only by sending to the replica: agents tell all entries.
+BOOST_AUTO_TEST_CASE(entries_learn_of_a_limit_that_another_one_has_heard)
+{
+    auto limited = Limited(2, 2, 3);
+    limited.world.plain(0).announceLimit("1");
+    limited.world.plain(1).announceLimit("1");
+    limited.world.engine(0).announceLimit("1");
+    limited.world.engine(1).announceLimit("1");
+    const auto known = [&](const char* service) {
+        for (auto entry = std::size_t(0); entry < 3; ++entry) {
+            for (const auto& replica :
+                limited.world.gateway(entry).directory().replicasOf(serving::ServiceName(service))) {
+                if (!replica->rateLimit().perSecond())
+                    return false;
+            }
+        }
+        return true;
+    };
+    BOOST_TEST(limited.world.until([&] {
+        (void)limited.world.ask({ .path = "/safe/x", .attempt = "p" + std::to_string(++limited.sent), .gateway = 0 });
+        (void)limited.world.ask(
+            { .path = "/resumable/x", .attempt = "e" + std::to_string(++limited.sent), .gateway = 0 });
+        return known("plain") && known("engine");
+    }));
+}
+
+// Guards against a limit that outlives the replica's need.
+BOOST_AUTO_TEST_CASE(a_limit_ends_with_an_answer_that_names_none)
+{
+    for (const auto* path : { "/resumable/x", "/safe/x" }) {
+        auto limited = Limited(1, 1, 3);
+        auto& replica = path == std::string("/safe/x") ? limited.world.plain(0) : limited.world.engine(0);
+        limited.announce(replica, "4", path);
+        replica.announceLimit({});
+        BOOST_TEST(limited.world.until([&] {
+            const auto answers = limited.burst(path, 6);
+            return withStatus(answers, 200) == 6U;
+        }));
+        BOOST_TEST(withStatus(limited.burst(path, 30, {}, 2500), 200) == 30U);
+    }
+}
+
+// Guards against a limit that ends with the process which counts: the entries tell the next process of it.
+BOOST_AUTO_TEST_CASE(a_restarted_agent_keeps_the_limit)
+{
+    auto limited = Limited(1, 0, 3);
+    limited.announce(limited.world.engine(0), "1", "/resumable/x");
+    limited.world.stopAgent(0);
+    limited.world.startAgent(0);
+    const auto attached = [&] {
+        for (auto entry = std::size_t(0); entry < 3; ++entry) {
+            const auto* agent = limited.world.gateway(entry).directory().all().begin()->second->agent();
+            if (!agent->alive() || !agent->state().usable)
+                return false;
+        }
+        return true;
+    };
+    BOOST_REQUIRE(limited.world.until(attached));
+    (void)limited.burst("/resumable/x", 60);
+    BOOST_TEST(keepsToLimit(limited.world.engine(0)));
+}
+
+// Guards against a limit that nobody keeps while the replica's agent is gone, and against permits that nobody gives
+// out: the agent of another replica is the stand-in.
+BOOST_AUTO_TEST_CASE(another_agent_stands_in_for_one_that_is_gone)
+{
+    auto limited = Limited(2, 0, 3);
+    limited.world.engine(0).announceLimit("3");
+    limited.world.engine(1).announceLimit("3");
+    BOOST_REQUIRE(limited.world.until([&] {
+        (void)limited.burst("/resumable/x", 3);
+        const auto& replicas = limited.world.gateway().directory().replicasOf(serving::ServiceName("engine"));
+        return std::all_of(replicas.begin(), replicas.end(),
+            [](const serving::ReplicaPtr& replica) { return replica->rateLimit().perSecond().has_value(); });
+    }));
+    // Without its agent a replica is sent only requests for adapters that the list names.
+    limited.world.publishReplicas();
+    limited.world.stopAgent(0);
+    limited.wait(1s);
+    const auto before = limited.world.engine(0).arrivals().size();
+    for (auto count = 0; count < 4; ++count) {
+        (void)limited.burst("/resumable/x", 30);
+        limited.wait(200ms);
+    }
+    BOOST_TEST(keepsToLimit(limited.world.engine(0)));
+    BOOST_TEST(keepsToLimit(limited.world.engine(1)));
+    BOOST_TEST(limited.world.engine(0).arrivals().size() > before);
+}
+
+// The same where no agent is left at all: each entry keeps to its own slots.
+BOOST_AUTO_TEST_CASE(entries_without_any_agent_keep_to_a_limit)
+{
+    auto limited = Limited(0, 1, 3);
+    limited.announce(limited.world.plain(0), "1", "/safe/x");
+    (void)limited.burst("/safe/x", 60);
+    BOOST_TEST(keepsToLimit(limited.world.plain(0)));
+}
+
+// Guards against a new start of a replica, under the same name, that inherits the limit of the one before.
+BOOST_AUTO_TEST_CASE(a_new_start_under_the_same_name_has_no_limit)
+{
+    auto limited = Limited(1, 0, 2);
+    auto& engine = limited.world.engine(0);
+    limited.announce(engine, "0.5", "/resumable/x");
+    engine.restart("engine-0");
+    limited.world.publishReplicas();
+    BOOST_TEST(limited.world.until([&] {
+        const auto answers = limited.burst("/resumable/x", 6);
+        return withStatus(answers, 200) == 6U;
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(a_limit_that_is_not_a_number_changes_nothing)
+{
+    auto limited = Limited(1, 0, 2);
+    auto& engine = limited.world.engine(0);
+    for (const auto* text : { "many", "-1", "1e3x", "nan", "inf" }) {
+        engine.announceLimit(text);
+        BOOST_TEST(withStatus(limited.burst("/resumable/x", 10, {}, 2500), 200) == 10U);
+    }
+    limited.announce(engine, "1", "/resumable/x");
+    engine.announceLimit("many");
+    limited.askEachEntry("/resumable/x");
+    const auto before = engine.arrivals().size();
+    (void)limited.burst("/resumable/x", 30);
+    BOOST_TEST(engine.arrivals().size() <= before + 4);
+}
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -1,6 +1,7 @@
 #include "tests/soak/Soak.h"
 
 #include "platform/Names.h"
+#include "tests/harness/RateLimitRule.h"
 #include "tests/harness/ServingWorld.h"
 
 #include <nlohmann/json.hpp>
@@ -22,6 +23,8 @@
 constexpr auto deadline = std::chrono::milliseconds(2500);
 constexpr auto patience = Duration(4s);
 constexpr auto silence = Duration(3s);
+// All entries know a limit after this, whatever else is disturbed; the users allow three seconds.
+constexpr auto limitContact = Duration(1s);
 // Served again within this after the last fault.
 constexpr auto recovery = Duration(10s);
 
@@ -45,6 +48,7 @@
 
 Soak::Soak(std::uint64_t seed, Size size, std::string folder)
     : random_(seed)
+    , limitRandom_(~seed)
     , size_(size)
     , folder_(std::move(folder))
     , store_(loop_.timers())
@@ -379,6 +383,34 @@
     }
 }
 
+auto Soak::replicas() const -> std::vector<standins::ReplicaStandin*>
+{
+    auto list = std::vector<standins::ReplicaStandin*>();
+    for (const auto& engine : engines_)
+        list.push_back(engine.replica.get());
+    for (const auto& replica : plain_)
+        list.push_back(replica.get());
+    return list;
+}
+
+auto Soak::announceLimit(standins::ReplicaStandin& replica) -> void
+{
+    static constexpr auto limits = std::array { "1", "0.5", "4", "" };
+    note("rate limit");
+    replica.announceLimit(limits.at(limitRandom_() % limits.size()));
+}
+
+/// Limits last longer than the time within which they have to hold, so that most of them are judged.
+auto Soak::announceLimits() -> kj::Promise<void>
+{
+    if (over_)
+        return kj::READY_NOW;
+    const auto all = replicas();
+    announceLimit(*all.at(limitRandom_() % all.size()));
+    const auto pause = std::chrono::milliseconds(100 + limitRandom_() % 700);
+    return loop_.sleep(pause).then([this] { return announceLimits(); });
+}
+
 /// Single faults, and now and then several at the same moment.
 auto Soak::disturb() -> kj::Promise<void>
 {
@@ -394,6 +426,8 @@
 {
     steps_.clear();
     store_.refuseWith(0);
+    for (auto* replica : replicas())
+        replica->announceLimit({});
     const auto mended = Json { { "silent", "none" }, { "delay_ms", 0 }, { "refuse", false }, { "cut", true } };
     for (auto& engine : engines_) {
         engine.replica->behave({});
@@ -471,6 +505,16 @@
     }
 }
 
+auto Soak::judgeLimits(std::vector<std::string>& broken) const -> void
+{
+    for (const auto* replica : replicas()) {
+        const auto found = tests::RateLimitRule { .contact = limitContact }.violation(*replica);
+        if (found)
+            broken.push_back("more than its rate limit: " + replica->instance() + " got "
+                + std::to_string(found->arrivals) + ", allowed " + std::to_string(found->allowed));
+    }
+}
+
 /// An answer that was written for a request that was over went nowhere, but it should not have been written.
 auto Soak::judgeLog(Node& node) -> void
 {
@@ -516,9 +560,11 @@
         clients.add(client(index));
     auto asking = kj::joinPromises(clients.finish());
     auto faults = disturb();
+    auto limits = announceLimits();
     loop_.wait(loop_.sleep(size_.time));
     over_ = true;
     loop_.wait(kj::mv(faults));
+    loop_.wait(kj::mv(limits));
     mendAll();
     loop_.wait(kj::mv(asking));
     for (auto* nodes : { &agents_, &gateways_ })
@@ -526,6 +572,7 @@
     auto broken = broken_;
     judgeRuns(broken);
     judgeOrders(broken);
+    judgeLimits(broken);
     judgeRecovery(broken);
     return broken;
 }
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -99,6 +99,10 @@
     auto faultOnStore() -> void;
     auto faultOnEngine(Engine& engine) -> void;
     auto faultOnLeg(standins::FaultProxy& proxy, const std::string& leg) -> void;
+    /// Replicas name rate limits, change and end them.
+    auto announceLimits() -> kj::Promise<void>;
+    auto announceLimit(standins::ReplicaStandin& replica) -> void;
+    [[nodiscard]] auto replicas() const -> std::vector<standins::ReplicaStandin*>;
     auto later(Duration delay, std::function<void()> step) -> void;
     auto restart(Node& node, Duration after) -> void;
     auto mendAll() -> void;
@@ -112,11 +116,14 @@
     auto judgeCall(const Call& call, std::size_t runs, std::vector<std::string>& broken) const -> void;
     auto judgeRuns(std::vector<std::string>& broken) const -> void;
     auto judgeOrders(std::vector<std::string>& broken) const -> void;
+    auto judgeLimits(std::vector<std::string>& broken) const -> void;
     auto judgeLog(Node& node) -> void;
     auto judgeRecovery(std::vector<std::string>& broken) -> void;
 
     wire::MainLoop loop_;
     std::mt19937_64 random_;
+    /// Draws the rate limits, so that these do not change the other faults of a seed.
+    std::mt19937_64 limitRandom_;
     Size size_;
     std::string folder_;
     standins::StoreStandin store_;
--- a/tests/unit/UsersPlatform.cpp
+++ b/tests/unit/UsersPlatform.cpp
@@ -85,6 +85,27 @@
     BOOST_TEST(readAnswerMetadata({ .status = 421 }, AttemptId("abc")).notRun);
 }
 
+BOOST_AUTO_TEST_CASE(rate_limit_of_an_answer_is_a_decimal_number)
+{
+    const auto read = [](const std::vector<std::string>& values) {
+        auto head = wire::HttpResponseHead { .status = 200 };
+        for (const auto& value : values)
+            head.fields.add(names::rateLimit, value);
+        return readAnswerMetadata(head, AttemptId("abc"));
+    };
+    BOOST_TEST(!read({}).rateLimit.has_value());
+    BOOST_TEST(!read({}).rateLimitInvalid);
+    BOOST_TEST(*read({ "1" }).rateLimit == 1);
+    BOOST_TEST(*read({ "0.5" }).rateLimit == 0.5);
+    BOOST_TEST(*read({ "0" }).rateLimit == 0);
+    BOOST_TEST(*read({ "1000000000000000000000" }).rateLimit > 1e20);
+    for (const auto& values : std::vector<std::vector<std::string>> {
+             { "" }, { "many" }, { "-1" }, { "1e" }, { "1 a second" }, { "inf" }, { "nan" }, { "1", "2" } }) {
+        BOOST_TEST(!read(values).rateLimit.has_value());
+        BOOST_TEST(read(values).rateLimitInvalid);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(retry_after_has_fractional_seconds)
 {
     const auto fields = ownFields(AttemptId("abc"), std::chrono::milliseconds(250));
