Agent: the permit timer runs only while a permit is missing

A queue that waits for a load or for a place in the batch was looked at each 10 ms while its replica had a rate limit; loads and ends of runs start that work themselves. Found on reading the diff; unit-AdmissionRateLimit adjusted to the new return value.

--- a/packages/decisions/AdmissionQueue.h
+++ b/packages/decisions/AdmissionQueue.h
@@ -117,11 +117,10 @@
     {
         return arrivals_.timeUntilPermit(waiting_.size(), now);
     }
-    /// Time until the next queued request gets a permit; no value if none waits for one.
-    [[nodiscard]] auto nextPermit(Moment now) const -> std::optional<Duration>
+    /// Time until the next queued request gets a permit; 0 if none waits for one.
+    [[nodiscard]] auto nextPermit(Moment now) const -> Duration
     {
-        return arrivals_.limited() && !waiting_.empty() ? std::optional(arrivals_.timeUntilPermit(0, now))
-                                                        : std::nullopt;
+        return waiting_.empty() ? Duration(0) : arrivals_.timeUntilPermit(0, now);
     }
 
     /// Queues the request, unless the work ahead of it takes longer than its caller waits. `loadTime` is the remaining
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -42,8 +42,6 @@
 // The moving average of load times gives the newest one a weight of 1/4.
 constexpr auto loadSmoothing = 4;
 constexpr auto expiryInterval = Duration(50ms);
-// Shortest time until a queue that waits for a permit is looked at again: it may wait for a place in the batch instead.
-constexpr auto minPermitInterval = Duration(10ms);
 constexpr auto maxRememberedPrompts = std::size_t(512);
 
 } // namespace
@@ -308,8 +306,8 @@
 auto ReplicaAgent::scheduleNextPermit() -> void
 {
     const auto wait = queue_.nextPermit(loop_.timers().now());
-    if (wait)
-        permitTimer_ = loop_.timers().after(std::max(*wait, minPermitInterval), [this] { runPendingWork(); });
+    if (wait > Duration(0))
+        permitTimer_ = loop_.timers().after(wait, [this] { runPendingWork(); });
     else
         permitTimer_.cancel();
 }
--- a/tests/unit/AdmissionRateLimit.cpp
+++ b/tests/unit/AdmissionRateLimit.cpp
@@ -114,6 +114,6 @@
     BOOST_TEST((queue.nextPermit(start) == Duration(1s)));
     (void)queue.arrivals().apply({ {}, start + 500ms, start + 550ms }, start + 550ms);
     BOOST_TEST(queue.grant(ready, start + 550ms).size() == 3U);
-    BOOST_TEST(!queue.nextPermit(start + 550ms).has_value());
+    BOOST_TEST((queue.nextPermit(start + 550ms) == Duration(0)));
     BOOST_TEST((queue.permitWait(start + 550ms) == Duration(0)));
 }
