A replica whose agent is gone for good gets its whole limit from the next choice

Cause: a hub that stands in grants a third of a limit, since others may still reach the agent it stands in for. A replica of an engine service without any agent, or a listed agent that never comes back, kept it there for ever. Change: an agent that the entry keeps trying to reach and has not heard for six seconds counts as gone; the next choice takes its place. A young entry takes it for the stand-in a while longer, which grants less, not more.

--- a/packages/serving/AgentLink.cpp
+++ b/packages/serving/AgentLink.cpp
@@ -19,6 +19,8 @@
 // interval is shorter for entries in the agent's zone than for those in other zones.
 constexpr auto sameZoneSilence = Duration(1500ms);
 constexpr auto otherZoneSilence = Duration(4500ms);
+// An agent that restarts or was suspended is back sooner.
+constexpr auto goneTime = Duration(6s);
 // An agent sends its load figures within 400 ms of a request; the rest of this limit is a margin for slow hosts.
 constexpr auto answerLimit = Duration(1200ms);
 // An agent batches changes for up to this long before it publishes them to entries of its zone and of other zones.
@@ -63,6 +65,7 @@
     , endpointHash_(decisions::nameHash(endpoint_.str()))
     , caller_(std::move(caller))
     , hooks_(std::move(hooks))
+    , lastHeardAt_(loop.timers().now())
 {
 }
 
@@ -217,6 +220,11 @@
         && loop_.timers().now() - state_.receivedAt < (caller_.sameZone ? sameZoneSilence : otherZoneSilence);
 }
 
+auto AgentLink::seemsGone() const -> bool
+{
+    return persistent() && !alive() && loop_.timers().now() - lastHeardAt_ > goneTime;
+}
+
 auto AgentLink::isResponsive(Moment asked) const -> bool
 {
     return alive() && (state_.receivedAt >= asked || loop_.timers().now() - asked < answerLimit);
@@ -255,7 +263,7 @@
     state_.failureShare = static_cast<double>(state.getFailures()) / fixedPointScale;
     state_.permitWait = milliseconds(state.getPermitWaitMs());
     state_.entries = state.getEntries();
-    state_.receivedAt = loop_.timers().now();
+    state_.receivedAt = lastHeardAt_ = loop_.timers().now();
 }
 
 auto AgentLink::applyNames(wire::schema::ReplicaState::Reader state) -> void
--- a/packages/serving/AgentLink.h
+++ b/packages/serving/AgentLink.h
@@ -143,6 +143,9 @@
     [[nodiscard]] auto isHub() const noexcept -> bool { return policy_ == decisions::SessionPolicy::Hub; }
     /// Whether the session is open and the agent's last update is recent.
     [[nodiscard]] auto alive() const -> bool;
+    /// Whether the agent seems to be gone for good: this entry keeps trying to reach it, and has had no update from it
+    /// for long.
+    [[nodiscard]] auto seemsGone() const -> bool;
     /// Whether `open` may succeed: the session is on demand, and closed or opening within its time limit.
     [[nodiscard]] auto mayOpen() const -> bool;
     /// Opens the session if needed; resolves once it is alive, and is rejected if the agent cannot be reached.
@@ -235,6 +238,8 @@
     EntryNotice notice_;
     decisions::SessionPolicy policy_ = decisions::SessionPolicy::OnDemand;
     Phase phase_ = Phase::Closed;
+    /// When the agent's last update arrived; before the first one, when this link was made.
+    Moment lastHeardAt_ {};
     Moment openingSince_ {};
     Moment usedAt_ {};
     std::vector<kj::Own<kj::PromiseFulfiller<void>>> pendingOpens_;
--- a/packages/serving/RateLimits.cpp
+++ b/packages/serving/RateLimits.cpp
@@ -63,10 +63,10 @@
 auto RateLimits::keepersOf(const Replica& replica) const -> std::vector<Keeper>
 {
     constexpr auto keepers = std::size_t(2);
-    const auto* own = replica.agent();
     // The replica's own agent is the first choice where there is one.
+    const auto* own = replica.agent() && !replica.agent()->seemsGone() ? replica.agent() : nullptr;
     const auto hubs = agents_.first(replica.idHash(), own ? keepers - 1 : keepers,
-        [own](const AgentLink& agent) { return agent.isHub() && &agent != own; });
+        [own](const AgentLink& agent) { return agent.isHub() && !agent.seemsGone() && &agent != own; });
     auto list = std::vector<Keeper>();
     for (auto* agent : hubs)
         list.push_back({ agent, own || agent != hubs.front() });
--- a/packages/serving/RateLimits.h
+++ b/packages/serving/RateLimits.h
@@ -16,7 +16,8 @@
 /// A replica with an agent gets nothing that its agent has not admitted, so the agent counts. For a replica without an
 /// agent, two hubs keep permits: the first and second choice by rendezvous hashing, so that all entries ask the same
 /// two, and the second is the stand-in of the first. If a replica's own agent does not answer, a hub is its stand-in.
-/// An entry that reaches none of them sends its share only (see `PermitSlots`).
+/// An agent that seems to be gone for good has no stand-in; the next choice takes its place, with all permits. An entry
+/// that reaches none of them sends its share only (see `PermitSlots`).
 ///
 /// Every answer with a limit, and the one that ends it, is reported to whoever counts; agents publish what they know to
 /// all entries. Replicas that announce no limit cause no message and no wait.
--- a/tests/integration/RateLimits.cpp
+++ b/tests/integration/RateLimits.cpp
@@ -231,6 +231,26 @@
     BOOST_TEST(limited.world.engine(0).arrivals().size() > before);
 }
 
+// Guards against the stand-in's few permits for ever, where a replica of an engine service has no agent that comes
+// back.
+BOOST_AUTO_TEST_CASE(a_replica_without_its_agent_gets_its_whole_limit_in_the_end)
+{
+    auto limited = Limited(2, 0, 2);
+    auto& engine = limited.world.engine(0);
+    (void)limited.burst("/resumable/x", 8, {}, 2500);
+    limited.world.publishReplicas();
+    limited.world.stopAgent(0);
+    limited.wait(7s);
+    engine.announceLimit("4");
+    limited.world.engine(1).announceLimit("0");
+    const auto before = engine.arrivals().size();
+    const auto began = limited.world.loop().timers().now();
+    while (limited.world.loop().timers().now() - began < 4s)
+        (void)limited.burst("/resumable/x", 4, {}, 600);
+    BOOST_TEST(keepsToLimit(engine));
+    BOOST_TEST(engine.arrivals().size() >= before + 10);
+}
+
 // The same where no agent is left at all: each entry keeps to its own slots.
 BOOST_AUTO_TEST_CASE(entries_without_any_agent_keep_to_a_limit)
 {
