--- a/packages/decisions/Forward.h
+++ b/packages/decisions/Forward.h
@@ -4,11 +4,15 @@
 namespace eelgrass::decisions {
 
 class AdapterSlots;
+class AnnouncedRateLimit;
+class ArrivalPermits;
 class CircuitBreaker;
 class Fleet;
 class RecentAdapters;
+class LimitedArrivals;
 class LoadConcurrency;
 class LoadQueue;
+class PermitSlots;
 class Placer;
 class PollSchedule;
 class PrefillRate;
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -392,11 +392,10 @@
         text.append("|+").append(adapter.str());
     for (const auto& [digest, breaks] : suspects_.known())
         text.append("|!").append(digest).append(":").append(std::to_string(breaks));
-    for (const auto& limit : rateLimits())
-        text.append("|=")
-            .append(limit.start.instance.str())
-            .append(":")
-            .append(std::to_string(limit.statement.perSecond.value_or(-1)));
+    for (const auto& limit : rateLimits()) {
+        text.append("|=").append(limit.start.instance.str());
+        text.append(":").append(std::to_string(limit.statement.perSecond.value_or(-1)));
+    }
     return text;
 }
 
--- a/packages/serving/MemberQuotas.cpp
+++ b/packages/serving/MemberQuotas.cpp
@@ -67,7 +67,8 @@
     if (counters.empty())
         return takeFromShare(charge, entries);
     auto& counter = *counters.front();
-    return agents_.answerOf(counter, counter.takeQuota(charge))
+    auto asking = counter.takeQuota(charge);
+    return agents_.answerOf(counter, kj::mv(asking))
         .then([this, charge = std::move(charge), entries, asked, peer = counter.endpoint()](
                   kj::Maybe<QuotaDecision>&& answer) mutable -> kj::Promise<QuotaDecision> {
             KJ_IF_MAYBE (decision, answer) {
