--- a/tests/integration/RateLimits.cpp
+++ b/tests/integration/RateLimits.cpp
@@ -63,11 +63,12 @@
         std::uint64_t deadlineMs = 800) -> std::vector<wire::HttpAnswer>
     {
         auto calls = kj::heapArrayBuilder<kj::Promise<wire::HttpAnswer>>(requests);
-        for (auto index = std::size_t(0); index < requests; ++index)
+        for (auto index = std::size_t(0); index < requests; ++index) {
             calls.add(world.begin({ .path = path,
                 .attempt = "burst-" + std::to_string(++sent),
                 .deadlineMs = deadlineMs,
                 .gateway = entry.value_or(index % world.gateways()) }));
+        }
         auto answers = std::vector<wire::HttpAnswer>();
         for (auto& answer : world.loop().wait(kj::joinPromises(calls.finish())))
             answers.push_back(std::move(answer));
