Reading the diff once more: one refusal, one least rate, no unused predicate

Cause: the delay of a rate-limited refusal stood twice in AdmissionQueue, the least rate in two classes; RateLimitRule took a predicate that nobody passed; a comment said older where a statement looks newer, another showed an old signature. Change: each stands once, the comments are right, 'in need' gives way to 'overloaded'. No behaviour, bound or check differs: every arrival counts as before.

--- a/packages/decisions/AdmissionQueue.cpp
+++ b/packages/decisions/AdmissionQueue.cpp
@@ -117,20 +117,25 @@
     const auto work = std::max(prefillTime(ahead, request.priority, now), loadTime);
     const auto permitWait = arrivals_.timeUntilPermit(requestsAhead, now);
     const auto wait = std::max(work, permitWait);
-    const auto rateLimited = permitWait > work;
     const auto firstEventAt = now + wait + prefillTime(request.unreadTokens);
     // A request that is already late loses nothing by waiting in this queue.
     if (request.elsewhere && now < request.firstEventDeadline && firstEventAt > request.firstEventDeadline)
-        return AdmissionRefusal { request.attempt, wait, true, rateLimited };
+        return AdmissionRefusal { request.attempt, wait, true, permitWait > work };
     recordInflow(request, now);
-    if (firstEventAt >= request.callerDeadline) {
-        const auto retry = rateLimited ? wait + arrivals_.permits().refuse(now) : wait;
-        return AdmissionRefusal { request.attempt, std::max(retry, minRetry), false, rateLimited };
-    }
+    if (firstEventAt >= request.callerDeadline)
+        return refuse(request.attempt, work, permitWait, now);
     waiting_.push_back(std::move(request));
     return std::nullopt;
 }
 
+auto AdmissionQueue::refuse(const AttemptId& attempt, Duration work, Duration permitWait, Moment now)
+    -> AdmissionRefusal
+{
+    const auto rateLimited = permitWait > work;
+    const auto retry = rateLimited ? permitWait + arrivals_.permits().refuse(now) : work;
+    return { attempt, std::max(retry, minRetry), false, rateLimited };
+}
+
 auto AdmissionQueue::fits(const AdmissionRequest& request) const -> bool
 {
     if (running_.empty())
@@ -188,9 +193,7 @@
             requestsAhead += isReady ? 1 : 0;
             return false;
         }
-        const auto rateLimited = permitWait > work;
-        const auto retry = rateLimited ? wait + arrivals_.permits().refuse(now) : wait;
-        refused.push_back({ request.attempt, std::max(retry, minRetry), false, rateLimited });
+        refused.push_back(refuse(request.attempt, work, permitWait, now));
         return true;
     });
     return refused;
--- a/packages/decisions/AdmissionQueue.h
+++ b/packages/decisions/AdmissionQueue.h
@@ -193,6 +193,9 @@
         -> bool;
     auto sortWaiting(Moment now) -> void;
     auto recordInflow(const AdmissionRequest& request, Moment now) -> void;
+    /// Refuses a request that would wait for `work` ahead of it and `permitWait` for its permit, whichever is longer.
+    [[nodiscard]] auto refuse(const AttemptId& attempt, Duration work, Duration permitWait, Moment now)
+        -> AdmissionRefusal;
     [[nodiscard]] auto fits(const AdmissionRequest& request) const -> bool;
     auto run(const AdmissionRequest& request) -> bool;
     auto markStarted(Running& running) -> void;
--- a/packages/decisions/AnnouncedRateLimit.cpp
+++ b/packages/decisions/AnnouncedRateLimit.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-// Statements reach a process through others, which adds this much to their apparent age at most, unless a process on
-// the way was suspended.
+// A statement that reaches a process through others looks newer than it is, by this much at most unless a process on
+// the way was suspended: its age is measured when it is sent.
 constexpr auto maxForwardingDelay = Duration(300ms);
 
 } // namespace
@@ -23,7 +23,8 @@
     const auto before = last_->perSecond;
     const auto isLower = statement.perSecond && (!before || *statement.perSecond < *before);
     const auto isNewer = statement.requestedAt >= last_->answeredAt + maxForwardingDelay;
-    if (statement.answeredAt + maxForwardingDelay < last_->requestedAt)
+    const auto isOlder = statement.answeredAt + maxForwardingDelay < last_->requestedAt;
+    if (isOlder)
         return Change::None;
     if (statement.perSecond == before) {
         last_->requestedAt = std::max(last_->requestedAt, statement.requestedAt);
--- a/packages/decisions/ArrivalPermits.cpp
+++ b/packages/decisions/ArrivalPermits.cpp
@@ -9,9 +9,6 @@
 // Permits kept for requests that arrive together: some, and those of half a second.
 constexpr auto minBurst = 2.0;
 constexpr auto burstTime = 0.5;
-// A replica that accepts nothing still gets a request every five seconds: only an answer shows that its limit has
-// ended.
-constexpr auto minPerSecond = 0.2;
 // A higher limit has no effect at any load, and would exceed the precision of the bucket.
 constexpr auto maxPerSecond = 1e6;
 // How much later than the next permit an entry asks again at most.
--- a/packages/decisions/ArrivalPermits.h
+++ b/packages/decisions/ArrivalPermits.h
@@ -10,7 +10,7 @@
 
 /// Permits to send requests to one replica that has announced a rate limit. One process keeps them for all entries.
 ///
-/// Designed for replicas in need that accept about one request per second, far below what up to several hundred
+/// Designed for overloaded replicas that accept about one request per second, far below what up to several hundred
 /// entries send them. If each entry kept to the limit by itself, the replica would get as many times its limit as there
 /// are entries; and with an equal share each, the entry that gets all the traffic could use next to nothing of it.
 ///
@@ -36,6 +36,9 @@
         Duration askAgainAfter {};
     };
     static constexpr auto standInCost = 3.0;
+    /// A replica that accepts nothing still gets a request every five seconds: only an answer shows that its limit has
+    /// ended.
+    static constexpr auto minPerSecond = 0.2;
 
     /// Starts or changes the limit.
     auto setRate(double perSecond, Moment now) noexcept -> void;
--- a/packages/decisions/PermitSlots.h
+++ b/packages/decisions/PermitSlots.h
@@ -25,8 +25,8 @@
 
     [[nodiscard]] auto take(double perSecond, std::size_t entries, Moment now) noexcept -> ArrivalPermits::Verdict
     {
-        const auto seconds
-            = static_cast<double>(std::max<std::size_t>(entries, 1)) / (share * std::max(perSecond, minPerSecond));
+        const auto seconds = static_cast<double>(std::max<std::size_t>(entries, 1))
+            / (share * std::max(perSecond, ArrivalPermits::minPerSecond));
         const auto length = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
         const auto phase = Duration(static_cast<Duration::rep>(seed_ % static_cast<std::uint64_t>(length.count())));
         const auto elapsed = now.time_since_epoch() + phase;
@@ -40,8 +40,6 @@
 
 private:
     static constexpr auto share = 0.5;
-    // See `ArrivalPermits`: without any request, the end of the limit would not be noticed.
-    static constexpr auto minPerSecond = 0.2;
     static constexpr auto openTime = Duration(3s);
 
     std::uint64_t seed_;
--- a/packages/serving/KeptRateLimits.cpp
+++ b/packages/serving/KeptRateLimits.cpp
@@ -4,7 +4,8 @@
 
 namespace {
 
-// A replica in need is asked for permits all the time; one that is not has ended its limit or is gone.
+// Permits of a limited replica are asked for all the time; without a request the limit has ended or the replica is
+// gone.
 constexpr auto retention = Duration(60s);
 
 } // namespace
--- a/packages/serving/RateLimits.h
+++ b/packages/serving/RateLimits.h
@@ -23,7 +23,7 @@
 /// all entries. Replicas that announce no limit cause no message and no wait.
 ///
 /// ```cpp
-/// limits.observe(replica, answer, sentAt, now);
+/// limits.observe(replica, answer, sentAt);
 /// limits.take(replica, priority, entries).then([](PermitDecision decision) { ... });
 /// ```
 class RateLimits {
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -406,8 +406,8 @@
     const auto adapter = request.adapter;
     const auto load = isReady(adapter) ? Duration(0) : loadTime();
     if (const auto refusal = queue_.offer(std::move(request), readinessPredicate(), load, now)) {
-        const auto* work = refusal->late ? "late here" : "hopeless here";
-        const auto* reason = refusal->rateLimited ? rateLimitReason : work;
+        const auto* otherReason = refusal->late ? "late here" : "hopeless here";
+        const auto* reason = refusal->rateLimited ? rateLimitReason : otherReason;
         return reportDecision(attempt, { .retryAfter = refusal->retryAfter, .reason = reason, .late = refusal->late });
     }
     if (!adapter.empty())
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -59,7 +59,7 @@
     /// The untried replica that can be asked for a permit soonest; null if one can be tried without waiting for a
     /// permit.
     [[nodiscard]] auto nextWithPermit() const -> ReplicaPtr;
-    /// Asks for a permit to send to a replica with a rate limit that is not admitted to by its agent.
+    /// Asks for a permit to send to a replica with a rate limit, where no agent of its own admits the request.
     auto requestPermit() -> void;
     auto onPermitDecision(const PermitDecision& decision) -> void;
     auto admit() -> void;
--- a/standins/ReplicaStandin.cpp
+++ b/standins/ReplicaStandin.cpp
@@ -147,7 +147,7 @@
 
 auto ReplicaStandin::runModel(const Caller& caller, const wire::HttpRequestMessage& request) -> void
 {
-    arrivals_.push_back({ timers_.now(), std::string(request.fields.get(names::attemptId)) });
+    arrivals_.push_back(timers_.now());
     if (request.fields.get(names::expectInstance) != instance_)
         return respond(caller, 421, {});
     auto head = answerHead(request, behaviour_.status);
--- a/standins/ReplicaStandin.h
+++ b/standins/ReplicaStandin.h
@@ -44,11 +44,6 @@
         std::string body;
     };
 
-    /// A request that reached the replica, whether it ran or was refused.
-    struct Arrival {
-        Moment at {};
-        std::string attempt;
-    };
     /// What its answers said about its rate limit from `since` on; empty for nothing.
     struct Announcement {
         Moment since {};
@@ -66,7 +61,8 @@
     /// Names this rate limit, in requests per second, in every answer to a request from now on; none if empty.
     auto announceLimit(const std::string& limit) -> void { announcements_.push_back({ timers_.now(), limit }); }
     [[nodiscard]] auto announcements() const noexcept -> const std::vector<Announcement>& { return announcements_; }
-    [[nodiscard]] auto arrivals() const noexcept -> const std::vector<Arrival>& { return arrivals_; }
+    /// When requests reached the replica, whether they ran or were refused.
+    [[nodiscard]] auto arrivals() const noexcept -> const std::vector<Moment>& { return arrivals_; }
     [[nodiscard]] auto runs() const noexcept -> const std::vector<Run>& { return runs_; }
     [[nodiscard]] auto orders() const noexcept -> const std::vector<std::string>& { return orders_; }
     [[nodiscard]] auto crashed() const noexcept -> bool { return crashed_; }
@@ -94,7 +90,7 @@
     std::string service_;
     Behaviour behaviour_;
     std::vector<Run> runs_;
-    std::vector<Arrival> arrivals_;
+    std::vector<Moment> arrivals_;
     std::vector<Announcement> announcements_;
     std::vector<std::string> orders_;
     std::vector<std::string> lostOrders_;
--- a/tests/harness/RateLimitRule.cpp
+++ b/tests/harness/RateLimitRule.cpp
@@ -22,15 +22,14 @@
 
 } // namespace
 
-auto RateLimitRule::violation(const standins::ReplicaStandin& replica, const Counts& counts) const
-    -> std::optional<Violation>
+auto RateLimitRule::violation(const standins::ReplicaStandin& replica) const -> std::optional<Violation>
 {
     auto found = std::optional<Violation>();
     visitLimits(replica, [&](double perSecond, Moment since, Moment until) {
         auto moments = std::vector<Moment>();
-        for (const auto& arrival : replica.arrivals()) {
-            if (arrival.at >= since + contact && arrival.at < until && counts(arrival))
-                moments.push_back(arrival.at);
+        for (const auto at : replica.arrivals()) {
+            if (at >= since + contact && at < until)
+                moments.push_back(at);
         }
         for (auto first = moments.begin(); first != moments.end() && !found; ++first) {
             const auto last = std::lower_bound(first, moments.end(), *first + window);
--- a/tests/harness/RateLimitRule.h
+++ b/tests/harness/RateLimitRule.h
@@ -3,7 +3,6 @@
 #include "standins/ReplicaStandin.h"
 
 #include <cstddef>
-#include <functional>
 #include <optional>
 
 namespace eelgrass::tests {
@@ -23,21 +22,13 @@
         std::size_t arrivals = 0;
         double allowed = 0;
     };
-    /// Whether an arrival counts; those from a machine that was disturbed may not.
-    using Counts = std::function<bool(const standins::ReplicaStandin::Arrival&)>;
-
     /// The requests that may arrive in one window.
     [[nodiscard]] static auto allowed(double perSecond) -> double
     {
         return overage * perSecond * std::chrono::duration<double>(window).count() + slack;
     }
     /// The first span in which the replica was given too much.
-    [[nodiscard]] auto violation(const standins::ReplicaStandin& replica, const Counts& counts) const
-        -> std::optional<Violation>;
-    [[nodiscard]] auto violation(const standins::ReplicaStandin& replica) const -> std::optional<Violation>
-    {
-        return violation(replica, [](const auto&) { return true; });
-    }
+    [[nodiscard]] auto violation(const standins::ReplicaStandin& replica) const -> std::optional<Violation>;
 };
 
 } // namespace eelgrass::tests
--- a/tests/integration/RateLimits.cpp
+++ b/tests/integration/RateLimits.cpp
@@ -95,7 +95,7 @@
 
 } // namespace
 
-// Guards against a replica in need that is given more than it can take because nobody counts what all entries send.
+// Guards against an overloaded replica that is given more than it can take because nobody counts what all entries send.
 BOOST_AUTO_TEST_CASE(engine_gets_no_more_than_its_limit_from_all_entries_together)
 {
     for (const auto* limit : { "1", "0.5" }) {
