Observability: rests that replicas ask for, and header fields that nobody knows

Callers saw: nothing changes for them here. A replica's 503 with Retry-After was taken for any 503, and no log line or metric told that a rest was asked for, who knows of it, or what is sent in spite of it.

Change: the header is read (positive seconds; odd values are told and forget nothing), kept for each start of a replica as RequestedRest, and shown: lines, a gauge, a counter of sends in spite of a rest. Header fields of answers that nobody knows are counted by name, 32 at most. What answers say moves from platform/RequestHeaders to platform/AnswerHeaders. No request is treated otherwise.

--- a/packages/serving/Forward.h
+++ b/packages/serving/Forward.h
@@ -14,9 +14,11 @@
 class RateLimits;
 class Replica;
 class ReplicaAgent;
+class ReplicaAvailability;
 class ReplicaConnection;
 class ReplicaDirectory;
 class RequestRun;
+class UnknownFields;
 struct GatewayContext;
 
 } // namespace eelgrass::serving
--- a/packages/serving/GatewayContext.h
+++ b/packages/serving/GatewayContext.h
@@ -6,9 +6,11 @@
 #include "serving/ConfigurationFollower.h"
 #include "serving/MemberQuotas.h"
 #include "serving/RateLimits.h"
+#include "serving/ReplicaAvailability.h"
 #include "serving/ReplicaDirectory.h"
 #include "serving/Settings.h"
 #include "serving/SuspectRequests.h"
+#include "serving/UnknownFields.h"
 
 #include <map>
 
@@ -25,6 +27,8 @@
     SuspectRequests& suspects;
     MemberQuotas& quotas;
     RateLimits& rateLimits;
+    ReplicaAvailability& availability;
+    UnknownFields& unknownFields;
     std::map<ServiceName, decisions::SharedRetryBudget> budgets {};
     /// Estimated number of entries that share the retry budget.
     std::size_t entries = 6;
--- a/packages/serving/GatewayRole.cpp
+++ b/packages/serving/GatewayRole.cpp
@@ -87,7 +87,10 @@
     , suspects_(directory_)
     , quotas_(loop, directory_, settings_.quotas)
     , rateLimits_(loop, directory_, metrics_, settings_.host.name)
-    , gateway_ { loop, settings_, configuration_, directory_, metrics_, deferred_, suspects_, quotas_, rateLimits_ }
+    , availability_(loop, metrics_, settings_.host.name)
+    , unknownFields_(metrics_)
+    , gateway_ { loop, settings_, configuration_, directory_, metrics_, deferred_, suspects_, quotas_, rateLimits_,
+        availability_, unknownFields_ }
     , peerSessions_(loop.timers())
     , reader_(loop, decisions::SharedReading(settings_.drainBound).sharedInterval(),
           { .fillQuery = [this](ReaderLink::Query query) { fillReaderQuery(query); },
--- a/packages/serving/GatewayRole.h
+++ b/packages/serving/GatewayRole.h
@@ -70,6 +70,8 @@
     SuspectRequests suspects_;
     MemberQuotas quotas_;
     RateLimits rateLimits_;
+    ReplicaAvailability availability_;
+    UnknownFields unknownFields_;
     GatewayContext gateway_;
     std::map<CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
     std::unique_ptr<wire::TcpListener> clients_;
--- a/packages/serving/RateLimits.h
+++ b/packages/serving/RateLimits.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "decisions/PermitSlots.h"
-#include "platform/RequestHeaders.h"
+#include "platform/AnswerHeaders.h"
 #include "router/Metrics.h"
 #include "serving/CountingAgents.h"
 
--- a/packages/serving/Replica.h
+++ b/packages/serving/Replica.h
@@ -3,6 +3,7 @@
 #include "decisions/AnnouncedRateLimit.h"
 #include "decisions/KnownPrefixes.h"
 #include "decisions/RecentAdapters.h"
+#include "decisions/RequestedRest.h"
 #include "serving/AgentLink.h"
 #include "serving/ReplicaLeg.h"
 #include "serving/Types.h"
@@ -86,6 +87,9 @@
     [[nodiscard]] auto usable(Moment now) const noexcept -> bool;
     [[nodiscard]] auto meanTime() const noexcept -> Duration { return meanTime_; }
 
+    /// The rest that this start of the replica has asked this host for.
+    auto rest() noexcept -> decisions::RequestedRest& { return rest_; }
+    [[nodiscard]] auto rest() const noexcept -> const decisions::RequestedRest& { return rest_; }
     /// The rate limit that this start of the replica has announced.
     auto rateLimit() noexcept -> decisions::AnnouncedRateLimit& { return rateLimit_; }
     [[nodiscard]] auto rateLimit() const noexcept -> const decisions::AnnouncedRateLimit& { return rateLimit_; }
@@ -133,6 +137,7 @@
     std::uint32_t failures_ = 0;
     Moment pausedUntil_ {};
     Duration meanTime_ {};
+    decisions::RequestedRest rest_;
     decisions::AnnouncedRateLimit rateLimit_;
     Moment nextPermitAt_ {};
     decisions::KnownPrefixes prompts_ { maxPrompts };
--- /dev/null
+++ b/packages/serving/ReplicaAvailability.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "platform/AnswerHeaders.h"
+#include "router/Metrics.h"
+#include "serving/Replica.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace eelgrass::serving {
+
+/// Applies what replicas say in their answers about the requests that they want.
+///
+/// A rest holds for this host alone: it says little about what the replica wants from others.
+///
+/// ```cpp
+/// availability.observe(replica, answer, entries);
+/// availability.countSend(replica);
+/// ```
+class ReplicaAvailability {
+public:
+    ReplicaAvailability(wire::MainLoop& loop, router::Metrics& metrics, const std::string& host);
+    KJ_DISALLOW_COPY(ReplicaAvailability);
+
+    /// Notes what an answer of the replica says. `hosts` is the number of hosts that may rest together.
+    auto observe(Replica& replica, const hosting::AnswerMetadata& answer, std::size_t hosts) -> void;
+    /// Counts a request that is sent although the replica wants none from this host.
+    auto countSend(const Replica& replica) -> void;
+
+private:
+    auto reportInvalid(const Replica& replica, const hosting::AvailabilityStatement& said) const -> void;
+    auto applyRest(Replica& replica, Duration length, std::size_t hosts, std::string_view source) -> void;
+
+    wire::MainLoop& loop_;
+    router::Metrics& metrics_;
+    std::uint64_t hostHash_;
+    /// Of each replica at rest, the end of its rest.
+    std::map<InstanceId, Timer> ends_;
+};
+
+} // namespace eelgrass::serving
--- a/packages/serving/RequestAnswer.cpp
+++ b/packages/serving/RequestAnswer.cpp
@@ -41,6 +41,8 @@
     head_ = head;
     answer_ = hosting::readAnswerMetadata(head, metadata_.attempt);
     gateway_.rateLimits.observe(*replica_, answer_, sentAt_);
+    gateway_.availability.observe(*replica_, answer_, gateway_.entries);
+    gateway_.unknownFields.record(head.fields, replica_->id());
     streaming_ = route_->streamed && head.status == ok;
     if (streaming_)
         startSilenceTimer();
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -224,6 +224,7 @@
     if (replica_->agent())
         replica_->prompts().remember(sharedPrefixes_);
     gateway_.rateLimits.countSend(*replica_);
+    gateway_.availability.countSend(*replica_);
     logDecision("sent", {});
     startSilenceTimer();
     connection_->send(head, request_.body,
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decisions/ReplicaChoice.h"
+#include "platform/AnswerHeaders.h"
 #include "platform/RequestHeaders.h"
 #include "serving/CallerExchange.h"
 #include "serving/EventSplitter.h"
--- a/tests/unit/UsersPlatform.cpp
+++ b/tests/unit/UsersPlatform.cpp
@@ -1,3 +1,4 @@
+#include "platform/AnswerHeaders.h"
 #include "platform/Documents.h"
 #include "platform/Names.h"
 #include "platform/RequestHeaders.h"
@@ -106,6 +107,60 @@
     }
 }
 
+// Guards against a replica that is lost for good, or a rest that is forgotten, because of one odd value.
+BOOST_AUTO_TEST_CASE(rest_of_a_refusal_is_a_positive_number_of_seconds)
+{
+    const auto read = [](const std::vector<std::string>& values, int status = 503) {
+        auto fields = wire::HeaderFields();
+        for (const auto& value : values)
+            fields.add(names::retryAfter, value);
+        return readAvailability(status, fields);
+    };
+    BOOST_TEST(!read({}).rest.has_value());
+    BOOST_TEST(read({}).restProblem.empty());
+    BOOST_TEST((*read({ "3" }).rest == 3s));
+    BOOST_TEST((*read({ "0.25" }).rest == 250ms));
+    BOOST_TEST(read({ "3" }).restProblem.empty());
+    BOOST_TEST(!read({ "3" }, 200).rest.has_value());
+    BOOST_TEST((*read({ std::string(400, '9') }).rest >= std::chrono::hours(24)));
+    for (const auto* value : { "", "soon", "0", "-3", "1e3", "inf", "nan", "3 s", "Wed, 21 Oct 2015 07:28:00 GMT" }) {
+        BOOST_TEST(!read({ value }).rest.has_value());
+        BOOST_TEST(!read({ value }).restProblem.empty());
+    }
+    const auto twice = read({ "1", "4", "soon" });
+    BOOST_TEST((*twice.rest == 4s));
+    BOOST_TEST(!twice.restProblem.empty());
+}
+
+BOOST_AUTO_TEST_CASE(leaving_is_said_in_answers_of_any_status)
+{
+    const auto read = [](int status, const std::string& value) {
+        auto fields = wire::HeaderFields();
+        fields.add("server-leaving", value);
+        return readAvailability(status, fields);
+    };
+    for (const auto status : { 200, 404, 500, 503 })
+        BOOST_TEST(read(status, "1").leaving);
+    BOOST_TEST(!read(200, "0").leaving);
+    BOOST_TEST(!read(200, "0").leavingInvalid);
+    for (const auto* value : { "", "yes", "11" }) {
+        BOOST_TEST(!read(200, value).leaving);
+        BOOST_TEST(read(200, value).leavingInvalid);
+    }
+}
+
+// Guards against a header by which replicas ask for something, and which is passed on unread.
+BOOST_AUTO_TEST_CASE(unknown_header_fields_of_answers_are_named)
+{
+    auto fields = wire::HeaderFields();
+    fields.add("content-type", "text/plain");
+    fields.add(names::seal, "s");
+    BOOST_TEST(unknownFieldNames(fields).empty());
+    fields.add("Server-Mood", "low");
+    BOOST_REQUIRE(unknownFieldNames(fields).size() == 1U);
+    BOOST_TEST(unknownFieldNames(fields).front() == "Server-Mood");
+}
+
 BOOST_AUTO_TEST_CASE(retry_after_has_fractional_seconds)
 {
     const auto fields = ownFields(AttemptId("abc"), std::chrono::milliseconds(250));
