Fix: a replica that asked this host for rest is sent nothing until the end

Callers saw: two replicas turned requests away and asked for 3 s of rest. Entries went on, 3 and 4 requests from one host where 2 are allowed; each was turned away again, and came 0.3 to 1.4 s later to a replica that could take it.

An entry left the replica out for 60 ms, and its agent, which saw it idle, drew the next requests there. Class: what a replica asks for in an answer is passed on unread.

Change: the rest is kept for each start (RequestedRest), until the latest end that any answer has asked for. Replicas at rest are not chosen; requests that wait for admission, a session or a permit there are withdrawn at once; the last look is right before the send, and on a new connection right before the first byte. If all rest, requests are held if the first rest ends in time and refused at once otherwise, with a Retry-After from the first end, different for each, urgent ones first.

Why it works: every request leaves an entry through RequestRun::send, and that asks Replica::accepts last; nothing but time moves the end of a rest.

--- a/packages/serving/Replica.cpp
+++ b/packages/serving/Replica.cpp
@@ -25,8 +25,23 @@
 {
 }
 
-auto Replica::requestSent(Tokens tokens) -> void
+auto Replica::setLeaving() -> void
 {
+    if (!std::exchange(leaving_, true))
+        onClosed_.notify();
+}
+
+auto Replica::askForRest(Duration length, Duration startDelay, Moment now) -> bool
+{
+    if (!rest_.ask(length, startDelay, now))
+        return false;
+    onClosed_.notify();
+    return true;
+}
+
+auto Replica::requestSent(Tokens tokens, Moment now) -> void
+{
+    rest_.recordSend(now);
     ++inFlight_;
     tokensSent_ += tokens;
 }
@@ -58,7 +73,7 @@
 
 auto Replica::usable(Moment now) const noexcept -> bool
 {
-    if (leaving_ || unreadable_ || superseded_ || now < pausedUntil_ || now < nextPermitAt_)
+    if (!present() || !rest_.allows(now) || now < pausedUntil_ || now < nextPermitAt_)
         return false;
     // After a pause for failures, one request is sent at a time until one succeeds.
     return failures_ < failuresToPause || inFlight_ == 0;
--- a/packages/serving/Replica.h
+++ b/packages/serving/Replica.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/Subscribers.h"
 #include "decisions/AnnouncedRateLimit.h"
 #include "decisions/KnownPrefixes.h"
 #include "decisions/RecentAdapters.h"
@@ -36,7 +37,7 @@
     /// The replica is draining or has been removed from the list: running requests finish there and no new ones are
     /// sent. This is final; the next start under the same name is a separate `Replica`.
     [[nodiscard]] auto leaving() const noexcept -> bool { return leaving_; }
-    auto setLeaving() -> void { leaving_ = true; }
+    auto setLeaving() -> void;
     /// The replica's record in the list cannot be parsed, for example because another writer has overwritten it. No new
     /// requests are sent until it can be parsed again.
     [[nodiscard]] auto unreadable() const noexcept -> bool { return unreadable_; }
@@ -56,7 +57,7 @@
     [[nodiscard]] auto listVersion() const noexcept -> std::uint64_t { return listVersion_; }
     auto setListVersion(std::uint64_t version) -> void { listVersion_ = std::max(listVersion_, version); }
 
-    auto requestSent(Tokens tokens) -> void;
+    auto requestSent(Tokens tokens, Moment now) -> void;
     auto requestEnded() -> void;
     [[nodiscard]] auto inFlight() const noexcept -> std::size_t { return inFlight_; }
     /// Called when the agent has reported its load figures, which include all requests sent before.
@@ -81,14 +82,22 @@
     auto failed(Moment now) -> void;
     /// Records that the replica refused a request because it is full.
     auto reportedFull(Moment now) -> void;
-    /// Whether a request may be sent: false if the replica is leaving, unreadable or superseded, before its next
-    /// permit, and during a pause after failures or a refusal. After a pause for failures, one request at a time is
-    /// allowed until one succeeds.
+    /// Whether the replica may be chosen for a request: false if it is listed without being there, before its next
+    /// permit, during a rest, and during a pause after failures or a refusal. After a pause for failures, one request
+    /// at a time is allowed until one succeeds.
     [[nodiscard]] auto usable(Moment now) const noexcept -> bool;
+    /// Whether the replica still wants requests from this host, as far as it has said. To be asked again right before a
+    /// request is sent, since requests wait for admission and for connections after the replica was chosen.
+    [[nodiscard]] auto accepts(Moment now) const noexcept -> bool { return !leaving_ && rest_.allows(now); }
+    /// Whether the replica's record can be relied on and is not that of an earlier start.
+    [[nodiscard]] auto present() const noexcept -> bool { return !leaving_ && !unreadable_ && !superseded_; }
+    /// Told when the replica wants no more requests, for requests that wait for it.
+    auto onClosed() noexcept -> Subscribers& { return onClosed_; }
+    /// Applies the replica's request for rest; see `RequestedRest::ask`.
+    auto askForRest(Duration length, Duration startDelay, Moment now) -> bool;
     [[nodiscard]] auto meanTime() const noexcept -> Duration { return meanTime_; }
 
     /// The rest that this start of the replica has asked this host for.
-    auto rest() noexcept -> decisions::RequestedRest& { return rest_; }
     [[nodiscard]] auto rest() const noexcept -> const decisions::RequestedRest& { return rest_; }
     /// The rate limit that this start of the replica has announced.
     auto rateLimit() noexcept -> decisions::AnnouncedRateLimit& { return rateLimit_; }
@@ -138,6 +147,7 @@
     Moment pausedUntil_ {};
     Duration meanTime_ {};
     decisions::RequestedRest rest_;
+    Subscribers onClosed_;
     decisions::AnnouncedRateLimit rateLimit_;
     Moment nextPermitAt_ {};
     decisions::KnownPrefixes prompts_ { maxPrompts };
--- a/packages/serving/ReplicaAvailability.cpp
+++ b/packages/serving/ReplicaAvailability.cpp
@@ -66,7 +66,7 @@
     const auto now = loop_.timers().now();
     const auto extended = replica.rest().resting(now);
     const auto delay = RequestedRest::startDelay(length, hosts, positionOf(hostHash_, replica));
-    if (!replica.rest().ask(length, delay, now))
+    if (!replica.askForRest(length, delay, now))
         return;
     const auto id = replica.id();
     const auto left = *replica.rest().end() - now;
@@ -83,6 +83,17 @@
     });
 }
 
+auto ReplicaAvailability::countWithheld(const Replica& replica) -> void
+{
+    metrics_.count("eelgrass_sends_withheld_total", { { "reason", replica.leaving() ? "leaving" : "rest" } });
+}
+
+auto ReplicaAvailability::retryAfter(Moment end, std::uint32_t priority) -> milliseconds
+{
+    const auto now = loop_.timers().now();
+    return std::chrono::ceil<milliseconds>(std::max(end - now, Duration(0)) + returns_.next(priority, end, now));
+}
+
 auto ReplicaAvailability::countSend(const Replica& replica) -> void
 {
     if (replica.rest().resting(loop_.timers().now()))
--- a/packages/serving/ReplicaAvailability.h
+++ b/packages/serving/ReplicaAvailability.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decisions/ReturnTimes.h"
 #include "platform/AnswerHeaders.h"
 #include "router/Metrics.h"
 #include "serving/Replica.h"
@@ -18,7 +19,7 @@
 ///
 /// ```cpp
 /// availability.observe(replica, answer, entries);
-/// availability.countSend(replica);
+/// if (!replica.accepts(now)) availability.countWithheld(replica);
 /// ```
 class ReplicaAvailability {
 public:
@@ -27,6 +28,11 @@
 
     /// Notes what an answer of the replica says. `hosts` is the number of hosts that may rest together.
     auto observe(Replica& replica, const hosting::AnswerMetadata& answer, std::size_t hosts) -> void;
+    /// Counts a request that was about to be sent to a replica which wants none.
+    auto countWithheld(const Replica& replica) -> void;
+    /// Returns when a client may come back whose request is refused because every replica rests; the first of them
+    /// until `end`.
+    [[nodiscard]] auto retryAfter(Moment end, std::uint32_t priority) -> milliseconds;
     /// Counts a request that is sent although the replica wants none from this host.
     auto countSend(const Replica& replica) -> void;
 
@@ -37,6 +43,7 @@
     wire::MainLoop& loop_;
     router::Metrics& metrics_;
     std::uint64_t hostHash_;
+    decisions::ReturnTimes returns_;
     /// Of each replica at rest, the end of its rest.
     std::map<InstanceId, Timer> ends_;
 };
--- a/packages/serving/ReplicaLeg.cpp
+++ b/packages/serving/ReplicaLeg.cpp
@@ -22,6 +22,8 @@
     switch (fault) {
     case ReplicaFault::NotSent:
         return "not_sent";
+    case ReplicaFault::Withheld:
+        return "withheld";
     case ReplicaFault::Broken:
         return "broken";
     case ReplicaFault::BadBytes:
@@ -36,7 +38,7 @@
     connection_ = wire::TcpConnection::connect(endpoint.address, endpoint.port,
         { .onData = [this] { received(); },
             .onEnd = [this](wire::StreamEnd how) { ended(how); },
-            .onConnected = [this] { connectTimer_.cancel(); } });
+            .onConnected = [this] { connected(); } });
 }
 
 auto ReplicaConnection::send(std::string_view head, std::string_view body, IsOwnAnswer isOwnAnswer, Handlers handlers)
@@ -49,11 +51,23 @@
     headReported_ = false;
     skippingAnswer_ = false;
     reader_ = std::make_unique<wire::ResponseReader>();
-    if (!connection_->connected())
-        connectTimer_ = timers_.after(connectTimeout, [this] { fail(ReplicaFault::NotSent); });
     auto bytes = std::string();
     bytes.reserve(head.size() + body.size());
-    connection_->write(bytes.append(head).append(body));
+    bytes.append(head).append(body);
+    if (connection_->connected())
+        return connection_->write(bytes);
+    unsent_ = std::move(bytes);
+    connectTimer_ = timers_.after(connectTimeout, [this] { fail(ReplicaFault::NotSent); });
+}
+
+auto ReplicaConnection::connected() -> void
+{
+    connectTimer_.cancel();
+    if (!busy_)
+        return;
+    if (handlers_->mayWrite && !handlers_->mayWrite())
+        return fail(ReplicaFault::Withheld);
+    connection_->write(std::exchange(unsent_, {}));
 }
 
 auto ReplicaConnection::abort() -> void
--- a/packages/serving/ReplicaLeg.h
+++ b/packages/serving/ReplicaLeg.h
@@ -16,6 +16,8 @@
 enum class ReplicaFault {
     /// No byte of the request reached the replica.
     NotSent,
+    /// Nothing was sent, because the replica wanted no more requests by the time that the connection stood.
+    Withheld,
     /// The connection was closed or reset before the answer was complete.
     Broken,
     /// The replica sent bytes that are not a valid HTTP response.
@@ -33,6 +35,8 @@
         /// The answer is complete according to its HTTP framing.
         std::function<void()> onDone;
         std::function<void(ReplicaFault)> onFault;
+        /// Asked once a new connection stands, right before the request is written; empty for yes.
+        std::function<bool()> mayWrite {};
     };
     /// Whether the head of an answer belongs to the request that was sent. Other answers are skipped.
     using IsOwnAnswer = std::function<bool(const wire::HttpResponseHead&)>;
@@ -61,6 +65,7 @@
     auto onIdleEnd(std::function<void()> callback) -> void { onIdleEnd_ = std::move(callback); }
 
 private:
+    auto connected() -> void;
     auto received() -> void;
     auto ended(wire::StreamEnd how) -> void;
     auto readHead() -> bool;
@@ -75,6 +80,8 @@
     /// Shared, because a handler may destroy this connection while it runs.
     std::shared_ptr<const Handlers> handlers_;
     std::function<void()> onIdleEnd_;
+    /// The request, while the connection is being made.
+    std::string unsent_;
     std::string pendingBody_;
     std::optional<std::chrono::seconds> idleTimeout_;
     bool busy_ = false;
--- a/packages/serving/RequestAnswer.cpp
+++ b/packages/serving/RequestAnswer.cpp
@@ -149,10 +149,23 @@
     finish(head_.status, "answered", {});
 }
 
+/// The request goes elsewhere as if it had not been sent: the replica got nothing and did not fail.
+auto RequestRun::onWithheld() -> void
+{
+    gateway_.availability.countWithheld(*replica_);
+    logDecision("send withheld", replica_->leaving() ? "replica leaving" : restReason);
+    releaseReplica(false);
+    --sends_;
+    nextSendCharged_ = true;
+    waitTimer_ = gateway_.loop.timers().after(Duration(0), guarded(&RequestRun::place));
+}
+
 auto RequestRun::onFault(ReplicaFault fault) -> void
 {
     const auto self = shared_from_this();
     silenceTimer_.cancel();
+    if (fault == ReplicaFault::Withheld)
+        return onWithheld();
     replica_->failed(gateway_.now());
     releaseReplica(false, fault == ReplicaFault::NotSent ? RunEnd::Plain : RunEnd::Broke);
     if (fault == ReplicaFault::NotSent)
--- a/packages/serving/RequestPlacing.cpp
+++ b/packages/serving/RequestPlacing.cpp
@@ -165,102 +165,9 @@
     send(std::nullopt);
 }
 
-auto RequestRun::requestPermit() -> void
-{
-    const auto number = ++admissionCount_;
-    admission_ = gateway_.rateLimits.take(*replica_, priority(), gateway_.entries)
-                     .then([this, number](PermitDecision&& decision) {
-                         gateway_.deferred.add([self = shared_from_this(), decision, number] {
-                             if (number == self->admissionCount_)
-                                 self->onPermitDecision(decision);
-                         });
-                     })
-                     .eagerlyEvaluate([](kj::Exception&& error) {
-                         log::error("permit request failed", { { "reason", error.getDescription().cStr() } });
-                     });
-}
-
-auto RequestRun::onPermitDecision(const PermitDecision& decision) -> void
-{
-    if (finished_)
-        return;
-    if (decision.granted && !replica_->leaving())
-        return send(std::nullopt);
-    if (!decision.granted) {
-        replica_->permitRefused(gateway_.now(), decision.askAgainAfter);
-        logDecision("permit refused", rateLimitReason);
-    }
-    place();
-}
-
-auto RequestRun::nextWithPermit() const -> ReplicaPtr
-{
-    const auto now = gateway_.now();
-    auto next = ReplicaPtr();
-    for (const auto& replica : gateway_.directory.replicasOf(service_)) {
-        if (replica->leaving() || tried_.contains(replica->id()))
-            continue;
-        if (replica->nextPermitAt() <= now)
-            return nullptr;
-        if (!next || replica->nextPermitAt() < next->nextPermitAt())
-            next = replica;
-    }
-    return next;
-}
-
-auto RequestRun::openSession() -> void
-{
-    const auto number = ++admissionCount_;
-    const auto deferred = [this, number](void (RequestRun::*step)()) {
-        gateway_.deferred.add([self = shared_from_this(), number, step] {
-            if (number == self->admissionCount_)
-                (self.get()->*step)();
-        });
-    };
-    admission_ = replica_->agent()
-                     ->open()
-                     .then([deferred] { deferred(&RequestRun::sessionOpened); })
-                     .eagerlyEvaluate([deferred](kj::Exception&&) { deferred(&RequestRun::sessionFailed); });
-    waitTimer_ = gateway_.loop.timers().after(sessionOpenLimit, guarded(&RequestRun::sessionFailed));
-}
-
-auto RequestRun::sessionOpened() -> void
-{
-    waitTimer_.cancel();
-    proceedAtReplica();
-}
-
-auto RequestRun::sessionFailed() -> void
-{
-    if (finished_)
-        return;
-    replica_->agent()->abandonOpening();
-    abandonAdmission("agent not reached");
-}
-
-/// No replica can be tried now. Waits for a short time if one may become usable, and gives up at once otherwise.
-auto RequestRun::waitForPlace() -> void
-{
-    const auto now = gateway_.now();
-    const auto& replicas = gateway_.directory.replicasOf(service_);
-    const auto untried = std::any_of(replicas.begin(), replicas.end(),
-        [&](const ReplicaPtr& replica) { return !replica->leaving() && !tried_.contains(replica->id()); });
-    if (!untried || sends_ >= maxSends)
-        return giveUp(replicas.empty() ? "no replica" : "every replica refused or failed");
-    if (const auto next = nextWithPermit()) {
-        // Refused at once if no permit comes in time, so that the client can return when there is one.
-        if (next->nextPermitAt() + minTimeToSend >= std::min(lateAt_, endAt_))
-            return refuse(rateLimitReason, gateway_.rateLimits.retryAfter(*next));
-        waitTimer_ = gateway_.loop.timers().after(next->nextPermitAt() - now, guarded(&RequestRun::place));
-        return;
-    }
-    if (now + placementRetryDelay >= lateAt_)
-        return giveUp("no replica free in time");
-    waitTimer_ = gateway_.loop.timers().after(placementRetryDelay, guarded(&RequestRun::place));
-}
-
 auto RequestRun::admit() -> void
 {
+    watchReplica();
     const auto now = gateway_.now();
     auto* agent = replica_->agent();
     const auto left
@@ -299,16 +206,6 @@
     waitTimer_ = gateway_.loop.timers().every(agentCheckInterval, guarded(&RequestRun::checkAgent));
 }
 
-auto RequestRun::checkAgent() -> void
-{
-    if (replica_->leaving())
-        return abandonAdmission("replica leaving");
-    if (replica_->agent()->isResponsive(admissionAskedAt_))
-        return;
-    replica_->agent()->markUnresponsive();
-    abandonAdmission("agent silent");
-}
-
 auto RequestRun::onAdmitResult(const AdmitResult& result) -> void
 {
     waitTimer_.cancel();
@@ -317,9 +214,9 @@
             replica_->agent()->release(metadata_.attempt);
         return;
     }
-    // The replica may have begun to drain while the request waited for admission.
-    if (replica_->leaving())
-        return abandonAdmission("replica leaving");
+    // The replica may have asked for rest or begun to drain while the request waited for admission.
+    if (!replica_->accepts(gateway_.now()))
+        return onReplicaClosed();
     if (result.granted) {
         const auto version = metadata_.adapter.empty() ? std::nullopt : std::optional(result.version);
         return send(version);
@@ -363,18 +260,4 @@
     proceedAtReplica();
 }
 
-auto RequestRun::abandonAdmission(std::string_view why) -> void
-{
-    logDecision("admission abandoned", why);
-    ++admissionCount_;
-    waitTimer_.cancel();
-    if (admittingAgent_)
-        admittingAgent_->release(metadata_.attempt);
-    admittingAgent_ = nullptr;
-    if (finished_)
-        return;
-    admission_ = nullptr;
-    place();
-}
-
 } // namespace eelgrass::serving
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -183,18 +183,31 @@
 
 auto RequestRun::timeLeft() const -> Duration { return endAt_ - gateway_.now(); }
 
+auto RequestRun::chargeSend() -> bool
+{
+    if (std::exchange(nextSendCharged_, false))
+        return true;
+    auto& budget = gateway_.budget(service_);
+    if (sends_ > 0)
+        return budget.take(gateway_.now(), gateway_.entries);
+    budget.sent(gateway_.now());
+    return true;
+}
+
 auto RequestRun::send(std::optional<AdapterVersion> version) -> void
 {
+    const auto now = gateway_.now();
+    if (!replica_->accepts(now)) {
+        gateway_.availability.countWithheld(*replica_);
+        return onReplicaClosed();
+    }
+    replicaClosed_.reset();
     // With less time left the request would be cut off at once, and the client could not be told that it has not run.
     if (timeLeft() < minTimeToSend)
         return onTimeUp();
     if (!keyStillValid())
         return;
-    const auto now = gateway_.now();
-    auto& budget = gateway_.budget(service_);
-    if (sends_ == 0)
-        budget.sent(now);
-    else if (!budget.take(now, gateway_.entries))
+    if (!chargeSend())
         return giveUp("retry budget spent");
     const auto nonRepeatable = !route_->repeatable();
     connection_ = replica_->pool().take(nonRepeatable);
@@ -220,7 +233,7 @@
         options.lastEventId = lastEventId_;
     const auto fields = hosting::forwardedFields(request_, options);
     const auto head = wire::requestHeadText(request_.method, request_.target, fields, request_.body.size());
-    replica_->requestSent(metadata_.promptTokens);
+    replica_->requestSent(metadata_.promptTokens, now);
     if (replica_->agent())
         replica_->prompts().remember(sharedPrefixes_);
     gateway_.rateLimits.countSend(*replica_);
@@ -234,7 +247,8 @@
         { .onHead = [this](const wire::HttpResponseHead& answer) { onHead(answer); },
             .onBody = [this](std::string_view bytes) { onBody(bytes); },
             .onDone = [this] { onDone(); },
-            .onFault = [this](ReplicaFault fault) { onFault(fault); } });
+            .onFault = [this](ReplicaFault fault) { onFault(fault); },
+            .mayWrite = [this] { return !replica_->leaving() && !replica_->rest().resting(gateway_.now()); } });
 }
 
 auto RequestRun::mayRunAgain() const -> bool
@@ -320,7 +334,7 @@
 }
 
 /// Ends the request when no retry is left. The client gets an aborted stream, a failure if the request may have run,
-/// and a refusal otherwise.
+/// and a refusal otherwise. If every replica rests, it may come back after the first rest.
 auto RequestRun::giveUp(std::string_view why) -> void
 {
     const auto self = shared_from_this();
@@ -330,6 +344,8 @@
     }
     if (runs_ > 0)
         return fail(badGateway, why);
+    if (const auto end = firstEndOfRests())
+        return refuse(restReason, gateway_.availability.retryAfter(*end, priority()));
     refuse(why, defaultRetryAfter);
 }
 
@@ -340,6 +356,7 @@
     deadlineTimer_.cancel();
     silenceTimer_.cancel();
     waitTimer_.cancel();
+    replicaClosed_.reset();
     if (admittingAgent_)
         admittingAgent_->release(metadata_.attempt);
     admittingAgent_ = nullptr;
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -57,9 +57,21 @@
     [[nodiscard]] auto viewOf(const ReplicaPtr& replica, Duration fastest, double readRate) const
         -> decisions::ReplicaView;
     auto waitForPlace() -> void;
-    /// The untried replica that can be asked for a permit soonest; null if one can be tried without waiting for a
-    /// permit.
-    [[nodiscard]] auto nextWithPermit() const -> ReplicaPtr;
+    /// When a replica can be tried that is at rest or has no permit now.
+    struct Opening {
+        ReplicaPtr replica;
+        Moment at {};
+        /// Whether the replica's rest is what lasts until then.
+        bool rests = false;
+    };
+    /// The first opening of a replica that this request has not tried; empty if one of them can be tried without
+    /// waiting for its opening.
+    [[nodiscard]] auto nextOpening() const -> std::optional<Opening>;
+    auto waitForOpening(const Opening& opening) -> void;
+    /// When the first replica of the service ends its rest; empty if one is not at rest.
+    [[nodiscard]] auto firstEndOfRests() const -> std::optional<Moment>;
+    auto watchReplica() -> void;
+    auto onReplicaClosed() -> void;
     /// Asks for a permit to send to a replica with a rate limit, where no agent of its own admits the request.
     auto requestPermit() -> void;
     auto onPermitDecision(const PermitDecision& decision) -> void;
@@ -71,6 +83,8 @@
     auto checkAgent() -> void;
     auto abandonAdmission(std::string_view why) -> void;
     auto send(std::optional<AdapterVersion> version) -> void;
+    /// Whether the next send stays within the retry budget; counts it.
+    [[nodiscard]] auto chargeSend() -> bool;
 
     // The replica's answer.
     auto onHead(const wire::HttpResponseHead& head) -> void;
@@ -80,6 +94,7 @@
     auto onDone() -> void;
     auto onFault(ReplicaFault fault) -> void;
     auto onNotRun(std::string_view why) -> void;
+    auto onWithheld() -> void;
     auto onSilence() -> void;
     auto startSilenceTimer() -> void;
 
@@ -140,6 +155,8 @@
     /// Number of admissions requested so far; an answer with an older number belongs to an abandoned admission.
     std::uint32_t admissionCount_ = 0;
     AgentLink* admittingAgent_ = nullptr;
+    /// While the request waits at `replica_`: told when that wants no more requests.
+    Subscribers::Subscription replicaClosed_;
     /// When the pending admission was requested.
     Moment admissionAskedAt_ {};
     std::shared_ptr<ReplicaConnection> connection_;
@@ -151,6 +168,8 @@
     bool streaming_ = false;
     bool firstEventSeen_ = false;
     std::uint32_t sends_ = 0;
+    /// The retry budget was charged for a send that was then withheld.
+    bool nextSendCharged_ = false;
     /// Sends after which the replica may have run the request.
     std::uint32_t runs_ = 0;
     Moment sentAt_ {};
--- a/packages/serving/detail/RunLimits.h
+++ b/packages/serving/detail/RunLimits.h
@@ -49,6 +49,8 @@
 inline constexpr auto failureSilence = Duration(1500ms);
 // Reason in log lines for requests that a replica's rate limit delays or refuses.
 inline constexpr auto rateLimitReason = "over the replica's rate limit";
+// Reason in log lines for requests that are not sent because the replica asked this host for rest.
+inline constexpr auto restReason = "the replica asked for rest";
 // Retry-After for clients when there is no estimate; by then a replica has usually recovered or has a free slot.
 inline constexpr auto defaultRetryAfter = std::chrono::milliseconds(300);
 // Bytes buffered for a slow client before reading from its replica pauses.
--- a/standins/ReplicaStandin.cpp
+++ b/standins/ReplicaStandin.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace eelgrass::standins {
 
@@ -15,11 +16,6 @@
 
 constexpr auto base = "base";
 
-auto respond(const std::shared_ptr<serving::CallerExchange>& caller, int status, const std::string& body) -> void
-{
-    caller->respond({ .status = status }, body);
-}
-
 } // namespace
 
 ReplicaStandin::ReplicaStandin(
@@ -60,25 +56,43 @@
     highestFence_ = 0;
     hasModel_ = false;
     announcements_.push_back({ timers_.now(), {} });
+    leaving_ = false;
     ++born_;
     server_.resetAll();
 }
 
+auto ReplicaStandin::respond(const Caller& caller, wire::HttpResponseHead head, const std::string& body) const -> void
+{
+    if (leaving_)
+        head.fields.add(names::leaving, "1");
+    caller->respond(std::move(head), body);
+}
+
 auto ReplicaStandin::handle(const Caller& caller, const wire::HttpRequestMessage& request) -> void
 {
-    const auto path = request.path();
-    if (path == "/report")
-        return report(caller);
-    if (path == "/health") {
-        if (behaviour_.unhealthy)
-            return respond(caller, 503, {});
-        auto head = wire::HttpResponseHead { .status = 200 };
-        head.fields.add(names::instanceId, instance_);
-        return caller->respond(std::move(head), {});
+    static constexpr auto calls = std::array { "/report", "/health", "/order" };
+    if (std::find(calls.begin(), calls.end(), request.path()) != calls.end())
+        return handleCall(caller, request);
+    runModel(caller, request);
+}
+
+auto ReplicaStandin::handleCall(const Caller& caller, const wire::HttpRequestMessage& request) -> void
+{
+    calls_.push_back(timers_.now());
+    auto head = wire::HttpResponseHead { .status = 200 };
+    if (!restOfCallers_.empty()) {
+        head.status = 503;
+        head.fields.add(names::retryAfter, restOfCallers_);
+        return respond(caller, std::move(head), {});
     }
-    if (path == "/order")
+    if (request.path() == "/report")
+        return report(caller);
+    if (request.path() == "/order")
         return order(caller, request);
-    runModel(caller, request);
+    if (behaviour_.unhealthy)
+        return respond(caller, { .status = 503 }, {});
+    head.fields.add(names::instanceId, instance_);
+    respond(caller, std::move(head), {});
 }
 
 auto ReplicaStandin::report(const Caller& caller) -> void
@@ -86,7 +100,7 @@
     auto models = Json::array();
     if (hasModel_)
         models.push_back({ { "name", base }, { "version", 1 }, { "adapters", adapterNames() } });
-    respond(caller, 200,
+    respond(caller, { .status = 200 },
         Json { { "models", models }, { "busy", false }, { "sequence", sequence_ }, { "born", born_ }, { "queued", 0 },
             { "running", 0 }, { "kvUsed", 0 } }
             .dump());
@@ -95,13 +109,13 @@
 auto ReplicaStandin::order(const Caller& caller, const wire::HttpRequestMessage& request) -> void
 {
     if (request.fields.get(names::expectInstance) != instance_)
-        return respond(caller, 421, {});
+        return respond(caller, { .status = 421 }, {});
     orders_.push_back(request.body);
     if (behaviour_.loseOrders) {
         lostOrders_.push_back(request.body);
         return;
     }
-    respond(caller, carryOut(request.body), {});
+    respond(caller, { .status = carryOut(request.body) }, {});
 }
 
 auto ReplicaStandin::carryOut(const std::string& body) -> int
@@ -142,15 +156,25 @@
     head.fields.add(names::attemptId, request.fields.get(names::attemptId));
     if (!announcements_.empty() && !announcements_.back().limit.empty())
         head.fields.add(names::rateLimit, announcements_.back().limit);
+    if (leaving_)
+        head.fields.add(names::leaving, "1");
     return head;
 }
 
 auto ReplicaStandin::runModel(const Caller& caller, const wire::HttpRequestMessage& request) -> void
 {
-    arrivals_.push_back(timers_.now());
+    const auto attempt = std::string(request.fields.get(names::attemptId));
+    arrivals_.push_back({ timers_.now(), attempt, born_, {}, leaving_ });
     if (request.fields.get(names::expectInstance) != instance_)
-        return respond(caller, 421, {});
+        return respond(caller, { .status = 421 }, {});
     auto head = answerHead(request, behaviour_.status);
+    if (!rest_.empty()) {
+        arrivals_.back().rest = rest_;
+        head.status = 503;
+        head.fields.add(names::notRun, "1");
+        head.fields.add(names::retryAfter, rest_);
+        return caller->respond(std::move(head), {});
+    }
     if (behaviour_.notRun) {
         head.fields.add(names::notRun, "1");
         return caller->respond(std::move(head), {});
@@ -159,10 +183,9 @@
     const auto slash = model.find('/');
     const auto adapter = slash == std::string::npos ? std::string() : model.substr(slash + 1);
     if (!adapter.empty() && !adapters_.contains(adapter))
-        return respond(caller, 421, {});
+        return respond(caller, { .status = 421 }, {});
     auto from = wire::decimal(request.fields.get(names::lastEventId)).value_or(0);
-    runs_.push_back({ std::string(request.fields.get(names::attemptId)), request.target, adapter, from, request.fields,
-        request.body });
+    runs_.push_back({ attempt, request.target, adapter, from, request.fields, request.body });
     head.fields.add(names::seal, "seal-of-" + instance_);
     if (behaviour_.strangerFirst) {
         auto stranger = wire::HttpResponseHead { .status = 200 };
--- a/standins/ReplicaStandin.h
+++ b/standins/ReplicaStandin.h
@@ -44,6 +44,16 @@
         std::string body;
     };
 
+    /// A request that reached the replica, whether it ran or was refused, and what its answer asked for.
+    struct Arrival {
+        Moment at {};
+        std::string attempt;
+        /// Which start of the replica it reached.
+        std::uint64_t start = 0;
+        /// For how long the replica wants nothing more from the host, as written; empty for nothing.
+        std::string rest;
+        bool leaving = false;
+    };
     /// What its answers said about its rate limit from `since` on; empty for nothing.
     struct Announcement {
         Moment since {};
@@ -61,8 +71,16 @@
     /// Names this rate limit, in requests per second, in every answer to a request from now on; none if empty.
     auto announceLimit(const std::string& limit) -> void { announcements_.push_back({ timers_.now(), limit }); }
     [[nodiscard]] auto announcements() const noexcept -> const std::vector<Announcement>& { return announcements_; }
-    /// When requests reached the replica, whether they ran or were refused.
-    [[nodiscard]] auto arrivals() const noexcept -> const std::vector<Moment>& { return arrivals_; }
+    /// Turns every request away and asks for this many seconds of rest, from now on; ends that if empty.
+    auto askForRest(const std::string& seconds) -> void { rest_ = seconds; }
+    /// The same for calls: reports, orders and health checks.
+    auto askCallersForRest(const std::string& seconds) -> void { restOfCallers_ = seconds; }
+    /// Says in every answer that it leaves, until it starts again.
+    auto announceLeaving() -> void { leaving_ = true; }
+    [[nodiscard]] auto leaving() const noexcept -> bool { return leaving_; }
+    [[nodiscard]] auto arrivals() const noexcept -> const std::vector<Arrival>& { return arrivals_; }
+    /// When reports, orders and health checks reached the replica.
+    [[nodiscard]] auto calls() const noexcept -> const std::vector<Moment>& { return calls_; }
     [[nodiscard]] auto runs() const noexcept -> const std::vector<Run>& { return runs_; }
     [[nodiscard]] auto orders() const noexcept -> const std::vector<std::string>& { return orders_; }
     [[nodiscard]] auto crashed() const noexcept -> bool { return crashed_; }
@@ -77,6 +95,9 @@
 private:
     using Caller = std::shared_ptr<serving::CallerExchange>;
     auto handle(const Caller& caller, const wire::HttpRequestMessage& request) -> void;
+    auto handleCall(const Caller& caller, const wire::HttpRequestMessage& request) -> void;
+    /// Answers with the fields that every answer has.
+    auto respond(const Caller& caller, wire::HttpResponseHead head, const std::string& body) const -> void;
     auto report(const Caller& caller) -> void;
     auto order(const Caller& caller, const wire::HttpRequestMessage& request) -> void;
     [[nodiscard]] auto carryOut(const std::string& body) -> int;
@@ -90,7 +111,11 @@
     std::string service_;
     Behaviour behaviour_;
     std::vector<Run> runs_;
-    std::vector<Moment> arrivals_;
+    std::vector<Arrival> arrivals_;
+    std::vector<Moment> calls_;
+    std::string rest_;
+    std::string restOfCallers_;
+    bool leaving_ = false;
     std::vector<Announcement> announcements_;
     std::vector<std::string> orders_;
     std::vector<std::string> lostOrders_;
--- a/tests/harness/RateLimitRule.cpp
+++ b/tests/harness/RateLimitRule.cpp
@@ -27,9 +27,9 @@
     auto found = std::optional<Violation>();
     visitLimits(replica, [&](double perSecond, Moment since, Moment until) {
         auto moments = std::vector<Moment>();
-        for (const auto at : replica.arrivals()) {
-            if (at >= since + contact && at < until)
-                moments.push_back(at);
+        for (const auto& arrival : replica.arrivals()) {
+            if (arrival.at >= since + contact && arrival.at < until)
+                moments.push_back(arrival.at);
         }
         for (auto first = moments.begin(); first != moments.end() && !found; ++first) {
             const auto last = std::lower_bound(first, moments.end(), *first + window);
--- a/tests/harness/ServingWorld.cpp
+++ b/tests/harness/ServingWorld.cpp
@@ -125,10 +125,10 @@
     gateways_.erase(gateways_.begin() + static_cast<std::ptrdiff_t>(index));
 }
 
-auto ServingWorld::startGateway(bool wait, const std::string& zone) -> serving::GatewayRole&
+auto ServingWorld::startGateway(bool wait, const std::string& zone, const std::string& address) -> serving::GatewayRole&
 {
     auto settings = settings_;
-    settings.host = hostSettings("gateway", "127.0.0.1", zone);
+    settings.host = hostSettings("gateway", address, zone);
     if (settings_.host.store.port != 0)
         settings.host.store = settings_.host.store;
     settings.clients = settings.readiness = settings.peers = { "127.0.0.1", 0 };
@@ -156,6 +156,7 @@
 {
     const auto port = request.gateway ? gateways_.at(*request.gateway)->clientPort() : clientPort_;
     callers_.push_back(std::make_unique<wire::HttpCaller>(loop_.timers(), "127.0.0.1", port));
+    origins_[request.attempt] = { std::to_string(request.gateway.value_or(0)), loop_.timers().now() };
     auto call
         = wire::HttpCall { .method = request.method, .target = request.path, .body = request.body, .timeout = 5s };
     call.fields = request.more;
--- a/tests/harness/ServingWorld.h
+++ b/tests/harness/ServingWorld.h
@@ -3,6 +3,7 @@
 #include "serving/Serving.h"
 #include "standins/ReplicaStandin.h"
 #include "standins/StoreStandin.h"
+#include "tests/harness/AvailabilityRules.h"
 #include "wire/HttpCaller.h"
 
 #include <functional>
@@ -33,7 +34,8 @@
     /// where none is named.
     auto settings() -> serving::GatewaySettings& { return settings_; }
     /// Starts one more gateway; returns when it is ready and its agents have spoken, or at once if not to `wait`.
-    auto startGateway(bool wait = true, const std::string& zone = "zone-1") -> serving::GatewayRole&;
+    auto startGateway(bool wait = true, const std::string& zone = "zone-1", const std::string& address = "127.0.0.1")
+        -> serving::GatewayRole&;
     auto engine(std::size_t index) -> standins::ReplicaStandin& { return *engines_.at(index); }
     auto plain(std::size_t index) -> standins::ReplicaStandin& { return *plain_.at(index); }
     auto store() -> standins::StoreStandin& { return store_; }
@@ -61,6 +63,9 @@
     /// The answer; status 0 for a connection that ended before the answer was whole.
     [[nodiscard]] auto ask(const Request& request) -> wire::HttpAnswer;
     [[nodiscard]] auto begin(const Request& request) -> kj::Promise<wire::HttpAnswer>;
+    /// Where each request came in; hosts are named by the index of their gateway.
+    [[nodiscard]] auto origins() const noexcept -> const RequestOrigins& { return origins_; }
+    auto wait(Duration time) -> void { loop_.wait(loop_.sleep(time)); }
     /// Every client closes its connection.
     auto leave() -> void { callers_.clear(); }
     /// Runs the loop until `done`, five seconds at most.
@@ -79,6 +84,7 @@
     std::vector<std::unique_ptr<serving::AgentRole>> agents_;
     std::vector<std::unique_ptr<serving::GatewayRole>> gateways_;
     std::vector<std::unique_ptr<wire::HttpCaller>> callers_;
+    RequestOrigins origins_;
     serving::GatewaySettings settings_;
     std::uint16_t agentPort_ = 0;
     /// Of the first gateway, also when it has stopped listening.
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -49,6 +49,7 @@
 Soak::Soak(std::uint64_t seed, Size size, std::string folder)
     : random_(seed)
     , limitRandom_(~seed)
+    , availabilityRandom_(~seed * 3)
     , size_(size)
     , folder_(std::move(folder))
     , store_(loop_.timers())
@@ -128,7 +129,13 @@
     if (node.role == "gateway")
         node.peerPort = node.process->listeningPort("peer_port");
     node.frozen = node.stopping = false;
+    disturbed(node);
+}
+
+auto Soak::disturbed(Node& node) -> void
+{
     node.disturbedAt = loop_.timers().now();
+    node.disturbances.push_back(node.disturbedAt);
 }
 
 auto Soak::listEntry(const Engine& engine) const -> std::string
@@ -229,7 +236,7 @@
         sayEnded("a process ended by itself", node);
         return restart(node, 0ms);
     }
-    node.disturbedAt = loop_.timers().now();
+    disturbed(node);
     switch (number(0, 3)) {
     case 0:
         note("kill " + node.role);
@@ -243,7 +250,7 @@
         return later(soon(50, 1800), [this, &node] {
             node.process->signal(SIGCONT);
             node.frozen = false;
-            node.disturbedAt = loop_.timers().now();
+            disturbed(node);
         });
     }
     case 2:
@@ -328,9 +335,7 @@
         break;
     default:
         note("replica starts anew");
-        engine.replica->restart(engine.replica->instance().substr(0, 8) + "-" + std::to_string(++engine.starts));
-        publish();
-        return;
+        return restartEngine(engine);
     }
     engine.replica->behave(behaviour);
     later(soon(50, 900), [&engine] {
@@ -339,6 +344,12 @@
     });
 }
 
+auto Soak::restartEngine(Engine& engine) -> void
+{
+    engine.replica->restart(engine.replica->instance().substr(0, 8) + "-" + std::to_string(++engine.starts));
+    publish();
+}
+
 auto Soak::faultOnLeg(standins::FaultProxy& proxy, const std::string& leg) -> void
 {
     switch (number(0, 3)) {
@@ -374,8 +385,11 @@
         return faultOnStore();
     case 3:
         return faultOnEngine(any(engines_));
-    case 4:
-        return faultOnLeg(*any(engines_).leg, "replica");
+    case 4: {
+        auto& engine = any(engines_);
+        engine.disturbances.push_back(loop_.timers().now());
+        return faultOnLeg(*engine.leg, "replica");
+    }
     case 5:
         return faultOnLeg(*any(engines_).session, "agent");
     default:
@@ -411,6 +425,20 @@
     return loop_.sleep(pause).then([this] { return announceLimits(); });
 }
 
+auto Soak::announceAvailability() -> kj::Promise<void>
+{
+    if (over_)
+        return kj::READY_NOW;
+    static constexpr auto rests = std::array { "0.4", "1.5", "2.25", "soon" };
+    const auto all = replicas();
+    auto* replica = all.at(availabilityRandom_() % all.size());
+    note("replica asks for rest");
+    replica->askForRest(rests.at(availabilityRandom_() % rests.size()));
+    later(std::chrono::milliseconds(50 + availabilityRandom_() % 600), [replica] { replica->askForRest({}); });
+    const auto pause = std::chrono::milliseconds(100 + availabilityRandom_() % 900);
+    return loop_.sleep(pause).then([this] { return announceAvailability(); });
+}
+
 /// Single faults, and now and then several at the same moment.
 auto Soak::disturb() -> kj::Promise<void>
 {
@@ -426,8 +454,10 @@
 {
     steps_.clear();
     store_.refuseWith(0);
-    for (auto* replica : replicas())
+    for (auto* replica : replicas()) {
         replica->announceLimit({});
+        replica->askForRest({});
+    }
     const auto mended = Json { { "silent", "none" }, { "delay_ms", 0 }, { "refuse", false }, { "cut", true } };
     for (auto& engine : engines_) {
         engine.replica->behave({});
@@ -515,6 +545,36 @@
     }
 }
 
+auto Soak::excused(std::size_t replica, std::size_t gateway, Moment from, Moment until) const -> bool
+{
+    const auto within = [](const std::vector<Moment>& moments, Moment first, Moment last) {
+        return std::any_of(
+            moments.begin(), moments.end(), [&](Moment moment) { return moment >= first && moment <= last; });
+    };
+    // A frozen process and a silent leg stay so for less than this; an answer is on its way for less than the other.
+    constexpr auto longestFault = Duration(2s);
+    constexpr auto transit = Duration(200ms);
+    if (within(gateways_[gateway].disturbances, from - longestFault, until))
+        return true;
+    return replica < engines_.size() && within(engines_[replica].disturbances, from - longestFault, from + transit);
+}
+
+auto Soak::judgeAvailability(std::vector<std::string>& broken) const -> void
+{
+    auto origins = tests::RequestOrigins();
+    for (const auto& call : calls_)
+        origins[call.attempt] = { std::to_string(call.gateway), call.began };
+    const auto all = replicas();
+    for (auto index = std::size_t(0); index < all.size(); ++index) {
+        const auto excuse = [&](const std::string& host, Moment from, Moment until) {
+            return host.empty() || excused(index, std::stoul(host), from, until);
+        };
+        if (const auto found = tests::RestRule().violation(*all[index], origins, excuse))
+            broken.push_back("more than it can bear in a rest: " + all[index]->instance() + " got "
+                + std::to_string(found->arrivals) + " from gateway-" + found->host);
+    }
+}
+
 /// An answer that was written for a request that was over went nowhere, but it should not have been written.
 auto Soak::judgeLog(Node& node) -> void
 {
@@ -561,10 +621,12 @@
     auto asking = kj::joinPromises(clients.finish());
     auto faults = disturb();
     auto limits = announceLimits();
+    auto availability = announceAvailability();
     loop_.wait(loop_.sleep(size_.time));
     over_ = true;
     loop_.wait(kj::mv(faults));
     loop_.wait(kj::mv(limits));
+    loop_.wait(kj::mv(availability));
     mendAll();
     loop_.wait(kj::mv(asking));
     for (auto* nodes : { &agents_, &gateways_ })
@@ -573,6 +635,7 @@
     judgeRuns(broken);
     judgeOrders(broken);
     judgeLimits(broken);
+    judgeAvailability(broken);
     judgeRecovery(broken);
     return broken;
 }
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -3,6 +3,7 @@
 #include "standins/FaultProxy.h"
 #include "standins/ReplicaStandin.h"
 #include "standins/StoreStandin.h"
+#include "tests/harness/AvailabilityRules.h"
 #include "tests/harness/Process.h"
 #include "wire/HttpCaller.h"
 #include "wire/MainLoop.h"
@@ -68,7 +69,8 @@
         std::uint16_t peerPort = 0;
         bool frozen = false;
         bool stopping = false;
-        /// When it was last killed, frozen, stopped or started.
+        /// When it was killed, frozen, stopped or started, and when last.
+        std::vector<Moment> disturbances;
         Moment disturbedAt {};
     };
     /// A replica, and the proxies on the way to it and to its agent.
@@ -76,6 +78,8 @@
         std::unique_ptr<standins::ReplicaStandin> replica;
         std::unique_ptr<standins::FaultProxy> leg;
         std::unique_ptr<standins::FaultProxy> session;
+        /// When the leg was disturbed.
+        std::vector<Moment> disturbances;
         int starts = 1;
     };
 
@@ -102,9 +106,13 @@
     /// Replicas name rate limits, change and end them.
     auto announceLimits() -> kj::Promise<void>;
     auto announceLimit(standins::ReplicaStandin& replica) -> void;
+    /// Replicas ask for rest, and serve again before it is over.
+    auto announceAvailability() -> kj::Promise<void>;
     [[nodiscard]] auto replicas() const -> std::vector<standins::ReplicaStandin*>;
     auto later(Duration delay, std::function<void()> step) -> void;
     auto restart(Node& node, Duration after) -> void;
+    auto restartEngine(Engine& engine) -> void;
+    auto disturbed(Node& node) -> void;
     auto mendAll() -> void;
     auto sayEnded(const std::string& what, Node& node) -> void;
     auto note(const std::string& kind) -> void { ++faults_[kind]; }
@@ -117,13 +125,17 @@
     auto judgeRuns(std::vector<std::string>& broken) const -> void;
     auto judgeOrders(std::vector<std::string>& broken) const -> void;
     auto judgeLimits(std::vector<std::string>& broken) const -> void;
+    auto judgeAvailability(std::vector<std::string>& broken) const -> void;
+    /// Whether a gateway may have missed what a replica told it, or may have forgotten it.
+    [[nodiscard]] auto excused(std::size_t replica, std::size_t gateway, Moment from, Moment until) const -> bool;
     auto judgeLog(Node& node) -> void;
     auto judgeRecovery(std::vector<std::string>& broken) -> void;
 
     wire::MainLoop loop_;
     std::mt19937_64 random_;
-    /// Draws the rate limits, so that these do not change the other faults of a seed.
+    /// Draw the rate limits, and the rests and leavings, so that these do not change the other faults of a seed.
     std::mt19937_64 limitRandom_;
+    std::mt19937_64 availabilityRandom_;
     Size size_;
     std::string folder_;
     standins::StoreStandin store_;
