Fix: a replica that says it leaves gets nothing new, from the first answer on

Callers would see: requests that a leaving replica gets after its time, and that are lost when it is gone.

Cause: nobody read Server-Leaving; an entry stopped when it read the list, and went on again if the list, or its registration after a lapse, showed the replica ready. Class: what a replica asks for in an answer is passed on unread.

Change: an entry marks the start as leaving at the first answer that says so, of any status, with the first bytes of a stream; its agent, which hears it in its own reports or from an entry, refuses what is queued, orders nothing more and tells all entries. What a start has said (rest, rate limit, leaving) survives its removal from the list (DepartedReplicas), since the same start is listed again after the store was away. Lines of rests that end are written by the entry's own check, which also sees replicas that are removed.

Why it works: leaving is final for a start, and Replica::accepts is asked right before each send.

--- a/packages/serving/AgentLink.cpp
+++ b/packages/serving/AgentLink.cpp
@@ -278,6 +278,7 @@
     state_.configVersion = ConfigVersion(state.getConfigVersion());
     state_.configHolder = state.getConfigHolder().cStr();
     state_.reader = state.getReader().cStr();
+    state_.leaving = state.getLeaving();
     state_.suspects.clear();
     for (auto suspect : state.getSuspects())
         state_.suspects.emplace(suspect.getDigest().cStr(), suspect.getBreaks());
@@ -441,6 +442,18 @@
     return KJ_EXCEPTION(DISCONNECTED, "no session with the agent");
 }
 
+auto AgentLink::noteLeaving(const ReplicaStart& start) -> void
+{
+    if (!session_)
+        return;
+    KJ_IF_MAYBE (client, session_->client) {
+        auto call = client->noteLeavingRequest();
+        call.setInstance(start.instance.str());
+        call.setBirth(start.startTime.value());
+        detail::sendOneWay(loop_, call);
+    }
+}
+
 auto AgentLink::notify(const EntryNotice& notice) -> void
 {
     notice_ = notice;
--- a/packages/serving/AgentLink.h
+++ b/packages/serving/AgentLink.h
@@ -49,6 +49,8 @@
     std::size_t entries = 0;
     /// How often requests broke off at replicas, by request digest, as reported to this agent by all entries.
     std::map<std::string, std::uint32_t> suspects;
+    /// The replica has said that it leaves.
+    bool leaving = false;
     Moment receivedAt {};
 };
 
@@ -185,6 +187,8 @@
     /// session is lost.
     [[nodiscard]] auto takePermit(const ReplicaRateLimit& limit, std::uint32_t priority, bool standIn)
         -> kj::Promise<PermitDecision>;
+    /// Reports that the agent's replica has said that it leaves.
+    auto noteLeaving(const ReplicaStart& start) -> void;
     [[nodiscard]] auto endpoint() const noexcept -> const Endpoint& { return endpoint_; }
     /// Hash of the endpoint, cached because each request of a member with a quota ranks all agents by it.
     [[nodiscard]] auto endpointHash() const noexcept -> std::uint64_t { return endpointHash_; }
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -180,6 +180,13 @@
         return kj::READY_NOW;
     }
 
+    auto noteLeaving(NoteLeavingContext context) -> kj::Promise<void> override
+    {
+        const auto params = context.getParams();
+        role_.agent_.noteLeaving({ InstanceId(params.getInstance().cStr()), StartTime(params.getBirth()) }, entry_);
+        return kj::READY_NOW;
+    }
+
 private:
     AgentRole& role_;
     std::string entry_;
@@ -385,7 +392,8 @@
 auto AgentRole::namesFingerprint() const -> std::string
 {
     auto text = agent_.instance().str() + "|" + std::to_string(agent_.startTime().value()) + "|"
-        + std::to_string(configVersion_.value()) + "|" + configHolder_ + "|" + reader();
+        + std::to_string(configVersion_.value()) + "|" + configHolder_ + "|" + reader()
+        + (agent_.leaving() ? "|leaving" : "");
     for (const auto& [adapter, version] : agent_.resident())
         text.append("|").append(adapter.str()).append("@").append(std::to_string(version.value()));
     for (const auto& adapter : agent_.loading())
@@ -403,6 +411,7 @@
 {
     state.setInstance(agent_.instance().str());
     state.setBirth(agent_.startTime().value());
+    state.setLeaving(agent_.leaving());
     const auto resident = agent_.resident();
     auto list = state.initResident(static_cast<unsigned>(resident.size()));
     auto index = 0U;
--- a/packages/serving/GatewayRole.cpp
+++ b/packages/serving/GatewayRole.cpp
@@ -87,7 +87,7 @@
     , suspects_(directory_)
     , quotas_(loop, directory_, settings_.quotas)
     , rateLimits_(loop, directory_, metrics_, settings_.host.name)
-    , availability_(loop, metrics_, settings_.host.name)
+    , availability_(loop, directory_, metrics_, settings_.host.name)
     , unknownFields_(metrics_)
     , gateway_ { loop, settings_, configuration_, directory_, metrics_, deferred_, suspects_, quotas_, rateLimits_,
         availability_, unknownFields_ }
@@ -119,6 +119,7 @@
     peerCheckTimer_ = loop_.timers().every(peerCheckInterval, [this] {
         countEntries();
         rateLimits_.forgetRemoved();
+        availability_.forgetEnded();
         chooseReader();
         askPeers();
     });
--- a/packages/serving/Replica.cpp
+++ b/packages/serving/Replica.cpp
@@ -18,22 +18,23 @@
 
 } // namespace
 
-Replica::Replica(TimerService& timers, ReplicaRecord record)
+Replica::Replica(TimerService& timers, ReplicaRecord record, ReplicaAnnouncements announced)
     : record_(std::move(record))
     , idHash_(decisions::nameHash(record_.start.instance.view()))
     , pool_(timers, record_.endpoint)
+    , announced_(std::move(announced))
 {
 }
 
 auto Replica::setLeaving() -> void
 {
-    if (!std::exchange(leaving_, true))
+    if (!std::exchange(announced_.leaving, true))
         onClosed_.notify();
 }
 
 auto Replica::askForRest(Duration length, Duration startDelay, Moment now) -> bool
 {
-    if (!rest_.ask(length, startDelay, now))
+    if (!announced_.rest.ask(length, startDelay, now))
         return false;
     onClosed_.notify();
     return true;
@@ -41,7 +42,7 @@
 
 auto Replica::requestSent(Tokens tokens, Moment now) -> void
 {
-    rest_.recordSend(now);
+    announced_.rest.recordSend(now);
     ++inFlight_;
     tokensSent_ += tokens;
 }
@@ -73,7 +74,7 @@
 
 auto Replica::usable(Moment now) const noexcept -> bool
 {
-    if (!present() || !rest_.allows(now) || now < pausedUntil_ || now < nextPermitAt_)
+    if (!present() || !rest().allows(now) || now < pausedUntil_ || now < nextPermitAt_)
         return false;
     // After a pause for failures, one request is sent at a time until one succeeds.
     return failures_ < failuresToPause || inFlight_ == 0;
--- a/packages/serving/Replica.h
+++ b/packages/serving/Replica.h
@@ -19,11 +19,20 @@
 
 namespace eelgrass::serving {
 
+/// What one start of a replica has said about the requests that it wants. It holds for as long as that start lasts,
+/// whatever the platform's list shows.
+struct ReplicaAnnouncements {
+    decisions::RequestedRest rest;
+    decisions::AnnouncedRateLimit rateLimit;
+    bool leaving = false;
+};
+
 /// One start of a replica as this entry knows it: its record in the platform's list, the session with its agent, the
 /// connections to the replica, and this entry's own observations of it.
 class Replica {
 public:
-    Replica(TimerService& timers, ReplicaRecord record);
+    /// `announced` is what this start has said before, if it was known under an earlier object.
+    Replica(TimerService& timers, ReplicaRecord record, ReplicaAnnouncements announced = {});
 
     [[nodiscard]] auto id() const noexcept -> const InstanceId& { return record_.start.instance; }
     /// Hash of the instance's name, cached because placement among many replicas ranks all of them by it.
@@ -34,9 +43,9 @@
     [[nodiscard]] auto agent() const noexcept -> AgentLink* { return agent_.get(); }
     auto setAgent(std::unique_ptr<AgentLink> agent) -> void { agent_ = std::move(agent); }
 
-    /// The replica is draining or has been removed from the list: running requests finish there and no new ones are
-    /// sent. This is final; the next start under the same name is a separate `Replica`.
-    [[nodiscard]] auto leaving() const noexcept -> bool { return leaving_; }
+    /// The replica is draining, has said that it leaves, or has been removed from the list: running requests finish
+    /// there and no new ones are sent. This is final; the next start under the same name is a separate `Replica`.
+    [[nodiscard]] auto leaving() const noexcept -> bool { return announced_.leaving; }
     auto setLeaving() -> void;
     /// The replica's record in the list cannot be parsed, for example because another writer has overwritten it. No new
     /// requests are sent until it can be parsed again.
@@ -88,20 +97,24 @@
     [[nodiscard]] auto usable(Moment now) const noexcept -> bool;
     /// Whether the replica still wants requests from this host, as far as it has said. To be asked again right before a
     /// request is sent, since requests wait for admission and for connections after the replica was chosen.
-    [[nodiscard]] auto accepts(Moment now) const noexcept -> bool { return !leaving_ && rest_.allows(now); }
+    [[nodiscard]] auto accepts(Moment now) const noexcept -> bool { return !leaving() && rest().allows(now); }
     /// Whether the replica's record can be relied on and is not that of an earlier start.
-    [[nodiscard]] auto present() const noexcept -> bool { return !leaving_ && !unreadable_ && !superseded_; }
+    [[nodiscard]] auto present() const noexcept -> bool { return !leaving() && !unreadable_ && !superseded_; }
     /// Told when the replica wants no more requests, for requests that wait for it.
     auto onClosed() noexcept -> Subscribers& { return onClosed_; }
     /// Applies the replica's request for rest; see `RequestedRest::ask`.
     auto askForRest(Duration length, Duration startDelay, Moment now) -> bool;
     [[nodiscard]] auto meanTime() const noexcept -> Duration { return meanTime_; }
 
+    [[nodiscard]] auto announced() const noexcept -> const ReplicaAnnouncements& { return announced_; }
     /// The rest that this start of the replica has asked this host for.
-    [[nodiscard]] auto rest() const noexcept -> const decisions::RequestedRest& { return rest_; }
+    [[nodiscard]] auto rest() const noexcept -> const decisions::RequestedRest& { return announced_.rest; }
     /// The rate limit that this start of the replica has announced.
-    auto rateLimit() noexcept -> decisions::AnnouncedRateLimit& { return rateLimit_; }
-    [[nodiscard]] auto rateLimit() const noexcept -> const decisions::AnnouncedRateLimit& { return rateLimit_; }
+    auto rateLimit() noexcept -> decisions::AnnouncedRateLimit& { return announced_.rateLimit; }
+    [[nodiscard]] auto rateLimit() const noexcept -> const decisions::AnnouncedRateLimit&
+    {
+        return announced_.rateLimit;
+    }
     /// When to ask again for a permit to send a request, after a refusal.
     [[nodiscard]] auto nextPermitAt() const noexcept -> Moment { return nextPermitAt_; }
     /// Notes a refused permit. Of several refusals, the one that allows to ask soonest counts.
@@ -131,7 +144,6 @@
     std::uint64_t idHash_;
     ConnectionPool pool_;
     std::unique_ptr<AgentLink> agent_;
-    bool leaving_ = false;
     bool unreadable_ = false;
     bool superseded_ = false;
     std::uint64_t listVersion_ = 0;
@@ -146,9 +158,8 @@
     std::uint32_t failures_ = 0;
     Moment pausedUntil_ {};
     Duration meanTime_ {};
-    decisions::RequestedRest rest_;
+    ReplicaAnnouncements announced_;
     Subscribers onClosed_;
-    decisions::AnnouncedRateLimit rateLimit_;
     Moment nextPermitAt_ {};
     decisions::KnownPrefixes prompts_ { maxPrompts };
     decisions::RecentAdapters recentAdapters_;
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Log.h"
 #include "decisions/Rendezvous.h"
+#include "platform/AnswerHeaders.h"
 #include "serving/detail/RunLimits.h"
 #include "serving/detail/SlotNames.h"
 
@@ -175,6 +176,7 @@
         log::info("replica available", { { "sequence", std::to_string(read->sequence) } });
     report_ = std::move(read);
     reportedAt_ = loop_.timers().now();
+    noteAvailability(answer);
     dropForeignRateLimit();
     synchronizeSlots();
     runPendingWork();
@@ -268,10 +270,30 @@
     if (slots_)
         slots_->reset({}, loop_.timers().now());
     breaker_ = {};
+    leaving_ = false;
     queue_.arrivals() = {};
     refuseQueued("replica lost");
 }
 
+auto ReplicaAgent::noteAvailability(const wire::HttpAnswer& answer) -> void
+{
+    const auto said = hosting::readAvailability(answer.status, answer.fields);
+    if (said.leaving)
+        noteLeaving({ instance_, startTime() }, "answer");
+}
+
+auto ReplicaAgent::noteLeaving(const ReplicaStart& start, std::string_view source) -> void
+{
+    if (leaving_ || !mayBeCurrentStart(start))
+        return;
+    leaving_ = true;
+    log::info("replica leaving",
+        { { "replica", start.instance.str() }, { "birth", std::to_string(startTime().value()) },
+            { "source", std::string(source) } });
+    refuseQueued("replica leaving");
+    onChange_();
+}
+
 auto ReplicaAgent::noteRateLimit(const ReplicaRateLimit& limit) -> decisions::AnnouncedRateLimit::Change
 {
     if (!mayBeCurrentStart(limit.start))
@@ -385,7 +407,10 @@
     });
 }
 
-auto ReplicaAgent::acceptsRequests() const -> bool { return isUsable() && breaker_.allows(loop_.timers().now()); }
+auto ReplicaAgent::acceptsRequests() const -> bool
+{
+    return isUsable() && !leaving_ && breaker_.allows(loop_.timers().now());
+}
 
 auto ReplicaAgent::isUsable() const -> bool { return report_ && report_->hasModel && slots_; }
 
@@ -395,6 +420,8 @@
     const auto attempt = request.attempt;
     if (!isUsable())
         return reportDecision(attempt, { .retryAfter = retryDelay, .reason = "replica not usable" });
+    if (leaving_)
+        return reportDecision(attempt, { .retryAfter = retryDelay, .reason = "replica leaving" });
     if (!acceptsRequests())
         return reportDecision(attempt, { .retryAfter = retryDelay, .reason = "replica rests after failures" });
     if (!request.adapter.empty()) {
@@ -481,7 +508,7 @@
     updateLoadTime();
     if (report_ && instance_.empty())
         identify();
-    const auto ordersPaused = loop_.timers().now() < ordersPausedUntil_;
+    const auto ordersPaused = leaving_ || loop_.timers().now() < ordersPausedUntil_;
     if (!orderInFlight_ && !ordersPaused && fencingState_ == FencingState::Held && report_ && !instance_.empty()) {
         if (auto next = nextOrder())
             sendOrder(std::move(*next));
@@ -491,11 +518,9 @@
 
 auto ReplicaAgent::grantRequests() -> void
 {
-    if (!isUsable())
+    if (!acceptsRequests())
         return;
     const auto now = loop_.timers().now();
-    if (!breaker_.allows(now))
-        return;
     const auto maxGrants = breaker_.open() ? std::size_t(1) : queue_.limits().batch;
     for (const auto& request : queue_.grant(readinessPredicate(), now, maxGrants)) {
         breaker_.requestSent();
--- a/packages/serving/ReplicaAgent.h
+++ b/packages/serving/ReplicaAgent.h
@@ -68,9 +68,13 @@
     /// What the replica last said about its rate limit; empty if nothing.
     [[nodiscard]] auto rateLimit() const -> std::optional<ReplicaRateLimit>;
 
+    /// Notes that this start of the replica leaves, according to `source`. It is sent nothing more.
+    auto noteLeaving(const ReplicaStart& start, std::string_view source) -> void;
+    [[nodiscard]] auto leaving() const noexcept -> bool { return leaving_; }
+
     /// Whether the replica responds and holds its base model.
     [[nodiscard]] auto isUsable() const -> bool;
-    /// Whether new requests are accepted: the replica is usable and not paused after failures.
+    /// Whether new requests are accepted: the replica is usable, stays, and is not paused after failures.
     [[nodiscard]] auto acceptsRequests() const -> bool;
     /// Share of the recent requests that failed or broke off, from 0 to 1.
     [[nodiscard]] auto failureShare() const -> double { return breaker_.failureShare(loop_.timers().now()); }
@@ -105,6 +109,8 @@
     auto handleReport(const wire::HttpAnswer& answer) -> void;
     /// Whether the report is from a later start of the replica than the last one.
     [[nodiscard]] auto isFromLaterStart(const hosting::ReplicaReport& read) const -> bool;
+    /// Notes what an answer to one of this agent's calls says about the replica's availability.
+    auto noteAvailability(const wire::HttpAnswer& answer) -> void;
     [[nodiscard]] auto firstFencingDelay() const -> Duration;
     auto handleReportFailure(const std::string& reason) -> void;
     /// Asks the replica for its instance name. Each order carries this name, so that an instance with another name that
@@ -191,6 +197,7 @@
     InstanceId instance_;
     /// The start whose rate limit is in the queue.
     ReplicaStart rateLimitOf_;
+    bool leaving_ = false;
     std::optional<hosting::ReplicaReport> report_;
     Moment reportedAt_ {};
     std::uint32_t reportFailures_ = 0;
--- a/packages/serving/ReplicaAvailability.cpp
+++ b/packages/serving/ReplicaAvailability.cpp
@@ -11,7 +11,8 @@
 
 using decisions::RequestedRest;
 
-constexpr auto gauge = "eelgrass_replica_at_rest";
+constexpr auto restGauge = "eelgrass_replica_at_rest";
+constexpr auto leavingGauge = "eelgrass_replica_leaving";
 
 auto millisecondsText(Duration time) -> std::string
 {
@@ -27,8 +28,10 @@
 
 } // namespace
 
-ReplicaAvailability::ReplicaAvailability(wire::MainLoop& loop, router::Metrics& metrics, const std::string& host)
+ReplicaAvailability::ReplicaAvailability(
+    wire::MainLoop& loop, ReplicaDirectory& directory, router::Metrics& metrics, const std::string& host)
     : loop_(loop)
+    , directory_(directory)
     , metrics_(metrics)
     , hostHash_(decisions::nameHash(host))
 {
@@ -44,7 +47,7 @@
     if (said.rest)
         applyRest(replica, *said.rest, hosts, "answer");
     if (said.leaving && !replica.leaving())
-        log::info("replica says that it leaves", { { "replica", replica.id().str() }, { "source", "answer" } });
+        applyLeaving(replica, "answer");
 }
 
 auto ReplicaAvailability::reportInvalid(const Replica& replica, const hosting::AvailabilityStatement& said) const
@@ -68,18 +71,50 @@
     const auto delay = RequestedRest::startDelay(length, hosts, positionOf(hostHash_, replica));
     if (!replica.askForRest(length, delay, now))
         return;
-    const auto id = replica.id();
-    const auto left = *replica.rest().end() - now;
     log::info(extended ? "replica rest extended" : "replica rest requested",
-        { { "replica", id.str() }, { "rest_ms", millisecondsText(left) }, { "source", std::string(source) } });
+        { { "replica", replica.id().str() }, { "rest_ms", millisecondsText(*replica.rest().end() - now) },
+            { "source", std::string(source) } });
     metrics_.count("eelgrass_replica_rests_total", { { "source", std::string(source) } });
-    metrics_.set(gauge, { { "replica", id.str() } }, 1);
-    ends_[id] = loop_.timers().after(left, [this, id, asked = now] {
+    metrics_.set(restGauge, { { "replica", replica.id().str() } }, 1);
+    rests_[replica.id()] = { replica.record().start, now };
+}
+
+auto ReplicaAvailability::applyLeaving(Replica& replica, std::string_view source) -> void
+{
+    directory_.markLeaving(replica, source, Duration(0));
+    if (replica.agent())
+        replica.agent()->noteLeaving(replica.record().start);
+    metrics_.count("eelgrass_replica_leavings_total", { { "source", std::string(source) } });
+    metrics_.set(leavingGauge, { { "replica", replica.id().str() } }, 1);
+    leaving_[replica.id()] = replica.record().start;
+}
+
+auto ReplicaAvailability::find(const ReplicaStart& start) const -> const Replica*
+{
+    const auto found = directory_.all().find(start.instance);
+    const auto known = found != directory_.all().end() && sameStart(found->second->record().start, start);
+    return known ? found->second.get() : nullptr;
+}
+
+auto ReplicaAvailability::forgetEnded() -> void
+{
+    const auto now = loop_.timers().now();
+    std::erase_if(rests_, [&](const auto& entry) {
+        const auto& [id, rest] = entry;
+        const auto* replica = find(rest.start);
+        if (replica && replica->rest().resting(now))
+            return false;
         log::info("replica rest ended",
-            { { "replica", id.str() }, { "age_ms", millisecondsText(loop_.timers().now() - asked) } });
-        metrics_.unset(gauge, { { "replica", id.str() } });
-        // Destroys this callback.
-        ends_.erase(id);
+            { { "replica", id.str() }, { "reason", replica ? "over" : "replica removed" },
+                { "age_ms", millisecondsText(now - rest.askedAt) } });
+        metrics_.unset(restGauge, { { "replica", id.str() } });
+        return true;
+    });
+    std::erase_if(leaving_, [&](const auto& entry) {
+        const auto gone = !find(entry.second);
+        if (gone)
+            metrics_.unset(leavingGauge, { { "replica", entry.first.str() } });
+        return gone;
     });
 }
 
--- a/packages/serving/ReplicaAvailability.h
+++ b/packages/serving/ReplicaAvailability.h
@@ -3,7 +3,7 @@
 #include "decisions/ReturnTimes.h"
 #include "platform/AnswerHeaders.h"
 #include "router/Metrics.h"
-#include "serving/Replica.h"
+#include "serving/ReplicaDirectory.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -15,7 +15,9 @@
 
 /// Applies what replicas say in their answers about the requests that they want.
 ///
-/// A rest holds for this host alone: it says little about what the replica wants from others.
+/// A rest holds for this host alone: it says little about what the replica wants from others. That a replica leaves
+/// holds for all. Its agent is told, and publishes it; of a replica without an agent the others hear from the
+/// platform's list, within the bound that holds for them.
 ///
 /// ```cpp
 /// availability.observe(replica, answer, entries);
@@ -23,11 +25,14 @@
 /// ```
 class ReplicaAvailability {
 public:
-    ReplicaAvailability(wire::MainLoop& loop, router::Metrics& metrics, const std::string& host);
+    ReplicaAvailability(
+        wire::MainLoop& loop, ReplicaDirectory& directory, router::Metrics& metrics, const std::string& host);
     KJ_DISALLOW_COPY(ReplicaAvailability);
 
     /// Notes what an answer of the replica says. `hosts` is the number of hosts that may rest together.
     auto observe(Replica& replica, const hosting::AnswerMetadata& answer, std::size_t hosts) -> void;
+    /// Notes the rests that have ended and the replicas that are gone.
+    auto forgetEnded() -> void;
     /// Counts a request that was about to be sent to a replica which wants none.
     auto countWithheld(const Replica& replica) -> void;
     /// Returns when a client may come back whose request is refused because every replica rests; the first of them
@@ -40,12 +45,22 @@
     auto reportInvalid(const Replica& replica, const hosting::AvailabilityStatement& said) const -> void;
     auto applyRest(Replica& replica, Duration length, std::size_t hosts, std::string_view source) -> void;
 
+    auto applyLeaving(Replica& replica, std::string_view source) -> void;
+    /// The replica if this start of it is still known.
+    [[nodiscard]] auto find(const ReplicaStart& start) const -> const Replica*;
+
     wire::MainLoop& loop_;
+    ReplicaDirectory& directory_;
     router::Metrics& metrics_;
     std::uint64_t hostHash_;
     decisions::ReturnTimes returns_;
-    /// Of each replica at rest, the end of its rest.
-    std::map<InstanceId, Timer> ends_;
+    struct Rest {
+        ReplicaStart start;
+        Moment askedAt {};
+    };
+    std::map<InstanceId, Rest> rests_;
+    /// Replicas that have said that they leave.
+    std::map<InstanceId, ReplicaStart> leaving_;
 };
 
 } // namespace eelgrass::serving
--- a/packages/serving/ReplicaDirectory.cpp
+++ b/packages/serving/ReplicaDirectory.cpp
@@ -193,7 +193,8 @@
                 { "service", record.service.str() }, { "peer", record.endpoint.str() },
                 { "source", std::string(source) } });
     }
-    auto replica = std::make_shared<Replica>(loop_.timers(), std::move(record));
+    auto announced = departed_.recall(record.start);
+    auto replica = std::make_shared<Replica>(loop_.timers(), std::move(record), std::move(announced));
     linkAgent(replica);
     return replica;
 }
@@ -231,11 +232,9 @@
     if (!samePublishedState(current->record(), *read) || current->unreadable())
         noteChange(listed.instance);
     if (read->phase == ReplicaPhase::Draining && !current->leaving()) {
-        current->setLeaving();
         reportLeaving();
-        agentsChanged_ = true;
         noteChange(listed.instance);
-        log::info("replica leaving", { { "replica", listed.instance.str() }, { "source", std::string(source) } });
+        markLeaving(*current, source, appliedListAge_);
     }
     unreadableVersions_.erase(listed.instance);
     rows_[listed.instance] = listed;
@@ -277,6 +276,7 @@
     history_.removed(replica->id(), newestVersion_);
     holders_.note(replica, replica->record().adapters, {});
     agentsChanged_ = true;
+    departed_.remember(*replica, loop_.timers().now());
     replica->setLeaving();
     replica->pool().clear();
     rows_.erase(replica->id());
@@ -293,6 +293,17 @@
     log::info("replica removed", { { "replica", instance.str() }, { "reason", std::string(why) } });
 }
 
+auto ReplicaDirectory::markLeaving(Replica& replica, std::string_view source, Duration age) -> void
+{
+    if (replica.leaving())
+        return;
+    replica.setLeaving();
+    agentsChanged_ = true;
+    const auto ageMs = std::chrono::duration_cast<milliseconds>(age).count();
+    log::info("replica leaving",
+        { { "replica", replica.id().str() }, { "source", std::string(source) }, { "age_ms", std::to_string(ageMs) } });
+}
+
 auto ReplicaDirectory::rebuildIndex() -> void
 {
     byService_.clear();
@@ -332,6 +343,9 @@
                                             if (!held)
                                                 return;
                                             held->agentReported();
+                                            const auto& state = held->agent()->state();
+                                            if (state.leaving && sameStart(state.start, held->record().start))
+                                                markLeaving(*held, held->agent()->endpoint().str(), Duration(0));
                                             held->noteResidentAdapters(held->agent()->state().resident, mostWarm);
                                             hooks_.onState(held->agent()->state());
                                         },
--- a/packages/serving/ReplicaDirectory.h
+++ b/packages/serving/ReplicaDirectory.h
@@ -6,6 +6,7 @@
 #include "platform/Documents.h"
 #include "platform/Store.h"
 #include "serving/AdapterHolders.h"
+#include "serving/DepartedReplicas.h"
 #include "serving/ListDifference.h"
 #include "serving/Replica.h"
 #include "serving/Types.h"
@@ -87,6 +88,8 @@
     [[nodiscard]] auto storeReads() const noexcept -> std::uint64_t { return storeReads_; }
     /// Marks an instance as leaving because another instance answered at its address.
     auto markGone(const InstanceId& instance, std::string_view why) -> void;
+    /// Marks a replica as leaving that has said so, whatever the list shows. `source` tells who heard it.
+    auto markLeaving(Replica& replica, std::string_view source, Duration age) -> void;
 
 private:
     auto noteChange(const InstanceId& instance) -> void { history_.changed(instance, newestVersion_); }
@@ -117,6 +120,7 @@
     Hooks hooks_;
     EntryNotice notice_;
     std::map<InstanceId, ReplicaPtr> replicas_;
+    DepartedReplicas departed_;
     /// The list's rows, unparsed, for peers.
     std::map<InstanceId, ListedReplica> rows_;
     /// Versions of the unreadable rows, so that each is logged once.
--- a/packages/wire/Agent.capnp
+++ b/packages/wire/Agent.capnp
@@ -51,6 +51,8 @@
   permitWaitMs @21 :UInt32;
   # Rate limits of this replica and of those whose permits this agent keeps, also those that have ended.
   rateLimits @22 :List(RateLimitStatement);
+  # The replica has said in an answer that it leaves.
+  leaving @23 :Bool;
 }
 
 # What an answer of a replica says about its rate limit.
@@ -180,6 +182,8 @@
   # Asks for a permit to send a request to another replica. `standIn` if the process that should keep its permits cannot
   # be reached.
   takePermit @8 (statement :RateLimitStatement, priority :UInt32, standIn :Bool) -> (granted :Bool, askAgainAfterMs :UInt32);
+  # An answer of this agent's replica said that this start of it leaves.
+  noteLeaving @9 (instance :Text, birth :UInt64);
 }
 
 # The bootstrap of the process beside a replica.
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -425,6 +425,20 @@
     return loop_.sleep(pause).then([this] { return announceLimits(); });
 }
 
+/// A replica that leaves keeps saying so; its next start comes a while later.
+auto Soak::leave(std::size_t engine) -> void
+{
+    auto& leaving = engines_.at(engine);
+    if (leaving.replica->leaving())
+        return;
+    note("replica leaves");
+    leaving.replica->announceLeaving();
+    later(4500ms, [this, &leaving] {
+        if (leaving.replica->leaving())
+            restartEngine(leaving);
+    });
+}
+
 auto Soak::announceAvailability() -> kj::Promise<void>
 {
     if (over_)
@@ -432,9 +446,14 @@
     static constexpr auto rests = std::array { "0.4", "1.5", "2.25", "soon" };
     const auto all = replicas();
     auto* replica = all.at(availabilityRandom_() % all.size());
-    note("replica asks for rest");
-    replica->askForRest(rests.at(availabilityRandom_() % rests.size()));
-    later(std::chrono::milliseconds(50 + availabilityRandom_() % 600), [replica] { replica->askForRest({}); });
+    constexpr auto timesToLeave = 12U;
+    if (availabilityRandom_() % timesToLeave == 0) {
+        leave(availabilityRandom_() % engines_.size());
+    } else {
+        note("replica asks for rest");
+        replica->askForRest(rests.at(availabilityRandom_() % rests.size()));
+        later(std::chrono::milliseconds(50 + availabilityRandom_() % 600), [replica] { replica->askForRest({}); });
+    }
     const auto pause = std::chrono::milliseconds(100 + availabilityRandom_() % 900);
     return loop_.sleep(pause).then([this] { return announceAvailability(); });
 }
@@ -458,6 +477,10 @@
         replica->announceLimit({});
         replica->askForRest({});
     }
+    for (auto& engine : engines_) {
+        if (engine.replica->leaving())
+            restartEngine(engine);
+    }
     const auto mended = Json { { "silent", "none" }, { "delay_ms", 0 }, { "refuse", false }, { "cut", true } };
     for (auto& engine : engines_) {
         engine.replica->behave({});
@@ -572,6 +595,9 @@
         if (const auto found = tests::RestRule().violation(*all[index], origins, excuse))
             broken.push_back("more than it can bear in a rest: " + all[index]->instance() + " got "
                 + std::to_string(found->arrivals) + " from gateway-" + found->host);
+        if (const auto found = tests::LeavingRule().violation(*all[index], origins, excuse))
+            broken.push_back("a request after it said that it leaves: " + all[index]->instance() + " got "
+                + std::to_string(found->arrivals) + " from gateway-" + found->host);
     }
 }
 
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -106,8 +106,9 @@
     /// Replicas name rate limits, change and end them.
     auto announceLimits() -> kj::Promise<void>;
     auto announceLimit(standins::ReplicaStandin& replica) -> void;
-    /// Replicas ask for rest, and serve again before it is over.
+    /// Replicas ask for rest, serve again before it is over, and say that they leave.
     auto announceAvailability() -> kj::Promise<void>;
+    auto leave(std::size_t engine) -> void;
     [[nodiscard]] auto replicas() const -> std::vector<standins::ReplicaStandin*>;
     auto later(Duration delay, std::function<void()> step) -> void;
     auto restart(Node& node, Duration after) -> void;
