Permits, slots and loads of requests that are not sent after all go to others

Callers would see: late answers at a replica with a rate limit, whose permits are lost with each request that it turns out not to want, or whose caller has left before it was sent.

Cause: a granted request that an entry does not send was released as one that ended.

Change: it is released as unsent; its place, its adapter's pin and its permit are free at once. A hub gets the permit of a replica without an agent back (returnPermit). An old agent takes both as before: a plain end, a call that it does not know.

Evidence: withdrawn_request_gives_its_permit_to_the_next (virtual clock) and permit_of_a_request_that_is_not_sent_goes_to_another (an agent over its session) pass; neither could be written on the code before, which had no such call.

--- a/packages/decisions/AdmissionQueue.cpp
+++ b/packages/decisions/AdmissionQueue.cpp
@@ -253,6 +253,13 @@
     running_.erase(found);
 }
 
+auto AdmissionQueue::withdraw(const AttemptId& attempt, Moment now) -> void
+{
+    if (arrivals_.limited() && grantedAt(attempt))
+        arrivals_.permits().giveBack(1, now);
+    release(attempt);
+}
+
 auto AdmissionQueue::wanted(const Ready& ready, Duration loadTime, Moment now) const -> std::vector<WantedAdapter>
 {
     using LoadRank = std::pair<bool, Moment>;
--- a/packages/decisions/AdmissionQueue.h
+++ b/packages/decisions/AdmissionQueue.h
@@ -145,6 +145,8 @@
     auto started(const AttemptId& attempt, Moment now) -> void;
     /// Records that the request ended, or that its caller left while it waited.
     auto release(const AttemptId& attempt) -> void;
+    /// Records that the request is not sent after all: if it was granted, its permit is free again.
+    auto withdraw(const AttemptId& attempt, Moment now) -> void;
 
     /// Adapters that queued requests wait for and that are not ready, in the order in which to load them: first the
     /// adapters with a request that would still be on time after a load of duration `loadTime`, by the moment at which
--- a/packages/decisions/ArrivalPermits.h
+++ b/packages/decisions/ArrivalPermits.h
@@ -51,6 +51,8 @@
     /// Takes a permit for a request of this priority, where 0 is the most urgent. While a more urgent request that was
     /// refused may come back, one permit is left for it.
     [[nodiscard]] auto take(std::uint32_t priority, double cost, Moment now) -> Verdict;
+    /// Gives back a permit for a request that was not sent after all.
+    auto giveBack(double cost, Moment now) noexcept -> void { bucket_.charge(-cost, now); }
     /// Time until there is a permit for a request that comes after `ahead` others.
     [[nodiscard]] auto timeUntilPermit(std::size_t ahead, Moment now) const noexcept -> Duration;
     /// Returns the retry delay for a request that is refused because its permit would come too late.
--- a/packages/serving/AgentLink.cpp
+++ b/packages/serving/AgentLink.cpp
@@ -347,7 +347,9 @@
     KJ_IF_MAYBE (client, session_->client) {
         auto call = client->releaseRequest();
         call.setAttempt(attempt.str());
-        call.setEnd(static_cast<wire::schema::RunEnd>(end));
+        const auto unsent = end == RunEnd::Unsent;
+        call.setUnsent(unsent);
+        call.setEnd(unsent ? wire::schema::RunEnd::PLAIN : static_cast<wire::schema::RunEnd>(end));
         detail::sendOneWay(loop_, call);
     }
 }
@@ -442,6 +444,18 @@
     return KJ_EXCEPTION(DISCONNECTED, "no session with the agent");
 }
 
+auto AgentLink::returnPermit(const ReplicaRateLimit& limit, bool standIn) -> void
+{
+    if (!session_)
+        return;
+    KJ_IF_MAYBE (client, session_->client) {
+        auto call = client->returnPermitRequest();
+        detail::fill(call.initStatement(), limit, loop_.timers().now());
+        call.setStandIn(standIn);
+        detail::sendOneWay(loop_, call);
+    }
+}
+
 auto AgentLink::noteLeaving(const ReplicaStart& start) -> void
 {
     if (!session_)
--- a/packages/serving/AgentLink.h
+++ b/packages/serving/AgentLink.h
@@ -98,11 +98,19 @@
     double level = 0;
 };
 
+/// The agent that has granted a permit; whether it did so in place of another one.
+struct PermitKeeper {
+    Endpoint agent;
+    bool standIn = false;
+};
+
 /// Whether a request may be sent to a replica with a rate limit.
 struct PermitDecision {
     bool granted = false;
     /// When to ask again, for this request or another one.
     milliseconds askAgainAfter { 0 };
+    /// Empty if the permit is from this entry's own share.
+    std::optional<PermitKeeper> keeper {};
 };
 
 /// Data that an entry announces to every agent with which it has a session.
@@ -187,6 +195,8 @@
     /// session is lost.
     [[nodiscard]] auto takePermit(const ReplicaRateLimit& limit, std::uint32_t priority, bool standIn)
         -> kj::Promise<PermitDecision>;
+    /// Gives back a permit for a request that is not sent after all.
+    auto returnPermit(const ReplicaRateLimit& limit, bool standIn) -> void;
     /// Reports that the agent's replica has said that it leaves.
     auto noteLeaving(const ReplicaStart& start) -> void;
     [[nodiscard]] auto endpoint() const noexcept -> const Endpoint& { return endpoint_; }
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -96,10 +96,11 @@
 
     auto release(ReleaseContext context) -> kj::Promise<void> override
     {
-        const auto attempt = AttemptId(context.getParams().getAttempt().cStr());
+        const auto params = context.getParams();
+        const auto attempt = AttemptId(params.getAttempt().cStr());
         attempts_.erase(attempt);
         role_.pendingAdmissions_.erase(attempt);
-        role_.agent_.release(attempt, static_cast<RunEnd>(context.getParams().getEnd()));
+        role_.agent_.release(attempt, params.getUnsent() ? RunEnd::Unsent : static_cast<RunEnd>(params.getEnd()));
         role_.publisher_.changed();
         return kj::READY_NOW;
     }
@@ -170,8 +171,7 @@
         // The entry has not heard yet that the limit has ended.
         auto verdict = decisions::ArrivalPermits::Verdict { .granted = true };
         if (arrivals && arrivals->limited())
-            verdict = arrivals->permits().take(
-                params.getPriority(), params.getStandIn() ? decisions::ArrivalPermits::standInCost : 1, now);
+            verdict = arrivals->permits().take(params.getPriority(), permitCost(params.getStandIn()), now);
         role_.metrics_.count("eelgrass_permits_total",
             { { "granted", verdict.granted ? "yes" : "no" }, { "stand_in", params.getStandIn() ? "yes" : "no" } });
         context.getResults().setGranted(verdict.granted);
@@ -187,7 +187,19 @@
         return kj::READY_NOW;
     }
 
+    auto returnPermit(ReturnPermitContext context) -> kj::Promise<void> override
+    {
+        const auto params = context.getParams();
+        const auto now = role_.loop_.timers().now();
+        auto* arrivals = role_.keptRateLimits_.find(detail::readRateLimit(params.getStatement(), now).start);
+        if (arrivals && arrivals->limited())
+            arrivals->permits().giveBack(permitCost(params.getStandIn()), now);
+        return kj::READY_NOW;
+    }
+
 private:
+    static auto permitCost(bool standIn) -> double { return standIn ? decisions::ArrivalPermits::standInCost : 1; }
+
     AgentRole& role_;
     std::string entry_;
     bool sameZone_;
--- a/packages/serving/RateLimits.cpp
+++ b/packages/serving/RateLimits.cpp
@@ -85,6 +85,17 @@
         });
 }
 
+auto RateLimits::giveBack(const Replica& replica, const PermitDecision& decision) -> void
+{
+    if (!decision.granted || !decision.keeper || !replica.rateLimit().last())
+        return;
+    const auto limit = ReplicaRateLimit { replica.record().start, *replica.rateLimit().last() };
+    for (const auto& [instance, other] : directory_.all()) {
+        if (other->agent() && other->agent()->endpoint() == decision.keeper->agent)
+            return other->agent()->returnPermit(limit, decision.keeper->standIn);
+    }
+}
+
 auto RateLimits::askNextKeeper(ReplicaRateLimit limit, std::uint32_t priority, std::vector<Keeper> keepers)
     -> kj::Promise<kj::Maybe<PermitDecision>>
 {
@@ -94,8 +105,11 @@
     const auto keeper = keepers.front();
     auto asked = keeper.agent->takePermit(limit, priority, keeper.standIn);
     return agents_.answerOf(*keeper.agent, kj::mv(asked))
-        .then([this, limit, priority, number = keepers.size()](
+        .then([this, limit, priority, number = keepers.size(),
+                  by = PermitKeeper { keeper.agent->endpoint(), keeper.standIn }](
                   kj::Maybe<PermitDecision>&& decision) -> kj::Promise<kj::Maybe<PermitDecision>> {
+            KJ_IF_MAYBE (given, decision)
+                given->keeper = by;
             if (decision != nullptr || number == 1)
                 return kj::mv(decision);
             // The agents may have changed meanwhile, so they are chosen anew.
--- a/packages/serving/RateLimits.h
+++ b/packages/serving/RateLimits.h
@@ -44,6 +44,8 @@
     /// Asks for a permit to send a request to a replica whose own agent does not admit it. The promise never rejects.
     [[nodiscard]] auto take(const Replica& replica, std::uint32_t priority, std::size_t entries)
         -> kj::Promise<PermitDecision>;
+    /// Gives back a granted permit for a request that is not sent after all.
+    auto giveBack(const Replica& replica, const PermitDecision& decision) -> void;
     /// Returns when a client may come back whose request is refused because of the replica's limit; later for each one,
     /// so that not all of them return for the same permit.
     [[nodiscard]] auto retryAfter(const Replica& replica) -> milliseconds;
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -466,7 +466,7 @@
     const auto grantedAt = queue_.grantedAt(attempt);
     if (!grantedAt)
         return;
-    if (end == RunEnd::Plain)
+    if (end == RunEnd::Plain || end == RunEnd::Unsent)
         return breaker_.endedWithoutResult(*grantedAt);
     if (end == RunEnd::Failed)
         return breaker_.failed(now);
@@ -487,7 +487,10 @@
     recordRunEnd(attempt, end);
     if (const auto adapter = queue_.adapterOf(attempt); adapter && slots_)
         slots_->unpin(modelName(*adapter));
-    queue_.release(attempt);
+    if (end == RunEnd::Unsent)
+        queue_.withdraw(attempt, loop_.timers().now());
+    else
+        queue_.release(attempt);
     runPendingWork();
 }
 
--- a/packages/serving/RequestAnswer.cpp
+++ b/packages/serving/RequestAnswer.cpp
@@ -154,7 +154,8 @@
 {
     gateway_.availability.countWithheld(*replica_);
     logDecision("send withheld", replica_->leaving() ? "replica leaving" : restReason);
-    releaseReplica(false);
+    returnPermit();
+    releaseReplica(false, RunEnd::Unsent);
     --sends_;
     nextSendCharged_ = true;
     waitTimer_ = gateway_.loop.timers().after(Duration(0), guarded(&RequestRun::place));
--- a/packages/serving/RequestPlacing.cpp
+++ b/packages/serving/RequestPlacing.cpp
@@ -211,7 +211,7 @@
     waitTimer_.cancel();
     if (finished_) {
         if (result.granted)
-            replica_->agent()->release(metadata_.attempt);
+            replica_->agent()->release(metadata_.attempt, RunEnd::Unsent);
         return;
     }
     // The replica may have asked for rest or begun to drain while the request waited for admission.
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -213,6 +213,7 @@
     connection_ = replica_->pool().take(nonRepeatable);
     if (!connection_->usable()) {
         connection_.reset();
+        returnPermit();
         tried_.insert(replica_->id());
         return retry("no connection");
     }
@@ -271,10 +272,11 @@
 {
     silenceTimer_.cancel();
     if (admittingAgent_)
-        admittingAgent_->release(metadata_.attempt, firstEventSeen_ ? RunEnd::Plain : end);
+        admittingAgent_->release(metadata_.attempt, firstEventSeen_ && end != RunEnd::Unsent ? RunEnd::Plain : end);
     admittingAgent_ = nullptr;
     if (!connection_)
         return;
+    permit_.reset();
     replica_->requestEnded();
     if (!keepConnection)
         connection_->abort();
@@ -357,8 +359,9 @@
     silenceTimer_.cancel();
     waitTimer_.cancel();
     replicaClosed_.reset();
+    returnPermit();
     if (admittingAgent_)
-        admittingAgent_->release(metadata_.attempt);
+        admittingAgent_->release(metadata_.attempt, RunEnd::Unsent);
     admittingAgent_ = nullptr;
     // A refused request has not run.
     if (charged_ && outcome == "refused")
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -75,6 +75,8 @@
     /// Asks for a permit to send to a replica with a rate limit, where no agent of its own admits the request.
     auto requestPermit() -> void;
     auto onPermitDecision(const PermitDecision& decision) -> void;
+    /// Gives back the permit of a request that is not sent after all.
+    auto returnPermit() -> void;
     auto admit() -> void;
     auto onAdmitResult(const AdmitResult& result) -> void;
     /// Called when the replica refused admission because the request would start late. Moves the request to a replica
@@ -155,6 +157,8 @@
     /// Number of admissions requested so far; an answer with an older number belongs to an abandoned admission.
     std::uint32_t admissionCount_ = 0;
     AgentLink* admittingAgent_ = nullptr;
+    /// The permit to send the request to `replica_`, if an agent other than its own has granted one.
+    std::optional<PermitDecision> permit_;
     /// While the request waits at `replica_`: told when that wants no more requests.
     Subscribers::Subscription replicaClosed_;
     /// When the pending admission was requested.
--- a/packages/serving/RequestWaiting.cpp
+++ b/packages/serving/RequestWaiting.cpp
@@ -24,29 +24,35 @@
 {
     watchReplica();
     const auto number = ++admissionCount_;
-    admission_ = gateway_.rateLimits.take(*replica_, priority(), gateway_.entries)
-                     .then([this, number](PermitDecision&& decision) {
-                         gateway_.deferred.add([self = shared_from_this(), decision, number] {
-                             if (number == self->admissionCount_)
-                                 self->onPermitDecision(decision);
-                         });
-                     })
-                     .eagerlyEvaluate([](kj::Exception&& error) {
-                         log::error("permit request failed", { { "reason", error.getDescription().cStr() } });
-                     });
+    // Not dropped when the request stops waiting for it, so that the permit can be given back.
+    gateway_.loop.spawn(gateway_.rateLimits.take(*replica_, priority(), gateway_.entries)
+                            .then([self = shared_from_this(), replica = replica_, number](PermitDecision&& decision) {
+                                self->gateway_.deferred.add([self, replica, decision, number] {
+                                    if (number == self->admissionCount_ && !self->finished_)
+                                        self->onPermitDecision(decision);
+                                    else
+                                        self->gateway_.rateLimits.giveBack(*replica, decision);
+                                });
+                            }));
 }
 
 auto RequestRun::onPermitDecision(const PermitDecision& decision) -> void
 {
-    if (finished_)
-        return;
-    if (decision.granted)
+    if (decision.granted) {
+        permit_ = decision;
         return send(std::nullopt);
+    }
     replica_->permitRefused(gateway_.now(), decision.askAgainAfter);
     logDecision("permit refused", rateLimitReason);
     place();
 }
 
+auto RequestRun::returnPermit() -> void
+{
+    if (permit_)
+        gateway_.rateLimits.giveBack(*replica_, *std::exchange(permit_, std::nullopt));
+}
+
 auto RequestRun::openSession() -> void
 {
     watchReplica();
@@ -111,8 +117,9 @@
     replicaClosed_.reset();
     ++admissionCount_;
     waitTimer_.cancel();
+    returnPermit();
     if (admittingAgent_)
-        admittingAgent_->release(metadata_.attempt);
+        admittingAgent_->release(metadata_.attempt, RunEnd::Unsent);
     admittingAgent_ = nullptr;
     if (finished_)
         return;
--- a/packages/serving/Types.h
+++ b/packages/serving/Types.h
@@ -156,6 +156,8 @@
     Failed,
     /// The connection broke, or the replica stayed silent, before the first event.
     Broke,
+    /// The request was granted and not sent after all.
+    Unsent,
 };
 
 /// A replica as the platform's list describes it.
--- a/packages/wire/Agent.capnp
+++ b/packages/wire/Agent.capnp
@@ -166,7 +166,8 @@
   # The first event came: the prompt has been read.
   started @1 (attempt :Text);
   # The request is over at the replica, or was never sent.
-  release @2 (attempt :Text, end :RunEnd);
+  # `unsent`: granted and not sent after all, so that its permit and its place go to another one.
+  release @2 (attempt :Text, end :RunEnd, unsent :Bool);
   # This entry is at this configuration; `limits` are its figures for the replica's service. `readerWeight` is its
   # preference as the zone's reader: the entry with the greatest reads the store; 0 while the store does not serve it.
   configured @3 (version :UInt64, holder :Text, limits :List(EngineLimits), readerWeight :Float64);
@@ -184,6 +185,8 @@
   takePermit @8 (statement :RateLimitStatement, priority :UInt32, standIn :Bool) -> (granted :Bool, askAgainAfterMs :UInt32);
   # An answer of this agent's replica said that this start of it leaves.
   noteLeaving @9 (instance :Text, birth :UInt64);
+  # The request for which this permit was granted is not sent after all.
+  returnPermit @10 (statement :RateLimitStatement, standIn :Bool);
 }
 
 # The bootstrap of the process beside a replica.
--- a/tests/integration/RateLimits.cpp
+++ b/tests/integration/RateLimits.cpp
@@ -297,3 +297,29 @@
     (void)limited.burst("/resumable/x", 30);
     BOOST_TEST(engine.arrivals().size() <= before + 4);
 }
+
+// Guards against permits that are lost with requests which are not sent after all: the agent that counts for a replica
+// without one gets them back.
+BOOST_AUTO_TEST_CASE(permit_of_a_request_that_is_not_sent_goes_to_another)
+{
+    auto world = ServingWorld(1, 1);
+    (void)world.startGateway();
+    auto link = serving::AgentLink(world.loop(), world.gateway().directory().all().begin()->second->agent()->endpoint(),
+        { .entry = "entry", .zone = AvailabilityZone("zone-1") },
+        { .onState = [] {},
+            .onFigures = [] {},
+            .onRateLimits = [](const auto&) {},
+            .knownRateLimit = [] { return std::optional<serving::ReplicaRateLimit>(); } });
+    link.setSessionPolicy(decisions::SessionPolicy::Hub);
+    BOOST_REQUIRE(world.until([&] { return link.alive(); }));
+    const auto now = world.loop().timers().now();
+    const auto limit = serving::ReplicaRateLimit { { serving::InstanceId("plain-0") }, { 0.5, now, now } };
+    const auto granted = [&] { return world.loop().wait(link.takePermit(limit, 1, false)).granted; };
+    BOOST_TEST(!granted());
+    world.wait(2100ms);
+    BOOST_TEST(granted());
+    BOOST_TEST(!granted());
+    link.returnPermit(limit, false);
+    BOOST_TEST(granted());
+    BOOST_TEST(!granted());
+}
--- a/tests/unit/AdmissionRateLimit.cpp
+++ b/tests/unit/AdmissionRateLimit.cpp
@@ -117,3 +117,21 @@
     BOOST_TEST((queue.nextPermit(start + 550ms) == Duration(0)));
     BOOST_TEST((queue.permitWait(start + 550ms) == Duration(0)));
 }
+
+// Guards against permits that are lost with requests which were granted and are not sent after all.
+BOOST_AUTO_TEST_CASE(withdrawn_request_gives_its_permit_to_the_next)
+{
+    auto queue = limitedQueue(0.5);
+    const auto now = start + 2s;
+    (void)queue.offer(request("first", now, 800ms, 4s), ready, Duration(0), now);
+    (void)queue.offer(request("second", now, 800ms, 4s), ready, Duration(0), now);
+    BOOST_REQUIRE(queue.grant(ready, now).size() == 1U);
+    BOOST_TEST(queue.grant(ready, now + 100ms).empty());
+    queue.withdraw(AttemptId("first"), now + 100ms);
+    BOOST_TEST(names(queue.grant(ready, now + 100ms)).size() == 1U);
+    // One that still waits had no permit to give back.
+    (void)queue.offer(request("third", now, 800ms, 4s), ready, Duration(0), now + 100ms);
+    (void)queue.offer(request("fourth", now, 800ms, 4s), ready, Duration(0), now + 100ms);
+    queue.withdraw(AttemptId("third"), now + 100ms);
+    BOOST_TEST(queue.grant(ready, now + 100ms).empty());
+}
