Fix: an agent that its replica asks for rest makes no call until the end

Callers would see: late loads of adapters, as the replica is kept busy turning its agent's calls away.

Cause: an agent read only the status of a refused report, health check or order: it asked for the report and the name again after 250 ms, and sent a refused order again at once, since each answer to an order is followed by a report and that by the next order.

Change: the agent reads the rest in every answer to its calls and makes none until its end. What other hosts may send is untouched.

Evidence: an_agent_that_is_asked_for_rest_makes_no_call_until_the_end failed before (3 calls in 0.8 s of rest) and passes.

--- a/packages/serving/AgentOrders.cpp
+++ b/packages/serving/AgentOrders.cpp
@@ -134,6 +134,8 @@
 {
     orderInFlight_ = false;
     const auto outcome = hosting::orderOutcome(answer);
+    if (outcome != hosting::OrderOutcome::OtherInstance)
+        noteAvailability(answer);
     const auto unload = order.kind == hosting::ReplicaOrder::Kind::Unload;
     log::info("order response",
         { { "operation", unload ? "unload" : "load" }, { "adapter", order.adapter.str() },
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -3,6 +3,7 @@
 #include "base/Log.h"
 #include "decisions/Rendezvous.h"
 #include "platform/AnswerHeaders.h"
+#include "serving/AvailabilityRecord.h"
 #include "serving/detail/RunLimits.h"
 #include "serving/detail/SlotNames.h"
 
@@ -140,7 +141,8 @@
 
 auto ReplicaAgent::requestReport() -> void
 {
-    if (std::exchange(reportInFlight_, true))
+    // The timer of the rest asks when it is over.
+    if (resting() || std::exchange(reportInFlight_, true))
         return;
     reportTimer_.cancel();
     reportWork_ = replica_.call(hosting::reportCall(reportTimeout))
@@ -164,8 +166,10 @@
             log::error("report not valid", { { "reason", error.message() } });
             return std::nullopt;
         });
-    if (answer.status != ok || !read)
+    if (answer.status != ok || !read) {
+        noteAvailability(answer);
         return handleReportFailure("status " + std::to_string(answer.status));
+    }
     if (isFromLaterStart(*read))
         resetReplicaState("started again");
     // The report may be slightly older than the answer to the last order.
@@ -225,12 +229,13 @@
 
 auto ReplicaAgent::identify() -> void
 {
-    if (identifying_ || healthPath_.empty())
+    if (identifying_ || healthPath_.empty() || resting())
         return;
     identifying_ = true;
     identityWork_ = replica_.call({ .target = healthPath_, .timeout = identificationTimeout })
                         .then(
                             [this](wire::HttpAnswer&& answer) {
+                                noteAvailability(answer);
                                 instance_ = hosting::answeredBy(answer);
                                 identified(instance_.empty() ? "status " + std::to_string(answer.status) : "");
                             },
@@ -278,10 +283,28 @@
 auto ReplicaAgent::noteAvailability(const wire::HttpAnswer& answer) -> void
 {
     const auto said = hosting::readAvailability(answer.status, answer.fields);
+    recordInvalidAvailability(instance_, said);
+    if (said.rest)
+        applyRest(*said.rest, "answer");
     if (said.leaving)
         noteLeaving({ instance_, startTime() }, "answer");
 }
 
+/// Only the calls of this process stop: what other hosts may send is between them and the replica.
+auto ReplicaAgent::applyRest(Duration length, std::string_view source) -> void
+{
+    const auto now = loop_.timers().now();
+    const auto extended = rest_.resting(now);
+    if (!rest_.ask(length, Duration(0), now))
+        return;
+    const auto left = *rest_.end() - now;
+    recordRest(instance_, left, extended, source);
+    restTimer_ = loop_.timers().after(left, [this, askedAt = now] {
+        recordRestEnd(instance_, loop_.timers().now() - askedAt, "over");
+        requestReport();
+    });
+}
+
 auto ReplicaAgent::noteLeaving(const ReplicaStart& start, std::string_view source) -> void
 {
     if (leaving_ || !mayBeCurrentStart(start))
@@ -511,7 +534,7 @@
     updateLoadTime();
     if (report_ && instance_.empty())
         identify();
-    const auto ordersPaused = leaving_ || loop_.timers().now() < ordersPausedUntil_;
+    const auto ordersPaused = leaving_ || resting() || loop_.timers().now() < ordersPausedUntil_;
     if (!orderInFlight_ && !ordersPaused && fencingState_ == FencingState::Held && report_ && !instance_.empty()) {
         if (auto next = nextOrder())
             sendOrder(std::move(*next));
--- a/packages/serving/ReplicaAgent.h
+++ b/packages/serving/ReplicaAgent.h
@@ -6,6 +6,7 @@
 #include "decisions/KnownPrefixes.h"
 #include "decisions/LoadConcurrency.h"
 #include "decisions/RecentAdapters.h"
+#include "decisions/RequestedRest.h"
 #include "platform/Documents.h"
 #include "platform/Store.h"
 #include "serving/RateLimitMessages.h"
@@ -111,6 +112,8 @@
     [[nodiscard]] auto isFromLaterStart(const hosting::ReplicaReport& read) const -> bool;
     /// Notes what an answer to one of this agent's calls says about the replica's availability.
     auto noteAvailability(const wire::HttpAnswer& answer) -> void;
+    auto applyRest(Duration length, std::string_view source) -> void;
+    [[nodiscard]] auto resting() const -> bool { return rest_.resting(loop_.timers().now()); }
     [[nodiscard]] auto firstFencingDelay() const -> Duration;
     auto handleReportFailure(const std::string& reason) -> void;
     /// Asks the replica for its instance name. Each order carries this name, so that an instance with another name that
@@ -198,6 +201,9 @@
     /// The start whose rate limit is in the queue.
     ReplicaStart rateLimitOf_;
     bool leaving_ = false;
+    /// The rest that the replica has asked this host for. No call is made meanwhile.
+    decisions::RequestedRest rest_;
+    Timer restTimer_;
     std::optional<hosting::ReplicaReport> report_;
     Moment reportedAt_ {};
     std::uint32_t reportFailures_ = 0;
--- a/packages/serving/ReplicaAvailability.cpp
+++ b/packages/serving/ReplicaAvailability.cpp
@@ -1,7 +1,7 @@
 #include "serving/ReplicaAvailability.h"
 
-#include "base/Log.h"
 #include "decisions/Rendezvous.h"
+#include "serving/AvailabilityRecord.h"
 
 #include <limits>
 
@@ -14,11 +14,6 @@
 constexpr auto restGauge = "eelgrass_replica_at_rest";
 constexpr auto leavingGauge = "eelgrass_replica_leaving";
 
-auto millisecondsText(Duration time) -> std::string
-{
-    return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
-}
-
 /// Places this host among those that rest together at a replica, from 0 to 1.
 auto positionOf(std::uint64_t host, const Replica& replica) -> double
 {
@@ -43,26 +38,13 @@
     if (answer.otherInstance || (!answer.instance.empty() && answer.instance != replica.id()))
         return;
     const auto& said = answer.availability;
-    reportInvalid(replica, said);
+    recordInvalidAvailability(replica.id(), said);
     if (said.rest)
         applyRest(replica, *said.rest, hosts, "answer");
     if (said.leaving && !replica.leaving())
         applyLeaving(replica, "answer");
 }
 
-auto ReplicaAvailability::reportInvalid(const Replica& replica, const hosting::AvailabilityStatement& said) const
-    -> void
-{
-    const auto tooLong = said.rest && *said.rest > RequestedRest::maxRest;
-    const auto problem = tooLong ? std::string_view("longer than is granted") : said.restProblem;
-    if (!problem.empty())
-        log::warn("replica rest invalid",
-            { { "replica", replica.id().str() }, { "reason", std::string(problem) },
-                { "rest_ms", said.rest ? millisecondsText(std::min(*said.rest, RequestedRest::maxRest)) : "" } });
-    if (said.leavingInvalid)
-        log::warn("replica leaving invalid", { { "replica", replica.id().str() } });
-}
-
 auto ReplicaAvailability::applyRest(Replica& replica, Duration length, std::size_t hosts, std::string_view source)
     -> void
 {
@@ -71,9 +53,7 @@
     const auto delay = RequestedRest::startDelay(length, hosts, positionOf(hostHash_, replica));
     if (!replica.askForRest(length, delay, now))
         return;
-    log::info(extended ? "replica rest extended" : "replica rest requested",
-        { { "replica", replica.id().str() }, { "rest_ms", millisecondsText(*replica.rest().end() - now) },
-            { "source", std::string(source) } });
+    recordRest(replica.id(), *replica.rest().end() - now, extended, source);
     metrics_.count("eelgrass_replica_rests_total", { { "source", std::string(source) } });
     metrics_.set(restGauge, { { "replica", replica.id().str() } }, 1);
     rests_[replica.id()] = { replica.record().start, now };
@@ -104,9 +84,7 @@
         const auto* replica = find(rest.start);
         if (replica && replica->rest().resting(now))
             return false;
-        log::info("replica rest ended",
-            { { "replica", id.str() }, { "reason", replica ? "over" : "replica removed" },
-                { "age_ms", millisecondsText(now - rest.askedAt) } });
+        recordRestEnd(id, now - rest.askedAt, replica ? "over" : "replica removed");
         metrics_.unset(restGauge, { { "replica", id.str() } });
         return true;
     });
--- a/packages/serving/ReplicaAvailability.h
+++ b/packages/serving/ReplicaAvailability.h
@@ -42,7 +42,6 @@
     auto countSend(const Replica& replica) -> void;
 
 private:
-    auto reportInvalid(const Replica& replica, const hosting::AvailabilityStatement& said) const -> void;
     auto applyRest(Replica& replica, Duration length, std::size_t hosts, std::string_view source) -> void;
 
     auto applyLeaving(Replica& replica, std::string_view source) -> void;
--- a/tests/integration/RequestedRests.cpp
+++ b/tests/integration/RequestedRests.cpp
@@ -277,3 +277,24 @@
     BOOST_TEST((*known->rest().end() - resting.now() <= decisions::RequestedRest::maxRest));
     BOOST_TEST((*known->rest().end() - resting.now() > decisions::RequestedRest::maxRest - 1s));
 }
+
+// Guards against an agent that goes on to call a replica which turns its calls away and asks for rest: with reports,
+// health checks, and an order again and again.
+BOOST_AUTO_TEST_CASE(an_agent_that_is_asked_for_rest_makes_no_call_until_the_end)
+{
+    auto resting = Resting(1, 0, 1);
+    auto& engine = resting.world.engine(0);
+    // An adapter that is not there wants an order.
+    auto waiting = resting.world.begin({ .attempt = resting.nextAttempt(), .adapter = "a3" });
+    engine.askCallersForRest("1");
+    const auto before = engine.calls().size();
+    BOOST_REQUIRE(resting.world.until([&] { return engine.calls().size() > before; }));
+    resting.world.wait(50ms);
+    const auto heard = engine.calls().size();
+    resting.world.wait(800ms);
+    BOOST_TEST(engine.calls().size() == heard);
+    engine.askCallersForRest({});
+    BOOST_TEST(resting.world.until([&] { return engine.calls().size() > heard + 1; }));
+    (void)resting.world.loop().wait(kj::mv(waiting));
+    BOOST_TEST(resting.world.until([&] { return resting.ask("/resumable/x").status == 200; }));
+}
