Fix: entry and agent on one host keep to the same rest

Callers would see nothing; the replica would get requests from a host that it had asked for rest, by the other process there.

Change: an entry whose address is that of the replica's agent tells it of a rest (noteHostRest), and the agent publishes those that it has been asked for. Entries of other hosts pass them over. What agents publish is applied in one place (ReplicaAvailability::applyPublished), leaving too.

--- a/packages/serving/AgentLink.cpp
+++ b/packages/serving/AgentLink.cpp
@@ -279,6 +279,7 @@
     state_.configHolder = state.getConfigHolder().cStr();
     state_.reader = state.getReader().cStr();
     state_.leaving = state.getLeaving();
+    state_.hostRestUntil = loop_.timers().now() + milliseconds(state.getHostRestMs());
     state_.suspects.clear();
     for (auto suspect : state.getSuspects())
         state_.suspects.emplace(suspect.getDigest().cStr(), suspect.getBreaks());
@@ -456,6 +457,19 @@
     }
 }
 
+auto AgentLink::noteHostRest(const ReplicaStart& start, Duration length) -> void
+{
+    if (!session_)
+        return;
+    KJ_IF_MAYBE (client, session_->client) {
+        auto call = client->noteHostRestRequest();
+        call.setInstance(start.instance.str());
+        call.setBirth(start.startTime.value());
+        call.setRestMs(static_cast<std::uint32_t>(std::chrono::ceil<milliseconds>(length).count()));
+        detail::sendOneWay(loop_, call);
+    }
+}
+
 auto AgentLink::noteLeaving(const ReplicaStart& start) -> void
 {
     if (!session_)
--- a/packages/serving/AgentLink.h
+++ b/packages/serving/AgentLink.h
@@ -51,6 +51,8 @@
     std::map<std::string, std::uint32_t> suspects;
     /// The replica has said that it leaves.
     bool leaving = false;
+    /// Until when the replica wants nothing from the agent's host.
+    Moment hostRestUntil {};
     Moment receivedAt {};
 };
 
@@ -197,6 +199,8 @@
         -> kj::Promise<PermitDecision>;
     /// Gives back a permit for a request that is not sent after all.
     auto returnPermit(const ReplicaRateLimit& limit, bool standIn) -> void;
+    /// Reports for how long the agent's replica wants nothing from the host that both processes are on.
+    auto noteHostRest(const ReplicaStart& start, Duration length) -> void;
     /// Reports that the agent's replica has said that it leaves.
     auto noteLeaving(const ReplicaStart& start) -> void;
     [[nodiscard]] auto endpoint() const noexcept -> const Endpoint& { return endpoint_; }
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -187,6 +187,14 @@
         return kj::READY_NOW;
     }
 
+    auto noteHostRest(NoteHostRestContext context) -> kj::Promise<void> override
+    {
+        const auto params = context.getParams();
+        role_.agent_.noteHostRest({ InstanceId(params.getInstance().cStr()), StartTime(params.getBirth()) },
+            milliseconds(params.getRestMs()), entry_);
+        return kj::READY_NOW;
+    }
+
     auto returnPermit(ReturnPermitContext context) -> kj::Promise<void> override
     {
         const auto params = context.getParams();
@@ -406,6 +414,8 @@
     auto text = agent_.instance().str() + "|" + std::to_string(agent_.startTime().value()) + "|"
         + std::to_string(configVersion_.value()) + "|" + configHolder_ + "|" + reader()
         + (agent_.leaving() ? "|leaving" : "");
+    if (const auto end = agent_.hostRestEnd())
+        text.append("|rest").append(std::to_string(end->time_since_epoch().count()));
     for (const auto& [adapter, version] : agent_.resident())
         text.append("|").append(adapter.str()).append("@").append(std::to_string(version.value()));
     for (const auto& adapter : agent_.loading())
@@ -424,6 +434,8 @@
     state.setInstance(agent_.instance().str());
     state.setBirth(agent_.startTime().value());
     state.setLeaving(agent_.leaving());
+    if (const auto end = agent_.hostRestEnd())
+        state.setHostRestMs(detail::millisecondsSince(loop_.timers().now(), *end));
     const auto resident = agent_.resident();
     auto list = state.initResident(static_cast<unsigned>(resident.size()));
     auto index = 0U;
--- a/packages/serving/GatewayRole.cpp
+++ b/packages/serving/GatewayRole.cpp
@@ -80,14 +80,14 @@
               .agentPort = settings_.host.agentPort,
               .drainBound = settings_.drainBound,
               .readerWeight = settings_.processorShare },
-          { .onState = [this](const ReplicaSnapshot& state) { onState(state); },
+          { .onState = [this](Replica& replica) { onState(replica); },
               .onLeaving = [this](Duration age) { observeInForce("leaving", age); },
               .onRateLimits = [this](const std::vector<ReplicaRateLimit>& limits,
                                   const Endpoint& agent) { rateLimits_.applyPublished(limits, agent); } })
     , suspects_(directory_)
     , quotas_(loop, directory_, settings_.quotas)
     , rateLimits_(loop, directory_, metrics_, settings_.host.name)
-    , availability_(loop, directory_, metrics_, settings_.host.name)
+    , availability_(loop, directory_, metrics_, settings_.host)
     , unknownFields_(metrics_)
     , gateway_ { loop, settings_, configuration_, directory_, metrics_, deferred_, suspects_, quotas_, rateLimits_,
         availability_, unknownFields_ }
@@ -160,8 +160,10 @@
 }
 
 /// Called for every update of every agent, so only that agent's state is examined.
-auto GatewayRole::onState(const ReplicaSnapshot& state) -> void
+auto GatewayRole::onState(Replica& replica) -> void
 {
+    availability_.applyPublished(replica);
+    const auto& state = replica.agent()->state();
     const auto& configuration = configuration_.configuration();
     if (state.configVersion <= (configuration ? configuration->version : ConfigVersion()))
         return;
--- a/packages/serving/GatewayRole.h
+++ b/packages/serving/GatewayRole.h
@@ -41,7 +41,7 @@
     class Peer;
     auto accept(wire::ObjectPtr<GSocket> socket) -> void;
     auto onConfiguration() -> void;
-    auto onState(const ReplicaSnapshot& state) -> void;
+    auto onState(Replica& replica) -> void;
     auto countEntries() -> void;
     auto askPeer(const Endpoint& peer, std::string_view why) -> void;
     /// If the store does not supply a current configuration or list, asks one peer for them, the next one at each call.
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -290,6 +290,12 @@
         noteLeaving({ instance_, startTime() }, "answer");
 }
 
+auto ReplicaAgent::noteHostRest(const ReplicaStart& start, Duration length, std::string_view source) -> void
+{
+    if (mayBeCurrentStart(start))
+        applyRest(length, source);
+}
+
 /// Only the calls of this process stop: what other hosts may send is between them and the replica.
 auto ReplicaAgent::applyRest(Duration length, std::string_view source) -> void
 {
@@ -299,6 +305,7 @@
         return;
     const auto left = *rest_.end() - now;
     recordRest(instance_, left, extended, source);
+    onChange_();
     restTimer_ = loop_.timers().after(left, [this, askedAt = now] {
         recordRestEnd(instance_, loop_.timers().now() - askedAt, "over");
         requestReport();
--- a/packages/serving/ReplicaAgent.h
+++ b/packages/serving/ReplicaAgent.h
@@ -72,6 +72,10 @@
     /// Notes that this start of the replica leaves, according to `source`. It is sent nothing more.
     auto noteLeaving(const ReplicaStart& start, std::string_view source) -> void;
     [[nodiscard]] auto leaving() const noexcept -> bool { return leaving_; }
+    /// Notes for how long this start of the replica wants nothing from this host, as `source` has heard.
+    auto noteHostRest(const ReplicaStart& start, Duration length, std::string_view source) -> void;
+    /// When the replica's last rest for this host ends or has ended; empty if it never asked for one.
+    [[nodiscard]] auto hostRestEnd() const noexcept -> std::optional<Moment> { return rest_.end(); }
 
     /// Whether the replica responds and holds its base model.
     [[nodiscard]] auto isUsable() const -> bool;
--- a/packages/serving/ReplicaAvailability.cpp
+++ b/packages/serving/ReplicaAvailability.cpp
@@ -12,6 +12,8 @@
 using decisions::RequestedRest;
 
 constexpr auto restGauge = "eelgrass_replica_at_rest";
+// Source in log lines of what an answer to this entry has said.
+constexpr auto fromAnswer = std::string_view("answer");
 constexpr auto leavingGauge = "eelgrass_replica_leaving";
 
 /// Places this host among those that rest together at a replica, from 0 to 1.
@@ -24,11 +26,12 @@
 } // namespace
 
 ReplicaAvailability::ReplicaAvailability(
-    wire::MainLoop& loop, ReplicaDirectory& directory, router::Metrics& metrics, const std::string& host)
+    wire::MainLoop& loop, ReplicaDirectory& directory, router::Metrics& metrics, const HostSettings& host)
     : loop_(loop)
     , directory_(directory)
     , metrics_(metrics)
-    , hostHash_(decisions::nameHash(host))
+    , address_(host.address)
+    , hostHash_(decisions::nameHash(host.name))
 {
 }
 
@@ -40,9 +43,9 @@
     const auto& said = answer.availability;
     recordInvalidAvailability(replica.id(), said);
     if (said.rest)
-        applyRest(replica, *said.rest, hosts, "answer");
+        applyRest(replica, *said.rest, hosts, fromAnswer);
     if (said.leaving && !replica.leaving())
-        applyLeaving(replica, "answer");
+        applyLeaving(replica, fromAnswer);
 }
 
 auto ReplicaAvailability::applyRest(Replica& replica, Duration length, std::size_t hosts, std::string_view source)
@@ -54,17 +57,38 @@
     if (!replica.askForRest(length, delay, now))
         return;
     recordRest(replica.id(), *replica.rest().end() - now, extended, source);
-    metrics_.count("eelgrass_replica_rests_total", { { "source", std::string(source) } });
+    metrics_.count("eelgrass_replica_rests_total", {});
     metrics_.set(restGauge, { { "replica", replica.id().str() } }, 1);
     rests_[replica.id()] = { replica.record().start, now };
+    if (source == fromAnswer && sharesHost(replica))
+        replica.agent()->noteHostRest(replica.record().start, *replica.rest().end() - now);
+}
+
+auto ReplicaAvailability::sharesHost(const Replica& replica) const -> bool
+{
+    return replica.agent() && replica.agent()->endpoint().address == address_;
+}
+
+auto ReplicaAvailability::applyPublished(Replica& replica) -> void
+{
+    const auto& state = replica.agent()->state();
+    if (!sameStart(state.start, replica.record().start))
+        return;
+    const auto source = replica.agent()->endpoint().str();
+    if (state.leaving && !replica.leaving())
+        applyLeaving(replica, source);
+    // Of one host there is no herd.
+    if (sharesHost(replica))
+        applyRest(replica, state.hostRestUntil - loop_.timers().now(), 1, source);
 }
 
 auto ReplicaAvailability::applyLeaving(Replica& replica, std::string_view source) -> void
 {
     directory_.markLeaving(replica, source, Duration(0));
-    if (replica.agent())
+    const auto heardHere = source == fromAnswer;
+    if (replica.agent() && heardHere)
         replica.agent()->noteLeaving(replica.record().start);
-    metrics_.count("eelgrass_replica_leavings_total", { { "source", std::string(source) } });
+    metrics_.count("eelgrass_replica_leavings_total", { { "source", heardHere ? "answer" : "agent" } });
     metrics_.set(leavingGauge, { { "replica", replica.id().str() } }, 1);
     leaving_[replica.id()] = replica.record().start;
 }
--- a/packages/serving/ReplicaDirectory.cpp
+++ b/packages/serving/ReplicaDirectory.cpp
@@ -343,11 +343,8 @@
                                             if (!held)
                                                 return;
                                             held->agentReported();
-                                            const auto& state = held->agent()->state();
-                                            if (state.leaving && sameStart(state.start, held->record().start))
-                                                markLeaving(*held, held->agent()->endpoint().str(), Duration(0));
                                             held->noteResidentAdapters(held->agent()->state().resident, mostWarm);
-                                            hooks_.onState(held->agent()->state());
+                                            hooks_.onState(*held);
                                         },
         .onFigures =
             [weak] {
--- a/packages/serving/ReplicaDirectory.h
+++ b/packages/serving/ReplicaDirectory.h
@@ -24,8 +24,8 @@
 class ReplicaDirectory {
 public:
     struct Hooks {
-        /// An agent sent the state of its replica.
-        std::function<void(const ReplicaSnapshot&)> onState;
+        /// The agent of this replica sent its state.
+        std::function<void(Replica&)> onState;
         /// A replica is leaving and gets no new requests. `age` is the time since the list that showed it was read.
         std::function<void(Duration age)> onLeaving {};
         /// An agent published rate limits, of its own replica or of others.
--- a/packages/wire/Agent.capnp
+++ b/packages/wire/Agent.capnp
@@ -53,6 +53,8 @@
   rateLimits @22 :List(RateLimitStatement);
   # The replica has said in an answer that it leaves.
   leaving @23 :Bool;
+  # How much longer the replica wants nothing from the agent's host, for an entry on that host; 0 if it has not asked.
+  hostRestMs @24 :UInt32;
 }
 
 # What an answer of a replica says about its rate limit.
@@ -187,6 +189,8 @@
   noteLeaving @9 (instance :Text, birth :UInt64);
   # The request for which this permit was granted is not sent after all.
   returnPermit @10 (statement :RateLimitStatement, standIn :Bool);
+  # This start of the agent's replica wants nothing from this host for so long. Sent by an entry on the agent's host.
+  noteHostRest @11 (instance :Text, birth :UInt64, restMs :UInt32);
 }
 
 # The bootstrap of the process beside a replica.
--- a/tests/integration/RequestedRests.cpp
+++ b/tests/integration/RequestedRests.cpp
@@ -298,3 +298,36 @@
     (void)resting.world.loop().wait(kj::mv(waiting));
     BOOST_TEST(resting.world.until([&] { return resting.ask("/resumable/x").status == 200; }));
 }
+
+// Guards against two processes of one host of which only one keeps to the rest that the host was asked for.
+BOOST_AUTO_TEST_CASE(entry_and_agent_on_one_host_keep_to_the_same_rest)
+{
+    auto resting = Resting(1, 0, 0);
+    auto& engine = resting.world.engine(0);
+    auto& gateway = resting.world.startGateway(true, "zone-1", engine.endpoint().address);
+    resting.letRest(engine, "1", "/resumable/x");
+    resting.world.wait(50ms);
+    const auto calls = engine.calls().size();
+    resting.world.wait(700ms);
+    BOOST_TEST(engine.calls().size() == calls);
+
+    BOOST_REQUIRE(resting.world.until([&] { return resting.ask("/resumable/x").status == 200; }));
+    engine.askCallersForRest("1");
+    const auto known = gateway.directory().all().begin()->second;
+    BOOST_REQUIRE(resting.world.until([&] { return known->rest().resting(resting.now()); }));
+    engine.askCallersForRest({});
+    BOOST_TEST(resting.arrivalsWhileAsking(engine, "/resumable/x", 600ms) == 0U);
+    BOOST_TEST(resting.world.until([&] { return resting.ask("/resumable/x").status == 200; }));
+}
+
+// The same is not asked of an entry on another host.
+BOOST_AUTO_TEST_CASE(an_agents_rest_does_not_hold_for_entries_of_other_hosts)
+{
+    auto resting = Resting(1, 0, 1);
+    auto& engine = resting.world.engine(0);
+    engine.askCallersForRest("2");
+    const auto before = engine.calls().size();
+    BOOST_REQUIRE(resting.world.until([&] { return engine.calls().size() > before; }));
+    resting.world.wait(100ms);
+    BOOST_TEST(!resting.world.gateway().directory().all().begin()->second->rest().end().has_value());
+}
