--- a/packages/serving/AgentLink.cpp
+++ b/packages/serving/AgentLink.cpp
@@ -329,42 +329,44 @@
     return KJ_EXCEPTION(DISCONNECTED, "no session with the agent");
 }
 
-auto AgentLink::started(const AttemptId& attempt) -> void
+template <typename Use> auto AgentLink::withClient(Use&& use) -> void
 {
     if (!session_)
         return;
-    KJ_IF_MAYBE (client, session_->client) {
-        auto call = client->startedRequest();
+    KJ_IF_MAYBE (client, session_->client)
+        use(*client);
+}
+
+auto AgentLink::started(const AttemptId& attempt) -> void
+{
+    withClient([&](wire::schema::AgentSession::Client& client) {
+        auto call = client.startedRequest();
         call.setAttempt(attempt.str());
         detail::sendOneWay(loop_, call);
-    }
+    });
 }
 
 auto AgentLink::release(const AttemptId& attempt, RunEnd end) -> void
 {
     granted_.erase(attempt);
-    if (!session_)
-        return;
-    KJ_IF_MAYBE (client, session_->client) {
-        auto call = client->releaseRequest();
+    withClient([&](wire::schema::AgentSession::Client& client) {
+        auto call = client.releaseRequest();
         call.setAttempt(attempt.str());
         const auto unsent = end == RunEnd::Unsent;
         call.setUnsent(unsent);
         call.setEnd(unsent ? wire::schema::RunEnd::PLAIN : static_cast<wire::schema::RunEnd>(end));
         detail::sendOneWay(loop_, call);
-    }
+    });
 }
 
 auto AgentLink::reportSuspect(const std::string& digest, bool broke) -> void
 {
-    if (!session_)
-        return;
-    KJ_IF_MAYBE (client, session_->client) {
-        auto call = client->suspectRequest();
+    withClient([&](wire::schema::AgentSession::Client& client) {
+        auto call = client.suspectRequest();
         call.setDigest(digest);
         call.setBroke(broke);
         detail::sendOneWay(loop_, call);
-    }
+    });
 }
 
 auto AgentLink::takeQuota(const QuotaCharge& charge) -> kj::Promise<QuotaDecision>
@@ -400,22 +402,17 @@
                                .catch_([](kj::Exception&&) {}));
     }
     usedAt_ = loop_.timers().now();
-    if (!session_)
-        return;
-    KJ_IF_MAYBE (client, session_->client) {
-        auto call = client->noteQuotaRequest();
+    withClient([&](wire::schema::AgentSession::Client& client) {
+        auto call = client.noteQuotaRequest();
         fill(call.initCharge(), charge);
         call.setLevel(level);
         detail::sendOneWay(loop_, call);
-    }
+    });
 }
 
 auto AgentLink::noteRateLimit(const ReplicaRateLimit& limit, bool own) -> void
 {
-    if (!session_)
-        return;
-    KJ_IF_MAYBE (client, session_->client)
-        sendRateLimit(*client, limit, own);
+    withClient([&](wire::schema::AgentSession::Client& client) { sendRateLimit(client, limit, own); });
 }
 
 auto AgentLink::sendRateLimit(wire::schema::AgentSession::Client& client, const ReplicaRateLimit& limit, bool own)
@@ -447,48 +444,39 @@
 
 auto AgentLink::returnPermit(const ReplicaRateLimit& limit, bool standIn) -> void
 {
-    if (!session_)
-        return;
-    KJ_IF_MAYBE (client, session_->client) {
-        auto call = client->returnPermitRequest();
+    withClient([&](wire::schema::AgentSession::Client& client) {
+        auto call = client.returnPermitRequest();
         detail::fill(call.initStatement(), limit, loop_.timers().now());
         call.setStandIn(standIn);
         detail::sendOneWay(loop_, call);
-    }
+    });
 }
 
 auto AgentLink::noteHostRest(const ReplicaStart& start, Duration length) -> void
 {
-    if (!session_)
-        return;
-    KJ_IF_MAYBE (client, session_->client) {
-        auto call = client->noteHostRestRequest();
+    withClient([&](wire::schema::AgentSession::Client& client) {
+        auto call = client.noteHostRestRequest();
         call.setInstance(start.instance.str());
         call.setBirth(start.startTime.value());
         call.setRestMs(static_cast<std::uint32_t>(std::chrono::ceil<milliseconds>(length).count()));
         detail::sendOneWay(loop_, call);
-    }
+    });
 }
 
 auto AgentLink::noteLeaving(const ReplicaStart& start) -> void
 {
-    if (!session_)
-        return;
-    KJ_IF_MAYBE (client, session_->client) {
-        auto call = client->noteLeavingRequest();
+    withClient([&](wire::schema::AgentSession::Client& client) {
+        auto call = client.noteLeavingRequest();
         call.setInstance(start.instance.str());
         call.setBirth(start.startTime.value());
         detail::sendOneWay(loop_, call);
-    }
+    });
 }
 
 auto AgentLink::notify(const EntryNotice& notice) -> void
 {
     notice_ = notice;
-    if (!session_)
-        return;
-    KJ_IF_MAYBE (client, session_->client)
-        sendNotice(*client);
+    withClient([&](wire::schema::AgentSession::Client& client) { sendNotice(client); });
 }
 
 auto AgentLink::sendNotice(wire::schema::AgentSession::Client& client) -> void
--- a/packages/serving/AgentLink.h
+++ b/packages/serving/AgentLink.h
@@ -232,6 +232,8 @@
     auto applyState(wire::schema::ReplicaState::Reader state) -> void;
     auto applyFigures(wire::schema::ReplicaState::Reader state) -> void;
     auto applyNames(wire::schema::ReplicaState::Reader state) -> void;
+    /// Calls `use` with the session's client, if there is one.
+    template <typename Use> auto withClient(Use&& use) -> void;
     auto sendNotice(wire::schema::AgentSession::Client& client) -> void;
     auto sendRateLimit(wire::schema::AgentSession::Client& client, const ReplicaRateLimit& limit, bool own) -> void;
 
--- /dev/null
+++ b/packages/serving/AgentReports.cpp
@@ -0,0 +1,248 @@
+// The part of ReplicaAgent that acquires the fencing token and reads what the replica says of itself: its report, its
+// name, and in any answer what it asks for.
+#include "base/Log.h"
+#include "decisions/Rendezvous.h"
+#include "platform/AnswerHeaders.h"
+#include "serving/AvailabilityRecord.h"
+#include "serving/ReplicaAgent.h"
+
+#include <algorithm>
+
+namespace eelgrass::serving {
+
+namespace {
+
+// The replica runs on this host and answers within a millisecond, so a failed call means that the replica has ended.
+constexpr auto reportTimeout = Duration(400ms);
+// While an adapter is loading, the report is read at intervals of an eighth of the time that the load has taken so far,
+// between these bounds, so that requests for the adapter start within one interval of the end of the load. A load from
+// the replica's own memory takes some 30 ms, one from the weight store ten times that; each read costs as much as
+// generating a token.
+constexpr auto minBusyInterval = Duration(15ms);
+constexpr auto maxBusyInterval = Duration(50ms);
+constexpr auto busyIntervalDivisor = 8;
+// The interval between reports when no order is in progress.
+constexpr auto idleInterval = Duration(250ms);
+// The replica is identified by its answer to a health check, which waits for a place in the replica's batch like any
+// request.
+constexpr auto identificationTimeout = Duration(1500ms);
+// How far a report may be out of date when it arrives.
+constexpr auto maxReportLag = Duration(500ms);
+constexpr auto fencingRetryDelay = Duration(500ms);
+constexpr auto fencingTable = "epoch";
+constexpr auto failedReportsUntilLost = 2U;
+
+} // namespace
+
+/// Returns a delay derived from the host name, which spreads the first writes of all agents over time.
+auto ReplicaAgent::firstFencingDelay() const -> Duration
+{
+    constexpr auto maxDelay = milliseconds(3000);
+    return milliseconds(decisions::nameHash(settings_.host.name) % static_cast<std::uint64_t>(maxDelay.count()));
+}
+
+/// Writes the token without reading the row first, as if it did not exist. If the row exists, the store answers with a
+/// conflict that contains the current row.
+auto ReplicaAgent::acquireFencingToken() -> void
+{
+    writeFencingToken({ .table = fencingTable, .key = settings_.replica.str() });
+}
+
+auto ReplicaAgent::writeFencingToken(const hosting::Row& row) -> void
+{
+    fencingState_ = FencingState::Requested;
+    const auto token = wire::decimal(row.value).value_or(0) + 1;
+    auto next = row;
+    next.value = std::to_string(token);
+    fencingWork_ = store_.transact({ .conditions = { row }, .writes = { next } })
+                       .then([this, token](hosting::StoreAnswer&& written) { fencingTokenWritten(token, written); })
+                       .eagerlyEvaluate([](kj::Exception&& error) {
+                           log::error("fencing token not acquired", { { "reason", error.getDescription().cStr() } });
+                       });
+}
+
+/// Continues from a timer, because another store call from here would replace the promise that is running this
+/// function.
+auto ReplicaAgent::fencingTokenWritten(std::uint64_t token, const hosting::StoreAnswer& answer) -> void
+{
+    if (answer.outcome == hosting::StoreOutcome::Conflict && !answer.rows.empty()) {
+        fencingTimer_
+            = loop_.timers().after(Duration(0), [this, row = answer.rows.front()] { writeFencingToken(row); });
+        return;
+    }
+    if (answer.outcome != hosting::StoreOutcome::Done) {
+        // The write may have succeeded although its answer was lost. The next attempt then sees the new token and skips
+        // a number, which is harmless.
+        log::warn("fencing token not acquired", { { "reason", answer.reason } });
+        fencingTimer_ = loop_.timers().after(fencingRetryDelay, [this] { acquireFencingToken(); });
+        return;
+    }
+    fencingToken_ = Epoch(token);
+    fencingState_ = FencingState::Held;
+    log::info("fencing token acquired", { { "token", std::to_string(token) } });
+    runPendingWork();
+}
+
+auto ReplicaAgent::requestReport() -> void
+{
+    // The timer of the rest asks when it is over.
+    if (resting() || std::exchange(reportInFlight_, true))
+        return;
+    reportTimer_.cancel();
+    reportWork_ = replica_.call(hosting::reportCall(reportTimeout))
+                      .then([this](wire::HttpAnswer&& answer) { handleReport(answer); },
+                          [this](kj::Exception&& error) { handleReportFailure(error.getDescription().cStr()); })
+                      .eagerlyEvaluate([](kj::Exception&& error) {
+                          log::error("reading the report failed", { { "reason", error.getDescription().cStr() } });
+                      });
+}
+
+auto ReplicaAgent::handleReport(const wire::HttpAnswer& answer) -> void
+{
+    reportInFlight_ = false;
+    constexpr auto ok = 200;
+    auto read = orElse(
+        [&]() -> Result<std::optional<hosting::ReplicaReport>> {
+            BOOST_LEAF_AUTO(report, hosting::readReport(answer.body));
+            return std::optional(std::move(report));
+        },
+        [&](const Error& error) -> std::optional<hosting::ReplicaReport> {
+            log::error("report not valid", { { "reason", error.message() } });
+            return std::nullopt;
+        });
+    if (answer.status != ok || !read) {
+        noteAvailability(answer);
+        return handleReportFailure("status " + std::to_string(answer.status));
+    }
+    if (isFromLaterStart(*read))
+        resetReplicaState("started again");
+    // The report may be slightly older than the answer to the last order.
+    if (report_)
+        read->sequence = std::max(read->sequence, report_->sequence);
+    reportFailures_ = 0;
+    if (!report_)
+        log::info("replica available", { { "sequence", std::to_string(read->sequence) } });
+    report_ = std::move(read);
+    reportedAt_ = loop_.timers().now();
+    noteAvailability(answer);
+    dropForeignRateLimit();
+    synchronizeSlots();
+    runPendingWork();
+    onChange_();
+    reportTimer_ = loop_.timers().after(reportInterval(), [this] { requestReport(); });
+}
+
+auto ReplicaAgent::reportInterval() const -> Duration
+{
+    // A load that waits for a slot needs no report: this agent is notified when the run that frees the slot ends.
+    const auto ordersInProgress = !report_->loading.empty() || report_->orderInProgress || !pendingUnloads_.empty()
+        || !pendingReplacements_.empty();
+    if (!ordersInProgress)
+        return idleInterval;
+    if (pendingLoads_.empty())
+        return minBusyInterval;
+    const auto newest = std::max_element(pendingLoads_.begin(), pendingLoads_.end(),
+        [](const auto& left, const auto& right) { return left.second.since < right.second.since; });
+    const auto elapsed = loop_.timers().now() - newest->second.since;
+    return std::clamp(Duration(elapsed / busyIntervalDivisor), minBusyInterval, maxBusyInterval);
+}
+
+/// A replica may restart under the same name between two reports; it is then empty and counts its orders from 0. If the
+/// restart went unnoticed, requests would be sent to adapters that are not loaded, and orders would carry a
+/// precondition that never holds.
+auto ReplicaAgent::isFromLaterStart(const hosting::ReplicaReport& read) const -> bool
+{
+    if (!report_)
+        return false;
+    if (read.startTime != StartTime() && report_->startTime != StartTime())
+        return read.startTime != report_->startTime;
+    // If a start time is unknown, a lower order count shows a restart, unless the last order is so recent that the
+    // report may not include it yet.
+    return read.sequence < report_->sequence && loop_.timers().now() - orderCountedAt_ >= maxReportLag;
+}
+
+auto ReplicaAgent::handleReportFailure(const std::string& reason) -> void
+{
+    reportInFlight_ = false;
+    if (++reportFailures_ == failedReportsUntilLost) {
+        resetReplicaState(reason);
+        onChange_();
+    }
+    reportTimer_ = loop_.timers().after(idleInterval, [this] { requestReport(); });
+}
+
+auto ReplicaAgent::identify() -> void
+{
+    if (identifying_ || healthPath_.empty() || resting())
+        return;
+    identifying_ = true;
+    identityWork_ = replica_.call({ .target = healthPath_, .timeout = identificationTimeout })
+                        .then(
+                            [this](wire::HttpAnswer&& answer) {
+                                noteAvailability(answer);
+                                instance_ = hosting::answeredBy(answer);
+                                identified(instance_.empty() ? "status " + std::to_string(answer.status) : "");
+                            },
+                            [this](kj::Exception&& error) { identified(error.getDescription().cStr()); })
+                        .eagerlyEvaluate(nullptr);
+}
+
+/// Continues from a timer, because asking again from here would replace the promise that is running this function.
+auto ReplicaAgent::identified(const std::string& failure) -> void
+{
+    dropForeignRateLimit();
+    if (failure.empty())
+        log::info("replica identified", { { "replica", instance_.str() } });
+    else
+        log::warn("replica not identified", { { "reason", failure } });
+    identityTimer_ = loop_.timers().after(failure.empty() ? Duration(0) : idleInterval, [this] {
+        identifying_ = false;
+        runPendingWork();
+    });
+}
+
+auto ReplicaAgent::noteAvailability(const wire::HttpAnswer& answer) -> void
+{
+    const auto said = hosting::readAvailability(answer.status, answer.fields);
+    recordInvalidAvailability(instance_, said);
+    if (said.rest)
+        applyRest(*said.rest, "answer");
+    if (said.leaving)
+        noteLeaving({ instance_, startTime() }, "answer");
+}
+
+auto ReplicaAgent::noteHostRest(const ReplicaStart& start, Duration length, std::string_view source) -> void
+{
+    if (mayBeCurrentStart(start))
+        applyRest(length, source);
+}
+
+/// Only the calls of this process stop: what other hosts may send is between them and the replica.
+auto ReplicaAgent::applyRest(Duration length, std::string_view source) -> void
+{
+    const auto now = loop_.timers().now();
+    const auto extended = rest_.resting(now);
+    if (!rest_.ask(length, Duration(0), now))
+        return;
+    const auto left = *rest_.end() - now;
+    recordRest(instance_, left, extended, source);
+    onChange_();
+    restTimer_ = loop_.timers().after(left, [this, askedAt = now] {
+        recordRestEnd(instance_, loop_.timers().now() - askedAt, "over");
+        requestReport();
+    });
+}
+
+auto ReplicaAgent::noteLeaving(const ReplicaStart& start, std::string_view source) -> void
+{
+    if (leaving_ || !mayBeCurrentStart(start))
+        return;
+    leaving_ = true;
+    log::info("replica leaving",
+        { { "replica", start.instance.str() }, { "birth", std::to_string(startTime().value()) },
+            { "source", std::string(source) } });
+    refuseQueued("replica leaving");
+    onChange_();
+}
+
+} // namespace eelgrass::serving
--- /dev/null
+++ b/packages/serving/RequestEnd.cpp
@@ -0,0 +1,131 @@
+// The part of RequestRun that ends a request: refused, failed, broken off or answered.
+#include "base/Log.h"
+#include "serving/RequestRun.h"
+#include "serving/detail/RunLimits.h"
+
+namespace eelgrass::serving {
+
+namespace {
+
+using namespace detail;
+
+auto millisecondsText(Duration time) -> std::string { return std::to_string(time.count() / 1000); }
+
+} // namespace
+
+auto RequestRun::onTimeUp() -> void
+{
+    const auto self = shared_from_this();
+    if (connection_) {
+        ++runs_;
+        releaseReplica(false, gateway_.now() - sentAt_ > failureSilence ? RunEnd::Broke : RunEnd::Plain);
+    }
+    if (delivered_ == Delivered::Part) {
+        caller_->abort();
+        return finish(gatewayTimeout, "broken_off", "time up");
+    }
+    if (runs_ > 0)
+        return fail(gatewayTimeout, "time up");
+    refuse("time up", defaultRetryAfter);
+}
+
+auto RequestRun::onCallerGone() -> void
+{
+    const auto self = shared_from_this();
+    if (connection_)
+        releaseReplica(false);
+    finish(0, "caller_gone", {});
+}
+
+auto RequestRun::refuse(std::string_view why, milliseconds retryAfter) -> void
+{
+    const auto self = shared_from_this();
+    // A refusal promises that the request has not run, so it is not sent if the request may have run or if part of its
+    // answer has been written.
+    if (runs_ > 0 || delivered_ != Delivered::Nothing)
+        return giveUp(why);
+    refuseWith(unavailable, why, retryAfter);
+}
+
+auto RequestRun::refuseWith(int status, std::string_view why, milliseconds retryAfter) -> void
+{
+    const auto self = shared_from_this();
+    delivered_ = Delivered::Everything;
+    caller_->respond({ status, hosting::ownFields(metadata_.attempt, retryAfter) }, {});
+    finish(status, "refused", why);
+}
+
+auto RequestRun::fail(int status, std::string_view why) -> void
+{
+    const auto self = shared_from_this();
+    delivered_ = Delivered::Everything;
+    caller_->respond({ status, hosting::ownFields(metadata_.attempt, std::nullopt) }, {});
+    finish(status, "failed", why);
+}
+
+/// Ends the request when no retry is left. The client gets an aborted stream, a failure if the request may have run,
+/// and a refusal otherwise. If every replica rests, it may come back after the first rest.
+auto RequestRun::giveUp(std::string_view why) -> void
+{
+    const auto self = shared_from_this();
+    if (delivered_ == Delivered::Part) {
+        caller_->abort();
+        return finish(badGateway, "broken_off", why);
+    }
+    if (runs_ > 0)
+        return fail(badGateway, why);
+    if (const auto end = firstEndOfRests())
+        return refuse(restReason, gateway_.availability.retryAfter(*end, priority()));
+    refuse(why, defaultRetryAfter);
+}
+
+auto RequestRun::finish(int status, std::string_view outcome, std::string_view why) -> void
+{
+    if (std::exchange(finished_, true))
+        return;
+    deadlineTimer_.cancel();
+    silenceTimer_.cancel();
+    waitTimer_.cancel();
+    replicaClosed_.reset();
+    returnPermit();
+    if (admittingAgent_)
+        admittingAgent_->release(metadata_.attempt, RunEnd::Unsent);
+    admittingAgent_ = nullptr;
+    // A refused request has not run.
+    if (charged_ && outcome == "refused")
+        gateway_.quotas.giveBack(*charged_);
+    const auto now = gateway_.now();
+    const auto name = route_ ? route_->name.str() : std::string("none");
+    // Every other outcome is logged as a warning, since the logger may drop lines of lower levels.
+    const auto ordinary = outcome == "answered" || outcome == "caller_gone";
+    (ordinary ? log::info : log::warn)("request over",
+        { { "request", metadata_.attempt.str() }, { "route", name }, { "outcome", std::string(outcome) },
+            { "status", std::to_string(status) }, { "reason", std::string(why) },
+            { "member", member_ ? member_->name.str() : "" },
+            { "configuration_age_ms", member_ ? millisecondsText(gateway_.configuration.age()) : "" },
+            { "replica", replica_ ? replica_->id().str() : "" }, { "sends", std::to_string(sends_) },
+            { "runs", std::to_string(runs_) }, { "took_ms", millisecondsText(now - beganAt_) },
+            { "first_ms", firstEventAt_ == Moment() ? "" : millisecondsText(firstEventAt_ - beganAt_) },
+            { "pause_ms", millisecondsText(longestPause_) } });
+    // Without keys the metric is counted by service instead of member.
+    const auto member = member_ ? member_->name : MemberId(service_.str());
+    gateway_.metrics.observe("eelgrass_request_seconds", member, RequestClass(name), now - beganAt_);
+    gateway_.metrics.count("eelgrass_requests_total",
+        { { "class", name }, { "outcome", std::string(outcome) }, { "status", std::to_string(status) } });
+    // The promise is destroyed from the event loop, because this function may run within the promise's own callback.
+    gateway_.deferred.add([self = shared_from_this()] { self->admission_ = nullptr; });
+}
+
+auto RequestRun::logDecision(std::string_view event, std::string_view why) const -> void
+{
+    const auto* agent = replica_ ? replica_->agent() : nullptr;
+    const auto age = agent && agent->state().receivedAt != Moment()
+        ? millisecondsText(gateway_.now() - agent->state().receivedAt)
+        : "";
+    log::info(event,
+        { { "request", metadata_.attempt.str() }, { "replica", replica_ ? replica_->id().str() : "" },
+            { "adapter", metadata_.adapter.str() }, { "reason", std::string(why) }, { "state_age_ms", age },
+            { "left_ms", millisecondsText(timeLeft()) } });
+}
+
+} // namespace eelgrass::serving
