A replica that asks for rest counts as failing at its agent

Callers saw: requests that came late because the replicas that turned them away looked idle, and drew the next requests of all entries, each of which has to be turned away once itself.

Change: an entry ends such a request as failed, so that the share of failures that the replica's agent publishes anyway grows. No other host rests for it.

--- a/packages/serving/RequestAnswer.cpp
+++ b/packages/serving/RequestAnswer.cpp
@@ -112,7 +112,9 @@
             gateway_.directory.markGone(replica_->id(), "another instance has its address");
         else if (!answer_.otherInstance)
             replica_->reportedFull(now);
-        releaseReplica(true);
+        // The agent counts it as a failure: a replica that turns requests away looks idle, and would draw the next ones
+        // from entries that it has not told to rest.
+        releaseReplica(true, answer_.availability.rest ? RunEnd::Failed : RunEnd::Plain);
         return onNotRun(head_.status == unavailable ? "replica full" : "replica did not run it");
     }
     ++runs_;
--- a/packages/serving/Types.h
+++ b/packages/serving/Types.h
@@ -152,7 +152,7 @@
 enum class RunEnd {
     /// The replica answered, or nothing is known about the outcome.
     Plain,
-    /// The replica answered with an error of its own.
+    /// The replica answered with an error of its own, or turned the request away and asked for rest.
     Failed,
     /// The connection broke, or the replica stayed silent, before the first event.
     Broke,
--- a/tests/integration/RequestedRests.cpp
+++ b/tests/integration/RequestedRests.cpp
@@ -220,6 +220,16 @@
     }
 }
 
+// Guards against a replica that turns requests away and, as it looks idle, draws the next ones from all other entries.
+BOOST_AUTO_TEST_CASE(the_agent_counts_a_request_for_rest_as_a_failure)
+{
+    auto resting = Resting(1, 0, 2);
+    resting.letRest(resting.world.engine(0), "2", "/resumable/x", 0);
+    const auto& replica = resting.world.gateway(1).directory().all().begin()->second;
+    BOOST_TEST(resting.world.until([&] { return replica->agent()->state().failureShare > 0.1; }));
+    BOOST_TEST(!replica->rest().end().has_value());
+}
+
 // Guards against a new start of a replica, under the same name, that inherits the rest of the one before.
 BOOST_AUTO_TEST_CASE(a_new_start_under_the_same_name_owes_no_rest)
 {
