--- a/bench/RestBench.cpp
+++ b/bench/RestBench.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstdio>
 #include <random>
 #include <string_view>
@@ -83,7 +84,7 @@
         , breakers_(setting.replicas)
         , arrivals_(setting.replicas, std::vector<std::size_t>(static_cast<std::size_t>(duration / 1s) + 1))
         , shedding_(static_cast<std::size_t>(setting.replicaShare * static_cast<double>(setting.replicas)))
-        , shedHosts_(static_cast<std::size_t>(setting.hostShare * static_cast<double>(setting.entries) + 0.5))
+        , shedHosts_(static_cast<std::size_t>(std::lround(setting.hostShare * static_cast<double>(setting.entries))))
     {
     }
 
--- a/packages/serving/Replica.cpp
+++ b/packages/serving/Replica.cpp
@@ -32,7 +32,7 @@
         onClosed_.notify();
 }
 
-auto Replica::askForRest(Duration length, Duration startDelay, Moment now) -> bool
+auto Replica::noteRest(Duration length, Duration startDelay, Moment now) -> bool
 {
     if (!announced_.rest.ask(length, startDelay, now))
         return false;
--- a/packages/serving/Replica.h
+++ b/packages/serving/Replica.h
@@ -103,7 +103,7 @@
     /// Told when the replica wants no more requests, for requests that wait for it.
     auto onClosed() noexcept -> Subscribers& { return onClosed_; }
     /// Applies the replica's request for rest; see `RequestedRest::ask`.
-    auto askForRest(Duration length, Duration startDelay, Moment now) -> bool;
+    auto noteRest(Duration length, Duration startDelay, Moment now) -> bool;
     [[nodiscard]] auto meanTime() const noexcept -> Duration { return meanTime_; }
 
     [[nodiscard]] auto announced() const noexcept -> const ReplicaAnnouncements& { return announced_; }
--- a/packages/serving/ReplicaAvailability.cpp
+++ b/packages/serving/ReplicaAvailability.cpp
@@ -12,9 +12,9 @@
 using decisions::RequestedRest;
 
 constexpr auto restGauge = "eelgrass_replica_at_rest";
+constexpr auto leavingGauge = "eelgrass_replica_leaving";
 // Source in log lines of what an answer to this entry has said.
 constexpr auto fromAnswer = std::string_view("answer");
-constexpr auto leavingGauge = "eelgrass_replica_leaving";
 
 /// Places this host among those that rest together at a replica, from 0 to 1.
 auto positionOf(std::uint64_t host, const Replica& replica) -> double
@@ -37,8 +37,10 @@
 
 auto ReplicaAvailability::observe(Replica& replica, const hosting::AnswerMetadata& answer, std::size_t hosts) -> void
 {
-    // Another instance at the address says nothing about this one.
-    if (answer.otherInstance || (!answer.instance.empty() && answer.instance != replica.id()))
+    // Another instance at the address says nothing about this one. A misdirected request may be the replica's own word,
+    // for example on an adapter that it does not hold.
+    const auto fromOther = answer.instance.empty() ? answer.otherInstance : answer.instance != replica.id();
+    if (fromOther)
         return;
     const auto& said = answer.availability;
     recordInvalidAvailability(replica.id(), said);
@@ -54,7 +56,7 @@
     const auto now = loop_.timers().now();
     const auto extended = replica.rest().resting(now);
     const auto delay = RequestedRest::startDelay(length, hosts, positionOf(hostHash_, replica));
-    if (!replica.askForRest(length, delay, now))
+    if (!replica.noteRest(length, delay, now))
         return;
     recordRest(replica.id(), *replica.rest().end() - now, extended, source);
     metrics_.count("eelgrass_replica_rests_total", {});
--- a/standins/ReplicaStandin.cpp
+++ b/standins/ReplicaStandin.cpp
@@ -158,6 +158,8 @@
         head.fields.add(names::rateLimit, announcements_.back().limit);
     if (leaving_)
         head.fields.add(names::leaving, "1");
+    if (status == 421)
+        head.fields.add(names::instanceId, instance_);
     return head;
 }
 
--- a/tests/integration/Leaving.cpp
+++ b/tests/integration/Leaving.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <array>
+
 using namespace eelgrass;
 using eelgrass::standins::ReplicaStandin;
 using eelgrass::tests::ServingWorld;
@@ -81,10 +83,11 @@
 // Guards against an answer that counts only if it is a success, or only when it is complete.
 BOOST_AUTO_TEST_CASE(answers_of_any_status_and_the_beginning_of_a_stream_count)
 {
-    auto leaving = Leaving(2, 2, 1);
-    for (const auto status : { 500, 503 }) {
-        auto& replica = leaving.world.plain(status == 500 ? 0 : 1);
-        replica.behave({ .status = status, .notRun = status == 503 });
+    static constexpr auto statuses = std::array { 421, 500, 503 };
+    auto leaving = Leaving(2, statuses.size(), 1);
+    for (auto index = std::size_t(0); index < statuses.size(); ++index) {
+        auto& replica = leaving.world.plain(index);
+        replica.behave({ .status = statuses.at(index), .notRun = statuses.at(index) != 500 });
         leaving.hear(replica, "/safe/x");
     }
     auto& engine = leaving.world.engine(0);
--- a/tests/integration/RequestedRests.cpp
+++ b/tests/integration/RequestedRests.cpp
@@ -139,7 +139,7 @@
     (*found)->failed(heard);
     (*found)->failed(heard);
     (*found)->succeeded(1ms);
-    (*found)->askForRest(100ms, 0ms, heard);
+    (*found)->noteRest(100ms, 0ms, heard);
     replica.askForRest({});
     BOOST_TEST(resting.arrivalsWhileAsking(replica, "/safe/x", 1s) == 0U);
     BOOST_TEST(resting.world.until([&] { return resting.arrivalsWhileAsking(replica, "/safe/x", 50ms) > 0; }));
@@ -168,7 +168,7 @@
     auto other = resting.world.begin({ .path = "/whole/x", .attempt = resting.nextAttempt(), .gateway = 1 });
     const auto& replica = resting.world.gateway(0).directory().all().begin()->second;
     BOOST_REQUIRE(resting.world.until([&] { return replica->agent()->state().queued >= 5; }));
-    (void)replica->askForRest(3s, 0ms, resting.now());
+    (void)replica->noteRest(3s, 0ms, resting.now());
     engine.behave({});
     // They are refused, as no other replica is left for them, and the other gateway's request gets the next place.
     for (auto& promise : waiting) {
