Leaving that only the list showed ends with its entry, as before

Found while reading the diff: what a start had said was kept over its removal, and with it the leaving that the list had shown. Where no birth is told, a replica that drains and returns under its name would have stayed unused for five minutes. Only what a replica has said itself is kept; also if the list showed it first.

what_only_the_list_said_ends_with_its_entry passes; it was written with the change, not run on the code before.

--- a/packages/serving/Replica.cpp
+++ b/packages/serving/Replica.cpp
@@ -22,13 +22,14 @@
     : record_(std::move(record))
     , idHash_(decisions::nameHash(record_.start.instance.view()))
     , pool_(timers, record_.endpoint)
+    , leaving_(announced.leaving)
     , announced_(std::move(announced))
 {
 }
 
 auto Replica::setLeaving() -> void
 {
-    if (!std::exchange(announced_.leaving, true))
+    if (!std::exchange(leaving_, true))
         onClosed_.notify();
 }
 
--- a/packages/serving/Replica.h
+++ b/packages/serving/Replica.h
@@ -24,6 +24,7 @@
 struct ReplicaAnnouncements {
     decisions::RequestedRest rest;
     decisions::AnnouncedRateLimit rateLimit;
+    /// The replica has said itself that it leaves.
     bool leaving = false;
 };
 
@@ -45,8 +46,14 @@
 
     /// The replica is draining, has said that it leaves, or has been removed from the list: running requests finish
     /// there and no new ones are sent. This is final; the next start under the same name is a separate `Replica`.
-    [[nodiscard]] auto leaving() const noexcept -> bool { return announced_.leaving; }
+    [[nodiscard]] auto leaving() const noexcept -> bool { return leaving_; }
     auto setLeaving() -> void;
+    /// Applies that the replica has said itself that it leaves.
+    auto noteLeaving() -> void
+    {
+        announced_.leaving = true;
+        setLeaving();
+    }
     /// The replica's record in the list cannot be parsed, for example because another writer has overwritten it. No new
     /// requests are sent until it can be parsed again.
     [[nodiscard]] auto unreadable() const noexcept -> bool { return unreadable_; }
@@ -144,6 +151,7 @@
     std::uint64_t idHash_;
     ConnectionPool pool_;
     std::unique_ptr<AgentLink> agent_;
+    bool leaving_ = false;
     bool unreadable_ = false;
     bool superseded_ = false;
     std::uint64_t listVersion_ = 0;
--- a/packages/serving/ReplicaAvailability.cpp
+++ b/packages/serving/ReplicaAvailability.cpp
@@ -46,7 +46,7 @@
     recordInvalidAvailability(replica.id(), said);
     if (said.rest)
         applyRest(replica, *said.rest, hosts, fromAnswer);
-    if (said.leaving && !replica.leaving())
+    if (said.leaving)
         applyLeaving(replica, fromAnswer);
 }
 
@@ -77,7 +77,7 @@
     if (!sameStart(state.start, replica.record().start))
         return;
     const auto source = replica.agent()->endpoint().str();
-    if (state.leaving && !replica.leaving())
+    if (state.leaving)
         applyLeaving(replica, source);
     // Of one host there is no herd.
     if (sharesHost(replica))
@@ -86,7 +86,10 @@
 
 auto ReplicaAvailability::applyLeaving(Replica& replica, std::string_view source) -> void
 {
+    if (replica.announced().leaving)
+        return;
     directory_.markLeaving(replica, source, Duration(0));
+    replica.noteLeaving();
     const auto heardHere = source == fromAnswer;
     if (replica.agent() && heardHere)
         replica.agent()->noteLeaving(replica.record().start);
--- a/packages/serving/ReplicaAvailability.h
+++ b/packages/serving/ReplicaAvailability.h
@@ -17,9 +17,9 @@
 /// Applies what replicas say in their answers about the requests that they want.
 ///
 /// A rest holds for this host alone: it says little about what the replica wants from others. Only an agent on this
-/// host is told of it, and tells of those that it has heard of itself. That a replica leaves
-/// holds for all. Its agent is told, and publishes it; of a replica without an agent the others hear from the
-/// platform's list, within the bound that holds for them.
+/// host is told of it, and tells of those that it has heard of itself. That a replica leaves holds for all. Its agent
+/// is told, and publishes it; of a replica without an agent the others hear from the platform's list, within the bound
+/// that holds for them.
 ///
 /// ```cpp
 /// availability.observe(replica, answer, entries);
--- a/packages/serving/ReplicaDirectory.h
+++ b/packages/serving/ReplicaDirectory.h
@@ -88,7 +88,7 @@
     [[nodiscard]] auto storeReads() const noexcept -> std::uint64_t { return storeReads_; }
     /// Marks an instance as leaving because another instance answered at its address.
     auto markGone(const InstanceId& instance, std::string_view why) -> void;
-    /// Marks a replica as leaving that has said so, whatever the list shows. `source` tells who heard it.
+    /// Marks a replica as leaving, whatever the list shows from now on. `source` tells who heard it.
     auto markLeaving(Replica& replica, std::string_view source, Duration age) -> void;
 
 private:
--- a/tests/integration/Leaving.cpp
+++ b/tests/integration/Leaving.cpp
@@ -138,6 +138,21 @@
     BOOST_TEST(leaving.arrivalsWhileAsking(resting, "/safe/x") == 0U);
 }
 
+// Guards against a replica that only the list showed as leaving, and that stays unused when it is listed as ready anew:
+// without a time of birth its next start cannot be told from the one before.
+BOOST_AUTO_TEST_CASE(what_only_the_list_said_ends_with_its_entry)
+{
+    auto leaving = Leaving(0, 2, 1);
+    auto& replica = leaving.world.plain(0);
+    leaving.world.store().put("servers", replica.instance(), replica.entry("draining"));
+    BOOST_REQUIRE(leaving.world.until([&] { return leaving.knowsLeaving(0, replica); }));
+    leaving.world.store().remove("servers", replica.instance());
+    BOOST_REQUIRE(leaving.world.until([&] { return !leaving.known(0, replica); }));
+    leaving.world.publishReplicas();
+    BOOST_REQUIRE(leaving.world.until([&] { return leaving.known(0, replica) != nullptr; }));
+    BOOST_TEST(!leaving.known(0, replica)->leaving());
+}
+
 // Guards against an entry that forgets it, or does not learn of it, because the store does not answer.
 BOOST_AUTO_TEST_CASE(it_holds_without_the_store)
 {
