--- a/packages/serving/AvailabilityRecord.cpp
+++ b/packages/serving/AvailabilityRecord.cpp
@@ -22,10 +22,11 @@
 {
     const auto tooLong = said.rest && *said.rest > RequestedRest::maxRest;
     const auto problem = tooLong ? std::string_view("longer than is granted") : said.restProblem;
-    if (!problem.empty())
+    if (!problem.empty()) {
         log::warn("replica rest invalid",
             { { "replica", replica.str() }, { "reason", std::string(problem) },
                 { "rest_ms", said.rest ? millisecondsText(std::min(*said.rest, RequestedRest::maxRest)) : "" } });
+    }
     if (said.leavingInvalid)
         log::warn("replica leaving invalid", { { "replica", replica.str() } });
 }
--- a/packages/serving/Replica.cpp
+++ b/packages/serving/Replica.cpp
@@ -23,7 +23,7 @@
     , idHash_(decisions::nameHash(record_.start.instance.view()))
     , pool_(timers, record_.endpoint)
     , leaving_(announced.leaving)
-    , announced_(std::move(announced))
+    , announced_(announced)
 {
 }
 
--- a/packages/serving/ReplicaDirectory.cpp
+++ b/packages/serving/ReplicaDirectory.cpp
@@ -193,8 +193,8 @@
                 { "service", record.service.str() }, { "peer", record.endpoint.str() },
                 { "source", std::string(source) } });
     }
-    auto announced = departed_.recall(record.start);
-    auto replica = std::make_shared<Replica>(loop_.timers(), std::move(record), std::move(announced));
+    const auto announced = departed_.recall(record.start);
+    auto replica = std::make_shared<Replica>(loop_.timers(), std::move(record), announced);
     linkAgent(replica);
     return replica;
 }
--- a/tests/harness/Deployment.cpp
+++ b/tests/harness/Deployment.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <stdexcept>
 
 namespace eelgrass::tests {
@@ -21,6 +22,17 @@
     return name;
 }
 
+/// Tells whether a process has ended, with the end of what it wrote: a crash leaves its call stack there.
+auto reportEnd(Process& process) -> void
+{
+    if (process.running())
+        return;
+    constexpr auto most = std::size_t(4000);
+    const auto log = process.log();
+    std::cerr << process.name() << " has ended, exit " << process.exitCode() << "\n"
+              << log.substr(log.size() > most ? log.size() - most : 0) << "\n";
+}
+
 auto loopback(std::uint16_t port) -> std::string { return "http://127.0.0.1:" + std::to_string(port); }
 
 } // namespace
@@ -306,7 +318,13 @@
 auto Deployment::call(const std::string& entry, const std::string& path, const std::string& body,
     std::vector<std::pair<std::string, std::string>> headers, const std::string& method) -> wire::HttpResponse
 {
-    return loop.wait(callLater(entry, path, body, std::move(headers), method));
+    try {
+        return loop.wait(callLater(entry, path, body, std::move(headers), method));
+    } catch (const kj::Exception&) {
+        if (auto* process = find(entry))
+            reportEnd(*process);
+        throw;
+    }
 }
 
 auto Deployment::complete(const std::string& entry, const Json& body) -> wire::HttpResponse
--- a/tests/integration/Leaving.cpp
+++ b/tests/integration/Leaving.cpp
@@ -94,10 +94,11 @@
     engine.behave({ .sent = 2, .then = ReplicaStandin::Behaviour::Then::Silence });
     engine.announceLeaving();
     auto streams = std::vector<kj::Promise<wire::HttpAnswer>>();
-    for (auto count = 0; count < 4; ++count)
+    for (auto count = 0; count < 4; ++count) {
         streams.push_back(leaving.world.begin({ .path = "/whole/x",
             .attempt = "stream-" + std::to_string(count),
             .adapter = "a" + std::to_string(count) }));
+    }
     BOOST_TEST(leaving.world.until([&] { return leaving.knowsLeaving(0, engine); }));
     BOOST_TEST(engine.cancelled() == 0U);
     streams.clear();
--- a/tests/integration/RequestedRests.cpp
+++ b/tests/integration/RequestedRests.cpp
@@ -39,12 +39,13 @@
         -> std::vector<wire::HttpAnswer>
     {
         auto calls = kj::heapArrayBuilder<kj::Promise<wire::HttpAnswer>>(requests);
-        for (auto index = std::size_t(0); index < requests; ++index)
+        for (auto index = std::size_t(0); index < requests; ++index) {
             calls.add(world.begin({ .path = path,
                 .attempt = nextAttempt(),
                 .adapter = adapter(),
                 .deadlineMs = deadlineMs,
                 .gateway = gateway }));
+        }
         auto answers = std::vector<wire::HttpAnswer>();
         for (auto& answer : world.loop().wait(kj::joinPromises(calls.finish())))
             answers.push_back(std::move(answer));
@@ -156,11 +157,12 @@
     auto running = std::vector<kj::Promise<wire::HttpAnswer>>();
     constexpr auto batch = std::size_t(8);
     // The first one gives up its place when its client's time is up.
-    for (auto count = std::size_t(0); count < batch; ++count)
+    for (auto count = std::size_t(0); count < batch; ++count) {
         running.push_back(resting.world.begin({ .path = "/whole/x",
             .attempt = resting.nextAttempt(),
             .deadlineMs = count == 0 ? 1000U : 4000U,
             .gateway = 1 }));
+    }
     BOOST_REQUIRE(resting.world.until([&] { return engine.runs().size() == batch; }));
     auto waiting = std::vector<kj::Promise<wire::HttpAnswer>>();
     for (auto count = 0; count < 4; ++count)
