Observability: which version a request is sent with, who decided it, and when it is in force

Change: the line of each send, of its grant and of its end carry them; a run on an older version than the entry knows is a warning and a counter; seconds from naming to in force at entry, agent and replica. A version now has the moment after which it was named, passed on to peers (ageMs) and agents (versionAgeMs), so an entry that learns of one says how old the news is at the most. The known versions move out of ConfigurationFollower and of ReplicaAgent's own map into one type, AdapterVersions. No decision changes.

--- a/packages/serving/AgentLink.cpp
+++ b/packages/serving/AgentLink.cpp
@@ -301,6 +301,8 @@
         request.setAttempt(admission.attempt.str());
         request.setAdapter(admission.adapter.str());
         request.setVersion(admission.version.value());
+        if (admission.versionAge)
+            request.setVersionAgeMs(static_cast<std::uint32_t>(admission.versionAge->count()));
         request.setPromptTokens(admission.promptTokens);
         auto shared = request.initShared(static_cast<unsigned>(admission.shared.size()));
         for (auto index = 0U; index < admission.shared.size(); ++index) {
--- a/packages/serving/AgentLink.h
+++ b/packages/serving/AgentLink.h
@@ -60,7 +60,9 @@
 struct AgentAdmissionRequest {
     AttemptId attempt;
     AdapterName adapter;
+    /// The lowest version that may run, and how long ago it was named at the most, if that is known.
     AdapterVersion version;
+    std::optional<milliseconds> versionAge {};
     Tokens promptTokens = 0;
     std::vector<decisions::SharedPrefix> shared;
     Tokens outputTokens = 0;
--- a/packages/serving/AgentOrders.cpp
+++ b/packages/serving/AgentOrders.cpp
@@ -33,7 +33,8 @@
         return !report_->resident.contains(order.first) || now - order.second > maxPendingTime;
     });
     std::erase_if(pendingReplacements_, [&](const auto& order) {
-        return residentVersion(order.first) >= wantedVersions_[order.first] || now - order.second > maxPendingTime;
+        return residentVersion(order.first) >= versions_.of(base_, order.first).version
+            || now - order.second > maxPendingTime;
     });
     std::erase_if(pendingLoads_, [&](const auto& entry) {
         const auto& [adapter, load] = entry;
@@ -74,7 +75,9 @@
             continue;
         if (slots_->ready(name)) {
             // An older version is loaded. The replica replaces it once the requests running on it have ended.
-            return hosting::ReplicaOrder { .model = base_, .adapter = adapter, .version = wantedVersions_[adapter] };
+            return hosting::ReplicaOrder {
+                .model = base_, .adapter = adapter, .version = versions_.of(base_, adapter).version
+            };
         }
         // A slot is not emptied for a load that may not start yet.
         if (report_->loading.size() >= loadConcurrency_.limit(candidate.late))
@@ -84,7 +87,9 @@
             return queue_.waits(held) || pendingReplacements_.contains(held);
         });
         if (std::holds_alternative<decisions::LoadNow>(answer)) {
-            return hosting::ReplicaOrder { .model = base_, .adapter = adapter, .version = wantedVersions_[adapter] };
+            return hosting::ReplicaOrder {
+                .model = base_, .adapter = adapter, .version = versions_.of(base_, adapter).version
+            };
         }
         if (const auto* evict = std::get_if<decisions::EvictFirst>(&answer)) {
             const auto victim = AdapterName(evict->victim.str());
@@ -139,6 +144,7 @@
     const auto unload = order.kind == hosting::ReplicaOrder::Kind::Unload;
     log::info("order response",
         { { "operation", unload ? "unload" : "load" }, { "adapter", order.adapter.str() },
+            { "version", order.version ? std::to_string(order.version->value()) : "" },
             { "sequence", std::to_string(order.precondition) }, { "status", std::to_string(answer.status) },
             { "reason", answer.status >= 300 ? answer.body.substr(0, 200) : std::string() } });
     const auto now = loop_.timers().now();
--- a/packages/serving/AgentReports.cpp
+++ b/packages/serving/AgentReports.cpp
@@ -127,8 +127,9 @@
     noteAvailability(answer);
     dropForeignRateLimit();
     synchronizeSlots();
+    observeVersionsInForce();
     runPendingWork();
-    onChange_();
+    hooks_.onChange();
     reportTimer_ = loop_.timers().after(reportInterval(), [this] { requestReport(); });
 }
 
@@ -166,7 +167,7 @@
     reportInFlight_ = false;
     if (++reportFailures_ == failedReportsUntilLost) {
         resetReplicaState(reason);
-        onChange_();
+        hooks_.onChange();
     }
     reportTimer_ = loop_.timers().after(idleInterval, [this] { requestReport(); });
 }
@@ -226,7 +227,7 @@
         return;
     const auto left = *rest_.end() - now;
     recordRest(instance_, left, extended, source);
-    onChange_();
+    hooks_.onChange();
     restTimer_ = loop_.timers().after(left, [this, askedAt = now] {
         recordRestEnd(instance_, loop_.timers().now() - askedAt, "over");
         requestReport();
@@ -242,7 +243,7 @@
         { { "replica", start.instance.str() }, { "birth", std::to_string(startTime().value()) },
             { "source", std::string(source) } });
     refuseQueued("replica leaving");
-    onChange_();
+    hooks_.onChange();
 }
 
 } // namespace eelgrass::serving
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -6,6 +6,7 @@
 #include "serving/StoreCalls.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 #include <tuple>
 
@@ -72,7 +73,7 @@
                                .firstEventDeadline = now + Duration(milliseconds(request.getAimMs())),
                                .callerDeadline = now + Duration(milliseconds(request.getLeftMs())),
                                .elsewhere = request.getElsewhere() },
-            AdapterVersion(request.getVersion()), shared);
+            requiredVersion(request), shared);
         role_.publisher_.changed();
         return pair.promise.then([this, context](ReplicaAgent::Decision&& decision) mutable {
             auto answer = context.getResults().initAnswer();
@@ -206,6 +207,15 @@
     }
 
 private:
+    [[nodiscard]] auto requiredVersion(wire::schema::AdmitRequest::Reader request) const -> RequiredVersion
+    {
+        auto required = RequiredVersion { .version = AdapterVersion(request.getVersion()), .source = entry_ };
+        constexpr auto unknownAge = std::numeric_limits<std::uint32_t>::max();
+        if (request.getVersionAgeMs() != unknownAge)
+            required.namedAfter = role_.loop_.timers().now() - Duration(milliseconds(request.getVersionAgeMs()));
+        return required;
+    }
+
     static auto permitCost(bool standIn) -> double { return standIn ? decisions::ArrivalPermits::standInCost : 1; }
 
     AgentRole& role_;
@@ -243,11 +253,14 @@
     , settings_(std::move(settings))
     , metrics_(metricClasses)
     , store_(loop.timers(), settings_.host.store, storeCallCounter(metrics_))
-    , agent_(
-          loop, settings_, store_,
-          [this](
-              const AttemptId& attempt, const ReplicaAgent::Decision& decision) { handleDecision(attempt, decision); },
-          [this] { publisher_.changed(); })
+    , agent_(loop, settings_, store_,
+          { .onDecision = [this](const AttemptId& attempt,
+                              const ReplicaAgent::Decision& decision) { handleDecision(attempt, decision); },
+              .onChange = [this] { publisher_.changed(); },
+              .onVersionInForce =
+                  [this](const char* where, Duration age) {
+                      metrics_.observe("eelgrass_in_force_seconds", { { "what", where } }, age);
+                  } })
     , publisher_(loop,
           { .figures = [this] { return figures(); },
               .namesFingerprint = [this] { return namesFingerprint(); },
@@ -290,6 +303,7 @@
     const auto found = pendingAdmissions_.find(attempt);
     log::info(decision.granted ? "granted" : "not granted",
         { { "request", attempt.str() }, { "replica", agent_.instance().str() }, { "reason", decision.reason },
+            { "version", decision.granted ? std::to_string(decision.version.value()) : "" },
             { "waited_ms", std::to_string(decision.waited.count() / 1000) },
             { "adapter_ms", std::to_string(decision.waitedForAdapter.count() / 1000) },
             { "tokens_ahead", std::to_string(agent_.tokensAhead()) },
--- a/packages/serving/ConfigurationFollower.cpp
+++ b/packages/serving/ConfigurationFollower.cpp
@@ -2,8 +2,6 @@
 
 #include "base/Log.h"
 
-#include <nlohmann/json.hpp>
-
 namespace eelgrass::serving {
 
 namespace {
@@ -27,13 +25,14 @@
 
 } // namespace
 
-ConfigurationFollower::ConfigurationFollower(
-    wire::MainLoop& loop, hosting::Store& store, const Bounds& bounds, OnChange onChange)
+ConfigurationFollower::ConfigurationFollower(wire::MainLoop& loop, hosting::Store& store, const Bounds& bounds,
+    OnChange onChange, AdapterVersions::OnInForce onVersionInForce)
     : loop_(loop)
     , store_(store)
     , bounds_(bounds)
     , onChange_(std::move(onChange))
     , freshness_(bounds.keys ? std::max(*bounds.keys - keyMargin, Duration(0)) : Duration::max())
+    , versions_(std::move(onVersionInForce))
 {
 }
 
@@ -198,37 +197,16 @@
         });
     if (!named)
         return;
-    auto& known = versions_[{ named->model, named->adapter }];
-    if (known >= named->version)
-        return;
-    known = named->version;
-    log::info("adapter version in force",
-        { { "adapter", named->adapter.str() }, { "version", std::to_string(known.value()) },
-            { "source", std::string(source) } });
-}
-
-auto ConfigurationFollower::versionOf(const BaseModel& model, const AdapterName& adapter) const -> AdapterVersion
-{
-    const auto found = versions_.find({ model, adapter });
-    return found == versions_.end() ? AdapterVersion(1) : found->second;
-}
-
-auto ConfigurationFollower::adapterVersionsJson() const -> std::string
-{
-    auto list = nlohmann::json::array();
-    for (const auto& [key, version] : versions_)
-        list.push_back(
-            { { "model", key.first.str() }, { "adapter", key.second.str() }, { "version", version.value() } });
-    return list.dump();
+    // The previous reading contained everything that was named before it.
+    const auto now = loop_.timers().now();
+    const auto age = freshness_.age(now);
+    versions_.apply(*named,
+        { .source = source, .namedAfter = age == Duration::max() ? std::nullopt : std::optional(now - age) }, now);
 }
 
-auto ConfigurationFollower::applyAdapterVersions(std::string_view text, std::string_view source) -> void
+auto ConfigurationFollower::applyAdapterVersions(std::string_view text, std::string_view source, Moment askedAt) -> void
 {
-    const auto list = nlohmann::json::parse(text, nullptr, false);
-    if (!list.is_array())
-        return log::error("versions not understood", { { "source", std::string(source) } });
-    for (const auto& item : list)
-        applyAdapterVersion(item.dump(), source);
+    versions_.applyJson(text, source, askedAt, loop_.timers().now());
 }
 
 } // namespace eelgrass::serving
--- a/packages/serving/ConfigurationFollower.h
+++ b/packages/serving/ConfigurationFollower.h
@@ -5,13 +5,13 @@
 #include "decisions/SharedReading.h"
 #include "platform/Documents.h"
 #include "platform/Store.h"
+#include "serving/AdapterVersions.h"
 #include "serving/MemberTable.h"
 #include "serving/RouteTable.h"
 #include "serving/Types.h"
 #include "wire/MainLoop.h"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -33,7 +33,8 @@
         std::optional<Duration> keys;
     };
 
-    ConfigurationFollower(wire::MainLoop& loop, hosting::Store& store, const Bounds& bounds, OnChange onChange);
+    ConfigurationFollower(wire::MainLoop& loop, hosting::Store& store, const Bounds& bounds, OnChange onChange,
+        AdapterVersions::OnInForce onVersionInForce = {});
 
     auto start() -> void { poll(); }
     /// The configuration in force; null until one is known.
@@ -47,8 +48,8 @@
     [[nodiscard]] auto keysUsable() const -> bool;
     /// Time since the configuration was last confirmed to be the newest.
     [[nodiscard]] auto age() const -> Duration { return freshness_.age(loop_.timers().now()); }
-    /// The version that requests for an adapter must run; version 1 unless the operator has set a newer one.
-    [[nodiscard]] auto versionOf(const BaseModel& model, const AdapterName& adapter) const -> AdapterVersion;
+    /// The adapter versions that the operator has named, as far as this entry knows.
+    [[nodiscard]] auto versions() const noexcept -> const AdapterVersions& { return versions_; }
 
     /// Applies another entry's configuration, which was the newest at `at` or later. `text` is empty if that
     /// configuration is not newer than this entry's own. Returns whether a new configuration came into force.
@@ -56,9 +57,8 @@
     /// Applies a configuration if it is newer. Returns false if it cannot be parsed.
     auto applyConfiguration(std::string_view text, std::string_view source) -> bool;
     auto applyAdapterVersion(std::string_view text, std::string_view source) -> void;
-    /// The adapter versions set by the operator, in the JSON format that peers exchange.
-    [[nodiscard]] auto adapterVersionsJson() const -> std::string;
-    auto applyAdapterVersions(std::string_view text, std::string_view source) -> void;
+    /// Applies another entry's adapter versions, received in answer to a query of `askedAt`.
+    auto applyAdapterVersions(std::string_view text, std::string_view source, Moment askedAt) -> void;
     /// Suspends polling the store until `until`, after the pending poll has ended, because another entry supplies the
     /// data.
     auto skipPollsUntil(Moment until) -> void { skipPollsUntil_ = until; }
@@ -89,7 +89,7 @@
     decisions::RemoteClock storeClock_;
     /// The configuration in the store could not be parsed, so the one in force is not the newest.
     bool storeRowUnreadable_ = false;
-    std::map<std::pair<BaseModel, AdapterName>, AdapterVersion> versions_;
+    AdapterVersions versions_;
     /// Version of the store up to which all changes are known; empty until the table has been read.
     std::optional<std::uint64_t> knownVersion_;
     std::optional<Moment> lastAnswerAt_;
--- a/packages/serving/GatewayRole.cpp
+++ b/packages/serving/GatewayRole.cpp
@@ -1,7 +1,6 @@
 #include "serving/GatewayRole.h"
 
 #include "base/Log.h"
-#include "decisions/Rendezvous.h"
 #include "serving/StoreCalls.h"
 
 #include <algorithm>
@@ -56,10 +55,10 @@
         // Rounded up, so that the configuration does not appear newer than it is.
         const auto configAge = std::chrono::ceil<milliseconds>(role_.configuration_.age()).count();
         results.setConfigAgeMs(static_cast<std::uint32_t>(std::min<milliseconds::rep>(configAge, longestAge)));
-        const auto versions = role_.configuration_.adapterVersionsJson();
-        results.setVersions(decisions::nameHash(versions));
-        if (context.getParams().getHaveVersions() != results.getVersions())
-            results.setAdapterVersions(versions);
+        const auto& versions = role_.configuration_.versions();
+        results.setVersions(versions.fingerprint());
+        if (context.getParams().getHaveVersions() != versions.fingerprint())
+            results.setAdapterVersions(versions.json(role_.loop_.timers().now()));
         return kj::READY_NOW;
     }
 
@@ -73,7 +72,9 @@
     , metrics_(metricClasses)
     , deferred_(loop.timers())
     , store_(loop.timers(), settings_.host.store, storeCallCounter(metrics_))
-    , configuration_(loop, store_, { settings_.configurationBound, settings_.keyBound }, [this] { onConfiguration(); })
+    , configuration_(
+          loop, store_, { settings_.configurationBound, settings_.keyBound }, [this] { onConfiguration(); },
+          [this](Duration age) { observeInForce("adapter version", age); })
     , directory_(loop, store_,
           { .entry = settings_.host.name,
               .zone = settings_.host.zone,
@@ -321,7 +322,7 @@
     if (configuration_.applyFromPeer(answer.getConfig().cStr(), heardAt, peer))
         observeInForce("configuration", loop_.timers().now() - heardAt);
     if (answer.getAdapterVersions().size() > 0)
-        configuration_.applyAdapterVersions(answer.getAdapterVersions().cStr(), peer);
+        configuration_.applyAdapterVersions(answer.getAdapterVersions().cStr(), peer, asked);
 }
 
 auto GatewayRole::observeInForce(const std::string& what, Duration age) -> void
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -26,14 +26,13 @@
 
 } // namespace
 
-ReplicaAgent::ReplicaAgent(wire::MainLoop& loop, const AgentSettings& settings, hosting::Store& store,
-    OnDecision onDecision, OnChange onChange)
+ReplicaAgent::ReplicaAgent(wire::MainLoop& loop, const AgentSettings& settings, hosting::Store& store, Hooks hooks)
     : loop_(loop)
     , settings_(settings)
     , store_(store)
-    , onDecision_(std::move(onDecision))
-    , onChange_(std::move(onChange))
+    , hooks_(std::move(hooks))
     , replica_(loop.timers(), settings.replica.address, settings.replica.port)
+    , versions_([this](Duration age) { hooks_.onVersionInForce("adapter version at agent", age); })
     , prompts_(maxRememberedPrompts)
     , loadTime_(defaultLoadTime)
 {
@@ -168,8 +167,7 @@
         return true;
     if (!slots_->ready(modelName(adapter)))
         return false;
-    const auto wanted = wantedVersions_.find(adapter);
-    return wanted == wantedVersions_.end() || residentVersion(adapter) >= wanted->second;
+    return residentVersion(adapter) >= versions_.of(base_, adapter).version;
 }
 
 auto ReplicaAgent::readinessPredicate() const -> decisions::AdmissionQueue::Ready
@@ -211,7 +209,28 @@
 
 auto ReplicaAgent::isUsable() const -> bool { return report_ && report_->hasModel && slots_; }
 
-auto ReplicaAgent::admit(decisions::AdmissionRequest request, AdapterVersion version,
+auto ReplicaAgent::noteRequiredVersion(const AdapterName& adapter, const RequiredVersion& required) -> void
+{
+    const auto news = AdapterVersions::News { .source = required.source, .namedAfter = required.namedAfter };
+    if (versions_.apply({ base_, adapter, required.version }, news, loop_.timers().now()))
+        outdated_.insert(adapter);
+}
+
+auto ReplicaAgent::observeVersionsInForce() -> void
+{
+    std::erase_if(outdated_, [this](const AdapterName& adapter) {
+        const auto& known = versions_.of(base_, adapter);
+        if (residentVersion(adapter) < known.version)
+            return false;
+        log::info("adapter version held",
+            { { "adapter", adapter.str() }, { "version", std::to_string(residentVersion(adapter).value()) } });
+        if (known.namedAfter)
+            hooks_.onVersionInForce("adapter version at replica", loop_.timers().now() - *known.namedAfter);
+        return true;
+    });
+}
+
+auto ReplicaAgent::admit(decisions::AdmissionRequest request, const RequiredVersion& required,
     std::span<const decisions::SharedPrefix> shared) -> void
 {
     const auto attempt = request.attempt;
@@ -221,10 +240,8 @@
         return reportDecision(attempt, { .retryAfter = retryDelay, .reason = "replica leaving" });
     if (!acceptsRequests())
         return reportDecision(attempt, { .retryAfter = retryDelay, .reason = "replica rests after failures" });
-    if (!request.adapter.empty()) {
-        auto& wanted = wantedVersions_[request.adapter];
-        wanted = std::max(wanted, version);
-    }
+    if (!request.adapter.empty())
+        noteRequiredVersion(request.adapter, required);
     request.unreadTokens = request.promptTokens - std::min(prompts_.tokens(shared), request.promptTokens);
     const auto now = loop_.timers().now();
     const auto adapter = request.adapter;
@@ -275,8 +292,8 @@
     log::warn("replica paused",
         { { "replica", instance_.str() }, { "rest_ms", std::to_string(pause.count() / microsecondsPerMillisecond) } });
     refuseQueued("replica rests after failures");
-    onChange_();
-    pauseTimer_ = loop_.timers().after(pause, [this] { onChange_(); });
+    hooks_.onChange();
+    pauseTimer_ = loop_.timers().after(pause, [this] { hooks_.onChange(); });
 }
 
 auto ReplicaAgent::release(const AttemptId& attempt, RunEnd end) -> void
@@ -293,7 +310,7 @@
 
 auto ReplicaAgent::reportDecision(const AttemptId& attempt, Decision decision) -> void
 {
-    onDecision_(attempt, decision);
+    hooks_.onDecision(attempt, decision);
 }
 
 auto ReplicaAgent::runPendingWork() -> void
--- a/packages/serving/ReplicaAgent.h
+++ b/packages/serving/ReplicaAgent.h
@@ -9,6 +9,7 @@
 #include "decisions/RequestedRest.h"
 #include "platform/Documents.h"
 #include "platform/Store.h"
+#include "serving/AdapterVersions.h"
 #include "serving/RateLimitMessages.h"
 #include "serving/Settings.h"
 #include "wire/HttpCaller.h"
@@ -17,11 +18,19 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 
 namespace eelgrass::serving {
 
+/// The lowest adapter version that may run a request, as the request's entry knows it.
+struct RequiredVersion {
+    AdapterVersion version;
+    std::string source {};
+    std::optional<Moment> namedAfter {};
+};
+
 /// Controls the replica on this host: orders it to load and unload adapters, and decides when each request may be sent
 /// to it. No other process sends orders to the replica.
 ///
@@ -44,20 +53,22 @@
         /// The part of `waited` that passed before the request's adapter was loaded.
         Duration waitedForAdapter {};
     };
-    using OnDecision = std::function<void(const AttemptId&, const Decision&)>;
-    using OnChange = std::function<void()>;
+    struct Hooks {
+        std::function<void(const AttemptId&, const Decision&)> onDecision;
+        std::function<void()> onChange;
+        /// Called when a named version is in force at the place, with how long ago it was named at the most.
+        std::function<void(const char* place, Duration age)> onVersionInForce;
+    };
 
-    ReplicaAgent(wire::MainLoop& loop, const AgentSettings& settings, hosting::Store& store, OnDecision onDecision,
-        OnChange onChange);
+    ReplicaAgent(wire::MainLoop& loop, const AgentSettings& settings, hosting::Store& store, Hooks hooks);
 
     auto start() -> void;
     /// Applies the configuration of the replica's service.
     auto configure(decisions::ReplicaLimits limits, std::size_t adapterSlots, const BaseModel& base,
         const std::string& healthPath) -> void;
 
-    /// Queues a request or refuses it. The decision is passed to `onDecision`, possibly before this returns. `version`
-    /// is the lowest adapter version that may run the request.
-    auto admit(decisions::AdmissionRequest request, AdapterVersion version,
+    /// Queues a request or refuses it. The decision is passed to `onDecision`, possibly before this returns.
+    auto admit(decisions::AdmissionRequest request, const RequiredVersion& required,
         std::span<const decisions::SharedPrefix> shared) -> void;
     /// Registers a request that already runs at the replica, granted before its entry attached.
     auto adopt(const decisions::AdmissionRequest& request) -> void;
@@ -156,20 +167,24 @@
     [[nodiscard]] auto readinessPredicate() const -> decisions::AdmissionQueue::Ready;
     [[nodiscard]] auto isReady(const AdapterName& adapter) const -> bool;
     [[nodiscard]] auto residentVersion(const AdapterName& adapter) const -> AdapterVersion;
+    auto noteRequiredVersion(const AdapterName& adapter, const RequiredVersion& required) -> void;
+    /// Records which named versions the replica holds now.
+    auto observeVersionsInForce() -> void;
 
     wire::MainLoop& loop_;
     const AgentSettings& settings_;
     hosting::Store& store_;
-    OnDecision onDecision_;
-    OnChange onChange_;
+    Hooks hooks_;
     wire::HttpCaller replica_;
     BaseModel base_;
     std::string healthPath_;
     decisions::AdmissionQueue queue_;
     std::optional<decisions::AdapterSlots> slots_;
     std::size_t slotCount_ = 0;
-    /// For each adapter, the highest of the minimum versions that requests asked for.
-    std::map<AdapterName, AdapterVersion> wantedVersions_;
+    /// The named versions, as entries have reported them with their requests.
+    AdapterVersions versions_;
+    /// Adapters of which the replica does not hold the newest known version yet.
+    std::set<AdapterName> outdated_;
     decisions::KnownPrefixes prompts_;
     /// Accepted orders that the replica carries out once the adapter's running requests have ended, and when they were
     /// accepted: unloads, and loads of a newer version.
--- a/packages/serving/RequestAnswer.cpp
+++ b/packages/serving/RequestAnswer.cpp
@@ -43,6 +43,7 @@
     gateway_.rateLimits.observe(*replica_, answer_, sentAt_);
     gateway_.availability.observe(*replica_, answer_, gateway_.entries);
     gateway_.unknownFields.record(head.fields, replica_->id());
+    checkAnsweredVersion();
     streaming_ = route_->streamed && head.status == ok;
     if (streaming_)
         startSilenceTimer();
--- a/packages/serving/RequestEnd.cpp
+++ b/packages/serving/RequestEnd.cpp
@@ -103,8 +103,10 @@
             { "status", std::to_string(status) }, { "reason", std::string(why) },
             { "member", member_ ? member_->name.str() : "" },
             { "configuration_age_ms", member_ ? millisecondsText(gateway_.configuration.age()) : "" },
-            { "replica", replica_ ? replica_->id().str() : "" }, { "sends", std::to_string(sends_) },
-            { "runs", std::to_string(runs_) }, { "took_ms", millisecondsText(now - beganAt_) },
+            { "replica", replica_ ? replica_->id().str() : "" },
+            { "version", answer_.version ? std::to_string(answer_.version->value()) : "" },
+            { "sends", std::to_string(sends_) }, { "runs", std::to_string(runs_) },
+            { "took_ms", millisecondsText(now - beganAt_) },
             { "first_ms", firstEventAt_ == Moment() ? "" : millisecondsText(firstEventAt_ - beganAt_) },
             { "pause_ms", millisecondsText(longestPause_) } });
     // Without keys the metric is counted by service instead of member.
@@ -116,6 +118,51 @@
     gateway_.deferred.add([self = shared_from_this()] { self->admission_ = nullptr; });
 }
 
+auto RequestRun::knownVersion() const -> const KnownVersion&
+{
+    return gateway_.configuration.versions().of(metadata_.model, metadata_.adapter);
+}
+
+auto RequestRun::versionAge() const -> std::optional<milliseconds>
+{
+    const auto& namedAfter = knownVersion().namedAfter;
+    return namedAfter ? std::optional(std::chrono::ceil<milliseconds>(gateway_.now() - *namedAfter)) : std::nullopt;
+}
+
+auto RequestRun::logSend(std::optional<AdapterVersion> version) const -> void
+{
+    if (metadata_.adapter.empty())
+        return logDecision("sent", {});
+    const auto& known = knownVersion();
+    const auto now = gateway_.now();
+    const auto* agent = replica_->agent();
+    const auto* decider = admittingAgent_ ? "agent" : "entry";
+    const auto stateKnown = agent && agent->state().receivedAt != Moment();
+    log::info("sent",
+        { { "request", metadata_.attempt.str() }, { "replica", replica_->id().str() },
+            { "adapter", metadata_.adapter.str() }, { "version", version ? std::to_string(version->value()) : "" },
+            { "decided_by", decider }, { "decided_ms", millisecondsText(now - versionDecidedAt_) },
+            { "known_version", std::to_string(known.version.value()) },
+            { "known_ms", known.learnedAt ? millisecondsText(now - *known.learnedAt) : "" },
+            { "known_from", known.source }, { "confirmed_ms", millisecondsText(gateway_.configuration.age()) },
+            { "state_age_ms", stateKnown ? millisecondsText(now - agent->state().receivedAt) : "" },
+            { "left_ms", millisecondsText(timeLeft()) } });
+}
+
+auto RequestRun::checkAnsweredVersion() -> void
+{
+    const auto& known = knownVersion();
+    if (metadata_.adapter.empty() || !answer_.version || *answer_.version >= known.version)
+        return;
+    gateway_.metrics.count(
+        "eelgrass_older_version_runs_total", { { "decided_by", admittingAgent_ ? "agent" : "entry" } });
+    log::warn("run on older version",
+        { { "request", metadata_.attempt.str() }, { "replica", replica_->id().str() },
+            { "adapter", metadata_.adapter.str() }, { "version", std::to_string(answer_.version->value()) },
+            { "known_version", std::to_string(known.version.value()) },
+            { "known_ms", millisecondsText(gateway_.now() - *known.learnedAt) } });
+}
+
 auto RequestRun::logDecision(std::string_view event, std::string_view why) const -> void
 {
     const auto* agent = replica_ ? replica_->agent() : nullptr;
--- a/packages/serving/RequestPlacing.cpp
+++ b/packages/serving/RequestPlacing.cpp
@@ -162,6 +162,7 @@
         return openSession();
     if (RateLimits::needsPermit(*replica_))
         return requestPermit();
+    versionDecidedAt_ = gateway_.now();
     send(std::nullopt);
 }
 
@@ -174,7 +175,8 @@
         = [&](Moment at) { return std::max(std::chrono::duration_cast<milliseconds>(at - now), milliseconds(0)); };
     auto order = AgentAdmissionRequest { .attempt = metadata_.attempt,
         .adapter = metadata_.adapter,
-        .version = gateway_.configuration.versionOf(metadata_.model, metadata_.adapter),
+        .version = knownVersion().version,
+        .versionAge = versionAge(),
         .promptTokens = metadata_.promptTokens,
         .shared = sharedPrefixes_,
         .outputTokens = metadata_.outputTokens,
@@ -186,7 +188,7 @@
     if (!metadata_.adapter.empty() && !agent->state().resident.contains(metadata_.adapter))
         replica_->noteLoadRequested(metadata_.adapter);
     admittingAgent_ = agent;
-    admissionAskedAt_ = now;
+    admissionAskedAt_ = versionDecidedAt_ = now;
     // The answer is handled from the event loop: it may end the request, and a promise must not be destroyed within its
     // own callback.
     const auto number = ++admissionCount_;
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -237,7 +237,7 @@
         replica_->prompts().remember(sharedPrefixes_);
     gateway_.rateLimits.countSend(*replica_);
     gateway_.availability.countSend(*replica_);
-    logDecision("sent", {});
+    logSend(version);
     startSilenceTimer();
     connection_->send(head, request_.body,
         [attempt = metadata_.attempt](const wire::HttpResponseHead& answer) {
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -115,6 +115,13 @@
     /// Releases what the request holds, and logs and counts its outcome. `status` is 0 if the client got none.
     auto finish(int status, std::string_view outcome, std::string_view why) -> void;
     auto logDecision(std::string_view event, std::string_view why) const -> void;
+    /// Logs a send with the version that it expects, who decided on that version, and what this entry knows.
+    auto logSend(std::optional<AdapterVersion> version) const -> void;
+    [[nodiscard]] auto knownVersion() const -> const KnownVersion&;
+    /// How long ago the known version was named at the most; empty if that cannot be told.
+    [[nodiscard]] auto versionAge() const -> std::optional<milliseconds>;
+    /// Reports a run on an older version than the one that this entry knows.
+    auto checkAnsweredVersion() -> void;
     [[nodiscard]] auto timeLeft() const -> Duration;
     [[nodiscard]] auto sharedTokens() const -> Tokens
     {
@@ -163,6 +170,8 @@
     Subscribers::Subscription replicaClosed_;
     /// When the pending admission was requested.
     Moment admissionAskedAt_ {};
+    /// When the version of the last send was decided on.
+    Moment versionDecidedAt_ {};
     std::shared_ptr<ReplicaConnection> connection_;
     wire::HttpResponseHead head_;
     hosting::AnswerMetadata answer_;
--- a/packages/serving/RequestWaiting.cpp
+++ b/packages/serving/RequestWaiting.cpp
@@ -40,6 +40,7 @@
 {
     if (decision.granted) {
         permit_ = decision;
+        versionDecidedAt_ = gateway_.now();
         return send(std::nullopt);
     }
     replica_->permitRefused(gateway_.now(), decision.askAgainAfter);
--- a/packages/wire/Agent.capnp
+++ b/packages/wire/Agent.capnp
@@ -95,6 +95,8 @@
   elsewhere @10 :Bool;
   # Of the prompt, the parts that other requests share, from the first up to each of them.
   shared @11 :List(SharedPrefix);
+  # How long ago `version` was named at the most; the greatest number if that is not known.
+  versionAgeMs @12 :UInt32 = 0xffffffff;
 }
 
 # `id` names the first parts of a prompt together with the adapter, `tokens` counts them.
--- a/tests/integration/SharedReading.cpp
+++ b/tests/integration/SharedReading.cpp
@@ -175,7 +175,7 @@
     const auto has = [](serving::GatewayRole& gateway) {
         const auto& follower = gateway.configuration();
         return follower.configuration()->version == ConfigVersion(2)
-            && follower.versionOf(serving::BaseModel("base"), AdapterId("a1")) == AdapterVersion(7);
+            && follower.versions().of(serving::BaseModel("base"), AdapterId("a1")).version == AdapterVersion(7);
     };
     BOOST_TEST(zone.world.until([&] { return zone.each(has) == entries; }));
 }
