--- a/standins/ReplicaStandin.cpp
+++ b/standins/ReplicaStandin.cpp
@@ -15,6 +15,15 @@
 namespace names = hosting::names;
 
 constexpr auto base = "base";
+constexpr auto misdirected = 421;
+constexpr auto unavailable = 503;
+
+auto adapterOf(const wire::HttpRequestMessage& request) -> std::string
+{
+    const auto model = std::string(request.fields.get(names::model));
+    const auto slash = model.find('/');
+    return slash == std::string::npos ? std::string() : model.substr(slash + 1);
+}
 
 } // namespace
 
@@ -52,6 +61,9 @@
 {
     instance_ = instance;
     adapters_.clear();
+    replacements_.clear();
+    running_.clear();
+    timersOfRuns_.clear();
     sequence_ = 0;
     highestFence_ = 0;
     hasModel_ = false;
@@ -131,17 +143,50 @@
     const auto adapter = json.value("adapter", std::string());
     if (json.at("operation") == "unload") {
         adapters_.erase(adapter);
+        replacements_.erase(adapter);
         return 200;
     }
     if (adapter.empty()) {
         hasModel_ = true;
         return 202;
     }
-    adapters_[adapter] = json.value("version", std::uint64_t(1));
+    const auto newest = newest_.find(adapter);
+    load(adapter, json.value("version", newest == newest_.end() ? std::uint64_t(1) : newest->second));
     crashed_ = crashed_ || adapters_.size() > slots_;
     return 202;
 }
 
+auto ReplicaStandin::heldVersion(const std::string& adapter) const -> std::uint64_t
+{
+    const auto held = adapters_.find(adapter);
+    return held == adapters_.end() ? 0 : held->second;
+}
+
+auto ReplicaStandin::load(const std::string& adapter, std::uint64_t version) -> void
+{
+    const auto running = running_.find(adapter);
+    if (adapters_.contains(adapter) && running != running_.end() && running->second > 0)
+        replacements_[adapter] = version;
+    else
+        adapters_[adapter] = version;
+}
+
+auto ReplicaStandin::afterwards(Duration delay, std::function<void()> step) -> void
+{
+    if (delay == Duration(0))
+        return step();
+    std::erase_if(timersOfRuns_, [](const Timer& timer) { return !timer.active(); });
+    timersOfRuns_.push_back(timers_.after(delay, std::move(step)));
+}
+
+auto ReplicaStandin::runEnded(const std::string& adapter, std::uint64_t start) -> void
+{
+    if (adapter.empty() || start != born_ || --running_[adapter] > 0)
+        return;
+    if (const auto next = replacements_.extract(adapter))
+        adapters_[adapter] = next.mapped();
+}
+
 auto ReplicaStandin::carryOutLost() -> std::size_t
 {
     constexpr auto firstRefusal = 400;
@@ -181,13 +226,46 @@
         head.fields.add(names::notRun, "1");
         return caller->respond(std::move(head), {});
     }
-    const auto model = std::string(request.fields.get(names::model));
-    const auto slash = model.find('/');
-    const auto adapter = slash == std::string::npos ? std::string() : model.substr(slash + 1);
-    if (!adapter.empty() && !adapters_.contains(adapter))
-        return respond(caller, { .status = 421 }, {});
+    const auto adapter = adapterOf(request);
+    if (auto refused = refusal(adapter, request))
+        return caller->respond(std::move(*refused), {});
+    if (adapter.empty())
+        return begin(caller, request, adapter);
+    ++running_[adapter];
+    afterwards(behaviour_.beginsAfter, [this, caller, request, adapter] { begin(caller, request, adapter); });
+}
+
+auto ReplicaStandin::refusal(const std::string& adapter, const wire::HttpRequestMessage& request) const
+    -> std::optional<wire::HttpResponseHead>
+{
+    if (adapter.empty())
+        return std::nullopt;
+    const auto expected = wire::decimal(request.fields.get(names::expectVersion));
+    if (!adapters_.contains(adapter) || (expected && *expected != adapters_.at(adapter))) {
+        auto head = answerHead(request, misdirected);
+        head.fields.add(names::notRun, "1");
+        return head;
+    }
+    if (!replacements_.contains(adapter) || behaviour_.runsWhileReplacing)
+        return std::nullopt;
+    auto head = answerHead(request, unavailable);
+    head.fields.add(names::notRun, "1");
+    return head;
+}
+
+auto ReplicaStandin::begin(const Caller& caller, const wire::HttpRequestMessage& request, const std::string& adapter)
+    -> void
+{
+    // A replica drops a request whose connection has closed while it waited.
+    if (!caller->open())
+        return runEnded(adapter, born_);
+    auto head = answerHead(request, behaviour_.status);
+    const auto version = heldVersion(adapter);
     auto from = wire::decimal(request.fields.get(names::lastEventId)).value_or(0);
-    runs_.push_back({ attempt, request.target, adapter, from, request.fields, request.body });
+    runs_.push_back({ timers_.now(), std::string(request.fields.get(names::attemptId)), request.target, adapter,
+        version, from, request.fields, request.body });
+    if (!adapter.empty())
+        head.fields.add(names::weightVersions, std::to_string(version));
     head.fields.add(names::seal, "seal-of-" + instance_);
     if (behaviour_.strangerFirst) {
         auto stranger = wire::HttpResponseHead { .status = 200 };
@@ -196,10 +274,15 @@
         stranger.fields.add("Content-Length", "8");
         caller->write(wire::responseHeadText(stranger) + "stranger");
     }
-    if (model.empty())
+    if (request.fields.get(names::model).empty())
         return caller->respond(std::move(head), "body-of-" + instance_);
     head.fields.add("Content-Type", "text/event-stream");
     caller->begin(std::move(head));
+    stream(caller, adapter, from);
+}
+
+auto ReplicaStandin::stream(const Caller& caller, const std::string& adapter, std::uint64_t from) -> void
+{
     auto then = behaviour_.then;
     if (then != Behaviour::Then::Finish && behaviour_.times && (*behaviour_.times)-- <= 0)
         then = Behaviour::Then::Finish;
@@ -208,13 +291,22 @@
         caller->writeChunk("id: " + std::to_string(event) + "\ndata: " + std::to_string(event) + "\n\n");
     switch (then) {
     case Behaviour::Then::Finish:
-        return caller->finish();
+        return afterwards(behaviour_.runsFor, [this, caller, adapter] {
+            if (caller->open())
+                caller->finish();
+            runEnded(adapter, born_);
+        });
     case Behaviour::Then::Reset:
         // A reset overtakes what was sent just before it; the events have to be there first.
-        resets_.push_back(timers_.after(50ms, [caller] { caller->abort(); }));
-        return;
+        return afterwards(50ms, [this, caller, adapter] {
+            caller->abort();
+            runEnded(adapter, born_);
+        });
     case Behaviour::Then::Silence:
-        caller->watch({ .onGone = [this] { ++cancelled_; } });
+        caller->watch({ .onGone = [this, adapter, start = born_] {
+            ++cancelled_;
+            runEnded(adapter, start);
+        } });
     }
 }
 
--- a/standins/ReplicaStandin.h
+++ b/standins/ReplicaStandin.h
@@ -33,12 +33,21 @@
         bool loseOrders = false;
         /// The health check answers 503 and does not say which instance it is.
         bool unhealthy = false;
+        /// How long a request for a model waits, after its version has been checked, before it begins.
+        Duration beginsAfter {};
+        /// How long a model request runs after its first token.
+        Duration runsFor {};
+        /// Whether requests for an adapter whose replacement waits are taken; if not, they are turned away.
+        bool runsWhileReplacing = false;
     };
-    /// A request that began to run.
+    /// A request that began to run: that produced its first token.
     struct Run {
+        Moment at {};
         std::string attempt;
         std::string target;
         std::string adapter;
+        /// Of the adapter at the first token; 0 for requests without one.
+        std::uint64_t version = 0;
         std::uint64_t from = 0;
         wire::HeaderFields fields;
         std::string body;
@@ -86,6 +95,10 @@
     [[nodiscard]] auto crashed() const noexcept -> bool { return crashed_; }
     /// Requests that were ended by their caller's close.
     [[nodiscard]] auto cancelled() const noexcept -> std::size_t { return cancelled_; }
+    /// The operator has named this version of an adapter: loads that name none take it from now on.
+    auto nameVersion(const std::string& adapter, std::uint64_t version) -> void { newest_[adapter] = version; }
+    /// The version of an adapter that it holds; 0 for none.
+    [[nodiscard]] auto heldVersion(const std::string& adapter) const -> std::uint64_t;
     /// A new start at the same address, also under the same name: empty, born later.
     auto restart(const std::string& instance) -> void;
     /// Carries out the orders whose answers were lost, as far as their conditions still hold; tells how many did.
@@ -102,6 +115,16 @@
     auto order(const Caller& caller, const wire::HttpRequestMessage& request) -> void;
     [[nodiscard]] auto carryOut(const std::string& body) -> int;
     auto runModel(const Caller& caller, const wire::HttpRequestMessage& request) -> void;
+    /// Why a request for this adapter is turned away before it waits; empty if it is not.
+    [[nodiscard]] auto refusal(const std::string& adapter, const wire::HttpRequestMessage& request) const
+        -> std::optional<wire::HttpResponseHead>;
+    auto begin(const Caller& caller, const wire::HttpRequestMessage& request, const std::string& adapter) -> void;
+    auto stream(const Caller& caller, const std::string& adapter, std::uint64_t from) -> void;
+    auto afterwards(Duration delay, std::function<void()> step) -> void;
+    /// Loads or replaces the adapter, once none of its runs is left.
+    auto load(const std::string& adapter, std::uint64_t version) -> void;
+    /// `start` is the start of the replica at which the run began.
+    auto runEnded(const std::string& adapter, std::uint64_t start) -> void;
     [[nodiscard]] auto answerHead(const wire::HttpRequestMessage& request, int status) const -> wire::HttpResponseHead;
     [[nodiscard]] auto adapterNames() const -> std::vector<std::string>;
 
@@ -120,6 +143,11 @@
     std::vector<std::string> orders_;
     std::vector<std::string> lostOrders_;
     std::map<std::string, std::uint64_t> adapters_;
+    std::map<std::string, std::uint64_t> newest_;
+    /// Versions that replace a held one when the runs of the adapter have ended.
+    std::map<std::string, std::uint64_t> replacements_;
+    /// Requests for an adapter that run, or wait to begin.
+    std::map<std::string, std::size_t> running_;
     std::uint64_t sequence_ = 0;
     std::uint64_t highestFence_ = 0;
     std::uint64_t born_ = 1'700'000'000'000;
@@ -127,7 +155,7 @@
     bool hasModel_ = true;
     bool crashed_ = false;
     std::size_t cancelled_ = 0;
-    std::vector<Timer> resets_;
+    std::vector<Timer> timersOfRuns_;
     LoopServer server_;
 };
 
--- a/tests/harness/ServingWorld.cpp
+++ b/tests/harness/ServingWorld.cpp
@@ -88,6 +88,22 @@
     store_.put("op", "config", servingConfiguration(version, onceService));
 }
 
+auto ServingWorld::nameVersion(const std::string& adapter, std::uint64_t version) -> void
+{
+    for (const auto& engine : engines_)
+        engine->nameVersion(adapter, version);
+    store_.put("op", "version/base." + adapter,
+        Json { { "model", "base" }, { "adapter", adapter }, { "version", version } }.dump());
+}
+
+auto ServingWorld::allKnow(const std::string& adapter, std::uint64_t version) const -> bool
+{
+    return std::all_of(gateways_.begin(), gateways_.end(), [&](const auto& gateway) {
+        const auto& known = gateway->configuration().versions().of(serving::BaseModel("base"), AdapterId(adapter));
+        return known.version == AdapterVersion(version);
+    });
+}
+
 auto ServingWorld::publishReplicas() -> void
 {
     for (const auto& replica : engines_)
--- a/tests/harness/ServingWorld.h
+++ b/tests/harness/ServingWorld.h
@@ -62,6 +62,8 @@
     };
     /// The answer; status 0 for a connection that ended before the answer was whole.
     [[nodiscard]] auto ask(const Request& request) -> wire::HttpAnswer;
+    /// Whether every gateway knows this version of the adapter.
+    [[nodiscard]] auto allKnow(const std::string& adapter, std::uint64_t version) const -> bool;
     [[nodiscard]] auto begin(const Request& request) -> kj::Promise<wire::HttpAnswer>;
     /// Where each request came in; hosts are named by the index of their gateway.
     [[nodiscard]] auto origins() const noexcept -> const RequestOrigins& { return origins_; }
@@ -71,6 +73,8 @@
     /// Runs the loop until `done`, five seconds at most.
     auto until(const std::function<bool()>& done) -> bool;
     auto publishReplicas() -> void;
+    /// Names a version of an adapter, in the store and to the engines, which load it from now on.
+    auto nameVersion(const std::string& adapter, std::uint64_t version) -> void;
     auto configure(std::uint64_t version, const std::string& onceService = "plain") -> void;
 
 private:
