Fix: an agent orders the newest version unless it knows of a named one

What callers saw: answers of an older version after an agent had started again: it knew of no named version, took the least version that the first request asked for, 1, and had the replica load just that. Besides, a replacement that had been ordered counted as pending until the newest version was there: when a further version was named meanwhile, its order waited for up to 3 s.

Cause: a least version, unnamed, went into the order as the version wanted; a pending replacement was compared with what is wanted now, not with what was ordered.

Change: an order names a version only if the operator has; otherwise the replica fetches the newest, as the protocol says. A pending replacement keeps the version that it is for.

The second part is read in the code, with no test of its own.

--- a/packages/serving/AgentOrders.cpp
+++ b/packages/serving/AgentOrders.cpp
@@ -32,9 +32,9 @@
     std::erase_if(pendingUnloads_, [&](const auto& order) {
         return !report_->resident.contains(order.first) || now - order.second > maxPendingTime;
     });
-    std::erase_if(pendingReplacements_, [&](const auto& order) {
-        return residentVersion(order.first) >= versions_.of(base_, order.first).version
-            || now - order.second > maxPendingTime;
+    std::erase_if(pendingReplacements_, [&](const auto& entry) {
+        const auto& [adapter, replacement] = entry;
+        return residentVersion(adapter) >= replacement.version || now - replacement.since > maxPendingTime;
     });
     std::erase_if(pendingLoads_, [&](const auto& entry) {
         const auto& [adapter, load] = entry;
@@ -58,6 +58,16 @@
     return hosting::ReplicaOrder { .model = base_ };
 }
 
+/// Names a version only if the operator has. Otherwise the replica fetches the newest: an agent that has started again
+/// knows of no version, and the entry that asks may be the one that has missed the news.
+auto ReplicaAgent::loadOrder(const AdapterName& adapter) const -> hosting::ReplicaOrder
+{
+    const auto& known = knownVersion(adapter);
+    return {
+        .model = base_, .adapter = adapter, .version = known.learnedAt ? std::optional(known.version) : std::nullopt
+    };
+}
+
 auto ReplicaAgent::nextOrder() -> std::optional<hosting::ReplicaOrder>
 {
     if (!slots_)
@@ -75,9 +85,7 @@
             continue;
         if (slots_->ready(name)) {
             // An older version is loaded. The replica replaces it once the requests running on it have ended.
-            return hosting::ReplicaOrder {
-                .model = base_, .adapter = adapter, .version = versions_.of(base_, adapter).version
-            };
+            return loadOrder(adapter);
         }
         // A slot is not emptied for a load that may not start yet.
         if (report_->loading.size() >= loadConcurrency_.limit(candidate.late))
@@ -87,9 +95,7 @@
             return queue_.waits(held) || pendingReplacements_.contains(held);
         });
         if (std::holds_alternative<decisions::LoadNow>(answer)) {
-            return hosting::ReplicaOrder {
-                .model = base_, .adapter = adapter, .version = versions_.of(base_, adapter).version
-            };
+            return loadOrder(adapter);
         }
         if (const auto* evict = std::get_if<decisions::EvictFirst>(&answer)) {
             const auto victim = AdapterName(evict->victim.str());
@@ -179,7 +185,7 @@
     if (order.kind == hosting::ReplicaOrder::Kind::Unload)
         pendingUnloads_[order.adapter] = now;
     else if (report_->resident.contains(order.adapter))
-        pendingReplacements_[order.adapter] = now;
+        pendingReplacements_[order.adapter] = { .version = order.version.value_or(AdapterVersion()), .since = now };
     else if (!order.adapter.empty())
         pendingLoads_[order.adapter] = { .since = now, .fromStore = !recentAdapters_.contains(order.adapter) };
 }
--- a/packages/serving/ReplicaAgent.h
+++ b/packages/serving/ReplicaAgent.h
@@ -99,6 +99,11 @@
     [[nodiscard]] auto startTime() const noexcept -> StartTime { return report_ ? report_->startTime : StartTime(); }
     [[nodiscard]] auto queue() const noexcept -> const decisions::AdmissionQueue& { return queue_; }
     [[nodiscard]] auto resident() const -> std::map<AdapterName, AdapterVersion>;
+    /// The newest version of an adapter that entries have told this agent of.
+    [[nodiscard]] auto knownVersion(const AdapterName& adapter) const -> const KnownVersion&
+    {
+        return versions_.of(base_, adapter);
+    }
     /// Adapters that queued requests need and that are not loaded, sorted by name.
     [[nodiscard]] auto loading() const -> std::vector<AdapterName>;
     [[nodiscard]] auto spareSlots() const -> std::size_t;
@@ -152,6 +157,7 @@
     /// Grants the next request when it gets its permit.
     auto scheduleNextPermit() -> void;
     auto nextOrder() -> std::optional<hosting::ReplicaOrder>;
+    [[nodiscard]] auto loadOrder(const AdapterName& adapter) const -> hosting::ReplicaOrder;
     auto baseModelOrder() -> std::optional<hosting::ReplicaOrder>;
     auto sendOrder(hosting::ReplicaOrder order) -> void;
     [[nodiscard]] auto orderFencingToken() const -> Epoch;
@@ -189,7 +195,11 @@
     /// Accepted orders that the replica carries out once the adapter's running requests have ended, and when they were
     /// accepted: unloads, and loads of a newer version.
     std::map<AdapterName, Moment> pendingUnloads_;
-    std::map<AdapterName, Moment> pendingReplacements_;
+    struct Replacement {
+        AdapterVersion version;
+        Moment since {};
+    };
+    std::map<AdapterName, Replacement> pendingReplacements_;
     struct Load {
         Moment since {};
         /// Whether the weights are read from the weight store.
