Fix: an entry that has missed a version hears of it from the agents that it asks

What callers saw: an entry whose store is silent went on with the version that it knew, for as long as that lasted, though the agents that it asked had heard of the newer one from other entries. Where it went round an agent, it named nothing.

Cause: news of a version reached an entry from the store, its reader or a peer only; the agent kept the highest version that anybody had asked for to itself.

Change: the answer to an admission, granted or not, carries the newest version of the adapter that any entry has told the agent of, and how long ago it was named at the most. Only what the operator has named is passed on, not what a replica says that it holds: a wrong report of one replica would otherwise shut out all others.

--- a/packages/serving/AgentLink.cpp
+++ b/packages/serving/AgentLink.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Log.h"
 #include "decisions/Rendezvous.h"
+#include "serving/detail/NewsAge.h"
 #include "serving/detail/OneWayCall.h"
 #include "serving/detail/RunLimits.h"
 
@@ -37,6 +38,14 @@
     into.setLenience(charge.rate.lenience);
 }
 
+auto readNamed(wire::schema::AdmitAnswer::Reader answer, Moment now) -> std::optional<AdmitResult::Named>
+{
+    if (answer.getNamedVersion() == 0)
+        return std::nullopt;
+    return AdmitResult::Named { AdapterVersion(answer.getNamedVersion()),
+        detail::momentOfAge(answer.getNamedAgeMs(), now) };
+}
+
 } // namespace
 
 class AgentLink::Listener final : public wire::schema::ReplicaListener::Server {
@@ -225,6 +234,8 @@
     return persistent() && !alive() && loop_.timers().now() - lastHeardAt_ > goneTime;
 }
 
+auto AgentLink::awayFor() const -> Duration { return alive() ? Duration(0) : loop_.timers().now() - lastHeardAt_; }
+
 auto AgentLink::isResponsive(Moment asked) const -> bool
 {
     return alive() && (state_.receivedAt >= asked || loop_.timers().now() - asked < answerLimit);
@@ -301,8 +312,7 @@
         request.setAttempt(admission.attempt.str());
         request.setAdapter(admission.adapter.str());
         request.setVersion(admission.version.value());
-        if (admission.versionAge)
-            request.setVersionAgeMs(static_cast<std::uint32_t>(admission.versionAge->count()));
+        request.setVersionAgeMs(detail::ageOfMoment(admission.versionNamedAfter, loop_.timers().now()));
         request.setPromptTokens(admission.promptTokens);
         auto shared = request.initShared(static_cast<unsigned>(admission.shared.size()));
         for (auto index = 0U; index < admission.shared.size(); ++index) {
@@ -325,7 +335,8 @@
                 hooks_.onFigures();
             }
             return AdmitResult { answer.getGranted(), AdapterVersion(answer.getVersion()),
-                milliseconds(answer.getRetryAfterMs()), answer.getReason().cStr(), answer.getLate() };
+                milliseconds(answer.getRetryAfterMs()), answer.getReason().cStr(), answer.getLate(),
+                readNamed(answer, loop_.timers().now()) };
         });
     }
     return KJ_EXCEPTION(DISCONNECTED, "no session with the agent");
--- a/packages/serving/AgentLink.h
+++ b/packages/serving/AgentLink.h
@@ -60,9 +60,9 @@
 struct AgentAdmissionRequest {
     AttemptId attempt;
     AdapterName adapter;
-    /// The lowest version that may run, and how long ago it was named at the most, if that is known.
+    /// The lowest version that may run, and the moment after which it was named, if that is known.
     AdapterVersion version;
-    std::optional<milliseconds> versionAge {};
+    std::optional<Moment> versionNamedAfter {};
     Tokens promptTokens = 0;
     std::vector<decisions::SharedPrefix> shared;
     Tokens outputTokens = 0;
@@ -83,6 +83,13 @@
     /// The agent refused the request only because it would miss its latency target at this replica, where it could
     /// start after `retryAfter`.
     bool late = false;
+    /// The newest version of the request's adapter that any entry has told the agent of, and the moment after which it
+    /// was named; empty if no entry has told it of one.
+    struct Named {
+        AdapterVersion version;
+        std::optional<Moment> namedAfter {};
+    };
+    std::optional<Named> named {};
 };
 
 /// The amount that a request counts against its member's quota.
@@ -160,6 +167,8 @@
     /// Whether the agent seems to be gone for good: this entry keeps trying to reach it, and has had no update from it
     /// for long.
     [[nodiscard]] auto seemsGone() const -> bool;
+    /// Time since the agent was last heard of; 0 while it is alive.
+    [[nodiscard]] auto awayFor() const -> Duration;
     /// Whether `open` may succeed: the session is on demand, and closed or opening within its time limit.
     [[nodiscard]] auto mayOpen() const -> bool;
     /// Opens the session if needed; resolves once it is alive, and is rejected if the agent cannot be reached.
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -4,9 +4,9 @@
 #include "decisions/Rendezvous.h"
 #include "decisions/SharedReading.h"
 #include "serving/StoreCalls.h"
+#include "serving/detail/NewsAge.h"
 
 #include <algorithm>
-#include <limits>
 #include <set>
 #include <tuple>
 
@@ -75,7 +75,8 @@
                                .elsewhere = request.getElsewhere() },
             requiredVersion(request), shared);
         role_.publisher_.changed();
-        return pair.promise.then([this, context](ReplicaAgent::Decision&& decision) mutable {
+        const auto adapter = AdapterId(request.getAdapter().cStr());
+        return pair.promise.then([this, context, adapter](ReplicaAgent::Decision&& decision) mutable {
             auto answer = context.getResults().initAnswer();
             answer.setGranted(decision.granted);
             answer.setVersion(decision.version.value());
@@ -84,6 +85,10 @@
             answer.setReason(decision.reason);
             answer.setLate(decision.late);
             answer.setInstance(role_.agent_.instance().str());
+            if (const auto& known = role_.agent_.knownVersion(adapter); known.learnedAt) {
+                answer.setNamedVersion(known.version.value());
+                answer.setNamedAgeMs(detail::ageOfMoment(known.namedAfter, role_.loop_.timers().now()));
+            }
             role_.publisher_.fillFigures(answer.initState());
         });
     }
@@ -209,11 +214,9 @@
 private:
     [[nodiscard]] auto requiredVersion(wire::schema::AdmitRequest::Reader request) const -> RequiredVersion
     {
-        auto required = RequiredVersion { .version = AdapterVersion(request.getVersion()), .source = entry_ };
-        constexpr auto unknownAge = std::numeric_limits<std::uint32_t>::max();
-        if (request.getVersionAgeMs() != unknownAge)
-            required.namedAfter = role_.loop_.timers().now() - Duration(milliseconds(request.getVersionAgeMs()));
-        return required;
+        return { .version = AdapterVersion(request.getVersion()),
+            .source = entry_,
+            .namedAfter = detail::momentOfAge(request.getVersionAgeMs(), role_.loop_.timers().now()) };
     }
 
     static auto permitCost(bool standIn) -> double { return standIn ? decisions::ArrivalPermits::standInCost : 1; }
--- a/packages/serving/ConfigurationFollower.cpp
+++ b/packages/serving/ConfigurationFollower.cpp
@@ -204,6 +204,12 @@
         { .source = source, .namedAfter = age == Duration::max() ? std::nullopt : std::optional(now - age) }, now);
 }
 
+auto ConfigurationFollower::noteAdapterVersion(
+    const hosting::NamedVersion& named, std::string_view source, const std::optional<Moment>& namedAfter) -> void
+{
+    versions_.apply(named, { .source = source, .namedAfter = namedAfter }, loop_.timers().now());
+}
+
 auto ConfigurationFollower::applyAdapterVersions(std::string_view text, std::string_view source, Moment askedAt) -> void
 {
     versions_.applyJson(text, source, askedAt, loop_.timers().now());
--- a/packages/serving/ConfigurationFollower.h
+++ b/packages/serving/ConfigurationFollower.h
@@ -57,6 +57,9 @@
     /// Applies a configuration if it is newer. Returns false if it cannot be parsed.
     auto applyConfiguration(std::string_view text, std::string_view source) -> bool;
     auto applyAdapterVersion(std::string_view text, std::string_view source) -> void;
+    /// Applies an adapter version that another process knows, named at `namedAfter` or later.
+    auto noteAdapterVersion(
+        const hosting::NamedVersion& named, std::string_view source, const std::optional<Moment>& namedAfter) -> void;
     /// Applies another entry's adapter versions, received in answer to a query of `askedAt`.
     auto applyAdapterVersions(std::string_view text, std::string_view source, Moment askedAt) -> void;
     /// Suspends polling the store until `until`, after the pending poll has ended, because another entry supplies the
--- a/packages/serving/RequestPlacing.cpp
+++ b/packages/serving/RequestPlacing.cpp
@@ -176,7 +176,7 @@
     auto order = AgentAdmissionRequest { .attempt = metadata_.attempt,
         .adapter = metadata_.adapter,
         .version = knownVersion().version,
-        .versionAge = versionAge(),
+        .versionNamedAfter = knownVersion().namedAfter,
         .promptTokens = metadata_.promptTokens,
         .shared = sharedPrefixes_,
         .outputTokens = metadata_.outputTokens,
@@ -211,6 +211,9 @@
 auto RequestRun::onAdmitResult(const AdmitResult& result) -> void
 {
     waitTimer_.cancel();
+    if (result.named)
+        gateway_.configuration.noteAdapterVersion({ metadata_.model, metadata_.adapter, result.named->version },
+            replica_->agent()->endpoint().str(), result.named->namedAfter);
     if (finished_) {
         if (result.granted)
             replica_->agent()->release(metadata_.attempt, RunEnd::Unsent);
--- a/packages/wire/Agent.capnp
+++ b/packages/wire/Agent.capnp
@@ -127,6 +127,10 @@
   state @5 :ReplicaState;
   # Not granted only because it would be late here and may go elsewhere; `retryAfterMs` is when it would begin.
   late @6 :Bool;
+  # The newest version of the request's adapter that any entry has told this agent of; 0 for none. How long ago it was
+  # named at the most; the greatest number if that is not known.
+  namedVersion @7 :UInt64;
+  namedAgeMs @8 :UInt32 = 0xffffffff;
 }
 
 # A request that runs on the replica under a grant that an earlier process gave, or that nobody gave.
