Fix: a request runs on the version that the entry knows, whichever way it goes

What callers saw: answers computed with an older version of their adapter, for as long as an entry took a replica's agent for away, more than 5 s after a newer one was acknowledged.

Cause: only an agent looked at versions. A request that went to a replica without one (no session, agent silent, by permit) was sent with no expected version, and the placement took any replica that holds the adapter's name for one that serves it. While such runs went on, the replacement that other entries had asked for did not get its turn there. A request that an agent had granted was sent on the version for which it had asked, though a newer one was known by then.

Why this works: RequestRun::mayRunOn is the only place that decides, and every way ends there: when a replica is chosen (the version that it holds, from its agent or, while that is away, from the list), when the request is sent, and when a connection to it stands. Each send names the version that it expects, so that the replica turns it away if it has another one by then. A replica with an older version counts as one whose load is under way if its agent lives, and as none if not. Adapters that it holds in their version are still served without the agent; a run is never cut.

What callers get while no replica has the version: they wait as long as an agent may just be starting again (2 s); after that they are refused at once and may come back after 0.5 s, the interval at which a lost agent is tried.

--- a/packages/serving/Replica.cpp
+++ b/packages/serving/Replica.cpp
@@ -81,6 +81,21 @@
     return failures_ < failuresToPause || inFlight_ == 0;
 }
 
+auto Replica::heldVersion(const AdapterName& adapter) const -> AdapterVersion
+{
+    const auto versionIn = [&](const std::map<AdapterName, AdapterVersion>& adapters) {
+        const auto found = adapters.find(adapter);
+        return found == adapters.end() ? AdapterVersion() : found->second;
+    };
+    if (agent_ && agent_->alive())
+        return versionIn(agent_->state().resident);
+    const auto listed = versionIn(record_.adapters);
+    // The list lags behind: the agent may have had the adapter replaced before it went away.
+    if (listed != AdapterVersion() && agent_ && sameStart(agent_->state().start, record_.start))
+        return std::max(listed, versionIn(agent_->state().resident));
+    return listed;
+}
+
 auto Replica::confirmsNewerStart(const StartTime& startTime, std::uint64_t listVersion) -> bool
 {
     if (startTime > record_.start.startTime)
--- a/packages/serving/Replica.h
+++ b/packages/serving/Replica.h
@@ -132,6 +132,10 @@
     }
     auto rateLimitEnded() -> void { nextPermitAt_ = {}; }
 
+    /// The version of an adapter that the replica was last known to hold, from its agent or, while the agent is away,
+    /// from the list; 0 if it does not hold the adapter.
+    [[nodiscard]] auto heldVersion(const AdapterName& adapter) const -> AdapterVersion;
+
     /// The prompt prefixes that this entry has sent to the replica.
     auto prompts() noexcept -> decisions::KnownPrefixes& { return prompts_; }
     [[nodiscard]] auto prompts() const noexcept -> const decisions::KnownPrefixes& { return prompts_; }
--- a/packages/serving/ReplicaAvailability.cpp
+++ b/packages/serving/ReplicaAvailability.cpp
@@ -125,11 +125,6 @@
     });
 }
 
-auto ReplicaAvailability::countWithheld(const Replica& replica) -> void
-{
-    metrics_.count("eelgrass_sends_withheld_total", { { "reason", replica.leaving() ? "leaving" : "rest" } });
-}
-
 auto ReplicaAvailability::retryAfter(Moment end, std::uint32_t priority) -> milliseconds
 {
     const auto now = loop_.timers().now();
--- a/packages/serving/ReplicaAvailability.h
+++ b/packages/serving/ReplicaAvailability.h
@@ -23,7 +23,7 @@
 ///
 /// ```cpp
 /// availability.observe(replica, answer, entries);
-/// if (!replica.accepts(now)) availability.countWithheld(replica);
+/// if (!replica.accepts(now)) return placeElsewhere();
 /// ```
 class ReplicaAvailability {
 public:
@@ -37,8 +37,6 @@
     auto applyPublished(Replica& replica) -> void;
     /// Notes the rests that have ended and the replicas that are gone.
     auto forgetEnded() -> void;
-    /// Counts a request that was about to be sent to a replica which wants none.
-    auto countWithheld(const Replica& replica) -> void;
     /// Returns when a client may come back whose request is refused because every replica rests; the first of them
     /// until `end`.
     [[nodiscard]] auto retryAfter(Moment end, std::uint32_t priority) -> milliseconds;
--- a/packages/serving/RequestEnd.cpp
+++ b/packages/serving/RequestEnd.cpp
@@ -123,13 +123,7 @@
     return gateway_.configuration.versions().of(metadata_.model, metadata_.adapter);
 }
 
-auto RequestRun::versionAge() const -> std::optional<milliseconds>
-{
-    const auto& namedAfter = knownVersion().namedAfter;
-    return namedAfter ? std::optional(std::chrono::ceil<milliseconds>(gateway_.now() - *namedAfter)) : std::nullopt;
-}
-
-auto RequestRun::logSend(std::optional<AdapterVersion> version) const -> void
+auto RequestRun::logSend() const -> void
 {
     if (metadata_.adapter.empty())
         return logDecision("sent", {});
@@ -137,11 +131,12 @@
     const auto now = gateway_.now();
     const auto* agent = replica_->agent();
     const auto* decider = admittingAgent_ ? "agent" : "entry";
+    const auto decidedAt = admittingAgent_ ? admissionAskedAt_ : now;
     const auto stateKnown = agent && agent->state().receivedAt != Moment();
     log::info("sent",
         { { "request", metadata_.attempt.str() }, { "replica", replica_->id().str() },
-            { "adapter", metadata_.adapter.str() }, { "version", version ? std::to_string(version->value()) : "" },
-            { "decided_by", decider }, { "decided_ms", millisecondsText(now - versionDecidedAt_) },
+            { "adapter", metadata_.adapter.str() }, { "version", std::to_string(runVersion_.value()) },
+            { "decided_by", decider }, { "decided_ms", millisecondsText(now - decidedAt) },
             { "known_version", std::to_string(known.version.value()) },
             { "known_ms", known.learnedAt ? millisecondsText(now - *known.learnedAt) : "" },
             { "known_from", known.source }, { "confirmed_ms", millisecondsText(gateway_.configuration.age()) },
--- a/packages/serving/RequestPlacing.cpp
+++ b/packages/serving/RequestPlacing.cpp
@@ -54,8 +54,7 @@
     view.cachedTokens = replica->prompts().tokens(sharedPrefixes_);
     if (!agent->alive()) {
         // Without a session with its agent, the platform's list shows what a replica holds.
-        view.holds = replica->record().hasBaseModel
-            && (metadata_.adapter.empty() || replica->record().adapters.contains(metadata_.adapter));
+        view.holds = replica->record().hasBaseModel && mayRunOn(replica->heldVersion(metadata_.adapter));
         view.canLoad = agent->mayOpen();
         if (!view.canLoad)
             return view;
@@ -70,9 +69,13 @@
     }
     const auto& state = agent->state();
     view.running = std::max(state.running, replica->inFlight());
-    view.holds = metadata_.adapter.empty() || state.resident.contains(metadata_.adapter);
-    view.loading = state.loading.contains(metadata_.adapter) || replica->hasRequestedLoad(metadata_.adapter);
-    view.warm = replica->warm(metadata_.adapter);
+    const auto held = replica->heldVersion(metadata_.adapter);
+    view.holds = mayRunOn(held);
+    // A replacement takes the slot of the older version and is ordered with the first request, like a load under way.
+    const auto outdated = !view.holds && held != AdapterVersion();
+    view.loading
+        = outdated || state.loading.contains(metadata_.adapter) || replica->hasRequestedLoad(metadata_.adapter);
+    view.warm = !outdated && replica->warm(metadata_.adapter);
     view.tokensAhead = state.tokensAhead + replica->tokensSent();
     view.tokensWaiting = state.tokensWaiting;
     view.spareSlots = state.spareSlots;
@@ -162,8 +165,7 @@
         return openSession();
     if (RateLimits::needsPermit(*replica_))
         return requestPermit();
-    versionDecidedAt_ = gateway_.now();
-    send(std::nullopt);
+    send();
 }
 
 auto RequestRun::admit() -> void
@@ -188,7 +190,7 @@
     if (!metadata_.adapter.empty() && !agent->state().resident.contains(metadata_.adapter))
         replica_->noteLoadRequested(metadata_.adapter);
     admittingAgent_ = agent;
-    admissionAskedAt_ = versionDecidedAt_ = now;
+    admissionAskedAt_ = now;
     // The answer is handled from the event loop: it may end the request, and a promise must not be destroyed within its
     // own callback.
     const auto number = ++admissionCount_;
@@ -223,8 +225,8 @@
     if (!replica_->accepts(gateway_.now()))
         return onReplicaClosed();
     if (result.granted) {
-        const auto version = metadata_.adapter.empty() ? std::nullopt : std::optional(result.version);
-        return send(version);
+        grantedVersion_ = result.version;
+        return send();
     }
     admittingAgent_ = nullptr;
     logDecision("admission refused", result.reason);
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -192,13 +192,28 @@
     return true;
 }
 
-auto RequestRun::send(std::optional<AdapterVersion> version) -> void
+auto RequestRun::mayRunOn(AdapterVersion version) const -> bool
+{
+    return metadata_.adapter.empty() || version >= knownVersion().version;
+}
+
+auto RequestRun::mayWrite() const -> bool
+{
+    return !replica_->leaving() && !replica_->rest().resting(gateway_.now()) && mayRunOn(runVersion_);
+}
+
+auto RequestRun::send() -> void
 {
     const auto now = gateway_.now();
+    runVersion_ = std::exchange(grantedVersion_, std::nullopt).value_or(replica_->heldVersion(metadata_.adapter));
     if (!replica_->accepts(now)) {
-        gateway_.availability.countWithheld(*replica_);
+        countWithheld();
         return onReplicaClosed();
     }
+    if (!mayRunOn(runVersion_)) {
+        countWithheld();
+        return abandonAdmission(outdatedReason);
+    }
     replicaClosed_.reset();
     // With less time left the request would be cut off at once, and the client could not be told that it has not run.
     if (timeLeft() < minTimeToSend)
@@ -222,7 +237,9 @@
     body_.clear();
     streaming_ = false;
     events_.clear();
-    auto options = hosting::ForwardOptions { .instance = replica_->id(), .version = version };
+    auto options = hosting::ForwardOptions { .instance = replica_->id() };
+    if (!metadata_.adapter.empty())
+        options.version = runVersion_;
     options.timeLeft = std::max(std::chrono::duration_cast<milliseconds>(timeLeft()), milliseconds(1));
     if (replica_->agent())
         options.priority = std::min(priority(), lowestPriority);
@@ -237,7 +254,7 @@
         replica_->prompts().remember(sharedPrefixes_);
     gateway_.rateLimits.countSend(*replica_);
     gateway_.availability.countSend(*replica_);
-    logSend(version);
+    logSend();
     startSilenceTimer();
     connection_->send(head, request_.body,
         [attempt = metadata_.attempt](const wire::HttpResponseHead& answer) {
@@ -247,7 +264,7 @@
             .onBody = [this](std::string_view bytes) { onBody(bytes); },
             .onDone = [this] { onDone(); },
             .onFault = [this](ReplicaFault fault) { onFault(fault); },
-            .mayWrite = [this] { return !replica_->leaving() && !replica_->rest().resting(gateway_.now()); } });
+            .mayWrite = [this] { return mayWrite(); } });
 }
 
 auto RequestRun::mayRunAgain() const -> bool
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -84,7 +84,14 @@
     auto onLateRefusal(const AdmitResult& result) -> void;
     auto checkAgent() -> void;
     auto abandonAdmission(std::string_view why) -> void;
-    auto send(std::optional<AdapterVersion> version) -> void;
+    /// Sends the request to `replica_`, on the version of its adapter that the replica holds.
+    auto send() -> void;
+    /// Whether a request may run on this version of its adapter, 0 if the replica does not hold it. Every way to a
+    /// replica ends in this question: when it is chosen, when the request is sent, and when a connection to it stands.
+    [[nodiscard]] auto mayRunOn(AdapterVersion version) const -> bool;
+    /// Whether a request that was given to a connection may be written now that the connection stands.
+    [[nodiscard]] auto mayWrite() const -> bool;
+    [[nodiscard]] auto noAgentCanLoad() const -> bool;
     /// Whether the next send stays within the retry budget; counts it.
     [[nodiscard]] auto chargeSend() -> bool;
 
@@ -97,6 +104,9 @@
     auto onFault(ReplicaFault fault) -> void;
     auto onNotRun(std::string_view why) -> void;
     auto onWithheld() -> void;
+    /// Why nothing is written to `replica_`: it leaves, it rests, or it holds an older version.
+    [[nodiscard]] auto withheldReason() const -> std::string_view;
+    auto countWithheld() -> void;
     auto onSilence() -> void;
     auto startSilenceTimer() -> void;
 
@@ -116,10 +126,8 @@
     auto finish(int status, std::string_view outcome, std::string_view why) -> void;
     auto logDecision(std::string_view event, std::string_view why) const -> void;
     /// Logs a send with the version that it expects, who decided on that version, and what this entry knows.
-    auto logSend(std::optional<AdapterVersion> version) const -> void;
+    auto logSend() const -> void;
     [[nodiscard]] auto knownVersion() const -> const KnownVersion&;
-    /// How long ago the known version was named at the most; empty if that cannot be told.
-    [[nodiscard]] auto versionAge() const -> std::optional<milliseconds>;
     /// Reports a run on an older version than the one that this entry knows.
     auto checkAnsweredVersion() -> void;
     [[nodiscard]] auto timeLeft() const -> Duration;
@@ -170,8 +178,10 @@
     Subscribers::Subscription replicaClosed_;
     /// When the pending admission was requested.
     Moment admissionAskedAt_ {};
-    /// When the version of the last send was decided on.
-    Moment versionDecidedAt_ {};
+    /// The version of its adapter that the agent of `replica_` has granted the request.
+    std::optional<AdapterVersion> grantedVersion_;
+    /// The version that `replica_` is to run the request on; 0 for the base model.
+    AdapterVersion runVersion_;
     std::shared_ptr<ReplicaConnection> connection_;
     wire::HttpResponseHead head_;
     hosting::AnswerMetadata answer_;
--- a/packages/serving/RequestWaiting.cpp
+++ b/packages/serving/RequestWaiting.cpp
@@ -40,8 +40,7 @@
 {
     if (decision.granted) {
         permit_ = decision;
-        versionDecidedAt_ = gateway_.now();
-        return send(std::nullopt);
+        return send();
     }
     replica_->permitRefused(gateway_.now(), decision.askAgainAfter);
     logDecision("permit refused", rateLimitReason);
@@ -109,7 +108,7 @@
 {
     if (finished_ || replica_->accepts(gateway_.now()))
         return;
-    abandonAdmission(replica_->leaving() ? "replica leaving" : restReason);
+    abandonAdmission(replica_->leaving() ? leavingReason : restReason);
 }
 
 auto RequestRun::abandonAdmission(std::string_view why) -> void
@@ -170,11 +169,29 @@
         return giveUp(replicas.empty() ? "no replica" : "every replica refused or failed");
     if (const auto opening = nextOpening())
         return waitForOpening(*opening);
+    if (noAgentCanLoad())
+        return refuse("no replica with the adapter version", agentReturnInterval);
     if (now + placementRetryDelay >= lateAt_)
         return giveUp("no replica free in time");
     waitTimer_ = gateway_.loop.timers().after(placementRetryDelay, guarded(&RequestRun::place));
 }
 
+/// Whether no replica can get the adapter in its version before the agents return, which have been away for so long
+/// that none is expected in time. While an agent may just be starting again, a request waits for it.
+auto RequestRun::noAgentCanLoad() const -> bool
+{
+    if (metadata_.adapter.empty())
+        return false;
+    const auto& replicas = gateway_.directory.replicasOf(service_);
+    return std::all_of(replicas.begin(), replicas.end(), [&](const ReplicaPtr& replica) {
+        if (!replica->present() || tried_.contains(replica->id()))
+            return true;
+        const auto* agent = replica->agent();
+        return agent && !agent->mayOpen() && agent->awayFor() > agentReturnTime
+            && !mayRunOn(replica->heldVersion(metadata_.adapter));
+    });
+}
+
 /// Refused at once if the replica opens too late for the request, so that the client can return when it is open.
 auto RequestRun::waitForOpening(const Opening& opening) -> void
 {
--- a/packages/serving/detail/RunLimits.h
+++ b/packages/serving/detail/RunLimits.h
@@ -47,6 +47,15 @@
 // A replica counts as failed if, when a request's deadline passes, the request was sent longer ago than this and
 // the replica has sent no event. Prefill takes less than a second.
 inline constexpr auto failureSilence = Duration(1500ms);
+// An agent that restarts or was suspended for a moment is back within this time.
+inline constexpr auto agentReturnTime = Duration(2s);
+// Retry-After for requests that no replica can serve before an agent returns; about as often is a lost agent tried
+// again.
+inline constexpr auto agentReturnInterval = std::chrono::milliseconds(500);
+// Reason in log lines for requests that are not sent because the replica leaves.
+inline constexpr auto leavingReason = "replica leaving";
+// Reason in log lines for requests that are not sent because a newer version of their adapter has been named.
+inline constexpr auto outdatedReason = "older version at the replica";
 // Reason in log lines for requests that a replica's rate limit delays or refuses.
 inline constexpr auto rateLimitReason = "over the replica's rate limit";
 // Reason in log lines for requests that are not sent because the replica asked this host for rest.
