--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -26,6 +26,8 @@
 constexpr auto turnPeriod = Duration(20ms);
 // All entries know a limit after this, whatever else is disturbed; the users allow three seconds.
 constexpr auto limitContact = Duration(1s);
+// The users' bound, from the acknowledgement of a version to the last run that begins on an older one.
+constexpr auto versionBound = Duration(5s);
 // Served again within this after the last fault.
 constexpr auto recovery = Duration(10s);
 
@@ -50,12 +52,24 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
 }
 
+/// The last line of a process's log that contains the text.
+auto lastLogged(tests::Process& process, const std::string& text) -> std::string
+{
+    const auto log = process.log();
+    const auto at = log.rfind(text);
+    if (at == std::string::npos)
+        return {};
+    const auto begin = log.rfind('\n', at) + 1;
+    return log.substr(begin, log.find('\n', at) - begin);
+}
+
 } // namespace
 
 Soak::Soak(std::uint64_t seed, Size size, std::string folder)
     : random_(seed)
     , limitRandom_(~seed)
     , availabilityRandom_(~seed * 3)
+    , versionRandom_(~seed * 5)
     , size_(size)
     , folder_(std::move(folder))
     , store_(loop_.timers())
@@ -171,16 +185,19 @@
     steps_.push_back(loop_.timers().after(delay, std::move(step)));
 }
 
-auto Soak::ask(wire::HttpCaller& caller, std::size_t gateway, const std::string& path) -> kj::Promise<Call>
+auto Soak::ask(wire::HttpCaller& caller, std::size_t gateway, const std::string& path, const std::string& adapter)
+    -> kj::Promise<Call>
 {
     auto call = Call { .attempt = "attempt-" + std::to_string(++asked_), .path = path, .gateway = gateway };
     call.began = loop_.timers().now();
-    auto request = wire::HttpCall { .method = "POST", .target = path, .body = "prompt", .timeout = patience };
+    // One content that breaks off at two replicas is served no more; here each run is to be judged.
+    const auto body = size_.namesVersions ? "prompt of " + call.attempt : std::string("prompt");
+    auto request = wire::HttpCall { .method = "POST", .target = path, .body = body, .timeout = patience };
     request.fields.add("Host", "users.example");
     request.fields.add(names::attemptId, call.attempt);
     request.fields.add(names::deadline, std::to_string(deadline.count()));
     if (path == "/resumable/x" || path == "/whole/x") {
-        request.fields.add(names::model, "base/a" + std::to_string(number(1, 6)));
+        request.fields.add(names::model, "base/" + (adapter.empty() ? drawAdapter() : adapter));
         request.fields.add(names::tokenCount, "100,20");
         request.fields.add(names::promptPrefix, "aa:60,bb:40");
     }
@@ -201,6 +218,14 @@
         });
 }
 
+auto Soak::drawAdapter() -> std::string
+{
+    constexpr auto adapters = 6;
+    // Twice in three times the two that versions are named of.
+    const auto drawn = number(1, size_.namesVersions ? 3 * adapters : adapters);
+    return "a" + std::to_string(drawn <= adapters ? drawn : 1 + drawn % 2);
+}
+
 /// Asks on, mostly on connections it has open, until the run is over.
 auto Soak::client(std::size_t index) -> kj::Promise<void>
 {
@@ -210,7 +235,7 @@
     const auto times = static_cast<std::size_t>(number(1, 8));
     auto work = kj::Promise<void>(kj::READY_NOW);
     for (auto count = std::size_t(0); count < times; ++count) {
-        const auto path = std::string(paths.at(static_cast<std::size_t>(number(0, 3))));
+        const auto path = std::string(paths.at(static_cast<std::size_t>(number(0, size_.namesVersions ? 1 : 3))));
         work = work.then([this, caller, gateway, path] { return ask(*caller, gateway, path); })
                    .then([this](Call&& call) {
                        calls_.push_back(std::move(call));
@@ -292,6 +317,7 @@
 
 auto Soak::faultOnStore() -> void
 {
+    storeDisturbances_.push_back(loop_.timers().now());
     switch (number(0, 4)) {
     case 0:
         note("store refuses");
@@ -348,8 +374,13 @@
         note("replica starts anew");
         return restartEngine(engine);
     }
+    behaveFor(engine, behaviour, soon(50, 900));
+}
+
+auto Soak::behaveFor(Engine& engine, const standins::ReplicaStandin::Behaviour& behaviour, Duration time) -> void
+{
     engine.replica->behave(behaviour);
-    later(soon(50, 900), [&engine] {
+    later(time, [&engine] {
         engine.replica->behave({});
         engine.replica->carryOutLost();
     });
@@ -404,10 +435,66 @@
     case 5:
         return faultOnLeg(*any(engines_).session, "agent");
     default:
-        return faultOnLeg(chance(0.5) ? *any(gateways_).store : *any(agents_).store, "store");
+        return faultOnStoreLeg(chance(0.5) ? any(gateways_) : any(agents_));
     }
 }
 
+auto Soak::faultOnStoreLeg(Node& node) -> void
+{
+    node.storeDisturbances.push_back(loop_.timers().now());
+    faultOnLeg(*node.store, "store");
+}
+
+auto Soak::faultBesideVersions() -> void
+{
+    const auto any = [&](auto& list) -> auto&
+    {
+        return list.at(static_cast<std::size_t>(number(0, static_cast<int>(list.size()) - 1)));
+    };
+    const auto kind = number(0, 19);
+    if (kind < 6)
+        return faultOnNode(any(agents_));
+    if (kind < 10)
+        return faultOnLeg(*any(engines_).session, "agent");
+    if (kind < 12)
+        return faultOnEngine(any(engines_));
+    if (kind < 14) {
+        note("replica begins late");
+        return behaveFor(any(engines_),
+            { .beginsAfter = soon(50, 900), .runsFor = soon(20, 200), .runsWhileReplacing = chance(0.5) },
+            soon(200, 1500));
+    }
+    if (kind < 16)
+        return faultOnLeg(*any(engines_).leg, "replica");
+    if (kind < 17)
+        return faultOnStoreLeg(any(agents_));
+    if (kind < 18) {
+        note("store forgets its history");
+        return store_.forgetHistory();
+    }
+    if (kind < 19)
+        return faultOnNode(any(gateways_));
+    faultOnStoreLeg(any(gateways_));
+}
+
+auto Soak::nameVersions() -> kj::Promise<void>
+{
+    if (over_)
+        return kj::READY_NOW;
+    note("version");
+    const auto adapter = "a" + std::to_string(1 + versionRandom_() % 2);
+    auto& versions = named_[adapter];
+    const auto version = (versions.empty() ? 1 : versions.back().version) + 1 + versionRandom_() % 3;
+    for (const auto& engine : engines_)
+        engine.replica->nameVersion(adapter, version);
+    store_.put("op", "version/base." + adapter,
+        Json { { "model", "base" }, { "adapter", adapter }, { "version", version } }.dump());
+    versions.push_back({ loop_.timers().now(), version });
+    return loop_.sleep(std::chrono::milliseconds(500 + versionRandom_() % 4000)).then([this] {
+        return nameVersions();
+    });
+}
+
 auto Soak::replicas() const -> std::vector<standins::ReplicaStandin*>
 {
     auto list = std::vector<standins::ReplicaStandin*>();
@@ -421,8 +508,10 @@
 auto Soak::announceLimit(standins::ReplicaStandin& replica) -> void
 {
     static constexpr auto limits = std::array { "1", "0.5", "4", "" };
+    // Requests are to run, under a permit now and then.
+    static constexpr auto wideLimits = std::array { "20", "", "", "" };
     note("rate limit");
-    replica.announceLimit(limits.at(limitRandom_() % limits.size()));
+    replica.announceLimit((size_.namesVersions ? wideLimits : limits).at(limitRandom_() % limits.size()));
 }
 
 /// Limits last longer than the time within which they have to hold, so that most of them are judged.
@@ -476,8 +565,8 @@
         return kj::READY_NOW;
     const auto many = chance(0.15) ? number(2, 5) : 1;
     for (auto count = 0; count < many; ++count)
-        fault();
-    return loop_.sleep(soon(30, 350)).then([this] { return disturb(); });
+        size_.namesVersions ? faultBesideVersions() : fault();
+    return loop_.sleep(size_.namesVersions ? soon(100, 600) : soon(30, 350)).then([this] { return disturb(); });
 }
 
 auto Soak::mendAll() -> void
@@ -623,6 +712,77 @@
     }
 }
 
+auto Soak::inTouchSince(std::size_t gateway, Moment at) const -> Moment
+{
+    // Faults that end by themselves last less than this, and so does a connection that is dead without a word.
+    constexpr auto longestFault = Duration(2s);
+    auto since = Moment();
+    const auto& node = gateways_[gateway];
+    for (const auto* moments : { &node.disturbances, &node.storeDisturbances, &storeDisturbances_ }) {
+        for (const auto moment : *moments)
+            since = moment <= at ? std::max(since, moment + longestFault) : since;
+    }
+    return since;
+}
+
+auto Soak::judgeVersion(
+    const standins::ReplicaStandin::Run& run, std::size_t gateway, std::vector<std::string>& broken) const -> void
+{
+    const auto where = run.attempt + " of " + run.adapter + " on version " + std::to_string(run.version) + " from "
+        + gateways_[gateway].name;
+    if (run.fields.get(names::expectVersion) != std::to_string(run.version))
+        broken.push_back("a run on a version that was not expected: " + where);
+    const auto named = named_.find(run.adapter);
+    if (named == named_.end())
+        return;
+    for (const auto& [at, version] : named->second) {
+        const auto since = std::max(at, inTouchSince(gateway, run.at));
+        if (run.version < version && run.at - since > versionBound)
+            broken.push_back("a run on an older version: " + where + ", " + std::to_string(version) + " was named "
+                + milliseconds(run.at - at) + " ms before");
+    }
+}
+
+auto Soak::judgeVersions(std::vector<std::string>& broken) const -> void
+{
+    auto gateways = std::map<std::string, std::size_t>();
+    for (const auto& call : calls_)
+        gateways[call.attempt] = call.gateway;
+    for (const auto& engine : engines_) {
+        for (const auto& run : engine.replica->runs()) {
+            const auto gateway = gateways.find(run.attempt);
+            if (!run.adapter.empty() && gateway != gateways.end())
+                judgeVersion(run, gateway->second, broken);
+        }
+    }
+}
+
+/// After all faults every gateway has requests run on the newest version.
+auto Soak::judgeNewestVersions(std::vector<std::string>& broken) -> void
+{
+    const auto newestRun = [&](std::size_t gateway, const std::string& adapter, std::uint64_t version) {
+        auto caller = wire::HttpCaller(loop_.timers(), "127.0.0.1", gateways_[gateway].port);
+        const auto call = loop_.wait(ask(caller, gateway, "/resumable/x", adapter));
+        return std::any_of(engines_.begin(), engines_.end(), [&](const Engine& engine) {
+            const auto& runs = engine.replica->runs();
+            return std::any_of(runs.begin(), runs.end(), [&](const auto& run) {
+                return run.attempt == call.attempt && run.adapter == adapter && run.version == version;
+            });
+        });
+    };
+    for (auto gateway = std::size_t(0); gateway < size_.gateways; ++gateway) {
+        for (const auto& [adapter, versions] : named_) {
+            const auto until = loop_.timers().now() + recovery;
+            auto found = false;
+            while (!found && loop_.timers().now() < until)
+                found = newestRun(gateway, adapter, versions.back().version);
+            if (!found)
+                broken.push_back("the newest version is not run: " + adapter + " at " + gateways_[gateway].name + "\n"
+                    + lastLogged(*gateways_[gateway].process, "request over"));
+        }
+    }
+}
+
 /// An answer that was written for a request that was over went nowhere, but it should not have been written.
 auto Soak::judgeLog(Node& node) -> void
 {
@@ -674,7 +834,7 @@
     auto asking = kj::joinPromises(clients.finish());
     auto faults = disturb();
     auto limits = announceLimits();
-    auto availability = announceAvailability();
+    auto availability = size_.namesVersions ? nameVersions() : announceAvailability();
     loop_.wait(loop_.sleep(size_.time));
     over_ = true;
     loop_.wait(kj::mv(faults));
@@ -689,7 +849,9 @@
     judgeOrders(broken);
     judgeLimits(broken);
     judgeAvailability(broken);
+    judgeVersions(broken);
     judgeRecovery(broken);
+    judgeNewestVersions(broken);
     return broken;
 }
 
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -22,6 +22,9 @@
     std::size_t plain = 2;
     std::size_t clients = 12;
     Duration time = 6s;
+    /// Names versions of the most-wanted adapters, with most faults on agents, replicas and the ways to them, so that
+    /// entries stay in touch with the store for long enough to be judged.
+    bool namesVersions = false;
 };
 
 /// One request as its client saw it.
@@ -74,6 +77,13 @@
         /// When it was killed, frozen, stopped or started, and when last.
         std::vector<Moment> disturbances;
         Moment disturbedAt {};
+        /// When its way to the store was disturbed.
+        std::vector<Moment> storeDisturbances;
+    };
+    /// A version as the operator named it.
+    struct NamedVersion {
+        Moment at {};
+        std::uint64_t version = 0;
     };
     /// A replica, and the proxies on the way to it and to its agent.
     struct Engine {
@@ -95,7 +105,9 @@
 
     // Clients.
     auto client(std::size_t index) -> kj::Promise<void>;
-    auto ask(wire::HttpCaller& caller, std::size_t gateway, const std::string& path) -> kj::Promise<Call>;
+    /// Of an adapter drawn here, if none is named.
+    auto ask(wire::HttpCaller& caller, std::size_t gateway, const std::string& path, const std::string& adapter = {})
+        -> kj::Promise<Call>;
 
     // Faults.
     auto disturb() -> kj::Promise<void>;
@@ -111,6 +123,13 @@
     /// Replicas ask for rest, serve again before it is over, and say that they leave.
     auto announceAvailability() -> kj::Promise<void>;
     auto leave(std::size_t engine) -> void;
+    auto nameVersions() -> kj::Promise<void>;
+    /// A fault of a run that names versions.
+    auto faultBesideVersions() -> void;
+    auto faultOnStoreLeg(Node& node) -> void;
+    auto behaveFor(Engine& engine, const standins::ReplicaStandin::Behaviour& behaviour, Duration time) -> void;
+    /// The adapter of the next request of a client.
+    [[nodiscard]] auto drawAdapter() -> std::string;
     [[nodiscard]] auto replicas() const -> std::vector<standins::ReplicaStandin*>;
     auto later(Duration delay, std::function<void()> step) -> void;
     auto restart(Node& node, Duration after) -> void;
@@ -129,6 +148,12 @@
     auto judgeOrders(std::vector<std::string>& broken) const -> void;
     auto judgeLimits(std::vector<std::string>& broken) const -> void;
     auto judgeAvailability(std::vector<std::string>& broken) const -> void;
+    auto judgeVersions(std::vector<std::string>& broken) const -> void;
+    auto judgeVersion(
+        const standins::ReplicaStandin::Run& run, std::size_t gateway, std::vector<std::string>& broken) const -> void;
+    /// Since when a gateway has been in touch with the store, at `at`.
+    [[nodiscard]] auto inTouchSince(std::size_t gateway, Moment at) const -> Moment;
+    auto judgeNewestVersions(std::vector<std::string>& broken) -> void;
     /// Whether a gateway may have missed what a replica told it, or may have forgotten it.
     [[nodiscard]] auto excused(std::size_t replica, std::size_t gateway, Moment from, Moment until) const -> bool;
     auto judgeLog(Node& node) -> void;
@@ -150,6 +175,7 @@
     /// Draw the rate limits, and the rests and leavings, so that these do not change the other faults of a seed.
     std::mt19937_64 limitRandom_;
     std::mt19937_64 availabilityRandom_;
+    std::mt19937_64 versionRandom_;
     Size size_;
     std::string folder_;
     standins::StoreStandin store_;
@@ -163,6 +189,9 @@
     std::vector<std::string> broken_;
     std::uint16_t agentPort_ = 0;
     std::uint64_t version_ = 0;
+    std::map<std::string, std::vector<NamedVersion>> named_;
+    /// When all ways to the store were disturbed.
+    std::vector<Moment> storeDisturbances_;
     std::uint64_t asked_ = 0;
     bool calm_ = false;
     bool over_ = false;
