Stand-in: an unload waits for the runs of its adapter

The stand-in dropped an adapter at once, also while a request that it had taken waited to begin; by the protocol an unload waits for the runs. The check stays as it is.

--- a/standins/ReplicaStandin.cpp
+++ b/standins/ReplicaStandin.cpp
@@ -61,7 +61,7 @@
 {
     instance_ = instance;
     adapters_.clear();
-    replacements_.clear();
+    waitingOrders_.clear();
     running_.clear();
     timersOfRuns_.clear();
     sequence_ = 0;
@@ -141,11 +141,8 @@
     highestFence_ = fence;
     ++sequence_;
     const auto adapter = json.value("adapter", std::string());
-    if (json.at("operation") == "unload") {
-        adapters_.erase(adapter);
-        replacements_.erase(adapter);
-        return 200;
-    }
+    if (json.at("operation") == "unload")
+        return unload(adapter);
     if (adapter.empty()) {
         hasModel_ = true;
         return 202;
@@ -162,11 +159,26 @@
     return held == adapters_.end() ? 0 : held->second;
 }
 
-auto ReplicaStandin::load(const std::string& adapter, std::uint64_t version) -> void
+auto ReplicaStandin::runs(const std::string& adapter) const -> bool
 {
     const auto running = running_.find(adapter);
-    if (adapters_.contains(adapter) && running != running_.end() && running->second > 0)
-        replacements_[adapter] = version;
+    return running != running_.end() && running->second > 0;
+}
+
+auto ReplicaStandin::unload(const std::string& adapter) -> int
+{
+    if (runs(adapter)) {
+        waitingOrders_[adapter] = std::nullopt;
+        return 202;
+    }
+    adapters_.erase(adapter);
+    return 200;
+}
+
+auto ReplicaStandin::load(const std::string& adapter, std::uint64_t version) -> void
+{
+    if (adapters_.contains(adapter) && runs(adapter))
+        waitingOrders_[adapter] = version;
     else
         adapters_[adapter] = version;
 }
@@ -183,8 +195,13 @@
 {
     if (adapter.empty() || start != born_ || --running_[adapter] > 0)
         return;
-    if (const auto next = replacements_.extract(adapter))
-        adapters_[adapter] = next.mapped();
+    const auto order = waitingOrders_.extract(adapter);
+    if (order.empty())
+        return;
+    if (order.mapped())
+        adapters_[adapter] = *order.mapped();
+    else
+        adapters_.erase(adapter);
 }
 
 auto ReplicaStandin::carryOutLost() -> std::size_t
@@ -246,7 +263,7 @@
         head.fields.add(names::notRun, "1");
         return head;
     }
-    if (!replacements_.contains(adapter) || behaviour_.runsWhileReplacing)
+    if (!waitingOrders_.contains(adapter) || behaviour_.runsWhileReplacing)
         return std::nullopt;
     auto head = answerHead(request, unavailable);
     head.fields.add(names::notRun, "1");
--- a/standins/ReplicaStandin.h
+++ b/standins/ReplicaStandin.h
@@ -37,7 +37,7 @@
         Duration beginsAfter {};
         /// How long a model request runs after its first token.
         Duration runsFor {};
-        /// Whether requests for an adapter whose replacement waits are taken; if not, they are turned away.
+        /// Whether requests for an adapter are taken while an order waits for its runs; if not, they are turned away.
         bool runsWhileReplacing = false;
     };
     /// A request that began to run: that produced its first token.
@@ -121,7 +121,10 @@
     auto begin(const Caller& caller, const wire::HttpRequestMessage& request, const std::string& adapter) -> void;
     auto stream(const Caller& caller, const std::string& adapter, std::uint64_t from) -> void;
     auto afterwards(Duration delay, std::function<void()> step) -> void;
-    /// Loads or replaces the adapter, once none of its runs is left.
+    /// Whether requests for the adapter run or wait to begin.
+    [[nodiscard]] auto runs(const std::string& adapter) const -> bool;
+    /// The answer's status. Unloads, loads or replaces the adapter once none of its runs is left.
+    [[nodiscard]] auto unload(const std::string& adapter) -> int;
     auto load(const std::string& adapter, std::uint64_t version) -> void;
     /// `start` is the start of the replica at which the run began.
     auto runEnded(const std::string& adapter, std::uint64_t start) -> void;
@@ -144,8 +147,8 @@
     std::vector<std::string> lostOrders_;
     std::map<std::string, std::uint64_t> adapters_;
     std::map<std::string, std::uint64_t> newest_;
-    /// Versions that replace a held one when the runs of the adapter have ended.
-    std::map<std::string, std::uint64_t> replacements_;
+    /// Orders that wait for the runs of their adapter: the version that replaces the held one, or empty for an unload.
+    std::map<std::string, std::optional<std::uint64_t>> waitingOrders_;
     /// Requests for an adapter that run, or wait to begin.
     std::map<std::string, std::size_t> running_;
     std::uint64_t sequence_ = 0;
