--- a/packages/serving/AdapterVersions.cpp
+++ b/packages/serving/AdapterVersions.cpp
@@ -1,5 +1,6 @@
 #include "serving/AdapterVersions.h"
 
+#include "base/DurationText.h"
 #include "base/Log.h"
 #include "decisions/Rendezvous.h"
 
@@ -17,11 +18,6 @@
     return decisions::nameHash(model.str() + "/" + adapter.str() + "@" + std::to_string(version.value()));
 }
 
-auto millisecondsText(Duration time) -> std::string
-{
-    return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
-}
-
 } // namespace
 
 AdapterVersions::AdapterVersions(OnInForce onInForce)
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -1,5 +1,6 @@
 #include "serving/AgentRole.h"
 
+#include "base/DurationText.h"
 #include "base/Log.h"
 #include "decisions/Rendezvous.h"
 #include "decisions/SharedReading.h"
@@ -307,8 +308,8 @@
     log::info(decision.granted ? "granted" : "not granted",
         { { "request", attempt.str() }, { "replica", agent_.instance().str() }, { "reason", decision.reason },
             { "version", decision.granted ? std::to_string(decision.version.value()) : "" },
-            { "waited_ms", std::to_string(decision.waited.count() / 1000) },
-            { "adapter_ms", std::to_string(decision.waitedForAdapter.count() / 1000) },
+            { "waited_ms", millisecondsText(decision.waited) },
+            { "adapter_ms", millisecondsText(decision.waitedForAdapter) },
             { "tokens_ahead", std::to_string(agent_.tokensAhead()) },
             { "loads_waiting", std::to_string(agent_.loadsWaiting()) },
             { "running", std::to_string(agent_.queue().running()) },
--- a/packages/serving/AvailabilityRecord.cpp
+++ b/packages/serving/AvailabilityRecord.cpp
@@ -1,5 +1,6 @@
 #include "serving/AvailabilityRecord.h"
 
+#include "base/DurationText.h"
 #include "base/Log.h"
 #include "decisions/RequestedRest.h"
 
@@ -11,11 +12,6 @@
 
 using decisions::RequestedRest;
 
-auto millisecondsText(Duration time) -> std::string
-{
-    return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
-}
-
 } // namespace
 
 auto recordInvalidAvailability(const InstanceId& replica, const hosting::AvailabilityStatement& said) -> void
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -1,5 +1,6 @@
 #include "serving/ReplicaAgent.h"
 
+#include "base/DurationText.h"
 #include "base/Log.h"
 #include "serving/detail/RunLimits.h"
 #include "serving/detail/SlotNames.h"
@@ -15,7 +16,6 @@
 
 // Demand shifts within tens of seconds; an adapter that was last wanted a minute ago may be evicted.
 constexpr auto demandHalfLife = Duration(15s);
-constexpr auto microsecondsPerMillisecond = 1000;
 // Retry delay for requests that are refused because the replica is empty, gone or paused.
 constexpr auto retryDelay = Duration(300ms);
 constexpr auto defaultLoadTime = Duration(300ms);
@@ -289,8 +289,7 @@
     if (breaker_.openUntil() == pausedUntil)
         return;
     const auto pause = breaker_.openUntil() - now;
-    log::warn("replica paused",
-        { { "replica", instance_.str() }, { "rest_ms", std::to_string(pause.count() / microsecondsPerMillisecond) } });
+    log::warn("replica paused", { { "replica", instance_.str() }, { "rest_ms", millisecondsText(pause) } });
     refuseQueued("replica rests after failures");
     hooks_.onChange();
     pauseTimer_ = loop_.timers().after(pause, [this] { hooks_.onChange(); });
--- a/packages/serving/RequestAnswer.cpp
+++ b/packages/serving/RequestAnswer.cpp
@@ -152,19 +152,6 @@
     finish(head_.status, "answered", {});
 }
 
-auto RequestRun::withheldReason() const -> std::string_view
-{
-    if (replica_->leaving())
-        return leavingReason;
-    return mayRunOn(runVersion_) ? restReason : outdatedReason;
-}
-
-auto RequestRun::countWithheld() -> void
-{
-    const auto* other = mayRunOn(runVersion_) ? "rest" : "version";
-    gateway_.metrics.count("eelgrass_sends_withheld_total", { { "reason", replica_->leaving() ? "leaving" : other } });
-}
-
 /// The request goes elsewhere as if it had not been sent: the replica got nothing and did not fail.
 auto RequestRun::onWithheld() -> void
 {
--- /dev/null
+++ b/packages/serving/RequestLog.cpp
@@ -0,0 +1,55 @@
+// The part of RequestRun that logs its decisions, its sends and the versions that answers name.
+#include "base/DurationText.h"
+#include "base/Log.h"
+#include "serving/RequestRun.h"
+
+namespace eelgrass::serving {
+
+auto RequestRun::logSend() const -> void
+{
+    if (metadata_.adapter.empty())
+        return logDecision("sent", {});
+    const auto& known = knownVersion();
+    const auto now = gateway_.now();
+    const auto* agent = replica_->agent();
+    const auto* decider = admittingAgent_ ? "agent" : "entry";
+    const auto decidedAt = admittingAgent_ ? admissionAskedAt_ : now;
+    const auto stateKnown = agent && agent->state().receivedAt != Moment();
+    log::info("sent",
+        { { "request", metadata_.attempt.str() }, { "replica", replica_->id().str() },
+            { "adapter", metadata_.adapter.str() }, { "version", std::to_string(runVersion_.value()) },
+            { "decided_by", decider }, { "decided_ms", millisecondsText(now - decidedAt) },
+            { "known_version", std::to_string(known.version.value()) },
+            { "known_ms", known.learnedAt ? millisecondsText(now - *known.learnedAt) : "" },
+            { "known_from", known.source }, { "confirmed_ms", millisecondsText(gateway_.configuration.age()) },
+            { "state_age_ms", stateKnown ? millisecondsText(now - agent->state().receivedAt) : "" },
+            { "left_ms", millisecondsText(timeLeft()) } });
+}
+
+auto RequestRun::checkAnsweredVersion() -> void
+{
+    const auto& known = knownVersion();
+    if (metadata_.adapter.empty() || !answer_.version || *answer_.version >= known.version)
+        return;
+    gateway_.metrics.count(
+        "eelgrass_older_version_runs_total", { { "decided_by", admittingAgent_ ? "agent" : "entry" } });
+    log::warn("run on older version",
+        { { "request", metadata_.attempt.str() }, { "replica", replica_->id().str() },
+            { "adapter", metadata_.adapter.str() }, { "version", std::to_string(answer_.version->value()) },
+            { "known_version", std::to_string(known.version.value()) },
+            { "known_ms", millisecondsText(gateway_.now() - *known.learnedAt) } });
+}
+
+auto RequestRun::logDecision(std::string_view event, std::string_view why) const -> void
+{
+    const auto* agent = replica_ ? replica_->agent() : nullptr;
+    const auto age = agent && agent->state().receivedAt != Moment()
+        ? millisecondsText(gateway_.now() - agent->state().receivedAt)
+        : "";
+    log::info(event,
+        { { "request", metadata_.attempt.str() }, { "replica", replica_ ? replica_->id().str() : "" },
+            { "adapter", metadata_.adapter.str() }, { "reason", std::string(why) }, { "state_age_ms", age },
+            { "left_ms", millisecondsText(timeLeft()) } });
+}
+
+} // namespace eelgrass::serving
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -192,16 +192,6 @@
     return true;
 }
 
-auto RequestRun::mayRunOn(AdapterVersion version) const -> bool
-{
-    return metadata_.adapter.empty() || version >= knownVersion().version;
-}
-
-auto RequestRun::mayWrite() const -> bool
-{
-    return !replica_->leaving() && !replica_->rest().resting(gateway_.now()) && mayRunOn(runVersion_);
-}
-
 auto RequestRun::send() -> void
 {
     const auto now = gateway_.now();
--- a/packages/serving/RequestWaiting.cpp
+++ b/packages/serving/RequestWaiting.cpp
@@ -176,22 +176,6 @@
     waitTimer_ = gateway_.loop.timers().after(placementRetryDelay, guarded(&RequestRun::place));
 }
 
-/// Whether no replica can get the adapter in its version before the agents return, which have been away for so long
-/// that none is expected in time. While an agent may just be starting again, a request waits for it.
-auto RequestRun::noAgentCanLoad() const -> bool
-{
-    if (metadata_.adapter.empty())
-        return false;
-    const auto& replicas = gateway_.directory.replicasOf(service_);
-    return std::all_of(replicas.begin(), replicas.end(), [&](const ReplicaPtr& replica) {
-        if (!replica->present() || tried_.contains(replica->id()))
-            return true;
-        const auto* agent = replica->agent();
-        return agent && !agent->mayOpen() && agent->awayFor() > agentReturnTime
-            && !mayRunOn(replica->heldVersion(metadata_.adapter));
-    });
-}
-
 /// Refused at once if the replica opens too late for the request, so that the client can return when it is open.
 auto RequestRun::waitForOpening(const Opening& opening) -> void
 {
