--- a/tests/integration/AdapterVersions.cpp
+++ b/tests/integration/AdapterVersions.cpp
@@ -227,3 +227,29 @@
     }
     BOOST_TEST(versions == std::vector<std::uint64_t>({ 1, 7 }), boost::test_tools::per_element());
 }
+
+// Guards against versions that are lost behind the first page of the store's table.
+BOOST_AUTO_TEST_CASE(versions_beyond_the_first_page_are_known)
+{
+    auto world = ServingWorld(0, 0);
+    constexpr auto rows = 1200;
+    for (auto row = 0; row < rows; ++row)
+        world.nameVersion("b" + std::to_string(row), 2);
+    world.nameVersion("z9", 7);
+    world.startGateway();
+    BOOST_TEST(world.until([&] { return world.allKnow("z9", 7) && world.allKnow("b1199", 2); }));
+}
+
+// Guards against a version that is named while the store forgets its history, and against one that is named beside a
+// row that cannot be read.
+BOOST_AUTO_TEST_CASE(versions_beside_a_lost_history_and_an_unreadable_row_are_known)
+{
+    auto world = ServingWorld(0, 0);
+    world.startGateway();
+    for (auto version = std::uint64_t(2); version < 6; ++version) {
+        world.nameVersion("a1", version);
+        world.store().forgetHistory();
+        world.store().put("op", "version/base.a0", "{");
+        BOOST_TEST(world.until([&] { return world.allKnow("a1", version); }));
+    }
+}
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -16,6 +16,9 @@
 
 namespace eelgrass::soak {
 
+/// Clients wait this long; an undisturbed gateway has answered by then and a little more.
+inline constexpr auto clientDeadline = std::chrono::milliseconds(2500);
+
 struct Size {
     std::size_t gateways = 3;
     std::size_t engines = 4;
