--- a/tests/integration/AdapterVersions.cpp
+++ b/tests/integration/AdapterVersions.cpp
@@ -26,7 +26,7 @@
     return std::count_if(runs.begin(), runs.end(), [&](const auto& run) { return run.version == version; });
 }
 
-/// A world in which engine 0 holds a1 in version 1, its agent is gone, and every gateway knows of version 7.
+/// A world in which one engine, `holder`, has a1 in version 1, its agent is gone, and the gateway knows of version 7.
 struct AgentAway {
     explicit AgentAway(std::size_t engines)
         : world(engines, 0)
