A lookup of a known version copies no name

Reading the change once more: the version is asked for once for every replica of each placement, and for every queued request at an agent; the key of the map was a pair, so that each lookup copied two names. The map is nested now. No decision changes.

--- a/packages/serving/AdapterVersions.cpp
+++ b/packages/serving/AdapterVersions.cpp
@@ -29,7 +29,7 @@
 {
     if (named.version <= of(named.model, named.adapter).version)
         return false;
-    auto& known = versions_[{ named.model, named.adapter }];
+    auto& known = versions_[named.model][named.adapter];
     if (known.learnedAt)
         fingerprint_ -= hashOf(named.model, named.adapter, known.version);
     fingerprint_ += hashOf(named.model, named.adapter, named.version);
@@ -48,19 +48,24 @@
 auto AdapterVersions::of(const BaseModel& model, const AdapterName& adapter) const -> const KnownVersion&
 {
     static const auto none = KnownVersion();
-    const auto found = versions_.find({ model, adapter });
-    return found == versions_.end() ? none : found->second;
+    const auto adapters = versions_.find(model);
+    if (adapters == versions_.end())
+        return none;
+    const auto found = adapters->second.find(adapter);
+    return found == adapters->second.end() ? none : found->second;
 }
 
 auto AdapterVersions::json(Moment now) const -> std::string
 {
     auto list = nlohmann::json::array();
-    for (const auto& [key, known] : versions_) {
-        auto item = nlohmann::json { { "model", key.first.str() }, { "adapter", key.second.str() },
-            { "version", known.version.value() } };
-        if (known.namedAfter)
-            item["ageMs"] = std::chrono::ceil<milliseconds>(now - *known.namedAfter).count();
-        list.push_back(std::move(item));
+    for (const auto& [model, adapters] : versions_) {
+        for (const auto& [adapter, known] : adapters) {
+            auto item = nlohmann::json { { "model", model.str() }, { "adapter", adapter.str() },
+                { "version", known.version.value() } };
+            if (known.namedAfter)
+                item["ageMs"] = std::chrono::ceil<milliseconds>(now - *known.namedAfter).count();
+            list.push_back(std::move(item));
+        }
     }
     return list.dump();
 }
--- a/packages/serving/AdapterVersions.h
+++ b/packages/serving/AdapterVersions.h
@@ -9,7 +9,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
 
 namespace eelgrass::serving {
 
@@ -55,9 +54,8 @@
     auto applyJson(std::string_view text, std::string_view source, Moment askedAt, Moment now) -> void;
 
 private:
-    using Key = std::pair<BaseModel, AdapterName>;
-
-    std::map<Key, KnownVersion> versions_;
+    /// Nested, so that a lookup copies no name: each placement asks once for every replica.
+    std::map<BaseModel, std::map<AdapterName, KnownVersion>> versions_;
     std::uint64_t fingerprint_ = 0;
     OnInForce onInForce_;
 };
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -167,7 +167,7 @@
         return true;
     if (!slots_->ready(modelName(adapter)))
         return false;
-    return residentVersion(adapter) >= versions_.of(base_, adapter).version;
+    return residentVersion(adapter) >= knownVersion(adapter).version;
 }
 
 auto ReplicaAgent::readinessPredicate() const -> decisions::AdmissionQueue::Ready
@@ -219,7 +219,7 @@
 auto ReplicaAgent::observeVersionsInForce() -> void
 {
     std::erase_if(outdated_, [this](const AdapterName& adapter) {
-        const auto& known = versions_.of(base_, adapter);
+        const auto& known = knownVersion(adapter);
         if (residentVersion(adapter) < known.version)
             return false;
         log::info("adapter version held",
