Logs and metrics tell at which software version streams begin and go on

The version in a replica's row and the client's Resumes are read now, and told in sent, request over, stream taken up and stream goes on, and in two counters.

No decision depends on them yet.

--- a/packages/serving/ReplicaDirectory.cpp
+++ b/packages/serving/ReplicaDirectory.cpp
@@ -28,8 +28,8 @@
 auto samePublishedState(const ReplicaRecord& left, const ReplicaRecord& right) -> bool
 {
     return left.service == right.service && left.endpoint == right.endpoint && left.zone == right.zone
-        && left.phase == right.phase && left.slots == right.slots && left.hasBaseModel == right.hasBaseModel
-        && left.adapters == right.adapters;
+        && left.software == right.software && left.phase == right.phase && left.slots == right.slots
+        && left.hasBaseModel == right.hasBaseModel && left.adapters == right.adapters;
 }
 
 auto instancesOf(const std::vector<ListedReplica>& list) -> std::set<InstanceId>
@@ -190,8 +190,8 @@
     if (logEachReplica_) {
         log::info("replica added",
             { { "replica", record.start.instance.str() }, { "birth", std::to_string(record.start.startTime.value()) },
-                { "service", record.service.str() }, { "peer", record.endpoint.str() },
-                { "source", std::string(source) } });
+                { "service", record.service.str() }, { "software", record.software.str() },
+                { "peer", record.endpoint.str() }, { "source", std::string(source) } });
     }
     const auto announced = departed_.recall(record.start);
     auto replica = std::make_shared<Replica>(loop_.timers(), std::move(record), announced);
--- a/packages/serving/RequestEnd.cpp
+++ b/packages/serving/RequestEnd.cpp
@@ -104,6 +104,7 @@
             { "configuration_age_ms", member_ ? millisecondsText(gateway_.configuration.age()) : "" },
             { "replica", replica_ ? replica_->id().str() : "" },
             { "version", answer_.version ? std::to_string(answer_.version->value()) : "" },
+            { "resumes", metadata_.resumed ? metadata_.resumed->attempt.str() : "" }, { "began_on", beganOn_.str() },
             { "sends", std::to_string(sends_) }, { "runs", std::to_string(runs_) },
             { "took_ms", millisecondsText(now - beganAt_) },
             { "first_ms", firstEventAt_ == Moment() ? "" : millisecondsText(firstEventAt_ - beganAt_) },
--- a/packages/serving/RequestLog.cpp
+++ b/packages/serving/RequestLog.cpp
@@ -5,6 +5,26 @@
 
 namespace eelgrass::serving {
 
+auto RequestRun::noteTakenUp() const -> void
+{
+    gateway_.metrics.count("eelgrass_streams_taken_up_total", { { "class", route_->name.str() } });
+    const auto& last = metadata_.resumed->lastEventId;
+    log::info("stream taken up",
+        { { "request", metadata_.attempt.str() }, { "resumes", metadata_.resumed->attempt.str() },
+            { "last_event", last ? std::to_string(*last) : "" }, { "software", "" }, { "known_from", "" } });
+}
+
+auto RequestRun::noteGoneOn() const -> void
+{
+    const auto& software = replica_->record().software;
+    const auto* version = beganOn_.empty() || software.empty() ? "unknown" : beganOn_ == software ? "same" : "other";
+    gateway_.metrics.count("eelgrass_streams_gone_on_total",
+        { { "way", resumesStream() ? "taken up" : "same answer" }, { "software", version } });
+    log::info("stream goes on",
+        { { "request", metadata_.attempt.str() }, { "replica", replica_->id().str() }, { "began_on", beganOn_.str() },
+            { "software", software.str() } });
+}
+
 auto RequestRun::logSend() const -> void
 {
     if (metadata_.adapter.empty())
@@ -17,8 +37,9 @@
     const auto stateKnown = agent && agent->state().receivedAt != Moment();
     log::info("sent",
         { { "request", metadata_.attempt.str() }, { "replica", replica_->id().str() },
-            { "adapter", metadata_.adapter.str() }, { "version", std::to_string(runVersion_.value()) },
-            { "decided_by", decider }, { "decided_ms", millisecondsText(now - decidedAt) },
+            { "software", replica_->record().software.str() }, { "adapter", metadata_.adapter.str() },
+            { "version", std::to_string(runVersion_.value()) }, { "decided_by", decider },
+            { "decided_ms", millisecondsText(now - decidedAt) },
             { "known_version", std::to_string(known.version.value()) },
             { "known_ms", known.learnedAt ? millisecondsText(now - *known.learnedAt) : "" },
             { "known_from", known.source }, { "confirmed_ms", millisecondsText(gateway_.configuration.age()) },
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -79,6 +79,8 @@
     }
     if (!authenticate())
         return false;
+    if (resumesStream())
+        noteTakenUp();
     digest_ = digestOf(request_, metadata_, member_ ? member_->name : MemberId());
     if (gateway_.suspects.isBlocked(digest_)) {
         fail(badGateway, "breaks off wherever it runs");
@@ -226,6 +228,7 @@
     answer_ = {};
     body_.clear();
     streaming_ = false;
+    runHasEvents_ = false;
     events_.clear();
     auto options = hosting::ForwardOptions { .instance = replica_->id() };
     if (!metadata_.adapter.empty())
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -127,10 +127,16 @@
     auto logDecision(std::string_view event, std::string_view why) const -> void;
     /// Logs a send with the version that it expects, who decided on that version, and what this entry knows.
     auto logSend() const -> void;
+    /// Logs and counts an attempt of a client that goes on with a stream.
+    auto noteTakenUp() const -> void;
+    /// Logs and counts that a stream that had brought an event goes on with an event from `replica_`.
+    auto noteGoneOn() const -> void;
     [[nodiscard]] auto knownVersion() const -> const KnownVersion&;
     /// Reports a run on an older version than the one that this entry knows.
     auto checkAnsweredVersion() -> void;
     [[nodiscard]] auto timeLeft() const -> Duration;
+    /// Whether the client goes on with a stream that an earlier attempt has begun.
+    [[nodiscard]] auto resumesStream() const -> bool { return route_->resumable && metadata_.resumed.has_value(); }
     [[nodiscard]] auto sharedTokens() const -> Tokens
     {
         return sharedPrefixes_.empty() ? 0 : sharedPrefixes_.back().tokens;
@@ -190,6 +196,10 @@
     std::optional<std::uint64_t> lastEventId_;
     bool streaming_ = false;
     bool firstEventSeen_ = false;
+    /// Whether `replica_` has brought an event of the current run.
+    bool runHasEvents_ = false;
+    /// The software version of the replica that brought the stream's first event.
+    SoftwareVersion beganOn_;
     std::uint32_t sends_ = 0;
     /// The retry budget was charged for a send that was then withheld.
     bool nextSendCharged_ = false;
--- a/packages/serving/Types.h
+++ b/packages/serving/Types.h
@@ -24,6 +24,9 @@
 using StartTime = StrongNumber<struct StartTimeTag>;
 /// An adapter's name within its base model; empty for the base model itself.
 using AdapterName = AdapterId;
+/// The version of a replica's software, as its entry in the platform's list names it. Versions are equal or not and
+/// have no order; empty if unknown, which equals no other.
+using SoftwareVersion = StrongId<struct SoftwareVersionTag>;
 using BaseModel = StrongId<struct BaseModelTag>;
 using Tokens = std::uint64_t;
 /// The key by which a client is identified as a member. It is never logged, used in metrics or forwarded.
@@ -166,6 +169,7 @@
     ServiceName service;
     Endpoint endpoint;
     AvailabilityZone zone;
+    SoftwareVersion software;
     ReplicaPhase phase = ReplicaPhase::Ready;
     /// Number of concurrent requests.
     std::uint32_t slots = 1;
@@ -179,6 +183,14 @@
     Tokens tokens = 0;
 };
 
+/// The stream that a request goes on with, as stated by the client.
+struct ResumedStream {
+    /// The client's attempt that brought the stream's first event; empty if the client names none, or several.
+    AttemptId attempt;
+    /// Id of the last event that the client has received.
+    std::optional<std::uint64_t> lastEventId;
+};
+
 /// Metadata of a request, as stated by the client in the request headers.
 struct RequestMetadata {
     AttemptId attempt;
@@ -189,8 +201,8 @@
     Tokens promptTokens = 0;
     Tokens outputTokens = 0;
     std::vector<PromptPart> prompt;
-    /// Id of the last event that the client has already received.
-    std::optional<std::uint64_t> lastEventId;
+    /// Set if the client goes on with a stream that an earlier attempt has begun.
+    std::optional<ResumedStream> resumed;
 };
 
 } // namespace eelgrass::serving
