--- a/standins/ReplicaStandin.cpp
+++ b/standins/ReplicaStandin.cpp
@@ -27,6 +27,20 @@
 
 } // namespace
 
+auto streamEvent(std::uint64_t number, const std::string& software) -> std::string
+{
+    const auto text = std::to_string(number);
+    return "id: " + text + "\ndata: " + text + " " + software + "\n\n";
+}
+
+auto streamEvents(std::uint64_t first, std::uint64_t last, const std::string& software) -> std::string
+{
+    auto text = std::string();
+    for (auto number = first; number <= last; ++number)
+        text += streamEvent(number, software);
+    return text;
+}
+
 ReplicaStandin::ReplicaStandin(
     TimerService& timers, const std::string& address, std::string instance, std::string service)
     : timers_(timers)
@@ -51,10 +65,11 @@
     auto models = Json::array();
     if (hasModel_)
         models.push_back({ { "name", base }, { "version", 1 }, { "adapters", adapterNames() } });
-    return Json {
-        { "service", service_ }, { "address", endpoint().str() }, { "zone", "zone-1" }, { "slots", 8 },
-        { "state", state }, { "models", models }, { "sequence", sequence_ }, { "born", born_ }
-    }.dump();
+    auto entry = Json { { "service", service_ }, { "address", endpoint().str() }, { "zone", "zone-1" }, { "slots", 8 },
+        { "state", state }, { "models", models }, { "sequence", sequence_ }, { "born", born_ } };
+    if (!software_.empty())
+        entry["version"] = software_;
+    return entry.dump();
 }
 
 auto ReplicaStandin::restart(const std::string& instance) -> void
@@ -280,7 +295,7 @@
     const auto version = heldVersion(adapter);
     auto from = wire::decimal(request.fields.get(names::lastEventId)).value_or(0);
     runs_.push_back({ timers_.now(), std::string(request.fields.get(names::attemptId)), request.target, adapter,
-        version, from, request.fields, request.body });
+        version, from, software_, request.fields, request.body });
     if (!adapter.empty())
         head.fields.add(names::weightVersions, std::to_string(version));
     head.fields.add(names::seal, "seal-of-" + instance_);
@@ -305,7 +320,7 @@
         then = Behaviour::Then::Finish;
     const auto last = then == Behaviour::Then::Finish ? behaviour_.events : behaviour_.sent;
     for (auto event = from + 1; event <= last; ++event)
-        caller->writeChunk("id: " + std::to_string(event) + "\ndata: " + std::to_string(event) + "\n\n");
+        caller->writeChunk(streamEvent(event, software_));
     switch (then) {
     case Behaviour::Then::Finish:
         return afterwards(behaviour_.runsFor, [this, caller, adapter] {
--- a/standins/ReplicaStandin.h
+++ b/standins/ReplicaStandin.h
@@ -12,6 +12,12 @@
 
 namespace eelgrass::standins {
 
+/// One event of a stream: its number, and the software version of the replica that writes it.
+[[nodiscard]] auto streamEvent(std::uint64_t number, const std::string& software = "v1") -> std::string;
+/// The events `first` to `last`.
+[[nodiscard]] auto streamEvents(std::uint64_t first, std::uint64_t last, const std::string& software = "v1")
+    -> std::string;
+
 /// A replica of the users' platform: model requests as streams of events, orders, reports, health. Plain requests get a
 /// short body.
 class ReplicaStandin {
@@ -49,6 +55,8 @@
         /// Of the adapter at the first token; 0 for requests without one.
         std::uint64_t version = 0;
         std::uint64_t from = 0;
+        /// Of the replica that ran it.
+        std::string software;
         wire::HeaderFields fields;
         std::string body;
     };
@@ -99,6 +107,9 @@
     auto nameVersion(const std::string& adapter, std::uint64_t version) -> void { newest_[adapter] = version; }
     /// The version of an adapter that it holds; 0 for none.
     [[nodiscard]] auto heldVersion(const std::string& adapter) const -> std::uint64_t;
+    /// The version of its software, named in its entry and in each event; empty for none.
+    auto setSoftware(const std::string& version) -> void { software_ = version; }
+    [[nodiscard]] auto software() const noexcept -> const std::string& { return software_; }
     /// A new start at the same address, also under the same name: empty, born later.
     auto restart(const std::string& instance) -> void;
     /// Carries out the orders whose answers were lost, as far as their conditions still hold; tells how many did.
@@ -135,6 +146,7 @@
     std::string address_;
     std::string instance_;
     std::string service_;
+    std::string software_ = "v1";
     Behaviour behaviour_;
     std::vector<Run> runs_;
     std::vector<Arrival> arrivals_;
--- a/tests/harness/ServingWorld.cpp
+++ b/tests/harness/ServingWorld.cpp
@@ -168,10 +168,13 @@
     return gateway;
 }
 
-auto ServingWorld::begin(const Request& request) -> kj::Promise<wire::HttpAnswer>
+auto ServingWorld::portOf(const Request& request) const -> std::uint16_t
+{
+    return request.gateway ? gateways_.at(*request.gateway)->clientPort() : clientPort_;
+}
+
+auto ServingWorld::callOf(const Request& request) -> wire::HttpCall
 {
-    const auto port = request.gateway ? gateways_.at(*request.gateway)->clientPort() : clientPort_;
-    callers_.push_back(std::make_unique<wire::HttpCaller>(loop_.timers(), "127.0.0.1", port));
     origins_[request.attempt] = { std::to_string(request.gateway.value_or(0)), loop_.timers().now() };
     auto call
         = wire::HttpCall { .method = request.method, .target = request.path, .body = request.body, .timeout = 5s };
@@ -185,7 +188,19 @@
         call.fields.add(names::tokenCount, "100,20");
         call.fields.add(names::promptPrefix, "aa:60,bb:40");
     }
-    return callers_.back()->call(std::move(call)).catch_([](kj::Exception&&) { return wire::HttpAnswer {}; });
+    return call;
+}
+
+auto ServingWorld::begin(const Request& request) -> kj::Promise<wire::HttpAnswer>
+{
+    callers_.push_back(std::make_unique<wire::HttpCaller>(loop_.timers(), "127.0.0.1", portOf(request)));
+    return callers_.back()->call(callOf(request)).catch_([](kj::Exception&&) { return wire::HttpAnswer {}; });
+}
+
+auto ServingWorld::receive(const Request& request, const std::string& leaveAfter) -> ReceivedAnswer
+{
+    auto caller = StreamCaller(loop_.timers(), portOf(request));
+    return loop_.wait(caller.call(callOf(request), leaveAfter));
 }
 
 auto ServingWorld::ask(const Request& request) -> wire::HttpAnswer { return loop_.wait(begin(request)); }
--- a/tests/harness/ServingWorld.h
+++ b/tests/harness/ServingWorld.h
@@ -4,6 +4,7 @@
 #include "standins/ReplicaStandin.h"
 #include "standins/StoreStandin.h"
 #include "tests/harness/AvailabilityRules.h"
+#include "tests/harness/StreamCaller.h"
 #include "wire/HttpCaller.h"
 
 #include <functional>
@@ -62,6 +63,9 @@
     };
     /// The answer; status 0 for a connection that ended before the answer was whole.
     [[nodiscard]] auto ask(const Request& request) -> wire::HttpAnswer;
+    /// What the client has when its connection ends, also of an answer that breaks off or that it leaves; see
+    /// `StreamCaller`.
+    [[nodiscard]] auto receive(const Request& request, const std::string& leaveAfter = {}) -> ReceivedAnswer;
     /// Whether every gateway knows this version of the adapter.
     [[nodiscard]] auto allKnow(const std::string& adapter, std::uint64_t version) const -> bool;
     [[nodiscard]] auto begin(const Request& request) -> kj::Promise<wire::HttpAnswer>;
@@ -78,6 +82,8 @@
     auto configure(std::uint64_t version, const std::string& onceService = "plain") -> void;
 
 private:
+    [[nodiscard]] auto callOf(const Request& request) -> wire::HttpCall;
+    [[nodiscard]] auto portOf(const Request& request) const -> std::uint16_t;
     [[nodiscard]] auto hostSettings(const std::string& name, const std::string& address,
         const std::string& zone = "zone-1") const -> serving::HostSettings;
 
--- a/tests/integration/ServingStreams.cpp
+++ b/tests/integration/ServingStreams.cpp
@@ -6,19 +6,12 @@
 
 using namespace eelgrass;
 using eelgrass::standins::ReplicaStandin;
+using eelgrass::standins::streamEvents;
 using eelgrass::tests::ServingWorld;
 namespace names = eelgrass::hosting::names;
 
 namespace {
 
-auto events(std::uint64_t from, std::uint64_t to) -> std::string
-{
-    auto text = std::string();
-    for (auto event = from; event <= to; ++event)
-        text += "id: " + std::to_string(event) + "\ndata: " + std::to_string(event) + "\n\n";
-    return text;
-}
-
 auto runsInAll(ServingWorld& world) -> std::size_t
 {
     return world.engine(0).runs().size() + world.engine(1).runs().size();
@@ -32,7 +25,7 @@
     world.startGateway();
     const auto answer = world.ask({});
     BOOST_TEST(answer.status == 200);
-    BOOST_TEST(answer.body == events(1, 5));
+    BOOST_TEST(answer.body == streamEvents(1, 5));
     BOOST_TEST(runsInAll(world) == 1U);
     const auto& ran = world.engine(0).runs().empty() ? world.engine(1) : world.engine(0);
     BOOST_TEST(ran.runs().front().adapter == "a1");
@@ -52,7 +45,7 @@
     const auto whole = world.ask({});
     const auto first = world.engine(0).runs().front().from == 0 ? std::size_t(0) : std::size_t(1);
     BOOST_TEST(whole.status == 200);
-    BOOST_TEST(whole.body == events(1, 5));
+    BOOST_TEST(whole.body == streamEvents(1, 5));
     BOOST_TEST(world.engine(1 - first).runs().front().from == 3U);
     BOOST_TEST(std::string(whole.fields.get(names::seal)) == "seal-of-" + world.engine(first).instance());
 }
--- a/tests/soak/SoakJudge.cpp
+++ b/tests/soak/SoakJudge.cpp
@@ -27,14 +27,6 @@
 
 auto promisesNotRun(int status) -> bool { return status == 503 || status == 429 || status == 408 || status == 421; }
 
-auto wholeStream() -> std::string
-{
-    auto text = std::string();
-    for (auto event = 1; event <= 5; ++event)
-        text += "id: " + std::to_string(event) + "\ndata: " + std::to_string(event) + "\n\n";
-    return text;
-}
-
 /// The last line of a process's log that contains the text.
 auto lastLogged(tests::Process& process, const std::string& text) -> std::string
 {
@@ -69,7 +61,7 @@
     if (call.status == 200 && (!call.sealed || !call.echoed || runs == 0))
         say("an answer that is nobody's");
     const auto stream = call.path == "/resumable/x" || call.path == "/whole/x";
-    if (call.status == 200 && stream && call.body != wholeStream())
+    if (call.status == 200 && stream && call.body != standins::streamEvents(1, 5))
         say("a stream that is not whole: " + call.body);
     if (call.status == 200 && !stream && !call.body.starts_with("body-of-plain"))
         say("another answer's body: " + call.body);
