A stream goes on only at the software version that began it

Cause: nothing that decides where a request may go looked at the software of a replica. Its version was not read, and an attempt that takes a stream up was handled as a new one.

RequestRun::mayGoOnAt decides, wherever a request can go to a replica: when it is chosen, when it waits for one, before it is sent, and when a connection stands. A stream's origin, service and version, is fixed by its first event. The entry keeps it, and started, which goes to the replica's agent anyway, carries it, so nothing more is sent when a stream begins. An entry that does not know asks the agents, then the other entries by way of two agents; if nobody knows, one version in a list that was read after the client came, followed without a gap for as long as a stream can last, is proof. Otherwise the stream is refused at once, truthfully not run.

Streams that go on are admitted first while several versions serve, and wait for a place as long as new requests do, counted from their break. The agent is told of the first event of a further run too: it counted the prompt of such a run as unread until its end.

--- a/packages/serving/AgentLink.cpp
+++ b/packages/serving/AgentLink.cpp
@@ -5,6 +5,7 @@
 #include "serving/detail/NewsAge.h"
 #include "serving/detail/OneWayCall.h"
 #include "serving/detail/RunLimits.h"
+#include "serving/detail/StreamOriginMessages.h"
 
 namespace eelgrass::serving {
 
@@ -63,6 +64,19 @@
         return kj::READY_NOW;
     }
 
+    auto findStreamOrigin(FindStreamOriginContext context) -> kj::Promise<void> override
+    {
+        if (!*alive_)
+            return kj::READY_NOW;
+        const auto params = context.getParams();
+        const auto stream = StreamId { MemberId(params.getMember().cStr()), AttemptId(params.getAttempt().cStr()) };
+        if (const auto known = link_.hooks_.knownOrigin(stream)) {
+            context.getResults().setKnown(true);
+            detail::fill(context.getResults().initOrigin(), { stream, *known }, link_.loop_.timers().now());
+        }
+        return kj::READY_NOW;
+    }
+
 private:
     AgentLink& link_;
     std::shared_ptr<bool> alive_;
@@ -123,12 +137,14 @@
     request.setListener(kj::heap<Listener>(*this, alive_));
     auto running = request.initRunning(static_cast<unsigned>(granted_.size()));
     auto index = 0U;
-    for (const auto& [attempt, admission] : granted_) {
+    for (const auto& [attempt, granted] : granted_) {
         auto item = running[index++];
         item.setAttempt(attempt.str());
-        item.setAdapter(admission.adapter.str());
-        item.setPromptTokens(admission.promptTokens);
-        item.setOutputTokens(admission.outputTokens);
+        item.setAdapter(granted.admission.adapter.str());
+        item.setPromptTokens(granted.admission.promptTokens);
+        item.setOutputTokens(granted.admission.outputTokens);
+        if (granted.origin)
+            detail::fill(item.initOrigin(), *granted.origin, loop_.timers().now());
     }
     auto attached = request.send();
     // The notice is pipelined with the attachment, because the agent cannot admit requests before it has the limits.
@@ -327,7 +343,7 @@
         return call.send().then([this, admission, alive = alive_](auto&& response) {
             const auto answer = response.getAnswer();
             if (*alive && answer.getGranted())
-                granted_.emplace(admission.attempt, admission);
+                granted_.emplace(admission.attempt, Granted { admission });
             // The answer contains load figures only. Until an update from the agent has named the replica, it is not
             // known which start of the replica the figures belong to.
             if (*alive && state_.receivedAt != Moment() && answer.hasState()) {
@@ -350,15 +366,41 @@
         use(*client);
 }
 
-auto AgentLink::started(const AttemptId& attempt) -> void
+auto AgentLink::started(const AttemptId& attempt, const std::optional<StreamOrigins::Statement>& origin) -> void
 {
+    if (const auto granted = granted_.find(attempt); granted != granted_.end())
+        granted->second.origin = origin;
     withClient([&](wire::schema::AgentSession::Client& client) {
         auto call = client.startedRequest();
         call.setAttempt(attempt.str());
+        if (origin)
+            detail::fill(call.initOrigin(), *origin, loop_.timers().now());
         detail::sendOneWay(loop_, call);
     });
 }
 
+auto AgentLink::findStreamOrigin(const StreamId& stream, bool askEntries)
+    -> kj::Promise<std::optional<StreamOrigins::Known>>
+{
+    using Known = std::optional<StreamOrigins::Known>;
+    return open().then([this, stream, askEntries, alive = alive_]() -> kj::Promise<Known> {
+        if (!*alive || !session_)
+            return KJ_EXCEPTION(DISCONNECTED, "no session with the agent");
+        KJ_IF_MAYBE (client, session_->client) {
+            auto call = client->findStreamOriginRequest();
+            call.setMember(stream.member.str());
+            call.setAttempt(stream.attempt.str());
+            call.setAskEntries(askEntries);
+            return call.send().then([timers = &loop_.timers()](auto&& answer) -> Known {
+                if (!answer.getKnown())
+                    return std::nullopt;
+                return detail::readKnown(answer.getOrigin(), timers->now());
+            });
+        }
+        return KJ_EXCEPTION(DISCONNECTED, "no session with the agent");
+    });
+}
+
 auto AgentLink::release(const AttemptId& attempt, RunEnd end) -> void
 {
     granted_.erase(attempt);
--- a/packages/serving/AgentLink.h
+++ b/packages/serving/AgentLink.h
@@ -4,6 +4,7 @@
 #include "decisions/QuotaBucket.h"
 #include "decisions/SessionPlan.h"
 #include "serving/RateLimitMessages.h"
+#include "serving/StreamOrigins.h"
 #include "serving/Types.h"
 #include "wire/Door.h"
 #include "wire/MainLoop.h"
@@ -147,6 +148,8 @@
         std::function<void(const std::vector<ReplicaRateLimit>&)> onRateLimits;
         /// Returns what this entry knows of the replica's rate limit; a new agent process is told it.
         std::function<std::optional<ReplicaRateLimit>()> knownRateLimit;
+        /// Returns where a stream began, if this entry knows; the agent asks on behalf of other entries.
+        std::function<std::optional<StreamOrigins::Known>(const StreamId&)> knownOrigin;
     };
     /// The entry at this end. Agents send updates less often to entries of other zones.
     struct Caller {
@@ -162,6 +165,8 @@
     /// Opens the session if the policy is persistent, and lets it be closed when idle otherwise.
     auto setSessionPolicy(decisions::SessionPolicy policy) -> void;
     [[nodiscard]] auto isHub() const noexcept -> bool { return policy_ == decisions::SessionPolicy::Hub; }
+    /// Whether this entry keeps the session open, rather than opening it for a request.
+    [[nodiscard]] auto persistent() const noexcept -> bool { return policy_ != decisions::SessionPolicy::OnDemand; }
     /// Whether the session is open and the agent's last update is recent.
     [[nodiscard]] auto alive() const -> bool;
     /// Whether the agent seems to be gone for good: this entry keeps trying to reach it, and has had no update from it
@@ -191,7 +196,12 @@
     /// Asks for admission. The promise is rejected when the session is lost; to withdraw the request, drop the promise
     /// and call `release`.
     [[nodiscard]] auto admit(const AgentAdmissionRequest& admission) -> kj::Promise<AdmitResult>;
-    auto started(const AttemptId& attempt) -> void;
+    /// Reports the first event of a run. `origin` tells where its stream began, if the stream may go on elsewhere.
+    auto started(const AttemptId& attempt, const std::optional<StreamOrigins::Statement>& origin) -> void;
+    /// Asks where a stream began. Empty if the agent does not know, nor one of the entries attached to it, if they are
+    /// to be asked. The promise is rejected when the session is lost.
+    [[nodiscard]] auto findStreamOrigin(const StreamId& stream, bool askEntries)
+        -> kj::Promise<std::optional<StreamOrigins::Known>>;
     auto release(const AttemptId& attempt, RunEnd end = RunEnd::Plain) -> void;
     /// Reports that a request with this digest broke off at a replica, or that such a request completed after it had
     /// broken off earlier.
@@ -230,7 +240,6 @@
         /// The session was lost, and the reconnect delay has not passed yet.
         Backoff,
     };
-    [[nodiscard]] auto persistent() const noexcept -> bool { return policy_ != decisions::SessionPolicy::OnDemand; }
     [[nodiscard]] auto inUse() const -> bool;
     auto completeOpening() -> void;
     auto close() -> void;
@@ -265,7 +274,12 @@
     std::unique_ptr<Session> session_;
     kj::Maybe<kj::Promise<void>> work_;
     ReplicaSnapshot state_;
-    std::map<AttemptId, AgentAdmissionRequest> granted_;
+    /// A request that runs at the replica, and where its stream began.
+    struct Granted {
+        AgentAdmissionRequest admission;
+        std::optional<StreamOrigins::Statement> origin {};
+    };
+    std::map<AttemptId, Granted> granted_;
     EntryNotice notice_;
     decisions::SessionPolicy policy_ = decisions::SessionPolicy::OnDemand;
     Phase phase_ = Phase::Closed;
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -6,6 +6,7 @@
 #include "decisions/SharedReading.h"
 #include "serving/StoreCalls.h"
 #include "serving/detail/NewsAge.h"
+#include "serving/detail/StreamOriginMessages.h"
 
 #include <algorithm>
 #include <set>
@@ -34,6 +35,7 @@
     ~Session() noexcept(false)
     {
         role_.publisher_.remove(this);
+        role_.attachedEntries_.remove(this);
         if (role_.sameZoneEntries_.erase(this) > 0)
             role_.publisher_.changed();
         for (const auto& attempt : std::exchange(attempts_, {}))
@@ -50,6 +52,7 @@
             .adapter = AdapterId(running.getAdapter().cStr()),
             .promptTokens = running.getPromptTokens(),
             .outputTokens = running.getOutputTokens() });
+        detail::note(role_.origins_, running.getOrigin(), role_.loop_.timers().now());
     }
 
     auto admit(AdmitContext context) -> kj::Promise<void> override
@@ -97,6 +100,7 @@
     auto started(StartedContext context) -> kj::Promise<void> override
     {
         role_.agent_.started(AttemptId(context.getParams().getAttempt().cStr()));
+        detail::note(role_.origins_, context.getParams().getOrigin(), role_.loop_.timers().now());
         role_.publisher_.changed();
         return kj::READY_NOW;
     }
@@ -212,6 +216,22 @@
         return kj::READY_NOW;
     }
 
+    auto findStreamOrigin(FindStreamOriginContext context) -> kj::Promise<void> override
+    {
+        using Known = std::optional<StreamOrigins::Known>;
+        const auto params = context.getParams();
+        const auto stream = StreamId { MemberId(params.getMember().cStr()), AttemptId(params.getAttempt().cStr()) };
+        auto known = role_.origins_.find(stream, role_.loop_.timers().now());
+        auto answer = known || !params.getAskEntries() ? kj::Promise<Known>(std::move(known))
+                                                       : role_.attachedEntries_.findStreamOrigin(stream, this);
+        return answer.then([this, context, stream](Known&& found) mutable {
+            role_.metrics_.count("eelgrass_stream_origins_asked_total", { { "known", found ? "yes" : "no" } });
+            context.getResults().setKnown(found.has_value());
+            if (found)
+                detail::fill(context.getResults().initOrigin(), { stream, *found }, role_.loop_.timers().now());
+        });
+    }
+
 private:
     [[nodiscard]] auto requiredVersion(wire::schema::AdmitRequest::Reader request) const -> RequiredVersion
     {
@@ -243,6 +263,7 @@
         for (auto running : params.getRunning())
             session->adopt(running);
         role_.publisher_.add(session.get(), params.getListener(), sameZone);
+        role_.attachedEntries_.add(session.get(), params.getListener());
         log::info("entry attached", { { "peer", params.getEntry().cStr() } });
         context.getResults().setSession(kj::mv(session));
         return kj::READY_NOW;
@@ -269,6 +290,7 @@
           { .figures = [this] { return figures(); },
               .namesFingerprint = [this] { return namesFingerprint(); },
               .fillNames = [this](wire::schema::ReplicaState::Builder state) { fillNames(state); } })
+    , attachedEntries_(loop)
     , keptRateLimits_(metrics_)
     , connections_(loop.timers())
 {
--- a/packages/serving/AgentRole.h
+++ b/packages/serving/AgentRole.h
@@ -2,6 +2,7 @@
 
 #include "decisions/Quarantine.h"
 #include "router/Metrics.h"
+#include "serving/AttachedEntries.h"
 #include "serving/KeptRateLimits.h"
 #include "serving/QuotaBuckets.h"
 #include "serving/ReplicaAgent.h"
@@ -71,6 +72,9 @@
     kj::Maybe<kj::Promise<void>> limitsWork_;
     Timer limitsTimer_;
     decisions::Quarantine suspects_;
+    /// Streams that began at the replica, or went on there.
+    StreamOrigins origins_;
+    AttachedEntries attachedEntries_;
     QuotaBuckets quotas_;
     KeptRateLimits keptRateLimits_;
     ConfigVersion configVersion_;
--- /dev/null
+++ b/packages/serving/AttachedEntries.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "serving/StreamOrigins.h"
+#include "wire/MainLoop.h"
+#include "wire/generated/Agent.capnp.h"
+
+#include <map>
+#include <optional>
+
+namespace eelgrass::serving {
+
+/// The entries that have a session with an agent, which asks them on behalf of one another: an entry knows only few of
+/// the others.
+class AttachedEntries {
+public:
+    /// Identifies an entry's session.
+    using Key = const void*;
+
+    explicit AttachedEntries(wire::MainLoop& loop)
+        : loop_(loop)
+    {
+    }
+    KJ_DISALLOW_COPY(AttachedEntries);
+
+    auto add(Key key, wire::schema::ReplicaListener::Client listener) -> void { listeners_.emplace(key, listener); }
+    auto remove(Key key) -> void { listeners_.erase(key); }
+
+    /// Asks all entries but `asking` where the stream began. Empty if none of them knows, or none answers in time.
+    [[nodiscard]] auto findStreamOrigin(const StreamId& stream, Key asking)
+        -> kj::Promise<std::optional<StreamOrigins::Known>>;
+
+private:
+    // The asking entry stops waiting shortly after this.
+    static constexpr auto answerTimeout = Duration(60ms);
+    // Questions under way at one time. With many entries a burst of them would take the processor from admissions.
+    static constexpr auto maxQuestions = std::size_t(64);
+
+    wire::MainLoop& loop_;
+    std::map<Key, wire::schema::ReplicaListener::Client> listeners_;
+    std::size_t questions_ = 0;
+};
+
+} // namespace eelgrass::serving
--- a/packages/serving/CountingAgents.h
+++ b/packages/serving/CountingAgents.h
@@ -18,6 +18,9 @@
     using Agents = std::vector<AgentLink*>;
     using Condition = std::function<bool(const AgentLink&)>;
 
+    // An agent answers within a few milliseconds, and within some tens of milliseconds on a host that has become slow.
+    static constexpr auto answerTimeout = Duration(80ms);
+
     /// `silenceEvent` is the log line for an agent that did not answer.
     CountingAgents(wire::MainLoop& loop, const ReplicaDirectory& directory, std::string_view silenceEvent)
         : loop_(loop)
@@ -49,8 +52,6 @@
     }
 
 private:
-    // An agent answers within a few milliseconds, and within some tens of milliseconds on a host that has become slow.
-    static constexpr auto answerTimeout = Duration(80ms);
     static constexpr auto avoidTime = Duration(2s);
 
     auto avoid(const Endpoint& peer) -> void;
--- a/packages/serving/DirectorySessions.cpp
+++ b/packages/serving/DirectorySessions.cpp
@@ -39,7 +39,8 @@
             if (!held || !held->rateLimit().last())
                 return std::nullopt;
             return ReplicaRateLimit { held->record().start, *held->rateLimit().last() };
-        } };
+        },
+        .knownOrigin = [this](const StreamId& stream) { return hooks_.knownOrigin(stream); } };
     const auto caller = AgentLink::Caller {
         .entry = options_.entry, .zone = options_.zone, .sameZone = replica->record().zone == options_.zone
     };
--- a/packages/serving/GatewayContext.h
+++ b/packages/serving/GatewayContext.h
@@ -9,6 +9,7 @@
 #include "serving/ReplicaAvailability.h"
 #include "serving/ReplicaDirectory.h"
 #include "serving/Settings.h"
+#include "serving/StreamOriginLookup.h"
 #include "serving/SuspectRequests.h"
 #include "serving/UnknownFields.h"
 
@@ -29,6 +30,7 @@
     RateLimits& rateLimits;
     ReplicaAvailability& availability;
     UnknownFields& unknownFields;
+    StreamOriginLookup& origins;
     std::map<ServiceName, decisions::SharedRetryBudget> budgets {};
     /// Estimated number of entries that share the retry budget.
     std::size_t entries = 6;
--- a/packages/serving/GatewayRole.cpp
+++ b/packages/serving/GatewayRole.cpp
@@ -84,14 +84,16 @@
           { .onState = [this](Replica& replica) { onState(replica); },
               .onLeaving = [this](Duration age) { observeInForce("leaving", age); },
               .onRateLimits = [this](const std::vector<ReplicaRateLimit>& limits,
-                                  const Endpoint& agent) { rateLimits_.applyPublished(limits, agent); } })
+                                  const Endpoint& agent) { rateLimits_.applyPublished(limits, agent); },
+              .knownOrigin = [this](const StreamId& stream) { return origins_.known(stream); } })
     , suspects_(directory_)
     , quotas_(loop, directory_, settings_.quotas)
     , rateLimits_(loop, directory_, metrics_, settings_.host.name)
     , availability_(loop, directory_, metrics_, settings_.host)
     , unknownFields_(metrics_)
+    , origins_(loop, directory_)
     , gateway_ { loop, settings_, configuration_, directory_, metrics_, deferred_, suspects_, quotas_, rateLimits_,
-        availability_, unknownFields_ }
+        availability_, unknownFields_, origins_ }
     , peerSessions_(loop.timers())
     , reader_(loop, decisions::SharedReading(settings_.drainBound).sharedInterval(),
           { .fillQuery = [this](ReaderLink::Query query) { fillReaderQuery(query); },
@@ -151,6 +153,8 @@
     const auto& configuration = configuration_.configuration();
     for (const auto& [raw, connection] : connections_)
         connection->setLimits(configuration->limits);
+    if (const auto previous = std::exchange(previousConfiguration_, configuration))
+        origins_.noteReplaced(*previous);
     directory_.configure(configuration, settings_.peers.str());
     // The list is not needed before the first configuration: until then no request is sent to a replica, and no agent
     // names a reader.
--- a/packages/serving/GatewayRole.h
+++ b/packages/serving/GatewayRole.h
@@ -72,6 +72,7 @@
     RateLimits rateLimits_;
     ReplicaAvailability availability_;
     UnknownFields unknownFields_;
+    StreamOriginLookup origins_;
     GatewayContext gateway_;
     std::map<CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
     std::unique_ptr<wire::TcpListener> clients_;
@@ -79,6 +80,8 @@
     std::unique_ptr<TextServer> metricsServer_;
     std::unique_ptr<wire::Listener> peers_;
     wire::ConnectionSet peerSessions_;
+    /// The configuration that was in force before the current one came.
+    std::shared_ptr<const ServingConfiguration> previousConfiguration_;
     ReaderLink reader_;
     decisions::SharedReading readIntervals_;
     /// Hash of the adapter versions that the reader last sent.
--- a/packages/serving/RateLimitMessages.h
+++ b/packages/serving/RateLimitMessages.h
@@ -2,11 +2,9 @@
 
 #include "decisions/AnnouncedRateLimit.h"
 #include "serving/Types.h"
+#include "serving/detail/NewsAge.h"
 #include "wire/generated/Agent.capnp.h"
 
-#include <algorithm>
-#include <limits>
-
 namespace eelgrass::serving {
 
 /// What one start of a replica last said about its rate limit.
@@ -17,13 +15,6 @@
 
 namespace detail {
 
-inline auto millisecondsSince(Moment at, Moment now) -> std::uint32_t
-{
-    constexpr auto most = std::numeric_limits<std::uint32_t>::max();
-    const auto age = std::chrono::duration_cast<milliseconds>(now - at).count();
-    return static_cast<std::uint32_t>(std::clamp<milliseconds::rep>(age, 0, most));
-}
-
 inline auto fill(wire::schema::RateLimitStatement::Builder into, const ReplicaRateLimit& limit, Moment now) -> void
 {
     const auto& statement = limit.statement;
--- a/packages/serving/ReplicaDirectory.cpp
+++ b/packages/serving/ReplicaDirectory.cpp
@@ -19,6 +19,12 @@
 constexpr auto holdersPerSharedPart = std::size_t(2);
 constexpr auto holdersPerEntry = std::size_t(1);
 
+// Gap between two readings of the list in which no replica can have been listed and removed: an entry of a replica that
+// falls silent stays for three of its heartbeats.
+constexpr auto maxReadingGap = Duration(2s);
+// Requests that need a fresh list share its readings, so that a burst of them does not burden the store.
+constexpr auto minConfirmationInterval = Duration(100ms);
+
 // Longer lists are logged in one line.
 constexpr auto maxLoggedRows = std::size_t(20);
 
@@ -65,7 +71,13 @@
         readTimer_ = loop_.timers().after(until - now, [this] { poll(); });
         return;
     }
-    lastReadStartedAt_ = now;
+    readList();
+}
+
+/// A reading that is under way is abandoned: its answer could come after that of the new one, and be older.
+auto ReplicaDirectory::readList() -> void
+{
+    lastReadStartedAt_ = loop_.timers().now();
     pendingRead_ = store_.read(table)
                        .then([this](hosting::StoreAnswer&& answer) { onStoreAnswer(std::move(answer)); })
                        .eagerlyEvaluate([](kj::Exception&& error) {
@@ -73,6 +85,63 @@
                        });
 }
 
+auto ReplicaDirectory::confirmList() -> kj::Promise<bool>
+{
+    auto pair = kj::newPromiseAndFulfiller<bool>();
+    waitingConfirmations_.push_back(kj::mv(pair.fulfiller));
+    if (confirming_.empty() && !confirmationTimer_.active())
+        startConfirmation();
+    return kj::mv(pair.promise);
+}
+
+auto ReplicaDirectory::startConfirmation() -> void
+{
+    const auto now = loop_.timers().now();
+    // From the loop: the reading under way must not be dropped in its own callback.
+    const auto at = std::max(now, confirmationStartedAt_ + minConfirmationInterval);
+    confirmationTimer_ = loop_.timers().after(at - now, [this] {
+        confirmationStartedAt_ = loop_.timers().now();
+        confirming_ = std::exchange(waitingConfirmations_, {});
+        readTimer_.cancel();
+        readList();
+    });
+}
+
+auto ReplicaDirectory::finishConfirmation(bool read) -> void
+{
+    for (auto& caller : std::exchange(confirming_, {}))
+        caller->fulfill(kj::cp(read));
+    if (!waitingConfirmations_.empty())
+        startConfirmation();
+}
+
+auto ReplicaDirectory::observeSoftware(Moment readAt) -> void
+{
+    if (!softwareSeenAt_ || readAt - *softwareSeenAt_ > maxReadingGap)
+        followedSince_ = readAt;
+    softwareSeenAt_ = std::max(softwareSeenAt_.value_or(readAt), readAt);
+    for (const auto& [instance, replica] : replicas_)
+        softwareSeen_.note(replica->record().service, replica->record().software, readAt);
+    softwareSeen_.forgetOld(loop_.timers().now());
+}
+
+auto ReplicaDirectory::onlySoftware(const ServiceName& service, Duration span) const -> SoftwareVersion
+{
+    const auto since = loop_.timers().now() - span;
+    const auto& replicas = replicasOf(service);
+    if (replicas.empty() || !followedSince_ || *followedSince_ > since)
+        return {};
+    const auto& software = replicas.front()->record().software;
+    return softwareSeen_.hadOther(service, software, since) ? SoftwareVersion() : software;
+}
+
+auto ReplicaDirectory::servesSeveralVersions(const ServiceName& service) const -> bool
+{
+    const auto& replicas = replicasOf(service);
+    return std::any_of(replicas.begin(), replicas.end(),
+        [&](const ReplicaPtr& replica) { return replica->record().software != replicas.front()->record().software; });
+}
+
 auto ReplicaDirectory::setReadingRole(decisions::SharedReading::Role role) -> void
 {
     using Role = decisions::SharedReading::Role;
@@ -94,6 +163,7 @@
         if (!storeLostSince_)
             storeLostSince_ = now;
         readTimer_ = loop_.timers().after(decisions::SharedReading::retryInterval(role_), [this] { poll(); });
+        finishConfirmation(false);
         return;
     }
     storeLostSince_.reset();
@@ -126,6 +196,8 @@
     const auto interval = role_ == decisions::SharedReading::Role::Reader ? readIntervals_.sharedInterval()
                                                                           : readIntervals_.ownInterval();
     readTimer_ = loop_.timers().after(interval, [this] { poll(); });
+    observeSoftware(lastReadStartedAt_);
+    finishConfirmation(true);
 }
 
 /// Raises the upper bound on the versions of all changes read so far. Changes recorded after this call belong to the
@@ -236,6 +308,9 @@
         noteChange(listed.instance);
         markLeaving(*current, source, appliedListAge_);
     }
+    // One start runs one software: a row that has lost the field does not change it.
+    if (!fresh && read->software.empty())
+        read->software = current->record().software;
     unreadableVersions_.erase(listed.instance);
     rows_[listed.instance] = listed;
     current->setUnreadable(false);
@@ -421,6 +496,7 @@
     }
     listReadAt_ = std::max(listReadAt_.value_or(readAt), readAt);
     knownVersion_ = std::max(knownVersion_, difference.version);
+    observeSoftware(readAt);
 }
 
 } // namespace eelgrass::serving
--- a/packages/serving/ReplicaDirectory.h
+++ b/packages/serving/ReplicaDirectory.h
@@ -2,6 +2,7 @@
 
 #include "decisions/ChangeHistory.h"
 #include "decisions/ExpiryGrace.h"
+#include "decisions/RecentValues.h"
 #include "decisions/SharedReading.h"
 #include "platform/Documents.h"
 #include "platform/Store.h"
@@ -30,6 +31,8 @@
         std::function<void(Duration age)> onLeaving {};
         /// An agent published rate limits, of its own replica or of others.
         std::function<void(const std::vector<ReplicaRateLimit>&, const Endpoint& agent)> onRateLimits {};
+        /// Returns where a stream began, if this entry knows.
+        std::function<std::optional<StreamOrigins::Known>(const StreamId&)> knownOrigin {};
     };
 
     /// Identity of this entry, what it tells agents, and its time limit for replicas that leave.
@@ -77,6 +80,14 @@
     auto applyPeerChanges(const ListDifference& difference, Duration age, std::string_view source) -> void;
     /// Time since the list was read from the store, here or by a peer; `Duration::max()` if never.
     [[nodiscard]] auto listAge() const -> Duration;
+    /// Reads the list once more. Resolves when a reading that began after this call has been applied; false if the
+    /// store does not answer it.
+    [[nodiscard]] auto confirmList() -> kj::Promise<bool>;
+    /// The software version that all replicas of the service have had for `span`, up to the last reading of the list;
+    /// empty if there were several, or if this entry has not followed the list for that long.
+    [[nodiscard]] auto onlySoftware(const ServiceName& service, Duration span) const -> SoftwareVersion;
+    /// Whether the service's replicas, as listed now, have more than one software version.
+    [[nodiscard]] auto servesSeveralVersions(const ServiceName& service) const -> bool;
     /// The store's version up to which every change of the list is known.
     [[nodiscard]] auto knownVersion() const noexcept -> std::uint64_t { return knownVersion_; }
     /// Suspends reading the store until `until`, because the reader of the zone supplies the list.
@@ -96,7 +107,12 @@
     auto advanceNewestVersion(std::uint64_t newestVersion) -> void;
     auto reportLeaving() -> void;
     auto poll() -> void;
+    auto readList() -> void;
+    auto startConfirmation() -> void;
+    auto finishConfirmation(bool read) -> void;
     auto onStoreAnswer(hosting::StoreAnswer answer) -> void;
+    /// Notes which software versions the list showed at `readAt`.
+    auto observeSoftware(Moment readAt) -> void;
     auto apply(const std::vector<ListedReplica>& list, std::string_view source) -> void;
     auto applyRow(const ListedReplica& listed, std::string_view source) -> void;
     auto applyUnreadableRow(const ListedReplica& listed, const std::string& reason) -> void;
@@ -138,6 +154,16 @@
     decisions::ExpiryGrace expiryGrace_;
     std::optional<Moment> storeLostSince_;
     std::optional<Moment> listReadAt_;
+    decisions::RecentValues<ServiceName, SoftwareVersion> softwareSeen_;
+    std::optional<Moment> softwareSeenAt_;
+    /// Since when the list has been read without a gap in which a replica could have come and gone.
+    std::optional<Moment> followedSince_;
+    using Confirmations = std::vector<kj::Own<kj::PromiseFulfiller<bool>>>;
+    /// Callers of `confirmList` that the reading under way answers, and those that wait for the next one.
+    Confirmations confirming_;
+    Confirmations waitingConfirmations_;
+    Moment confirmationStartedAt_ {};
+    Timer confirmationTimer_;
     /// Age of the list that is being applied.
     Duration appliedListAge_ {};
     kj::Maybe<kj::Promise<void>> pendingRead_;
--- a/packages/serving/RequestAnswer.cpp
+++ b/packages/serving/RequestAnswer.cpp
@@ -85,14 +85,11 @@
     }
     if (event.id)
         lastEventId_ = event.id;
-    if (!std::exchange(runHasEvents_, true) && (firstEventSeen_ || resumesStream()))
-        noteGoneOn();
+    if (!std::exchange(runHasEvents_, true))
+        onFirstEventOfRun();
     if (!std::exchange(firstEventSeen_, true)) {
-        beganOn_ = replica_->record().software;
         firstEventAt_ = gateway_.now();
         deadlineTimer_ = gateway_.loop.timers().after(endAt_ - firstEventAt_, guarded(&RequestRun::onTimeUp));
-        if (admittingAgent_)
-            admittingAgent_->started(metadata_.attempt);
     }
     if (delivered_ == Delivered::Nothing) {
         delivered_ = Delivered::Part;
--- a/packages/serving/RequestEnd.cpp
+++ b/packages/serving/RequestEnd.cpp
@@ -46,7 +46,7 @@
     refuseWith(unavailable, why, retryAfter);
 }
 
-auto RequestRun::refuseWith(int status, std::string_view why, milliseconds retryAfter) -> void
+auto RequestRun::refuseWith(int status, std::string_view why, std::optional<milliseconds> retryAfter) -> void
 {
     const auto self = shared_from_this();
     delivered_ = Delivered::Everything;
@@ -104,11 +104,17 @@
             { "configuration_age_ms", member_ ? millisecondsText(gateway_.configuration.age()) : "" },
             { "replica", replica_ ? replica_->id().str() : "" },
             { "version", answer_.version ? std::to_string(answer_.version->value()) : "" },
-            { "resumes", metadata_.resumed ? metadata_.resumed->attempt.str() : "" }, { "began_on", beganOn_.str() },
-            { "sends", std::to_string(sends_) }, { "runs", std::to_string(runs_) },
-            { "took_ms", millisecondsText(now - beganAt_) },
+            { "resumes", metadata_.resumed ? metadata_.resumed->attempt.str() : "" },
+            { "began_on", origin_ ? origin_->software.str() : "" }, { "sends", std::to_string(sends_) },
+            { "runs", std::to_string(runs_) }, { "took_ms", millisecondsText(now - beganAt_) },
             { "first_ms", firstEventAt_ == Moment() ? "" : millisecondsText(firstEventAt_ - beganAt_) },
             { "pause_ms", millisecondsText(longestPause_) } });
+    if (origin_ || (route_ && resumesStream())) {
+        const auto* way = resumesStream() ? "taken up" : "same answer";
+        if (outcome == "refused" || outcome == "broken_off")
+            gateway_.metrics.count(
+                "eelgrass_streams_not_gone_on_total", { { "way", way }, { "reason", std::string(why) } });
+    }
     // Without keys the metric is counted by service instead of member.
     const auto member = member_ ? member_->name : MemberId(service_.str());
     gateway_.metrics.observe("eelgrass_request_seconds", member, RequestClass(name), now - beganAt_);
--- a/packages/serving/RequestLog.cpp
+++ b/packages/serving/RequestLog.cpp
@@ -5,26 +5,6 @@
 
 namespace eelgrass::serving {
 
-auto RequestRun::noteTakenUp() const -> void
-{
-    gateway_.metrics.count("eelgrass_streams_taken_up_total", { { "class", route_->name.str() } });
-    const auto& last = metadata_.resumed->lastEventId;
-    log::info("stream taken up",
-        { { "request", metadata_.attempt.str() }, { "resumes", metadata_.resumed->attempt.str() },
-            { "last_event", last ? std::to_string(*last) : "" }, { "software", "" }, { "known_from", "" } });
-}
-
-auto RequestRun::noteGoneOn() const -> void
-{
-    const auto& software = replica_->record().software;
-    const auto* version = beganOn_.empty() || software.empty() ? "unknown" : beganOn_ == software ? "same" : "other";
-    gateway_.metrics.count("eelgrass_streams_gone_on_total",
-        { { "way", resumesStream() ? "taken up" : "same answer" }, { "software", version } });
-    log::info("stream goes on",
-        { { "request", metadata_.attempt.str() }, { "replica", replica_->id().str() }, { "began_on", beganOn_.str() },
-            { "software", software.str() } });
-}
-
 auto RequestRun::logSend() const -> void
 {
     if (metadata_.adapter.empty())
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -79,8 +79,6 @@
     }
     if (!authenticate())
         return false;
-    if (resumesStream())
-        noteTakenUp();
     digest_ = digestOf(request_, metadata_, member_ ? member_->name : MemberId());
     if (gateway_.suspects.isBlocked(digest_)) {
         fail(badGateway, "breaks off wherever it runs");
@@ -138,6 +136,9 @@
 
 auto RequestRun::priority() const -> std::uint32_t
 {
+    // While several versions serve, new streams can begin anywhere, and this one can go on at some replicas only.
+    if (origin_ && gateway_.directory.servesSeveralVersions(service_))
+        return 0;
     return member_ && member_->priority ? *member_->priority : route_->priority;
 }
 
@@ -147,7 +148,7 @@
     const auto charge
         = member_ ? gateway_.quotas.chargeFor(*member_, configuration_->version, metadata_) : std::nullopt;
     if (!charge)
-        return place();
+        return resumesStream() ? findOrigin() : place();
     // The decision is handled from the event loop, since a promise must not be destroyed within its own callback.
     admission_ = gateway_.quotas.take(*charge, gateway_.entries)
                      .then([this, charge = *charge](QuotaDecision&& decision) {
@@ -170,7 +171,7 @@
     if (!decision.granted)
         return refuseWith(tooManyRequests, "over the member's limit", decision.retryAfter);
     charged_ = charge;
-    place();
+    resumesStream() ? findOrigin() : place();
 }
 
 auto RequestRun::guarded(void (RequestRun::*step)()) -> std::function<void()>
@@ -202,9 +203,9 @@
         countWithheld();
         return onReplicaClosed();
     }
-    if (!mayRunOn(runVersion_)) {
+    if (!mayRunOn(runVersion_) || !mayGoOnAt(*replica_)) {
         countWithheld();
-        return abandonAdmission(outdatedReason);
+        return abandonAdmission(withheldReason());
     }
     replicaClosed_.reset();
     // With less time left the request would be cut off at once, and the client could not be told that it has not run.
@@ -272,6 +273,9 @@
         return giveUp(why);
     if (replica_)
         tried_.insert(replica_->id());
+    // A stream waits for its next replica as long as a new request does.
+    if (delivered_ == Delivered::Part)
+        lateAt_ = std::max(lateAt_, gateway_.now() + Duration(route_->latencyTarget));
     // The next choice is made from the event loop, because `retry` may run within a connection's callback.
     waitTimer_ = gateway_.loop.timers().after(Duration(0), guarded(&RequestRun::place));
 }
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -38,6 +38,23 @@
     auto takeQuota() -> void;
     auto onQuotaDecision(const QuotaCharge& charge, const QuotaDecision& decision) -> void;
     [[nodiscard]] auto priority() const -> std::uint32_t;
+    // Streams that have brought an event.
+    /// The stream that this request is part of, over all attempts of its client.
+    [[nodiscard]] auto streamId() const -> StreamId;
+    /// Whether the stream may go on at the replica, once it has brought an event: in this answer or, if the client
+    /// takes it up, in an earlier one. Every way to a replica ends in this question, like that of `mayRunOn`.
+    [[nodiscard]] auto mayGoOnAt(const Replica& replica) const -> bool;
+    /// Whether a replica is left at which the stream may go on.
+    [[nodiscard]] auto canGoOn() const -> bool;
+    /// Finds out where the stream began that the client takes up.
+    auto findOrigin() -> void;
+    auto onOrigin(const StreamOriginLookup::Answer& answer) -> void;
+    auto refuseStream(std::string_view why) -> void;
+    auto onFirstEventOfRun() -> void;
+    auto logTakenUp(const StreamOriginLookup::Answer& answer) const -> void;
+    /// Logs and counts that a stream goes on with an event from `replica_`.
+    auto noteGoneOn() const -> void;
+
     auto place() -> void;
     auto proceedAtReplica() -> void;
     /// Opens the session with the chosen replica's agent before asking for admission.
@@ -119,7 +136,7 @@
     auto onTimeUp() -> void;
     auto onCallerGone() -> void;
     auto refuse(std::string_view why, milliseconds retryAfter) -> void;
-    auto refuseWith(int status, std::string_view why, milliseconds retryAfter) -> void;
+    auto refuseWith(int status, std::string_view why, std::optional<milliseconds> retryAfter) -> void;
     auto fail(int status, std::string_view why) -> void;
     auto giveUp(std::string_view why) -> void;
     /// Releases what the request holds, and logs and counts its outcome. `status` is 0 if the client got none.
@@ -127,10 +144,6 @@
     auto logDecision(std::string_view event, std::string_view why) const -> void;
     /// Logs a send with the version that it expects, who decided on that version, and what this entry knows.
     auto logSend() const -> void;
-    /// Logs and counts an attempt of a client that goes on with a stream.
-    auto noteTakenUp() const -> void;
-    /// Logs and counts that a stream that had brought an event goes on with an event from `replica_`.
-    auto noteGoneOn() const -> void;
     [[nodiscard]] auto knownVersion() const -> const KnownVersion&;
     /// Reports a run on an older version than the one that this entry knows.
     auto checkAnsweredVersion() -> void;
@@ -198,8 +211,8 @@
     bool firstEventSeen_ = false;
     /// Whether `replica_` has brought an event of the current run.
     bool runHasEvents_ = false;
-    /// The software version of the replica that brought the stream's first event.
-    SoftwareVersion beganOn_;
+    /// Where the stream began; empty until it has brought an event that the client has.
+    std::optional<StreamOrigin> origin_;
     std::uint32_t sends_ = 0;
     /// The retry budget was charged for a send that was then withheld.
     bool nextSendCharged_ = false;
--- a/packages/serving/RequestVersion.cpp
+++ b/packages/serving/RequestVersion.cpp
@@ -24,20 +24,27 @@
 
 auto RequestRun::mayWrite() const -> bool
 {
-    return !replica_->leaving() && !replica_->rest().resting(gateway_.now()) && mayRunOn(runVersion_);
+    return !replica_->leaving() && !replica_->rest().resting(gateway_.now()) && mayRunOn(runVersion_)
+        && mayGoOnAt(*replica_);
 }
 
 auto RequestRun::withheldReason() const -> std::string_view
 {
     if (replica_->leaving())
         return leavingReason;
+    if (!mayGoOnAt(*replica_))
+        return otherSoftwareReason;
     return mayRunOn(runVersion_) ? restReason : outdatedReason;
 }
 
 auto RequestRun::countWithheld() -> void
 {
-    const auto* other = mayRunOn(runVersion_) ? "rest" : "version";
-    gateway_.metrics.count("eelgrass_sends_withheld_total", { { "reason", replica_->leaving() ? "leaving" : other } });
+    const auto why = withheldReason();
+    const auto* reason = why == leavingReason ? "leaving"
+        : why == otherSoftwareReason          ? "software"
+        : why == outdatedReason               ? "version"
+                                              : "rest";
+    gateway_.metrics.count("eelgrass_sends_withheld_total", { { "reason", reason } });
 }
 
 /// Whether no replica can get the named version of the adapter before the agents return, which have been away for so
@@ -48,7 +55,7 @@
         return false;
     const auto& replicas = gateway_.directory.replicasOf(service_);
     return std::all_of(replicas.begin(), replicas.end(), [&](const ReplicaPtr& replica) {
-        if (replica->leaving() || tried_.contains(replica->id()))
+        if (replica->leaving() || tried_.contains(replica->id()) || !mayGoOnAt(*replica))
             return true;
         const auto* agent = replica->agent();
         return replica->present() && agent && !agent->mayOpen() && agent->awayFor() > agentReturnTime
--- a/packages/serving/detail/NewsAge.h
+++ b/packages/serving/detail/NewsAge.h
@@ -13,6 +13,13 @@
 /// Stands for news of unknown age.
 inline constexpr auto unknownAgeMs = std::numeric_limits<std::uint32_t>::max();
 
+/// The time from `at` to `now`, in milliseconds and rounded down; 0 if `at` is later.
+[[nodiscard]] inline auto millisecondsSince(Moment at, Moment now) noexcept -> std::uint32_t
+{
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - at).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, unknownAgeMs));
+}
+
 /// The age of what happened at `moment` or later, in milliseconds and rounded up.
 [[nodiscard]] inline auto ageOfMoment(const std::optional<Moment>& moment, Moment now) noexcept -> std::uint32_t
 {
--- a/packages/serving/detail/RunLimits.h
+++ b/packages/serving/detail/RunLimits.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
+#include <string_view>
 
 /// Limits on the attempts, times and buffers of a request.
 namespace eelgrass::serving::detail {
@@ -53,9 +54,17 @@
 // again.
 inline constexpr auto agentReturnInterval = std::chrono::milliseconds(500);
 // Reason in log lines for requests that are not sent because the replica leaves.
-inline constexpr auto leavingReason = "replica leaving";
+inline constexpr auto leavingReason = std::string_view("replica leaving");
 // Reason in log lines for requests that are not sent because a newer version of their adapter has been named.
-inline constexpr auto outdatedReason = "older version at the replica";
+inline constexpr auto outdatedReason = std::string_view("older version at the replica");
+// Reason in log lines for streams that are not sent on because the replica runs another software version.
+inline constexpr auto otherSoftwareReason = std::string_view("another software version at the replica");
+// Reasons in log lines for streams that a client takes up in vain: it names no attempt, or several; nobody knows where
+// the stream began; its route does not lead to that service any more; no replica of its version is left.
+inline constexpr auto unnamedStreamReason = "no attempt named";
+inline constexpr auto unknownStreamReason = "stream not known";
+inline constexpr auto otherServiceReason = "stream of another service";
+inline constexpr auto versionGoneReason = "no replica of the stream's version";
 // Reason in log lines for requests that a replica's rate limit delays or refuses.
 inline constexpr auto rateLimitReason = "over the replica's rate limit";
 // Reason in log lines for requests that are not sent because the replica asked this host for rest.
--- a/packages/wire/Agent.capnp
+++ b/packages/wire/Agent.capnp
@@ -133,12 +133,28 @@
   namedAgeMs @8 :UInt32 = 0xffffffff;
 }
 
+# At which software version a stream began.
+struct StreamOrigin {
+  # Whose stream it is; empty where no key is asked for.
+  member @0 :Text;
+  # The client's attempt that brought the first event.
+  attempt @1 :Text;
+  service @2 :Text;
+  software @3 :Text;
+  # For how much longer a client may take the stream up.
+  keepMs @4 :UInt32;
+  # How long ago it was noted where it is known.
+  ageMs @5 :UInt32;
+}
+
 # A request that runs on the replica under a grant that an earlier process gave, or that nobody gave.
 struct RunningRequest {
   attempt @0 :Text;
   adapter @1 :Text;
   promptTokens @2 :UInt64;
   outputTokens @3 :UInt64;
+  # Set once the request's stream has begun.
+  origin @4 :StreamOrigin;
 }
 
 # What a request counts against its member's quota, and that quota as the entry knows it.
@@ -165,6 +181,8 @@
 # Offered by an entry to the processes beside replicas.
 interface ReplicaListener {
   changed @0 (state :ReplicaState);
+  # Whether the entry knows at which software version this stream began.
+  findStreamOrigin @1 (member :Text, attempt :Text) -> (known :Bool, origin :StreamOrigin);
 }
 
 interface AgentSession {
@@ -172,7 +190,8 @@
   # call takes the request out of the queue.
   admit @0 (request :AdmitRequest) -> (answer :AdmitAnswer);
   # The first event came: the prompt has been read.
-  started @1 (attempt :Text);
+  # `origin` tells where the request's stream began, if it may go on elsewhere.
+  started @1 (attempt :Text, origin :StreamOrigin);
   # The request is over at the replica, or was never sent.
   # `unsent`: granted and not sent after all, so that its permit and its place go to another one.
   release @2 (attempt :Text, end :RunEnd, unsent :Bool);
@@ -197,6 +216,9 @@
   returnPermit @10 (statement :RateLimitStatement, standIn :Bool);
   # This start of the agent's replica wants nothing from this host for so long. Sent by an entry on the agent's host.
   noteHostRest @11 (instance :Text, birth :UInt64, restMs :UInt32);
+  # Whether this process knows at which software version a stream began, or one of the attached entries does, if they
+  # are to be asked.
+  findStreamOrigin @12 (member :Text, attempt :Text, askEntries :Bool) -> (known :Bool, origin :StreamOrigin);
 }
 
 # The bootstrap of the process beside a replica.
--- a/tests/integration/StreamVersions.cpp
+++ b/tests/integration/StreamVersions.cpp
@@ -1,4 +1,5 @@
 #include "platform/Names.h"
+#include "standins/FaultProxy.h"
 #include "tests/harness/ServingWorld.h"
 
 #include <boost/test/unit_test.hpp>
@@ -76,14 +77,35 @@
         world.engine(index).behave({ .status = 503, .notRun = true });
         return index;
     }
-    /// The client takes the stream up with a new attempt.
-    auto takeUp(const std::string& stream, const std::string& attempt, std::size_t gateway = 0) -> ReceivedAnswer
+    /// The client takes the stream up with a new attempt; it names the attempts `resumes`.
+    auto takeUpAs(const std::vector<std::string>& resumes, const std::string& stream, const std::string& attempt,
+        std::size_t gateway = 0) -> ReceivedAnswer
     {
         auto request = ServingWorld::Request { .attempt = attempt, .body = stream, .gateway = gateway };
-        request.more.add(names::resumes, stream);
+        for (const auto& named : resumes)
+            request.more.add(names::resumes, named);
         request.more.add(names::lastEventId, std::to_string(sent));
         return world.receive(request);
     }
+    auto takeUp(const std::string& stream, const std::string& attempt, std::size_t gateway = 0) -> ReceivedAnswer
+    {
+        return takeUpAs({ stream }, stream, attempt, gateway);
+    }
+    /// The host of this engine is gone, and the list shows it.
+    auto removeHost(std::size_t index, std::size_t gateway) -> void
+    {
+        world.stopAgent(index);
+        world.store().remove("servers", world.engine(index).instance());
+        const auto before = world.gateway(gateway).directory().all().size();
+        BOOST_REQUIRE(world.until([&] { return world.gateway(gateway).directory().all().size() == before - 1; }));
+    }
+    /// The entry ends, as a kill does, once it has noticed that its clients have left: it cannot be destroyed in the
+    /// middle of a request.
+    auto killEntry(std::size_t gateway) -> void
+    {
+        world.wait(200ms);
+        world.stopGateway(gateway);
+    }
 
     ServingWorld world;
     std::size_t engines;
@@ -150,9 +172,7 @@
         auto release = Release({ "v1", "v1", "v1.1", "v1.1" });
         release.world.startGateway();
         const auto software = release.begin("stream");
-        // The entry notices that its client has left; it cannot be destroyed in the middle of a request.
-        release.world.wait(200ms);
-        release.world.stopGateway(0);
+        release.killEntry(0);
         release.world.startGateway();
         release.recover();
         release.fillEngineOf("stream");
@@ -169,11 +189,7 @@
         release.world.startGateway();
         const auto software = release.begin("stream");
         release.recover();
-        const auto host = release.fillEngineOf("stream");
-        release.world.stopAgent(host);
-        release.world.store().remove("servers", "engine-" + std::to_string(host));
-        BOOST_REQUIRE(release.world.until(
-            [&] { return release.world.gateway(1).directory().all().size() == release.engines - 1; }));
+        release.removeHost(release.fillEngineOf("stream"), 1);
         BOOST_TEST(isRest(release.takeUp("stream", "again", 1), software));
     }
 }
@@ -207,3 +223,96 @@
         BOOST_TEST(release.runsOf(attempt) == 0U);
     }
 }
+
+// Guards against a take-up that is refused though the service has had one version all along, after both the entry and
+// the host that began the stream have died.
+BOOST_AUTO_TEST_CASE(stream_that_nobody_knows_goes_on_where_one_version_served)
+{
+    auto release = Release({ "v1", "v1" });
+    release.world.startGateway();
+    release.world.startGateway();
+    // As long as a stream of the route can last.
+    release.world.wait(6500ms);
+    (void)release.begin("stream");
+    release.recover();
+    release.removeHost(release.fillEngineOf("stream"), 1);
+    release.killEntry(0);
+    BOOST_TEST(isRest(release.takeUp("stream", "again"), "v1"));
+}
+
+// Guards against a stream that goes on where nobody knows its version, because a single one is seen by an entry that
+// has just started, or that cannot read the list.
+BOOST_AUTO_TEST_CASE(one_visible_version_is_no_proof)
+{
+    auto release = Release({ "v1", "v1" });
+    auto proxy = standins::FaultProxy(release.world.loop(), { .upstream = release.world.store().port() });
+    release.world.startGateway();
+    release.world.settings().host.store = { "127.0.0.1", proxy.port() };
+    release.world.startGateway();
+    auto justStarted = release.takeUp("unknown", "first", 1);
+    BOOST_TEST(justStarted.status == 503);
+    release.world.wait(6500ms);
+    BOOST_TEST(release.takeUp("unknown", "second", 1).whole);
+    proxy.apply({ { "silent", "both" } });
+    BOOST_TEST(release.takeUp("unknown", "third", 1).status == 503);
+    BOOST_TEST(release.runsOf("first") + release.runsOf("third") == 0U);
+}
+
+// Guards against a stream that goes on at the only version that an entry sees, because its list lacks the replica of
+// another version that began the stream.
+BOOST_AUTO_TEST_CASE(entry_with_an_old_list_learns_where_a_stream_began)
+{
+    auto release = Release({ "v1", "v1.1" });
+    auto proxy = standins::FaultProxy(release.world.loop(), { .upstream = release.world.store().port() });
+    release.world.store().remove("servers", "engine-1");
+    release.world.startGateway(false);
+    BOOST_REQUIRE(release.world.until([&] { return release.world.gateway(0).ready(); }));
+    release.world.settings().host.store = { "127.0.0.1", proxy.port() };
+    release.world.startGateway(false);
+    BOOST_REQUIRE(release.world.until([&] { return release.world.gateway(1).ready(); }));
+    proxy.apply({ { "silent", "both" } });
+    release.world.publishReplicas();
+    BOOST_REQUIRE(release.world.until([&] { return release.world.gateway(0).directory().all().size() == 2; }));
+    release.world.engine(0).behave({ .status = 503, .notRun = true });
+    BOOST_TEST(release.begin("stream") == "v1.1");
+    release.recover();
+    BOOST_TEST(release.takeUp("stream", "again", 1).status == 503);
+    BOOST_TEST(release.runsOf("again") == 0U);
+}
+
+// Guards against a stream that goes on where its client doesn't say which one it is, or names one that never began.
+BOOST_AUTO_TEST_CASE(streams_that_are_not_named_are_refused)
+{
+    auto release = Release({ "v1", "v1.1" });
+    release.world.startGateway();
+    (void)release.begin("one");
+    (void)release.begin("two");
+    release.recover();
+    auto number = 0;
+    for (const auto& named : std::vector<std::vector<std::string>> { {}, { "one", "two" }, { "never-began" } }) {
+        const auto attempt = "again-" + std::to_string(++number);
+        const auto answer = release.takeUpAs(named, "one", attempt);
+        BOOST_TEST(answer.status == 503);
+        BOOST_TEST(answer.fields.get(names::retryAfter).empty());
+        BOOST_TEST(release.runsOf(attempt) == 0U);
+    }
+}
+
+// Guards against a stream that goes on at another version in the third attempt of its client, which names the first
+// one.
+BOOST_AUTO_TEST_CASE(stream_taken_up_again_and_again_stays_at_its_version)
+{
+    auto release = Release({ "v1", "v1", "v1.1", "v1.1" });
+    release.world.startGateway();
+    release.world.startGateway();
+    const auto software = release.begin("stream");
+    for (const auto* attempt : { "second", "third" }) {
+        auto request = ServingWorld::Request { .attempt = attempt, .body = "stream", .gateway = 1 };
+        request.more.add(names::resumes, "stream");
+        request.more.add(names::lastEventId, "1");
+        const auto answer = release.world.receive(request, "id: 3\n");
+        BOOST_TEST(answer.body == streamEvents(2, sent, software));
+    }
+    release.recover();
+    BOOST_TEST(isRest(release.takeUp("stream", "fourth", 0), software));
+}
