Soak with releases: software versions side by side, streams taken up at any entry

--releases: replicas of two and three software versions in one service, replaced in series, planned or by a crash; gateways and agents killed, frozen, stopped and cut beside; two thirds of the clients read streams whose events come 40 ms apart, leave one in three on purpose, and take up what breaks, up to three times, at any entry. Judged: no client has events of two versions, a missing or a doubled one; no refused attempt has run; of 12 or more streams taken up at gateways in touch while two replicas of their version serve, at least half as large a share goes on as of new ones begin.

--- a/standins/ReplicaStandin.cpp
+++ b/standins/ReplicaStandin.cpp
@@ -75,6 +75,7 @@
 auto ReplicaStandin::restart(const std::string& instance) -> void
 {
     instance_ = instance;
+    startedAt_ = timers_.now();
     adapters_.clear();
     waitingOrders_.clear();
     running_.clear();
@@ -293,7 +294,7 @@
         return runEnded(adapter, born_);
     auto head = answerHead(request, behaviour_.status);
     const auto version = heldVersion(adapter);
-    auto from = wire::decimal(request.fields.get(names::lastEventId)).value_or(0);
+    const auto from = behaviour_.beginsAnew ? 0 : wire::decimal(request.fields.get(names::lastEventId)).value_or(0);
     runs_.push_back({ timers_.now(), std::string(request.fields.get(names::attemptId)), request.target, adapter,
         version, from, software_, request.fields, request.body });
     if (!adapter.empty())
@@ -319,23 +320,43 @@
     if (then != Behaviour::Then::Finish && behaviour_.times && (*behaviour_.times)-- <= 0)
         then = Behaviour::Then::Finish;
     const auto last = then == Behaviour::Then::Finish ? behaviour_.events : behaviour_.sent;
-    for (auto event = from + 1; event <= last; ++event)
-        caller->writeChunk(streamEvent(event, software_));
+    writeEvents({ caller, adapter, from + 1, last, then });
+}
+
+auto ReplicaStandin::writeEvents(Output output) -> void
+{
+    const auto gap = behaviour_.eventGap;
+    while (output.next <= output.last) {
+        output.caller->writeChunk(streamEvent(output.next++, software_));
+        if (gap > Duration(0))
+            return afterwards(gap, [this, output] {
+                if (output.caller->open())
+                    writeEvents(output);
+                else
+                    runEnded(output.adapter, born_);
+            });
+    }
+    end(output);
+}
+
+auto ReplicaStandin::end(const Output& output) -> void
+{
+    const auto& [caller, adapter, next, last, then] = output;
     switch (then) {
     case Behaviour::Then::Finish:
-        return afterwards(behaviour_.runsFor, [this, caller, adapter] {
+        return afterwards(behaviour_.runsFor, [this, caller = caller, adapter = adapter] {
             if (caller->open())
                 caller->finish();
             runEnded(adapter, born_);
         });
     case Behaviour::Then::Reset:
         // A reset overtakes what was sent just before it; the events have to be there first.
-        return afterwards(50ms, [this, caller, adapter] {
+        return afterwards(50ms, [this, caller = caller, adapter = adapter] {
             caller->abort();
             runEnded(adapter, born_);
         });
     case Behaviour::Then::Silence:
-        caller->watch({ .onGone = [this, adapter, start = born_] {
+        caller->watch({ .onGone = [this, adapter = adapter, start = born_] {
             ++cancelled_;
             runEnded(adapter, start);
         } });
--- a/standins/ReplicaStandin.h
+++ b/standins/ReplicaStandin.h
@@ -33,6 +33,8 @@
         /// Answers this status in place of running; with the mark that it has not run if `notRun`.
         int status = 200;
         bool notRun = false;
+        /// Begins each stream with its first event, whatever the client has.
+        bool beginsAnew = false;
         /// Sends an answer to a request that nobody asked before the right one.
         bool strangerFirst = false;
         /// Orders get no answer.
@@ -43,6 +45,8 @@
         Duration beginsAfter {};
         /// How long a model request runs after its first token.
         Duration runsFor {};
+        /// Time between two events of a stream.
+        Duration eventGap {};
         /// Whether requests for an adapter are taken while an order waits for its runs; if not, they are turned away.
         bool runsWhileReplacing = false;
     };
@@ -110,6 +114,8 @@
     /// The version of its software, named in its entry and in each event; empty for none.
     auto setSoftware(const std::string& version) -> void { software_ = version; }
     [[nodiscard]] auto software() const noexcept -> const std::string& { return software_; }
+    /// When its current start began.
+    [[nodiscard]] auto startedAt() const noexcept -> Moment { return startedAt_; }
     /// A new start at the same address, also under the same name: empty, born later.
     auto restart(const std::string& instance) -> void;
     /// Carries out the orders whose answers were lost, as far as their conditions still hold; tells how many did.
@@ -130,7 +136,17 @@
     [[nodiscard]] auto refusal(const std::string& adapter, const wire::HttpRequestMessage& request) const
         -> std::optional<wire::HttpResponseHead>;
     auto begin(const Caller& caller, const wire::HttpRequestMessage& request, const std::string& adapter) -> void;
+    /// A stream that is being written: its next event, and how it ends after `last`.
+    struct Output {
+        Caller caller;
+        std::string adapter;
+        std::uint64_t next = 0;
+        std::uint64_t last = 0;
+        Behaviour::Then then = Behaviour::Then::Finish;
+    };
     auto stream(const Caller& caller, const std::string& adapter, std::uint64_t from) -> void;
+    auto writeEvents(Output output) -> void;
+    auto end(const Output& output) -> void;
     auto afterwards(Duration delay, std::function<void()> step) -> void;
     /// Whether requests for the adapter run or wait to begin.
     [[nodiscard]] auto runs(const std::string& adapter) const -> bool;
@@ -147,6 +163,7 @@
     std::string instance_;
     std::string service_;
     std::string software_ = "v1";
+    Moment startedAt_ {};
     Behaviour behaviour_;
     std::vector<Run> runs_;
     std::vector<Arrival> arrivals_;
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -19,6 +19,8 @@
 
 constexpr auto patience = Duration(4s);
 constexpr auto turnPeriod = Duration(20ms);
+// In runs with releases, so that streams last for long enough to be broken.
+constexpr auto eventGap = Duration(40ms);
 
 /// Where gateways find an engine and its agent, and where the agent itself listens.
 auto engineAddress(std::size_t index) -> std::string { return "127.0.3." + std::to_string(index + 1); }
@@ -31,11 +33,14 @@
     , limitRandom_(~seed)
     , availabilityRandom_(~seed * 3)
     , versionRandom_(~seed * 5)
+    , streamRandom_(~seed * 7)
     , size_(size)
     , folder_(std::move(folder))
     , store_(loop_.timers())
 {
     std::filesystem::create_directories(folder_);
+    if (size_.releases)
+        usual_.eventGap = eventGap;
     configure();
     for (auto index = std::size_t(0); index < size_.plain; ++index)
         plain_.push_back(std::make_unique<standins::ReplicaStandin>(
@@ -64,6 +69,10 @@
     const auto name = std::to_string(index);
     engine.replica
         = std::make_unique<standins::ReplicaStandin>(loop_.timers(), "127.0.0.1", "engine-" + name, "engine");
+    if (size_.releases)
+        engine.replica->setSoftware(softwareVersions.at(index % 2));
+    engine.replica->behave(usual_);
+    engine.served.push_back({ engine.replica->software(), loop_.timers().now() });
     engine.leg = std::make_unique<standins::FaultProxy>(
         loop_, standins::FaultProxy::Options { .address = engineAddress(index), .upstream = engine.replica->port() });
     // Gateways look for each agent at the engine's address and at one port for all.
@@ -146,22 +155,29 @@
     steps_.push_back(loop_.timers().after(delay, std::move(step)));
 }
 
-auto Soak::ask(wire::HttpCaller& caller, std::size_t gateway, const std::string& path, const std::string& adapter)
-    -> kj::Promise<Call>
+auto Soak::requestFor(const std::string& attempt, const std::string& path, const std::string& adapter,
+    const std::string& body) -> wire::HttpCall
 {
-    auto call = Call { .attempt = "attempt-" + std::to_string(++asked_), .path = path, .gateway = gateway };
-    call.began = loop_.timers().now();
-    // One content that breaks off at two replicas is served no more; here each run is to be judged.
-    const auto body = size_.namesVersions ? "prompt of " + call.attempt : std::string("prompt");
     auto request = wire::HttpCall { .method = "POST", .target = path, .body = body, .timeout = patience };
     request.fields.add("Host", "users.example");
-    request.fields.add(names::attemptId, call.attempt);
+    request.fields.add(names::attemptId, attempt);
     request.fields.add(names::deadline, std::to_string(clientDeadline.count()));
     if (path == "/resumable/x" || path == "/whole/x") {
         request.fields.add(names::model, "base/" + (adapter.empty() ? drawAdapter() : adapter));
         request.fields.add(names::tokenCount, "100,20");
         request.fields.add(names::promptPrefix, "aa:60,bb:40");
     }
+    return request;
+}
+
+auto Soak::ask(wire::HttpCaller& caller, std::size_t gateway, const std::string& path, const std::string& adapter)
+    -> kj::Promise<Call>
+{
+    auto call = Call { .attempt = "attempt-" + std::to_string(++asked_), .path = path, .gateway = gateway };
+    call.began = loop_.timers().now();
+    // One content that breaks off at two replicas is served no more; here each run is to be judged.
+    const auto body = size_.namesVersions ? "prompt of " + call.attempt : std::string("prompt");
+    auto request = requestFor(call.attempt, path, adapter, body);
     auto failure = std::make_shared<std::string>();
     return caller.call(std::move(request))
         .catch_([failure](kj::Exception&& error) {
@@ -228,11 +244,11 @@
     loop_.wait(loop_.sleep(500ms));
     auto clients = kj::heapArrayBuilder<kj::Promise<void>>(size_.clients);
     for (auto index = std::size_t(0); index < size_.clients; ++index)
-        clients.add(client(index));
+        clients.add(size_.releases && index % 3 != 0 ? streamClient() : client(index));
     auto asking = kj::joinPromises(clients.finish());
     auto faults = disturb();
     auto limits = announceLimits();
-    auto availability = size_.namesVersions ? nameVersions() : announceAvailability();
+    auto availability = size_.namesVersions ? nameVersions() : size_.releases ? release() : announceAvailability();
     loop_.wait(loop_.sleep(size_.time));
     over_ = true;
     loop_.wait(kj::mv(faults));
@@ -248,6 +264,9 @@
     judgeLimits(broken);
     judgeAvailability(broken);
     judgeVersions(broken);
+    for (const auto& stream : streams_)
+        judgeStream(*stream, broken);
+    judgeStreamsGoneOn(broken);
     judgeRecovery(broken);
     judgeNewestVersions(broken);
     return broken;
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -5,12 +5,15 @@
 #include "standins/StoreStandin.h"
 #include "tests/harness/AvailabilityRules.h"
 #include "tests/harness/Process.h"
+#include "tests/harness/StreamCaller.h"
 #include "wire/HttpCaller.h"
 #include "wire/MainLoop.h"
 
+#include <array>
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,6 +22,9 @@
 /// Clients wait this long; an undisturbed gateway has answered by then and a little more.
 inline constexpr auto clientDeadline = std::chrono::milliseconds(2500);
 
+/// Versions of the replicas' software; only the first one serves in runs without releases.
+inline constexpr auto softwareVersions = std::array { "v1", "v1.1", "v1.2" };
+
 struct Size {
     std::size_t gateways = 3;
     std::size_t engines = 4;
@@ -28,6 +34,9 @@
     /// Names versions of the most-wanted adapters, with most faults on agents, replicas and the ways to them, so that
     /// entries stay in touch with the store for long enough to be judged.
     bool namesVersions = false;
+    /// Replicas of several software versions side by side, which releases change in series; clients leave streams and
+    /// take them up at any entry.
+    bool releases = false;
 };
 
 /// One request as its client saw it.
@@ -46,6 +55,31 @@
     std::string failure;
 };
 
+/// An attempt of a client to take up a stream.
+struct TakeUp {
+    std::string attempt;
+    std::size_t gateway = 0;
+    Moment began {};
+    Moment ended {};
+    int status = 0;
+    /// Whether it brought an event, or the end of the stream.
+    bool goneOn = false;
+};
+
+/// One stream as its client has it, from all its attempts.
+struct Stream {
+    std::string first;
+    std::size_t gateway = 0;
+    Moment began {};
+    Moment firstEventBy {};
+    int status = 0;
+    /// The numbers of its events, and the software versions that wrote them.
+    std::vector<std::uint64_t> events;
+    std::set<std::string> versions;
+    bool whole = false;
+    std::vector<TakeUp> takenUp;
+};
+
 /// The serving layer as real processes on loopback, with the store and the replicas played here, a fault proxy on each
 /// leg, clients that go on asking, and faults in overlapping series, all drawn from a seed.
 ///
@@ -62,6 +96,8 @@
     [[nodiscard]] auto calls() const noexcept -> std::size_t { return calls_.size(); }
     /// How many calls ended with each status; 0 for none.
     [[nodiscard]] auto statuses() const -> std::map<int, int>;
+    /// What came of the streams, for the summary.
+    [[nodiscard]] auto streamCounts() const -> std::map<std::string, int>;
     [[nodiscard]] auto faults() const noexcept -> const std::map<std::string, int>& { return faults_; }
 
 private:
@@ -96,6 +132,13 @@
         /// When the leg was disturbed.
         std::vector<Moment> disturbances;
         int starts = 1;
+        /// The versions of its software, and when each of its starts began and, if it has, stopped to serve.
+        struct Start {
+            std::string software;
+            Moment from {};
+            std::optional<Moment> until {};
+        };
+        std::vector<Start> served;
     };
 
     // Start and end.
@@ -108,6 +151,14 @@
 
     // Clients.
     auto client(std::size_t index) -> kj::Promise<void>;
+    [[nodiscard]] auto requestFor(const std::string& attempt, const std::string& path, const std::string& adapter,
+        const std::string& body) -> wire::HttpCall;
+    /// Begins streams, leaves some, and takes up each that breaks off.
+    auto streamClient() -> kj::Promise<void>;
+    auto receive(std::shared_ptr<Stream> stream, std::string attempt, std::size_t gateway)
+        -> kj::Promise<tests::ReceivedAnswer>;
+    auto takeUpUntilWhole(std::shared_ptr<Stream> stream, int attempts) -> kj::Promise<void>;
+    static auto apply(Stream& stream, const tests::ReceivedAnswer& answer) -> bool;
     /// Of an adapter drawn here, if none is named.
     auto ask(wire::HttpCaller& caller, std::size_t gateway, const std::string& path, const std::string& adapter = {})
         -> kj::Promise<Call>;
@@ -127,6 +178,11 @@
     auto announceAvailability() -> kj::Promise<void>;
     auto leave(std::size_t engine) -> void;
     auto nameVersions() -> kj::Promise<void>;
+    /// Replaces replicas by others of another version, planned or not.
+    auto release() -> kj::Promise<void>;
+    auto replaceEngine(Engine& engine, const std::string& software) -> void;
+    /// A fault of a run with releases.
+    auto faultBesideReleases() -> void;
     /// A fault of a run that names versions.
     auto faultBesideVersions() -> void;
     auto faultOnStoreLeg(Node& node) -> void;
@@ -154,6 +210,13 @@
     auto judgeVersions(std::vector<std::string>& broken) const -> void;
     auto judgeVersion(
         const standins::ReplicaStandin::Run& run, std::size_t gateway, std::vector<std::string>& broken) const -> void;
+    auto judgeStream(const Stream& stream, std::vector<std::string>& broken) const -> void;
+    /// Of streams that are taken up while two replicas of their version serve, at least half as many go on as new ones
+    /// begin.
+    auto judgeStreamsGoneOn(std::vector<std::string>& broken) const -> void;
+    /// How many replicas of the version serve all the while.
+    [[nodiscard]] auto servingAll(const std::string& software, Moment from, Moment until) const -> std::size_t;
+    [[nodiscard]] auto inTouch(std::size_t gateway, Moment from, Moment until) const -> bool;
     /// Since when a gateway has been in touch with the store, at `at`.
     [[nodiscard]] auto inTouchSince(std::size_t gateway, Moment at) const -> Moment;
     auto judgeNewestVersions(std::vector<std::string>& broken) -> void;
@@ -179,6 +242,7 @@
     std::mt19937_64 limitRandom_;
     std::mt19937_64 availabilityRandom_;
     std::mt19937_64 versionRandom_;
+    std::mt19937_64 streamRandom_;
     Size size_;
     std::string folder_;
     standins::StoreStandin store_;
@@ -187,6 +251,9 @@
     std::vector<Node> agents_;
     std::vector<Node> gateways_;
     std::vector<Call> calls_;
+    std::vector<std::shared_ptr<Stream>> streams_;
+    /// What an engine does while nothing is wrong with it.
+    standins::ReplicaStandin::Behaviour usual_;
     std::map<std::string, int> faults_;
     std::vector<Timer> steps_;
     std::vector<std::string> broken_;
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -108,7 +108,7 @@
 
 auto Soak::faultOnEngine(Engine& engine) -> void
 {
-    auto behaviour = standins::ReplicaStandin::Behaviour();
+    auto behaviour = usual_;
     switch (number(0, 6)) {
     case 0:
         note("replica breaks off");
@@ -147,15 +147,19 @@
 auto Soak::behaveFor(Engine& engine, const standins::ReplicaStandin::Behaviour& behaviour, Duration time) -> void
 {
     engine.replica->behave(behaviour);
-    later(time, [&engine] {
-        engine.replica->behave({});
+    later(time, [this, &engine] {
+        engine.replica->behave(usual_);
         engine.replica->carryOutLost();
     });
 }
 
 auto Soak::restartEngine(Engine& engine) -> void
 {
+    const auto now = loop_.timers().now();
+    if (!engine.served.back().until)
+        engine.served.back().until = now;
     engine.replica->restart(engine.replica->instance().substr(0, 8) + "-" + std::to_string(++engine.starts));
+    engine.served.push_back({ engine.replica->software(), now });
     publish();
 }
 
@@ -278,7 +282,8 @@
     // Requests are to run, under a permit now and then.
     static constexpr auto wideLimits = std::array { "20", "", "", "" };
     note("rate limit");
-    replica.announceLimit((size_.namesVersions ? wideLimits : limits).at(limitRandom_() % limits.size()));
+    replica.announceLimit(
+        (size_.namesVersions || size_.releases ? wideLimits : limits).at(limitRandom_() % limits.size()));
 }
 
 /// Limits last longer than the time within which they have to hold, so that most of them are judged.
@@ -332,8 +337,10 @@
         return kj::READY_NOW;
     const auto many = chance(0.15) ? number(2, 5) : 1;
     for (auto count = 0; count < many; ++count)
-        size_.namesVersions ? faultBesideVersions() : fault();
-    return loop_.sleep(size_.namesVersions ? soon(100, 600) : soon(30, 350)).then([this] { return disturb(); });
+        size_.namesVersions ? faultBesideVersions() : size_.releases ? faultBesideReleases() : fault();
+    return loop_.sleep(size_.namesVersions || size_.releases ? soon(100, 600) : soon(30, 350)).then([this] {
+        return disturb();
+    });
 }
 
 auto Soak::mendAll() -> void
@@ -350,7 +357,7 @@
     }
     const auto mended = Json { { "silent", "none" }, { "delay_ms", 0 }, { "refuse", false }, { "cut", true } };
     for (auto& engine : engines_) {
-        engine.replica->behave({});
+        engine.replica->behave(usual_);
         engine.replica->carryOutLost();
         engine.leg->apply(mended);
         engine.session->apply(mended);
--- a/tests/soak/SoakMain.cpp
+++ b/tests/soak/SoakMain.cpp
@@ -19,6 +19,7 @@
 ABSL_FLAG(std::size_t, engines, 4, "model replicas, each with its agent process");
 ABSL_FLAG(std::size_t, clients, 12, "clients that ask at the same time");
 ABSL_FLAG(bool, versions, false, "names versions of the most-wanted adapters beside the faults");
+ABSL_FLAG(bool, releases, false, "replicas of several software versions, releases, and streams that are taken up");
 // NOLINTEND
 
 namespace {
@@ -31,6 +32,7 @@
     auto size = soak::Size { .gateways = absl::GetFlag(FLAGS_gateways), .engines = absl::GetFlag(FLAGS_engines) };
     size.clients = absl::GetFlag(FLAGS_clients);
     size.namesVersions = absl::GetFlag(FLAGS_versions);
+    size.releases = absl::GetFlag(FLAGS_releases);
     size.time = std::chrono::milliseconds(absl::GetFlag(FLAGS_ms));
     const auto folder = std::filesystem::temp_directory_path() / ("eelgrass-soak-" + std::to_string(getpid()));
     auto run = soak::Soak(seed, size, folder.string());
@@ -44,6 +46,8 @@
     calls += run.calls();
     for (const auto& [kind, count] : run.faults())
         faults[kind] += count;
+    for (const auto& [kind, count] : run.streamCounts())
+        faults[kind] += count;
     return broken.empty();
 }
 
