A stream that is taken up brings no event that its client has

Callers could get events twice, or miss some, in an attempt that takes a stream up: the id of the client's last event was read and never used, so the first event was not checked against it. A replica that begins the stream anew would have brought all of it again.

The check that holds within one answer now begins with the client's last event. stream_taken_up_brings_no_event_twice failed before this change and passes with it.

--- a/packages/serving/RequestResume.cpp
+++ b/packages/serving/RequestResume.cpp
@@ -43,6 +43,8 @@
 auto RequestRun::findOrigin() -> void
 {
     gateway_.metrics.count("eelgrass_streams_taken_up_total", { { "class", route_->name.str() } });
+    // Events that the client has already are skipped, and a gap after them ends the attempt.
+    lastEventId_ = metadata_.resumed->lastEventId;
     if (metadata_.resumed->attempt.empty())
         return onOrigin({});
     const auto query = StreamOriginLookup::Query { *route_,
--- a/tests/integration/StreamVersions.cpp
+++ b/tests/integration/StreamVersions.cpp
@@ -55,6 +55,13 @@
         }
         return count;
     }
+    auto runsOfAll() -> std::size_t
+    {
+        auto count = std::size_t(0);
+        for (auto index = std::size_t(0); index < engines; ++index)
+            count += world.engine(index).runs().size();
+        return count;
+    }
     /// Begins a stream that its client leaves after three events; the version of these.
     auto begin(const std::string& stream, std::size_t gateway = 0) -> std::string
     {
@@ -316,3 +323,13 @@
     release.recover();
     BOOST_TEST(isRest(release.takeUp("stream", "fourth", 0), software));
 }
+
+// Guards against events that come twice because the replica begins a stream anew that a client takes up.
+BOOST_AUTO_TEST_CASE(stream_taken_up_brings_no_event_twice)
+{
+    auto release = Release({ "v1" });
+    release.world.startGateway();
+    (void)release.begin("stream");
+    release.world.engine(0).behave({ .beginsAnew = true });
+    BOOST_TEST(isRest(release.takeUp("stream", "again"), "v1"));
+}
