Streams that resets break off are not taken for requests that crash replicas

Callers of a stream that had broken off three times without a success in between were refused with 502 at every entry, also when they took it up where nothing was wrong: a release or a few resets are enough.

Cause: each break counted as if the request had crashed its replica. Before the first event each break counts at once, as before.

--- a/packages/base/Ids.h
+++ b/packages/base/Ids.h
@@ -61,6 +61,9 @@
 using AttemptId = StrongId<struct AttemptTag>;
 using RequestId = StrongId<struct RequestTag>;
 using AvailabilityZone = StrongId<struct AvailabilityZoneTag>;
+/// The version of a back end's software, as it names it. Versions are equal or not and have no order; empty if unknown,
+/// which equals no other.
+using SoftwareVersion = StrongId<struct SoftwareVersionTag>;
 using RequestClass = StrongId<struct RequestClassTag>;
 
 /// Number of an accepted configuration; it only rises.
--- a/packages/serving/GatewayRole.cpp
+++ b/packages/serving/GatewayRole.cpp
@@ -86,7 +86,7 @@
               .onRateLimits = [this](const std::vector<ReplicaRateLimit>& limits,
                                   const Endpoint& agent) { rateLimits_.applyPublished(limits, agent); },
               .knownOrigin = [this](const StreamId& stream) { return origins_.known(stream); } })
-    , suspects_(directory_)
+    , suspects_(loop, directory_)
     , quotas_(loop, directory_, settings_.quotas)
     , rateLimits_(loop, directory_, metrics_, settings_.host.name)
     , availability_(loop, directory_, metrics_, settings_.host)
@@ -168,6 +168,7 @@
 auto GatewayRole::onState(Replica& replica) -> void
 {
     availability_.applyPublished(replica);
+    suspects_.applyState(replica);
     const auto& state = replica.agent()->state();
     const auto& configuration = configuration_.configuration();
     if (state.configVersion <= (configuration ? configuration->version : ConfigVersion()))
--- a/packages/serving/RequestAnswer.cpp
+++ b/packages/serving/RequestAnswer.cpp
@@ -175,7 +175,7 @@
     if (fault == ReplicaFault::NotSent)
         return onNotRun("not reached");
     ++runs_;
-    gateway_.suspects.recordBreak(digest_);
+    gateway_.suspects.recordBreak(digest_, *replica_, runHasEvents_ || origin_);
     logDecision("replica connection failed", toString(fault));
     if (mayRunAgain())
         return retry(toString(fault));
--- a/packages/serving/SuspectRequests.cpp
+++ b/packages/serving/SuspectRequests.cpp
@@ -37,13 +37,41 @@
     return agents.empty() ? nullptr : agents.front();
 }
 
-auto SuspectRequests::recordBreak(const std::string& digest) -> void
+auto SuspectRequests::count(const std::string& digest) -> void
 {
     ownCounts_.crashed(digest, ownCounts_.crashes(digest));
     if (auto* agent = countingAgentFor(digest))
         agent->reportSuspect(digest, true);
 }
 
+auto SuspectRequests::recordBreak(const std::string& digest, const Replica& replica, bool begun) -> void
+{
+    if (!begun || !replica.agent())
+        return count(digest);
+    // A replica that leaves ends by plan.
+    if (replica.leaving())
+        return;
+    unconfirmed_.push_back({ digest, replica.record().start, loop_.timers().now() });
+    if (unconfirmed_.size() > maxUnconfirmed)
+        unconfirmed_.pop_front();
+}
+
+auto SuspectRequests::applyState(const Replica& replica) -> void
+{
+    if (unconfirmed_.empty())
+        return;
+    const auto now = loop_.timers().now();
+    const auto& reported = replica.agent()->state().start;
+    for (const auto& broken : unconfirmed_) {
+        if (broken.start.instance == replica.id() && !sameStart(broken.start, reported))
+            count(broken.digest);
+    }
+    std::erase_if(unconfirmed_, [&](const Unconfirmed& broken) {
+        const auto crashed = broken.start.instance == replica.id() && !sameStart(broken.start, reported);
+        return crashed || now - broken.at > crashNoticeTime;
+    });
+}
+
 auto SuspectRequests::recordSuccess(const std::string& digest) -> void
 {
     if (ownCounts_.crashes(digest) == 0)
--- a/packages/serving/Types.h
+++ b/packages/serving/Types.h
@@ -24,9 +24,6 @@
 using StartTime = StrongNumber<struct StartTimeTag>;
 /// An adapter's name within its base model; empty for the base model itself.
 using AdapterName = AdapterId;
-/// The version of a replica's software, as its entry in the platform's list names it. Versions are equal or not and
-/// have no order; empty if unknown, which equals no other.
-using SoftwareVersion = StrongId<struct SoftwareVersionTag>;
 using BaseModel = StrongId<struct BaseModelTag>;
 using Tokens = std::uint64_t;
 /// The key by which a client is identified as a member. It is never logged, used in metrics or forwarded.
--- a/tests/integration/StreamVersions.cpp
+++ b/tests/integration/StreamVersions.cpp
@@ -333,3 +333,56 @@
     release.world.engine(0).behave({ .beginsAnew = true });
     BOOST_TEST(isRest(release.takeUp("stream", "again"), "v1"));
 }
+
+// Guards against streams that are taken for requests that crash replicas, because resets broke them off again and
+// again.
+BOOST_AUTO_TEST_CASE(stream_broken_by_resets_is_not_blocked)
+{
+    auto release = Release({ "v1", "v1" }, Then::Reset);
+    release.world.startGateway();
+    (void)release.world.receive({ .attempt = "stream", .body = "stream" });
+    BOOST_REQUIRE(release.world.until([&] {
+        (void)release.takeUp("stream", "broken-" + std::to_string(release.runsOfAll()));
+        return release.runsOfAll() >= 4;
+    }));
+    release.recover();
+    auto asked = 0;
+    BOOST_TEST(release.world.until(
+        [&] { return isRest(release.takeUp("stream", "again-" + std::to_string(++asked)), "v1"); }));
+}
+
+// Guards against a request that brings events before it crashes each replica, and goes on to the next one.
+BOOST_AUTO_TEST_CASE(stream_that_crashes_replicas_is_blocked)
+{
+    auto release = Release({ "v1", "v1", "v1" });
+    release.world.startGateway();
+    auto starts = 0;
+    auto over = false;
+    // A replica crashes as soon as it has written its events, and is back under another name.
+    const auto crash = [&](auto& self) -> kj::Promise<void> {
+        if (over)
+            return kj::READY_NOW;
+        for (auto index = std::size_t(0); index < release.engines; ++index) {
+            auto& engine = release.world.engine(index);
+            const auto& runs = engine.runs();
+            if (runs.empty() || runs.back().at < engine.startedAt())
+                continue;
+            release.world.store().remove("servers", engine.instance());
+            engine.restart("engine-" + std::to_string(index) + "-" + std::to_string(++starts));
+            release.world.publishReplicas();
+        }
+        return release.world.loop().sleep(20ms).then([&] { return self(self); });
+    };
+    auto crashing = crash(crash).eagerlyEvaluate(nullptr);
+    auto status = 0;
+    for (auto attempt = 0; attempt < 10 && status != 502; ++attempt) {
+        status = release.world.receive({ .attempt = name(attempt), .body = "poison" }).status;
+        release.world.wait(1500ms);
+    }
+    over = true;
+    release.world.loop().wait(kj::mv(crashing));
+    BOOST_TEST(status == 502);
+    // Three count; a fourth may be under way before the third has been noticed.
+    BOOST_TEST(release.runsOfAll() >= 3U);
+    BOOST_TEST(release.runsOfAll() <= 4U);
+}
