Behind our own door too, an answer goes on only at the software version that began it

Callers of completions could get an answer of which one engine's software wrote the first part and another version the rest: after an engine had died, Relay gave the text to any engine that could take the adapter.

An engine names its version as system_fingerprint, in its list of models and in each event. The first chunk of an answer carries it to the entry, target processes report it, placement leaves out targets of another version, and a target process refuses such a start at once, or ends it unread if the engine itself turns out to be another version. Such refusals do not count as attempts, so an answer reaches the engine of its version that is left. An engine that names no version begins answers and goes on with none.

an_answer_does_not_continue_on_another_software_version and an_answer_continues_on_its_own_software_version pass; they were not played on the code before, whose stand-in named no version. A whole answer of which the caller has nothing yet is not begun anew at another version: open.

--- a/packages/decisions/Fleet.cpp
+++ b/packages/decisions/Fleet.cpp
@@ -94,6 +94,7 @@
     view.evictionCost = report.evictionCost;
     view.placeTime = report.placeTime;
     view.resident = std::move(report.resident);
+    view.software = std::move(report.software);
     view.sentSinceReport = 0;
     view.reportedAt = now;
     std::erase_if(view.pendingLoads,
--- a/packages/decisions/Placer.cpp
+++ b/packages/decisions/Placer.cpp
@@ -28,10 +28,18 @@
 // Delay added, besides the slower queue, for a target that is twice as slow as its peers.
 constexpr auto slownessPenalty = Duration(1s);
 
+/// Whether the target cannot go on with the request's answer. A target that has not reported may be asked: it refuses
+/// if its engine's software is another one.
+auto hasOtherSoftware(const PlacementRequest& request, const TargetView& view) -> bool
+{
+    return request.software && view.reportedAt != Moment() && view.software != *request.software;
+}
+
 auto eligible(const PlacementRequest& request, const TargetView& view) -> bool
 {
     const auto tried = std::find(request.tried.begin(), request.tried.end(), view.id) != request.tried.end();
-    return !tried && view.reachable && !view.leaving && view.serves == request.serves;
+    return !tried && view.reachable && !view.leaving && view.serves == request.serves
+        && !hasOtherSoftware(request, view);
 }
 
 auto scaled(Duration duration, double factor) -> Duration
@@ -80,6 +88,8 @@
         return Reason::Leaving;
     if (!view.reachable)
         return Reason::Unreachable;
+    if (hasOtherSoftware(request, view))
+        return Reason::OtherSoftware;
     if (std::find(request.tried.begin(), request.tried.end(), view.id) != request.tried.end())
         return Reason::Tried;
     if (request.model.empty() || holds(view, request.model))
@@ -102,6 +112,8 @@
         return "would have to load";
     case Explanation::Reason::Tried:
         return "refused the request";
+    case Explanation::Reason::OtherSoftware:
+        return "another software version";
     case Explanation::Reason::Leaving:
         return "leaving";
     case Explanation::Reason::Unreachable:
--- a/packages/decisions/Placer.h
+++ b/packages/decisions/Placer.h
@@ -19,11 +19,13 @@
     AvailabilityZone zone;
     /// Targets that have already refused the request.
     std::vector<TargetId> tried;
+    /// The software version that began the answer; empty if it has not begun.
+    std::optional<SoftwareVersion> software {};
 };
 
 /// How placement rates one target for a request.
 struct Explanation {
-    enum class Reason { Holds, LoadComing, MustLoad, Tried, Leaving, Unreachable };
+    enum class Reason { Holds, LoadComing, MustLoad, Tried, OtherSoftware, Leaving, Unreachable };
 
     TargetId target;
     Reason reason = Reason::MustLoad;
--- a/packages/decisions/TargetView.h
+++ b/packages/decisions/TargetView.h
@@ -25,6 +25,8 @@
     /// Mean interval at which places of the batch become free when it is full.
     Duration placeTime = 250ms;
     std::vector<ModelName> resident;
+    /// Of the target's engine; empty if it names none.
+    SoftwareVersion software {};
 };
 
 /// An entry's view of a target. It is as old as the target's last report, so it is only a hint.
@@ -50,6 +52,8 @@
     double evictionCost = 0;
     Duration placeTime = 250ms;
     std::vector<ModelName> resident;
+    /// Of the target's engine; empty if it names none, or if the target has not reported yet.
+    SoftwareVersion software {};
     std::vector<PendingLoad> pendingLoads;
     /// Requests that this entry sent since the last report.
     std::size_t sentSinceReport = 0;
--- a/packages/router/TargetRole.cpp
+++ b/packages/router/TargetRole.cpp
@@ -206,6 +206,7 @@
     return engine_->state().then(
         [this](const targets::EngineState& state) -> kj::Promise<void> {
             incarnation_ = state.incarnation;
+            attempts_->setEngineSoftware(state.software);
             slots_->applyEngineState(state);
             for (const auto& stream : state.streams)
                 attempts_->adopt(stream.attempt, stream.model);
@@ -230,7 +231,9 @@
             // request relies on it.
             log::warn("engine restarted", { { "step", "engine" } });
             incarnation_ = state.incarnation;
+            attempts_->setEngineSoftware(state.software);
             slots_->applyEngineState(state);
+            scheduleStatePush();
         },
         [this](kj::Exception&& lost) {
             if (attempts_->engineAlive())
@@ -311,6 +314,7 @@
     into.setSlots(settings_.slots);
     into.setBatchLimit(settings_.batch);
     into.setEngineAlive(attempts_->engineAlive());
+    into.setEngineSoftware(attempts_->engineSoftware().str());
     const auto& known = attempts_->suspects().known();
     auto suspects = into.initSuspects(static_cast<unsigned>(known.size()));
     auto place = 0U;
--- a/packages/router/WireTypes.cpp
+++ b/packages/router/WireTypes.cpp
@@ -79,6 +79,7 @@
     into.setSkipTokens(request.skipTokens);
     into.setGivenText(request.givenText);
     into.setCrashes(request.crashes);
+    into.setSoftware(request.software.str());
 }
 
 auto read(wire::schema::StartRequest::Reader from) -> AttemptRequest
@@ -101,6 +102,7 @@
         .skipTokens = from.getSkipTokens(),
         .givenText = from.getGivenText(),
         .crashes = from.getCrashes(),
+        .software = SoftwareVersion(from.getSoftware()),
     };
 }
 
--- a/packages/router/WireTypes.h
+++ b/packages/router/WireTypes.h
@@ -41,6 +41,8 @@
     std::string givenText;
     /// Number of engines that died while they ran a request with this digest.
     std::uint32_t crashes = 0;
+    /// Version of the engine's software that wrote `givenText`.
+    SoftwareVersion software {};
 };
 
 /// How an answer ended, with its token counts and waiting times.
--- a/packages/router/controllers/AttemptsController.h
+++ b/packages/router/controllers/AttemptsController.h
@@ -33,6 +33,9 @@
     auto setOwnershipCheck(std::function<kj::Promise<bool>()> check) -> void { confirmOwner_ = std::move(check); }
     /// While the engine is down, new attempts are refused. Setting `false` also rejects the queued attempts.
     auto setEngineAlive(bool alive) -> void;
+    /// Sets the version of the engine's software; empty if the engine names none.
+    auto setEngineSoftware(SoftwareVersion software) -> void { engineSoftware_ = std::move(software); }
+    [[nodiscard]] auto engineSoftware() const noexcept -> const SoftwareVersion& { return engineSoftware_; }
     [[nodiscard]] auto engineAlive() const noexcept -> bool { return engineAlive_; }
     /// Refuses new attempts from now on; accepted attempts continue.
     auto setLeaving() -> void { leaving_ = true; }
@@ -119,6 +122,7 @@
     bool startedOnceTrimmed_ = false;
     std::function<kj::Promise<bool>()> confirmOwner_ = [] { return kj::Promise<bool>(true); };
     bool engineAlive_ = true;
+    SoftwareVersion engineSoftware_;
     bool suspectRunning_ = false;
     decisions::Quarantine suspects_;
     std::function<void()> onChange_;
--- a/packages/router/controllers/TargetsController.cpp
+++ b/packages/router/controllers/TargetsController.cpp
@@ -166,6 +166,7 @@
     };
     for (auto name : state.getResidentAdapters())
         report.resident.emplace_back(ModelName(name));
+    report.software = SoftwareVersion(state.getEngineSoftware());
     fleet_.report(target, std::move(report), now());
 }
 
--- a/packages/router/entry/Relay.cpp
+++ b/packages/router/entry/Relay.cpp
@@ -3,6 +3,8 @@
 #include "base/Log.h"
 #include "base/Secrets.h"
 
+#include <algorithm>
+
 namespace eelgrass::router {
 
 namespace {
@@ -10,6 +12,8 @@
 // Number of attempts for one request. More attempts would keep the caller waiting on a system that has no capacity
 // left.
 constexpr auto maxAttempts = 3;
+// Refusals by targets of another software version that do not count as attempts.
+constexpr auto maxOtherSoftwareRefusals = 8;
 constexpr auto resumeDelay = Duration(200ms);
 // A restarted target process is available again within this time. After that, the attempt counts as lost.
 constexpr auto resumeLimit = Duration(15s);
@@ -52,6 +56,7 @@
         auto received = AnswerChunk { .status = params.getStatus(), .tokens = params.getTokens() };
         received.contentType = params.getContentType();
         received.data = textOf(params.getData());
+        received.software = SoftwareVersion(params.getSoftware());
         return current()->receiveChunk(ChunkNumber(params.getNumber()), std::move(received));
     }
 
@@ -177,7 +182,7 @@
         if (!holdsSuspectTurn_)
             return loop_.sleep(suspectPollPeriod).then([self = shared_from_this()] { return self->tryNextTarget(); });
     }
-    const auto target = attempts_ < maxAttempts ? targets_.place(placementRequest()) : std::nullopt;
+    const auto target = mayTryAgain() ? targets_.place(placementRequest()) : std::nullopt;
     if (!target)
         return handleNoTarget();
     tried_.push_back(*target);
@@ -190,13 +195,15 @@
         = decisions::PlacementRequest { .model = call_->model.name, .serves = call_->model.base, .tried = tried_ };
     if (call_->kind == AttemptRequest::Kind::Service)
         request.serves = call_->service;
+    if (!givenText_.empty())
+        request.software = software_;
     return request;
 }
 
 auto Relay::handleNoTarget() -> kj::Promise<void>
 {
     // A target that lost its engine or got a new owner can accept the request again shortly after.
-    if (mayRetryTried_ && attempts_ < maxAttempts) {
+    if (mayRetryTried_ && mayTryAgain()) {
         ++attempts_;
         tried_.clear();
         return loop_.sleep(sameTargetRetryDelay).then([self = shared_from_this()] { return self->tryNextTarget(); });
@@ -271,6 +278,7 @@
         .skipTokens = writer_.tokensWritten(),
         .givenText = givenText_,
         .crashes = crashesAtStart_ = quarantine_.crashes(digest_),
+        .software = software_,
     };
     if (call_->kind == AttemptRequest::Kind::Service) {
         request.method = call_->exchange->method();
@@ -328,6 +336,9 @@
         std::erase(tried_, target);
     mayRetryTried_ = mayRetryTried_ || error.type() == "stale_epoch" || error.type() == "engine_away"
         || error.type() == "adapter_not_loaded";
+    // Such a target costs nothing but the question, and is known from then on.
+    if (error.type() == "other_software")
+        ++otherSoftwareRefusals_;
     if (error.status() >= 500)
         lastRefusal_ = error;
     return tryNextTarget();
@@ -423,14 +434,18 @@
                 self->endWithError(error);
         });
     }
-    if (!isRepeatable()) {
+    if (!isRepeatable() || !canContinue()) {
+        log::info("answer does not go on",
+            { { "step", "relay" }, { "peer", error.peer() }, { "attempt", attempt_.str() },
+                { "began_on", software_.str() } });
         endWithError(error);
         return kj::READY_NOW;
     }
     // The caller may already have the start of the answer. Another target generates the rest from the prompt and that
-    // text, on the same adapter and version, so that both parts form one answer.
+    // text, on the same adapter, adapter version and software version, so that both parts form one answer.
     log::info("answer goes on elsewhere",
-        { { "step", "relay" }, { "peer", error.peer() }, { "attempt", attempt_.str() }, { "type", error.type() } });
+        { { "step", "relay" }, { "peer", error.peer() }, { "attempt", attempt_.str() }, { "type", error.type() },
+            { "began_on", software_.str() } });
     metrics_.count("eelgrass_continuations_total", { { "type", error.type() } });
     cancelAttempt(target_);
     target_.reset();
@@ -442,6 +457,13 @@
 
 auto Relay::isRepeatable() const -> bool { return !record_ && call_->kind != AttemptRequest::Kind::Service; }
 
+auto Relay::mayTryAgain() const -> bool
+{
+    return attempts_ < maxAttempts + std::min(otherSoftwareRefusals_, maxOtherSoftwareRefusals);
+}
+
+auto Relay::canContinue() const -> bool { return givenText_.empty() || !software_.empty(); }
+
 auto Relay::receiveChunk(ChunkNumber number, AnswerChunk chunk) -> kj::Promise<void>
 {
     // This chunk was sent again after a resume. The caller already has it.
@@ -487,6 +509,8 @@
     }
     if (chunk.data.empty())
         return;
+    if (givenText_.empty() && isRepeatable())
+        software_ = chunk.software;
     const auto isFirst = !writer_.firstTokenAt();
     writer_.appendText(chunk.data, chunk.tokens);
     if (record_)
--- a/packages/router/entry/Relay.h
+++ b/packages/router/entry/Relay.h
@@ -40,6 +40,7 @@
         std::string contentType;
         std::string data;
         std::uint32_t tokens = 0;
+        SoftwareVersion software {};
         std::optional<AnswerEnd> end;
     };
     /// A chunk that arrived before its predecessors.
@@ -82,6 +83,9 @@
     /// the call.
     auto continueElsewhere(const Error& error) -> kj::Promise<void>;
     [[nodiscard]] auto isRepeatable() const -> bool;
+    [[nodiscard]] auto mayTryAgain() const -> bool;
+    /// Whether a target could go on with what the caller has of the answer.
+    [[nodiscard]] auto canContinue() const -> bool;
     /// Ends the call with an error. Adjusts the error's run state if the request may have run.
     auto endWithError(Error error) -> void;
     /// Handles a caller that disconnected before the answer was complete.
@@ -125,6 +129,8 @@
     bool recorded_ = false;
     std::vector<TargetId> tried_;
     int attempts_ = 0;
+    /// Targets that refused to go on with the answer because their engine's software is another version.
+    int otherSoftwareRefusals_ = 0;
     AttemptId attempt_;
     std::optional<TargetId> target_;
     Epoch epoch_;
@@ -133,6 +139,9 @@
     std::map<ChunkNumber, EarlyChunk> earlyChunks_;
     /// Text of a repeatable answer that the caller already has. Another target can continue the answer from this text.
     std::string givenText_;
+    /// Version of the engine's software that began the answer; empty if the engine names none. Versions write
+    /// differently, so the answer may go on only at the same one.
+    SoftwareVersion software_;
     /// The last refusal by a target. It is returned to the caller if no other target accepts the request.
     std::optional<Error> lastRefusal_;
     /// Whether a target that was already tried may accept the request on a second try.
--- a/packages/router/target/AttemptOutput.cpp
+++ b/packages/router/target/AttemptOutput.cpp
@@ -41,7 +41,7 @@
 auto AttemptOutput::append(std::string data, std::uint32_t tokens) -> void
 {
     tokens_ += tokens;
-    push({ .data = std::move(data), .tokens = tokens });
+    push({ .data = std::move(data), .tokens = tokens, .software = std::exchange(software_, {}) });
 }
 
 auto AttemptOutput::appendHead(int status, std::string contentType) -> void
@@ -70,6 +70,7 @@
     request.setTokens(chunk.tokens);
     request.setStatus(chunk.status);
     request.setContentType(chunk.contentType);
+    request.setSoftware(chunk.software.str());
     auto alive = std::weak_ptr(alive_);
     loop_.spawn(request.send().ignoreResult().then(
         [this, alive, id = reader.id, number = chunk.number] {
--- a/packages/router/target/AttemptOutput.h
+++ b/packages/router/target/AttemptOutput.h
@@ -49,6 +49,8 @@
     auto release() -> void;
 
     auto append(std::string data, std::uint32_t tokens) -> void;
+    /// Sets the version of the engine's software, which the first chunk carries.
+    auto setSoftware(SoftwareVersion software) -> void { software_ = std::move(software); }
     /// Appends the first chunk of a service's answer, which carries the HTTP status and content type.
     auto appendHead(int status, std::string contentType) -> void;
     /// Ends the answer and tells all readers; later calls have no effect.
@@ -72,6 +74,7 @@
         std::uint32_t tokens = 0;
         std::uint16_t status = 0;
         std::string contentType;
+        SoftwareVersion software {};
     };
     struct Reader {
         std::uint64_t id = 0;
@@ -100,6 +103,7 @@
     ChunkNumber first_;
     ChunkNumber next_;
     std::uint32_t tokens_ = 0;
+    SoftwareVersion software_;
     std::optional<AnswerEnd> end_;
     bool delivered_ = false;
     Moment detachedAt_;
--- a/packages/router/target/Runner.cpp
+++ b/packages/router/target/Runner.cpp
@@ -46,6 +46,12 @@
     return completion;
 }
 
+/// Whether the request goes on with an answer that another software version began.
+auto isOtherSoftware(const AttemptRequest& request, const SoftwareVersion& software) -> bool
+{
+    return !request.givenText.empty() && (software.empty() || software != request.software);
+}
+
 auto endWithError(const AttemptPtr& attempt, Error error) -> void
 {
     auto end = AnswerEnd { .completionTokens = attempt->output.tokens(), .error = std::move(error) };
@@ -128,6 +134,11 @@
         .then([stream] { return (*stream)->next(); })
         .then(
             [this, attempt, stream, resumes](targets::CompletionPiece piece) -> kj::Promise<void> {
+                if (piece.tokens > 0 && attempt->output.tokens() == 0) {
+                    if (isOtherSoftware(attempt->request, piece.software))
+                        return refuseOtherSoftware(attempt);
+                    attempt->output.setSoftware(piece.software);
+                }
                 if (piece.tokens > 0)
                     attempt->output.append(std::move(piece.text), piece.tokens);
                 if (!piece.finishReason.empty())
@@ -145,6 +156,13 @@
             });
 }
 
+/// What the engine has generated reaches nobody, so the request has not run for its caller.
+auto EngineRunner::refuseOtherSoftware(const AttemptPtr& attempt) -> kj::Promise<void>
+{
+    endWithError(attempt, Error(Step::Engine, 503, "other_software", "the answer began at another software version"));
+    return engine_.cancel(attempt->request.attempt).catch_([](kj::Exception&&) {});
+}
+
 auto EngineRunner::resume(const AttemptPtr& attempt, int resumes, std::string reason) -> kj::Promise<void>
 {
     log::warn("engine stream broke",
--- a/packages/targets/EngineClient.cpp
+++ b/packages/targets/EngineClient.cpp
@@ -16,6 +16,8 @@
 constexpr auto orderSilenceSeconds = 120U;
 constexpr auto refusalLimit = std::size_t(65536);
 constexpr auto eventPrefix = std::string_view("data: ");
+// Names the version of the engine's software, in its list of models and in each event.
+constexpr auto softwareField = "system_fingerprint";
 constexpr auto eventEnd = std::string_view("\n\n");
 
 auto errorType(const Json& body) -> std::string
@@ -64,6 +66,7 @@
     // A late answer of another attempt, or from other weights, must not reach this caller.
     KJ_REQUIRE(body.value("id", "") == attempt_.str(), "the engine answers another attempt");
     KJ_REQUIRE(body.value("model", "") == model_.str(), "the engine answers with another model");
+    piece.software = SoftwareVersion(body.value(softwareField, ""));
     const auto& choice = body.at("choices").at(0);
     piece.text += choice.value("text", "");
     ++piece.tokens;
@@ -90,7 +93,8 @@
     return http_.fetch({ .url = base_ + "/v1/models" }).then([](wire::HttpResponse response) {
         const auto body = Json::parse(response.body, nullptr, false);
         KJ_REQUIRE(response.status == 200 && body.is_object(), "the engine gave no list of models");
-        auto state = EngineState { .incarnation = body.value("incarnation", "") };
+        auto state = EngineState { .incarnation = body.value("incarnation", ""),
+            .software = SoftwareVersion(body.value(softwareField, "")) };
         for (const auto& model : body.at("data"))
             state.models.emplace_back(model.at("id").get<std::string>());
         for (const auto& stream : body.value("streams", Json::array()))
--- a/packages/targets/EngineClient.h
+++ b/packages/targets/EngineClient.h
@@ -22,6 +22,7 @@
 struct EngineState {
     /// Changes when the engine starts anew.
     std::string incarnation;
+    SoftwareVersion software;
     std::vector<ModelName> models;
     std::vector<EngineStream> streams;
 };
@@ -40,6 +41,8 @@
     std::string text;
     std::uint32_t tokens = 0;
     std::string finishReason;
+    /// Of the engine that generates the answer; empty if it names none.
+    SoftwareVersion software;
     /// The engine said that the answer is whole.
     bool done = false;
     /// The stream ended; without `done` it broke off.
--- a/packages/wire/Peer.capnp
+++ b/packages/wire/Peer.capnp
@@ -43,6 +43,8 @@
   evictionCost @13 :Float64;
   # Mean time between two places of the full batch becoming free, in microseconds.
   placeTimeUs @14 :UInt32;
+  # Version of the engine's software; empty if it names none.
+  engineSoftware @15 :Text;
 }
 
 struct Suspect {
@@ -75,6 +77,8 @@
   givenText @16 :Text;
   # How many engines died while they ran this digest; above 0 it runs alone.
   crashes @17 :UInt32;
+  # Version of the engine's software that wrote the given text. Another one does not go on with it.
+  software @18 :Text;
 
   enum Kind {
     completion @0;
@@ -113,8 +117,9 @@
 
 # Where a target process sends the answer of one attempt. The return of `chunk` is its acknowledgement.
 interface ChunkSink {
-  # `tokens` counts engine tokens in `data`; status and content type are set on the first chunk of a service's answer.
-  chunk @0 (number :UInt64, data :Data, tokens :UInt32, status :UInt16, contentType :Text) -> ();
+  # `tokens` counts engine tokens in `data`; status and content type are set on the first chunk of a service's answer,
+  # `software` on the first chunk of an engine's.
+  chunk @0 (number :UInt64, data :Data, tokens :UInt32, status :UInt16, contentType :Text, software :Text) -> ();
   end @1 (number :UInt64, end :AnswerEnd) -> ();
   # The attempt moved from the queue to a load or to the engine.
   progress @2 (note :Text) -> ();
--- a/standins/EngineStandin.cpp
+++ b/standins/EngineStandin.cpp
@@ -126,7 +126,8 @@
     if (index + 1 == sequence.limit)
         choice["finish_reason"] = "length";
     const auto model = sequence.misnamed ? "misnamed@1#00" : sequence.model;
-    auto body = Json { { "id", sequence.id }, { "model", model }, { "token", index }, { "choices", { choice } } };
+    auto body = Json { { "id", sequence.id }, { "model", model }, { "token", index }, { "choices", { choice } },
+        { "system_fingerprint", options_.software } };
     return "data: " + body.dump() + "\n\n";
 }
 
@@ -250,7 +251,8 @@
     for (const auto& sequence : waiting_)
         active.push_back({ { "id", sequence->id }, { "model", sequence->model } });
     answer(exchange, 200,
-        { { "data", list }, { "incarnation", incarnation_ }, { "streams", active }, { "loading", loading_.size() } });
+        { { "data", list }, { "incarnation", incarnation_ }, { "system_fingerprint", options_.software },
+            { "streams", active }, { "loading", loading_.size() } });
 }
 
 auto EngineStandin::control(const wire::HttpExchangePtr& exchange) -> void
--- a/standins/EngineStandin.h
+++ b/standins/EngineStandin.h
@@ -32,6 +32,8 @@
         std::size_t batch = 8;
         Duration step = 5ms;
         bool honoursFence = true;
+        /// Version of its software; empty if it names none.
+        std::string software = "1.0";
     };
 
     EngineStandin(wire::MainLoop& loop, Options options);
--- a/tests/integration/EngineDeath.cpp
+++ b/tests/integration/EngineDeath.cpp
@@ -45,6 +45,58 @@
     BOOST_TEST(startedAt(deployment, other).size() == 1U);
 }
 
+// Guards against an answer whose second part another software version writes, or one that is not known.
+BOOST_AUTO_TEST_CASE(an_answer_does_not_continue_on_another_software_version)
+{
+    for (const auto* other : { "2.0", "" }) {
+        auto deployment = Deployment();
+        deployment.addEngineTarget("t1", { "--software=1.0" });
+        deployment.addEngineTarget("t2", { std::string("--software=") + other });
+        deployment.addEntry("e1");
+        deployment.configure({ "e1" });
+        auto body = longDraft("draft");
+        body["stream"] = true;
+        auto answer = deployment.callLater("e1", "/v1/completions", body.dump());
+        const auto busy = runningTarget(deployment);
+        deployment.loop.wait(deployment.loop.sleep(300ms));
+        deployment.engine(busy).signal(SIGKILL);
+        const auto broken = deployment.loop.wait(kj::mv(answer));
+        BOOST_TEST(broken.body.find("event: error") != std::string::npos);
+        BOOST_TEST(broken.body.find("[DONE]") == std::string::npos);
+    }
+}
+
+// Guards against an answer that is given up though an engine of its software version is left.
+BOOST_AUTO_TEST_CASE(an_answer_continues_on_its_own_software_version)
+{
+    auto deployment = Deployment();
+    for (const auto* target : { "t1", "t2" })
+        deployment.addEngineTarget(target, { "--software=1.0" });
+    for (const auto* target : { "t3", "t4" })
+        deployment.addEngineTarget(target, { "--software=2.0" });
+    deployment.addEntry("e1");
+    deployment.configure({ "e1" });
+    auto answer = deployment.callLater("e1", "/v1/completions", longDraft("draft").dump());
+    auto busy = std::string();
+    const auto targets = std::vector<std::string> { "t1", "t2", "t3", "t4" };
+    await(deployment, [&] {
+        for (const auto& target : targets) {
+            if (startedAt(deployment, target).size() == 1)
+                busy = target;
+        }
+        return !busy.empty();
+    });
+    deployment.loop.wait(deployment.loop.sleep(300ms));
+    deployment.engine(busy).signal(SIGKILL);
+    BOOST_TEST(textOf(deployment.loop.wait(kj::mv(answer))) == expected("life@2#bb", "draft", 1500));
+    const auto partner
+        = std::map<std::string, std::string> { { "t1", "t2" }, { "t2", "t1" }, { "t3", "t4" }, { "t4", "t3" } };
+    for (const auto& target : targets) {
+        if (target != busy)
+            BOOST_TEST(startedAt(deployment, target).size() == (target == partner.at(busy) ? 1U : 0U));
+    }
+}
+
 // An engine dies in the middle of a non-repeatable answer. No other engine may run the request, so the stream must end
 // with an error that reports a partial run, not as if the answer were complete.
 BOOST_AUTO_TEST_CASE(a_non_repeatable_draft_ends_with_an_error_when_its_engine_dies)
