--- a/packages/serving/AgentLink.h
+++ b/packages/serving/AgentLink.h
@@ -294,4 +294,12 @@
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
+template <typename Use> auto AgentLink::withClient(Use&& use) -> void
+{
+    if (!session_)
+        return;
+    KJ_IF_MAYBE (client, session_->client)
+        use(*client);
+}
+
 } // namespace eelgrass::serving
--- a/packages/serving/StreamOriginLookup.cpp
+++ b/packages/serving/StreamOriginLookup.cpp
@@ -103,10 +103,11 @@
                               .then([this, entries, peer = agent->endpoint()](
                                         kj::Maybe<std::optional<StreamOrigins::Known>>&& answer) -> Found {
                                   KJ_IF_MAYBE (known, answer) {
-                                      if (*known)
+                                      if (*known) {
                                           return Answer { (*known)->origin,
                                               (entries ? "an entry, by agent " : "agent ") + peer.str(),
                                               loop_.timers().now() - (*known)->notedAt };
+                                      }
                                   }
                                   return std::nullopt;
                               }));
--- a/standins/ReplicaStandin.cpp
+++ b/standins/ReplicaStandin.cpp
@@ -328,13 +328,14 @@
     const auto gap = behaviour_.eventGap;
     while (output.next <= output.last) {
         output.caller->writeChunk(streamEvent(output.next++, software_));
-        if (gap > Duration(0))
+        if (gap > Duration(0)) {
             return afterwards(gap, [this, output] {
                 if (output.caller->open())
                     writeEvents(output);
                 else
                     runEnded(output.adapter, born_);
             });
+        }
     }
     end(output);
 }
--- a/tests/harness/StreamCaller.cpp
+++ b/tests/harness/StreamCaller.cpp
@@ -21,11 +21,12 @@
                     received();
                     finish(false);
                 } });
-    if (connection_)
-        connection_->write(
-            wire::requestHeadText(call.method, call.target, call.fields, call.body.size()).append(call.body));
-    else
+    if (!connection_) {
         finish(false);
+        return kj::mv(pair.promise);
+    }
+    auto text = wire::requestHeadText(call.method, call.target, call.fields, call.body.size());
+    connection_->write(text.append(call.body));
     return kj::mv(pair.promise);
 }
 
