--- a/tests/soak/SoakJudge.cpp
+++ b/tests/soak/SoakJudge.cpp
@@ -38,6 +38,19 @@
     return log.substr(begin, log.find('\n', at) - begin);
 }
 
+/// What a process has logged about a request, unless it has started again since.
+auto linesOf(tests::Process& process, const std::string& attempt) -> std::string
+{
+    auto lines = std::string();
+    const auto log = process.log();
+    for (auto at = log.find('"' + attempt + '"'); at != std::string::npos; at = log.find('"' + attempt + '"', at)) {
+        const auto begin = log.rfind('\n', at) + 1;
+        at = std::min(log.find('\n', at), log.size());
+        lines += "\n  " + log.substr(begin, at - begin);
+    }
+    return lines;
+}
+
 } // namespace
 
 auto Soak::longestPause(Moment from, Moment until) const -> Duration
@@ -52,7 +65,8 @@
 {
     const auto say = [&](const std::string& what) {
         broken.push_back(what + ": " + call.attempt + " " + call.path + " status " + std::to_string(call.status)
-            + " runs " + std::to_string(runs) + " at " + gateways_[call.gateway].name);
+            + " runs " + std::to_string(runs) + " at " + gateways_[call.gateway].name
+            + linesOf(*gateways_[call.gateway].process, call.attempt));
     };
     if (runs > (repeatable(call) ? 2U : 1U))
         say("ran too often");
