--- a/packages/decisions/Placer.cpp
+++ b/packages/decisions/Placer.cpp
@@ -28,7 +28,7 @@
 // Delay added, besides the slower queue, for a target that is twice as slow as its peers.
 constexpr auto slownessPenalty = Duration(1s);
 
-/// Whether the target cannot go on with the request's answer. A target that has not reported may be asked: it refuses
+/// Whether the target cannot continue the request's answer. A target that has not reported may be asked: it refuses
 /// if its engine's software is another one.
 auto hasOtherSoftware(const PlacementRequest& request, const TargetView& view) -> bool
 {
--- a/packages/router/WireTypes.h
+++ b/packages/router/WireTypes.h
@@ -11,6 +11,9 @@
 
 namespace eelgrass::router {
 
+/// Error type of a target whose engine's software is not the version that began the answer.
+inline constexpr auto otherSoftwareType = "other_software";
+
 /// An entry's request to a target process to start an attempt; `StartRequest` on the wire.
 struct AttemptRequest {
     enum class Kind { Completion, Chat, Service };
--- a/packages/router/controllers/AttemptsController.cpp
+++ b/packages/router/controllers/AttemptsController.cpp
@@ -60,7 +60,7 @@
     if (revoked_.contains(request.attempt))
         return notRunError(Step::Start, 409, "revoked", "this attempt was revoked", 0s);
     if (!request.givenText.empty() && !engineSoftware_.empty() && engineSoftware_ != request.software)
-        return notRunError(Step::Start, 409, "other_software", "the answer began at another software version", 0s);
+        return notRunError(Step::Start, 409, otherSoftwareType, "the answer began at another software version", 0s);
     if (attempts_.contains(request.attempt))
         return Error(Step::Start, 409, "duplicate_attempt", "this attempt is known already").run(RunState::Unknown);
     auto attempt = std::make_shared<Attempt>(loop_, std::move(request), now());
--- a/packages/router/entry/Relay.cpp
+++ b/packages/router/entry/Relay.cpp
@@ -336,8 +336,8 @@
         std::erase(tried_, target);
     mayRetryTried_ = mayRetryTried_ || error.type() == "stale_epoch" || error.type() == "engine_away"
         || error.type() == "adapter_not_loaded";
-    // Such a target costs nothing but the question, and is known from then on.
-    if (error.type() == "other_software")
+    // Such a refusal costs one message, and its state keeps placement off the target from then on.
+    if (error.type() == otherSoftwareType)
         ++otherSoftwareRefusals_;
     if (error.status() >= 500)
         lastRefusal_ = error;
@@ -435,7 +435,7 @@
         });
     }
     if (!isRepeatable() || !canContinue()) {
-        log::info("answer does not go on",
+        log::info("answer not continued",
             { { "step", "relay" }, { "peer", error.peer() }, { "attempt", attempt_.str() },
                 { "began_on", software_.str() } });
         endWithError(error);
--- a/packages/router/entry/Relay.h
+++ b/packages/router/entry/Relay.h
@@ -84,7 +84,7 @@
     auto continueElsewhere(const Error& error) -> kj::Promise<void>;
     [[nodiscard]] auto isRepeatable() const -> bool;
     [[nodiscard]] auto mayTryAgain() const -> bool;
-    /// Whether a target could go on with what the caller has of the answer.
+    /// Whether a target could continue what the caller has of the answer.
     [[nodiscard]] auto canContinue() const -> bool;
     /// Ends the call with an error. Adjusts the error's run state if the request may have run.
     auto endWithError(Error error) -> void;
@@ -129,7 +129,7 @@
     bool recorded_ = false;
     std::vector<TargetId> tried_;
     int attempts_ = 0;
-    /// Targets that refused to go on with the answer because their engine's software is another version.
+    /// Targets that refused to continue the answer because their engine's software is another version.
     int otherSoftwareRefusals_ = 0;
     AttemptId attempt_;
     std::optional<TargetId> target_;
@@ -140,7 +140,7 @@
     /// Text of a repeatable answer that the caller already has. Another target can continue the answer from this text.
     std::string givenText_;
     /// Version of the engine's software that began the answer; empty if the engine names none. Versions write
-    /// differently, so the answer may go on only at the same one.
+    /// differently, so the answer may continue only at the same one.
     SoftwareVersion software_;
     /// The last refusal by a target. It is returned to the caller if no other target accepts the request.
     std::optional<Error> lastRefusal_;
--- a/packages/router/target/AttemptOutput.cpp
+++ b/packages/router/target/AttemptOutput.cpp
@@ -70,7 +70,8 @@
     request.setTokens(chunk.tokens);
     request.setStatus(chunk.status);
     request.setContentType(chunk.contentType);
-    request.setSoftware(chunk.software.str());
+    if (!chunk.software.empty())
+        request.setSoftware(chunk.software.str());
     auto alive = std::weak_ptr(alive_);
     loop_.spawn(request.send().ignoreResult().then(
         [this, alive, id = reader.id, number = chunk.number] {
--- a/packages/router/target/Runner.cpp
+++ b/packages/router/target/Runner.cpp
@@ -46,7 +46,7 @@
     return completion;
 }
 
-/// Whether the request goes on with an answer that another software version began.
+/// Whether the request continues an answer that another software version began.
 auto isOtherSoftware(const AttemptRequest& request, const SoftwareVersion& software) -> bool
 {
     return !request.givenText.empty() && (software.empty() || software != request.software);
@@ -159,7 +159,7 @@
 /// What the engine has generated reaches nobody, so the request has not run for its caller.
 auto EngineRunner::refuseOtherSoftware(const AttemptPtr& attempt) -> kj::Promise<void>
 {
-    endWithError(attempt, Error(Step::Engine, 503, "other_software", "the answer began at another software version"));
+    endWithError(attempt, Error(Step::Engine, 503, otherSoftwareType, "the answer began at another software version"));
     return engine_.cancel(attempt->request.attempt).catch_([](kj::Exception&&) {});
 }
 
--- a/packages/router/target/Runner.h
+++ b/packages/router/target/Runner.h
@@ -50,7 +50,7 @@
     auto begin(const AttemptPtr& attempt, kj::Own<targets::CompletionStream> stream, int resumes) -> kj::Promise<void>;
     auto forwardOutput(const AttemptPtr& attempt, const StreamPtr& stream, int resumes) -> kj::Promise<void>;
     auto resume(const AttemptPtr& attempt, int resumes, std::string reason) -> kj::Promise<void>;
-    /// Ends an attempt whose answer may not go on at this engine.
+    /// Ends an attempt whose answer may not continue at this engine.
     auto refuseOtherSoftware(const AttemptPtr& attempt) -> kj::Promise<void>;
 
     auto reportMissing() -> void;
--- a/packages/serving/AgentLink.h
+++ b/packages/serving/AgentLink.h
@@ -196,7 +196,7 @@
     /// Asks for admission. The promise is rejected when the session is lost; to withdraw the request, drop the promise
     /// and call `release`.
     [[nodiscard]] auto admit(const AgentAdmissionRequest& admission) -> kj::Promise<AdmitResult>;
-    /// Reports the first event of a run. `origin` tells where its stream began, if the stream may go on elsewhere.
+    /// Reports the first event of a run. `origin` tells where its stream began, if the stream may continue elsewhere.
     auto started(const AttemptId& attempt, const std::optional<StreamOrigins::Statement>& origin) -> void;
     /// Asks where a stream began. Empty if the agent does not know, nor one of the entries attached to it, if they are
     /// to be asked. The promise is rejected when the session is lost.
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -35,7 +35,6 @@
     ~Session() noexcept(false)
     {
         role_.publisher_.remove(this);
-        role_.attachedEntries_.remove(this);
         if (role_.sameZoneEntries_.erase(this) > 0)
             role_.publisher_.changed();
         for (const auto& attempt : std::exchange(attempts_, {}))
@@ -263,7 +262,6 @@
         for (auto running : params.getRunning())
             session->adopt(running);
         role_.publisher_.add(session.get(), params.getListener(), sameZone);
-        role_.attachedEntries_.add(session.get(), params.getListener());
         log::info("entry attached", { { "peer", params.getEntry().cStr() } });
         context.getResults().setSession(kj::mv(session));
         return kj::READY_NOW;
@@ -290,7 +288,7 @@
           { .figures = [this] { return figures(); },
               .namesFingerprint = [this] { return namesFingerprint(); },
               .fillNames = [this](wire::schema::ReplicaState::Builder state) { fillNames(state); } })
-    , attachedEntries_(loop)
+    , attachedEntries_(loop, publisher_)
     , keptRateLimits_(metrics_)
     , connections_(loop.timers())
 {
--- a/packages/serving/AgentRole.h
+++ b/packages/serving/AgentRole.h
@@ -72,7 +72,7 @@
     kj::Maybe<kj::Promise<void>> limitsWork_;
     Timer limitsTimer_;
     decisions::Quarantine suspects_;
-    /// Streams that began at the replica, or went on there.
+    /// Of streams that ran at the replica.
     StreamOrigins origins_;
     AttachedEntries attachedEntries_;
     QuotaBuckets quotas_;
--- a/packages/serving/AttachedEntries.cpp
+++ b/packages/serving/AttachedEntries.cpp
@@ -5,16 +5,14 @@
 
 namespace eelgrass::serving {
 
-auto AttachedEntries::findStreamOrigin(const StreamId& stream, Key asking)
+auto AttachedEntries::findStreamOrigin(const StreamId& stream, StatePublisher::Key asking)
     -> kj::Promise<std::optional<StreamOrigins::Known>>
 {
     using Known = std::optional<StreamOrigins::Known>;
     if (questions_ >= maxQuestions)
         return Known();
     auto answers = std::vector<kj::Promise<Known>>();
-    for (auto& [key, listener] : listeners_) {
-        if (key == asking)
-            continue;
+    publisher_.forOtherListeners(asking, [&](wire::schema::ReplicaListener::Client& listener) {
         auto call = listener.findStreamOriginRequest();
         call.setMember(stream.member.str());
         call.setAttempt(stream.attempt.str());
@@ -23,7 +21,7 @@
                 return std::nullopt;
             return detail::readKnown(answer.getOrigin(), loop_.timers().now());
         }));
-    }
+    });
     ++questions_;
     return detail::firstKnown(loop_, std::move(answers), answerTimeout).attach(kj::defer([this] { --questions_; }));
 }
--- a/packages/serving/AttachedEntries.h
+++ b/packages/serving/AttachedEntries.h
@@ -1,10 +1,9 @@
 #pragma once
 
+#include "serving/StatePublisher.h"
 #include "serving/StreamOrigins.h"
 #include "wire/MainLoop.h"
-#include "wire/generated/Agent.capnp.h"
 
-#include <map>
 #include <optional>
 
 namespace eelgrass::serving {
@@ -13,20 +12,15 @@
 /// the others.
 class AttachedEntries {
 public:
-    /// Identifies an entry's session.
-    using Key = const void*;
-
-    explicit AttachedEntries(wire::MainLoop& loop)
+    AttachedEntries(wire::MainLoop& loop, StatePublisher& publisher)
         : loop_(loop)
+        , publisher_(publisher)
     {
     }
     KJ_DISALLOW_COPY(AttachedEntries);
 
-    auto add(Key key, wire::schema::ReplicaListener::Client listener) -> void { listeners_.emplace(key, listener); }
-    auto remove(Key key) -> void { listeners_.erase(key); }
-
     /// Asks all entries but `asking` where the stream began. Empty if none of them knows, or none answers in time.
-    [[nodiscard]] auto findStreamOrigin(const StreamId& stream, Key asking)
+    [[nodiscard]] auto findStreamOrigin(const StreamId& stream, StatePublisher::Key asking)
         -> kj::Promise<std::optional<StreamOrigins::Known>>;
 
 private:
@@ -36,7 +30,7 @@
     static constexpr auto maxQuestions = std::size_t(64);
 
     wire::MainLoop& loop_;
-    std::map<Key, wire::schema::ReplicaListener::Client> listeners_;
+    StatePublisher& publisher_;
     std::size_t questions_ = 0;
 };
 
--- a/packages/serving/GatewayRole.cpp
+++ b/packages/serving/GatewayRole.cpp
@@ -153,8 +153,7 @@
     const auto& configuration = configuration_.configuration();
     for (const auto& [raw, connection] : connections_)
         connection->setLimits(configuration->limits);
-    if (const auto previous = std::exchange(previousConfiguration_, configuration))
-        origins_.noteReplaced(*previous);
+    origins_.configure(configuration);
     directory_.configure(configuration, settings_.peers.str());
     // The list is not needed before the first configuration: until then no request is sent to a replica, and no agent
     // names a reader.
--- a/packages/serving/GatewayRole.h
+++ b/packages/serving/GatewayRole.h
@@ -80,8 +80,6 @@
     std::unique_ptr<TextServer> metricsServer_;
     std::unique_ptr<wire::Listener> peers_;
     wire::ConnectionSet peerSessions_;
-    /// The configuration that was in force before the current one came.
-    std::shared_ptr<const ServingConfiguration> previousConfiguration_;
     ReaderLink reader_;
     decisions::SharedReading readIntervals_;
     /// Hash of the adapter versions that the reader last sent.
--- a/packages/serving/RequestAnswer.cpp
+++ b/packages/serving/RequestAnswer.cpp
@@ -156,7 +156,7 @@
 auto RequestRun::onWithheld() -> void
 {
     countWithheld();
-    logDecision("send withheld", withheldReason());
+    logDecision("send withheld", withheldReason().text);
     returnPermit();
     releaseReplica(false, RunEnd::Unsent);
     --sends_;
--- a/packages/serving/RequestEnd.cpp
+++ b/packages/serving/RequestEnd.cpp
@@ -109,11 +109,11 @@
             { "runs", std::to_string(runs_) }, { "took_ms", millisecondsText(now - beganAt_) },
             { "first_ms", firstEventAt_ == Moment() ? "" : millisecondsText(firstEventAt_ - beganAt_) },
             { "pause_ms", millisecondsText(longestPause_) } });
-    if (origin_ || (route_ && resumesStream())) {
-        const auto* way = resumesStream() ? "taken up" : "same answer";
+    if (origin_ || resumesStream()) {
+        const auto* way = resumesStream() ? "by client" : "same answer";
         if (outcome == "refused" || outcome == "broken_off")
             gateway_.metrics.count(
-                "eelgrass_streams_not_gone_on_total", { { "way", way }, { "reason", std::string(why) } });
+                "eelgrass_streams_not_continued_total", { { "way", way }, { "reason", std::string(why) } });
     }
     // Without keys the metric is counted by service instead of member.
     const auto member = member_ ? member_->name : MemberId(service_.str());
--- a/packages/serving/RequestPlacing.cpp
+++ b/packages/serving/RequestPlacing.cpp
@@ -93,7 +93,7 @@
 
 auto RequestRun::isEligible(const Replica& replica, Moment now) const -> bool
 {
-    if (!replica.usable(now) || tried_.contains(replica.id()) || !mayGoOnAt(replica))
+    if (!replica.usable(now) || tried_.contains(replica.id()) || !mayContinueAt(replica))
         return false;
     const auto* agent = replica.agent();
     if (!agent || !agent->alive())
--- a/packages/serving/RequestResume.cpp
+++ b/packages/serving/RequestResume.cpp
@@ -1,5 +1,5 @@
-// The part of RequestRun that decides where a stream may go on that has brought an event, and lets a client take one
-// up.
+// The part of RequestRun that decides where a stream that has brought an event may continue, and lets a client resume
+// one.
 #include "base/DurationText.h"
 #include "base/Log.h"
 #include "serving/RequestRun.h"
@@ -13,8 +13,7 @@
 
 using namespace detail;
 
-/// How long a client may take up a stream after its attempt has ended; as long again as the attempt may take, within
-/// the client's own deadline.
+/// How long a client may resume a stream: as long again as its attempt may still take, within the client's deadline.
 auto keepAfterAttempt(const RouteRecord& route, const RequestMetadata& metadata, Duration left) -> Duration
 {
     const auto most = left + Duration(route.timeout);
@@ -28,21 +27,21 @@
     return { member_ ? member_->name : MemberId(), resumesStream() ? metadata_.resumed->attempt : metadata_.attempt };
 }
 
-auto RequestRun::mayGoOnAt(const Replica& replica) const -> bool
+auto RequestRun::mayContinueAt(const Replica& replica) const -> bool
 {
     return !origin_ || origin_->allows(replica.record());
 }
 
-auto RequestRun::canGoOn() const -> bool
+auto RequestRun::canContinue() const -> bool
 {
     const auto& replicas = gateway_.directory.replicasOf(service_);
     return std::any_of(replicas.begin(), replicas.end(),
-        [&](const ReplicaPtr& replica) { return replica->present() && mayGoOnAt(*replica); });
+        [&](const ReplicaPtr& replica) { return replica->present() && mayContinueAt(*replica); });
 }
 
 auto RequestRun::findOrigin() -> void
 {
-    gateway_.metrics.count("eelgrass_streams_taken_up_total", { { "class", route_->name.str() } });
+    gateway_.metrics.count("eelgrass_streams_resumed_total", { { "class", route_->name.str() } });
     // Events that the client has already are skipped, and a gap after them ends the attempt.
     lastEventId_ = metadata_.resumed->lastEventId;
     if (metadata_.resumed->attempt.empty())
@@ -64,7 +63,7 @@
 
 auto RequestRun::onOrigin(const StreamOriginLookup::Answer& answer) -> void
 {
-    logTakenUp(answer);
+    logResumed(answer);
     if (!answer.origin)
         return refuseStream(metadata_.resumed->attempt.empty() ? unnamedStreamReason : unknownStreamReason);
     const auto& shares = route_->shares;
@@ -84,7 +83,7 @@
 /// may change or go later.
 auto RequestRun::onFirstEventOfRun() -> void
 {
-    const auto goesOn = firstEventSeen_ || resumesStream();
+    const auto continues = firstEventSeen_ || resumesStream();
     if (!origin_ && route_->resumable)
         origin_ = StreamOrigin { service_, replica_->record().software };
     auto statement = std::optional<StreamOrigins::Statement>();
@@ -92,16 +91,16 @@
         statement = gateway_.origins.note(streamId(), *origin_, keepAfterAttempt(*route_, metadata_, timeLeft()));
     if (admittingAgent_)
         admittingAgent_->started(metadata_.attempt, statement);
-    if (goesOn)
-        noteGoneOn();
+    if (continues)
+        noteContinued();
 }
 
-auto RequestRun::logTakenUp(const StreamOriginLookup::Answer& answer) const -> void
+auto RequestRun::logResumed(const StreamOriginLookup::Answer& answer) const -> void
 {
     const auto& last = metadata_.resumed->lastEventId;
     if (!answer.origin)
         gateway_.metrics.count("eelgrass_stream_origins_unknown_total", { { "class", route_->name.str() } });
-    log::info("stream taken up",
+    log::info("stream resumed by client",
         { { "request", metadata_.attempt.str() }, { "resumes", metadata_.resumed->attempt.str() },
             { "last_event", last ? std::to_string(*last) : "" },
             { "began_on", answer.origin ? answer.origin->software.str() : "" },
@@ -109,13 +108,13 @@
             { "known_ms", answer.origin ? millisecondsText(answer.age) : "" } });
 }
 
-auto RequestRun::noteGoneOn() const -> void
+auto RequestRun::noteContinued() const -> void
 {
     const auto& software = replica_->record().software;
-    gateway_.metrics.count("eelgrass_streams_gone_on_total",
-        { { "way", resumesStream() ? "taken up" : "same answer" },
-            { "software", mayGoOnAt(*replica_) ? "same" : "other" } });
-    log::info("stream goes on",
+    gateway_.metrics.count("eelgrass_streams_continued_total",
+        { { "way", resumesStream() ? "by client" : "same answer" },
+            { "software", mayContinueAt(*replica_) ? "same" : "other" } });
+    log::info("stream continued",
         { { "request", metadata_.attempt.str() }, { "replica", replica_->id().str() },
             { "began_on", origin_ ? origin_->software.str() : "" }, { "software", software.str() } });
 }
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -136,7 +136,7 @@
 
 auto RequestRun::priority() const -> std::uint32_t
 {
-    // While several versions serve, new streams can begin anywhere, and this one can go on at some replicas only.
+    // While several versions serve, a new stream can begin at any replica, and this one can continue at some only.
     if (origin_ && gateway_.directory.servesSeveralVersions(service_))
         return 0;
     return member_ && member_->priority ? *member_->priority : route_->priority;
@@ -203,9 +203,9 @@
         countWithheld();
         return onReplicaClosed();
     }
-    if (!mayRunOn(runVersion_) || !mayGoOnAt(*replica_)) {
+    if (!mayRunOn(runVersion_) || !mayContinueAt(*replica_)) {
         countWithheld();
-        return abandonAdmission(withheldReason());
+        return abandonAdmission(withheldReason().text);
     }
     replicaClosed_.reset();
     // With less time left the request would be cut off at once, and the client could not be told that it has not run.
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -41,19 +41,19 @@
     // Streams that have brought an event.
     /// The stream that this request is part of, over all attempts of its client.
     [[nodiscard]] auto streamId() const -> StreamId;
-    /// Whether the stream may go on at the replica, once it has brought an event: in this answer or, if the client
-    /// takes it up, in an earlier one. Every way to a replica ends in this question, like that of `mayRunOn`.
-    [[nodiscard]] auto mayGoOnAt(const Replica& replica) const -> bool;
-    /// Whether a replica is left at which the stream may go on.
-    [[nodiscard]] auto canGoOn() const -> bool;
-    /// Finds out where the stream began that the client takes up.
+    /// Whether a stream that has brought an event, in this answer or in one that the client resumes, may continue at
+    /// the replica. Every way to a replica ends in this question, like that of `mayRunOn`.
+    [[nodiscard]] auto mayContinueAt(const Replica& replica) const -> bool;
+    /// Whether a replica is left at which the stream may continue.
+    [[nodiscard]] auto canContinue() const -> bool;
+    /// Finds out where the stream that the client resumes began.
     auto findOrigin() -> void;
     auto onOrigin(const StreamOriginLookup::Answer& answer) -> void;
     auto refuseStream(std::string_view why) -> void;
     auto onFirstEventOfRun() -> void;
-    auto logTakenUp(const StreamOriginLookup::Answer& answer) const -> void;
-    /// Logs and counts that a stream goes on with an event from `replica_`.
-    auto noteGoneOn() const -> void;
+    auto logResumed(const StreamOriginLookup::Answer& answer) const -> void;
+    /// Logs and counts that a stream continues with an event from `replica_`.
+    auto noteContinued() const -> void;
 
     auto place() -> void;
     auto proceedAtReplica() -> void;
@@ -121,8 +121,13 @@
     auto onFault(ReplicaFault fault) -> void;
     auto onNotRun(std::string_view why) -> void;
     auto onWithheld() -> void;
-    /// Why nothing is written to `replica_`: it leaves, it rests, or it holds an older version.
-    [[nodiscard]] auto withheldReason() const -> std::string_view;
+    /// A reason as metrics and as log lines name it.
+    struct WithheldReason {
+        const char* label;
+        std::string_view text;
+    };
+    /// Why nothing is written to `replica_`.
+    [[nodiscard]] auto withheldReason() const -> WithheldReason;
     auto countWithheld() -> void;
     auto onSilence() -> void;
     auto startSilenceTimer() -> void;
@@ -148,8 +153,11 @@
     /// Reports a run on an older version than the one that this entry knows.
     auto checkAnsweredVersion() -> void;
     [[nodiscard]] auto timeLeft() const -> Duration;
-    /// Whether the client goes on with a stream that an earlier attempt has begun.
-    [[nodiscard]] auto resumesStream() const -> bool { return route_->resumable && metadata_.resumed.has_value(); }
+    /// Whether the client resumes a stream that an earlier attempt has begun.
+    [[nodiscard]] auto resumesStream() const -> bool
+    {
+        return route_ && route_->resumable && metadata_.resumed.has_value();
+    }
     [[nodiscard]] auto sharedTokens() const -> Tokens
     {
         return sharedPrefixes_.empty() ? 0 : sharedPrefixes_.back().tokens;
--- a/packages/serving/RequestVersion.cpp
+++ b/packages/serving/RequestVersion.cpp
@@ -25,26 +25,21 @@
 auto RequestRun::mayWrite() const -> bool
 {
     return !replica_->leaving() && !replica_->rest().resting(gateway_.now()) && mayRunOn(runVersion_)
-        && mayGoOnAt(*replica_);
+        && mayContinueAt(*replica_);
 }
 
-auto RequestRun::withheldReason() const -> std::string_view
+auto RequestRun::withheldReason() const -> WithheldReason
 {
     if (replica_->leaving())
-        return leavingReason;
-    if (!mayGoOnAt(*replica_))
-        return otherSoftwareReason;
-    return mayRunOn(runVersion_) ? restReason : outdatedReason;
+        return { "leaving", leavingReason };
+    if (!mayContinueAt(*replica_))
+        return { "software", otherSoftwareReason };
+    return mayRunOn(runVersion_) ? WithheldReason { "rest", restReason } : WithheldReason { "version", outdatedReason };
 }
 
 auto RequestRun::countWithheld() -> void
 {
-    const auto why = withheldReason();
-    const auto* reason = why == leavingReason ? "leaving"
-        : why == otherSoftwareReason          ? "software"
-        : why == outdatedReason               ? "version"
-                                              : "rest";
-    gateway_.metrics.count("eelgrass_sends_withheld_total", { { "reason", reason } });
+    gateway_.metrics.count("eelgrass_sends_withheld_total", { { "reason", withheldReason().label } });
 }
 
 /// Whether no replica can get the named version of the adapter before the agents return, which have been away for so
@@ -55,7 +50,7 @@
         return false;
     const auto& replicas = gateway_.directory.replicasOf(service_);
     return std::all_of(replicas.begin(), replicas.end(), [&](const ReplicaPtr& replica) {
-        if (replica->leaving() || tried_.contains(replica->id()) || !mayGoOnAt(*replica))
+        if (replica->leaving() || tried_.contains(replica->id()) || !mayContinueAt(*replica))
             return true;
         const auto* agent = replica->agent();
         return replica->present() && agent && !agent->mayOpen() && agent->awayFor() > agentReturnTime
--- a/packages/serving/RequestWaiting.cpp
+++ b/packages/serving/RequestWaiting.cpp
@@ -132,7 +132,7 @@
     const auto now = gateway_.now();
     auto next = std::optional<Opening>();
     for (const auto& replica : gateway_.directory.replicasOf(service_)) {
-        if (!replica->present() || tried_.contains(replica->id()) || !mayGoOnAt(*replica))
+        if (!replica->present() || tried_.contains(replica->id()) || !mayContinueAt(*replica))
             continue;
         const auto restEnds = replica->rest().sendsFrom(now);
         const auto at = std::max(restEnds, replica->nextPermitAt());
@@ -149,7 +149,7 @@
     const auto now = gateway_.now();
     auto first = std::optional<Moment>();
     for (const auto& replica : gateway_.directory.replicasOf(service_)) {
-        if (!replica->present() || !mayGoOnAt(*replica))
+        if (!replica->present() || !mayContinueAt(*replica))
             continue;
         if (!replica->rest().resting(now))
             return std::nullopt;
@@ -163,10 +163,10 @@
 {
     const auto now = gateway_.now();
     const auto& replicas = gateway_.directory.replicasOf(service_);
-    if (!canGoOn() && origin_)
+    if (!canContinue() && origin_)
         return runs_ > 0 ? giveUp(versionGoneReason) : refuseStream(versionGoneReason);
     const auto untried = std::any_of(replicas.begin(), replicas.end(), [&](const ReplicaPtr& replica) {
-        return !replica->leaving() && !tried_.contains(replica->id()) && mayGoOnAt(*replica);
+        return !replica->leaving() && !tried_.contains(replica->id()) && mayContinueAt(*replica);
     });
     if (!untried || sends_ >= maxSends)
         return giveUp(replicas.empty() ? "no replica" : "every replica refused or failed");
--- a/packages/serving/StatePublisher.h
+++ b/packages/serving/StatePublisher.h
@@ -44,6 +44,14 @@
     /// Schedules a publication, because the state may have changed.
     auto changed() -> void;
     [[nodiscard]] auto entries() const noexcept -> std::size_t { return subscribers_.size(); }
+    /// Calls `use` with the listener of each entry but `except`.
+    template <typename Use> auto forOtherListeners(Key except, Use&& use) -> void
+    {
+        for (auto& [key, subscriber] : subscribers_) {
+            if (key != except)
+                use(subscriber.client);
+        }
+    }
     /// Fills in the figures without the names, for the answer to a request.
     auto fillFigures(wire::schema::ReplicaState::Builder state) const -> void;
 
--- a/packages/serving/StreamOriginLookup.cpp
+++ b/packages/serving/StreamOriginLookup.cpp
@@ -42,10 +42,13 @@
     return origins_.find(stream, loop_.timers().now());
 }
 
-auto StreamOriginLookup::noteReplaced(const ServingConfiguration& configuration) -> void
+auto StreamOriginLookup::configure(std::shared_ptr<const ServingConfiguration> configuration) -> void
 {
+    const auto replaced = std::exchange(configuration_, std::move(configuration));
+    if (!replaced)
+        return;
     const auto now = loop_.timers().now();
-    for (const auto& route : configuration.routes) {
+    for (const auto& route : replaced->routes) {
         for (const auto& share : route.shares)
             replacedServices_.note(route.name, share.service, now);
     }
--- a/packages/serving/StreamOriginLookup.h
+++ b/packages/serving/StreamOriginLookup.h
@@ -1,20 +1,21 @@
 #pragma once
 
+#include "decisions/RecentValues.h"
 #include "serving/CountingAgents.h"
 #include "serving/StreamOrigins.h"
 
-#include <map>
+#include <memory>
 #include <string>
 
 namespace eelgrass::serving {
 
-/// Finds out where a stream began that a client takes up, at whatever entry.
+/// Finds out where a stream began that a client resumes, at whatever entry.
 ///
 /// The entry that passed on the first event knows, and the agent of each replica that brought an event of the stream.
-/// Nothing else is told when a stream begins, so a service whose streams are not taken up pays nothing. An entry that
-/// does not know asks the agents, then the other entries by way of two agents. If nobody knows, and the service has had
-/// one software version for as long as a stream can last, it began at that one: this takes a list that was read after
-/// the client came, since a replica of another version may have been listed a moment ago.
+/// No message is sent for this when a stream begins. An entry that does not know asks the agents, then the other
+/// entries by way of two agents. If nobody knows, and the service has had one software version for as long as a stream
+/// can last, the stream began at that one. This takes a list that was read after the client's request arrived, since a
+/// replica of another version may have been listed a moment ago.
 ///
 /// ```cpp
 /// lookup.find(stream, query).then([](StreamOriginLookup::Answer answer) { ... });
@@ -36,12 +37,12 @@
     StreamOriginLookup(wire::MainLoop& loop, ReplicaDirectory& directory);
     KJ_DISALLOW_COPY(StreamOriginLookup);
 
-    /// Notes where a stream began, or went on, at a replica.
+    /// Notes where a stream began.
     auto note(const StreamId& stream, const StreamOrigin& origin, Duration keep) -> StreamOrigins::Statement;
     /// What this entry knows itself.
     [[nodiscard]] auto known(const StreamId& stream) const -> std::optional<StreamOrigins::Known>;
-    /// The services of a route that a new configuration replaces: its streams may have begun there.
-    auto noteReplaced(const ServingConfiguration& configuration) -> void;
+    /// Applies a new configuration. Streams of a route may have begun at the services that it led to before.
+    auto configure(std::shared_ptr<const ServingConfiguration> configuration) -> void;
     /// Never rejects, and waits for a fraction of a second at the most.
     [[nodiscard]] auto find(const StreamId& stream, const Query& query) -> kj::Promise<Answer>;
 
@@ -58,6 +59,7 @@
     ReplicaDirectory& directory_;
     CountingAgents agents_;
     StreamOrigins origins_;
+    std::shared_ptr<const ServingConfiguration> configuration_;
     decisions::RecentValues<RouteName, ServiceName> replacedServices_;
     std::size_t searches_ = 0;
 };
--- a/packages/serving/StreamOrigins.h
+++ b/packages/serving/StreamOrigins.h
@@ -19,8 +19,8 @@
     friend auto operator<=>(const StreamId&, const StreamId&) -> std::strong_ordering = default; // NOLINT
 };
 
-/// Where a stream began. What two software versions of a service write does not fit together, so the stream may go on
-/// only at a replica of the same service and version.
+/// Where a stream began. What two software versions of a service write does not fit together, so the stream may
+/// continue only at a replica of the same service and version.
 struct StreamOrigin {
     ServiceName service;
     SoftwareVersion software;
@@ -32,8 +32,8 @@
     }
 };
 
-/// The origins of streams that their clients may take up, as far as this process knows them. Bounded in number; each is
-/// kept for as long as its client may go on with the stream.
+/// The origins of streams that clients may resume, as far as this process knows them. Bounded in number; each is kept
+/// for as long as its client may resume the stream.
 class StreamOrigins {
 public:
     struct Known {
--- a/packages/serving/Types.h
+++ b/packages/serving/Types.h
@@ -180,7 +180,7 @@
     Tokens tokens = 0;
 };
 
-/// The stream that a request goes on with, as stated by the client.
+/// The stream that a request resumes, as stated by the client.
 struct ResumedStream {
     /// The client's attempt that brought the stream's first event; empty if the client names none, or several.
     AttemptId attempt;
@@ -198,7 +198,7 @@
     Tokens promptTokens = 0;
     Tokens outputTokens = 0;
     std::vector<PromptPart> prompt;
-    /// Set if the client goes on with a stream that an earlier attempt has begun.
+    /// Set if the client resumes a stream that an earlier attempt has begun.
     std::optional<ResumedStream> resumed;
 };
 
--- a/packages/serving/detail/RunLimits.h
+++ b/packages/serving/detail/RunLimits.h
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
-#include <string_view>
 
 /// Limits on the attempts, times and buffers of a request.
 namespace eelgrass::serving::detail {
@@ -54,13 +53,13 @@
 // again.
 inline constexpr auto agentReturnInterval = std::chrono::milliseconds(500);
 // Reason in log lines for requests that are not sent because the replica leaves.
-inline constexpr auto leavingReason = std::string_view("replica leaving");
+inline constexpr auto leavingReason = "replica leaving";
 // Reason in log lines for requests that are not sent because a newer version of their adapter has been named.
-inline constexpr auto outdatedReason = std::string_view("older version at the replica");
-// Reason in log lines for streams that are not sent on because the replica runs another software version.
-inline constexpr auto otherSoftwareReason = std::string_view("another software version at the replica");
-// Reasons in log lines for streams that a client takes up in vain: it names no attempt, or several; nobody knows where
-// the stream began; its route does not lead to that service any more; no replica of its version is left.
+inline constexpr auto outdatedReason = "older version at the replica";
+// Reason in log lines for streams that are not sent to a replica because it runs another software version.
+inline constexpr auto otherSoftwareReason = "another software version at the replica";
+// Reasons for refusing a stream that a client resumes: it names no attempt, or several; nobody knows where the stream
+// began; its route does not lead to that service any more; no replica of its version is left.
 inline constexpr auto unnamedStreamReason = "no attempt named";
 inline constexpr auto unknownStreamReason = "stream not known";
 inline constexpr auto otherServiceReason = "stream of another service";
--- a/packages/wire/Agent.capnp
+++ b/packages/wire/Agent.capnp
@@ -141,7 +141,7 @@
   attempt @1 :Text;
   service @2 :Text;
   software @3 :Text;
-  # For how much longer a client may take the stream up.
+  # For how much longer a client may resume the stream.
   keepMs @4 :UInt32;
   # How long ago it was noted where it is known.
   ageMs @5 :UInt32;
@@ -190,7 +190,7 @@
   # call takes the request out of the queue.
   admit @0 (request :AdmitRequest) -> (answer :AdmitAnswer);
   # The first event came: the prompt has been read.
-  # `origin` tells where the request's stream began, if it may go on elsewhere.
+  # `origin` tells where the request's stream began, if it may continue elsewhere.
   started @1 (attempt :Text, origin :StreamOrigin);
   # The request is over at the replica, or was never sent.
   # `unsent`: granted and not sent after all, so that its permit and its place go to another one.
--- a/packages/wire/Peer.capnp
+++ b/packages/wire/Peer.capnp
@@ -77,7 +77,7 @@
   givenText @16 :Text;
   # How many engines died while they ran this digest; above 0 it runs alone.
   crashes @17 :UInt32;
-  # Version of the engine's software that wrote the given text. Another one does not go on with it.
+  # Version of the engine's software that wrote the given text. No other version may continue it.
   software @18 :Text;
 
   enum Kind {
