--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr auto metricClasses = std::size_t(10);
+constexpr auto millisecondsPerSecond = 1000.0;
 // How long the agent waits for an entry to send the limits before it reads them from the store, and between reads.
 // Entries attach within a second of the first configuration, which may arrive a few seconds after the agent starts.
 constexpr auto limitsWait = Duration(8s);
@@ -354,6 +355,7 @@
             { "waited_ms", millisecondsText(decision.waited) },
             { "adapter_ms", millisecondsText(decision.waitedForAdapter) },
             { "tokens_ahead", std::to_string(agent_.tokensAhead()) },
+            { "tokens_per_s", std::to_string(static_cast<std::uint64_t>(agent_.queue().readRate() * millisecondsPerSecond)) },
             { "loads_waiting", std::to_string(agent_.loadsWaiting()) },
             { "running", std::to_string(agent_.queue().running()) },
             { "queued", std::to_string(agent_.queue().queued()) } });
--- a/packages/serving/ConfigurationFollower.cpp
+++ b/packages/serving/ConfigurationFollower.cpp
@@ -1,5 +1,6 @@
 #include "serving/ConfigurationFollower.h"
 
+#include "base/DurationText.h"
 #include "base/Log.h"
 
 namespace eelgrass::serving {
@@ -25,14 +26,14 @@
 
 } // namespace
 
-ConfigurationFollower::ConfigurationFollower(wire::MainLoop& loop, hosting::Store& store, const Bounds& bounds,
-    OnChange onChange, AdapterVersions::OnInForce onVersionInForce)
+ConfigurationFollower::ConfigurationFollower(
+    wire::MainLoop& loop, hosting::Store& store, const Bounds& bounds, Hooks hooks)
     : loop_(loop)
     , store_(store)
     , bounds_(bounds)
-    , onChange_(std::move(onChange))
+    , hooks_(std::move(hooks))
     , freshness_(bounds.keys ? std::max(*bounds.keys - keyMargin, Duration(0)) : Duration::max())
-    , versions_(std::move(onVersionInForce))
+    , versions_(hooks_.onVersionInForce)
 {
 }
 
@@ -148,14 +149,30 @@
         storeClock_.note(answer.askedAt, *answer.storeTime);
     if (storeRowUnreadable_)
         return;
-    freshness_.confirmed(answer.storeTime ? storeClock_.earliest(answer.askedAt, *answer.storeTime) : answer.askedAt);
+    const auto earliest = answer.storeTime ? storeClock_.earliest(answer.askedAt, *answer.storeTime) : answer.askedAt;
+    confirm(earliest, { .source = "store", .clock = earliest > answer.askedAt ? "store" : "own" });
+}
+
+auto ConfigurationFollower::confirm(Moment at, Confirmation confirmation) -> void
+{
+    const auto now = loop_.timers().now();
+    if (at > now) {
+        log::warn("confirmation from the future",
+            { { "source", confirmation.source }, { "clock", std::string(confirmation.clock) },
+                { "ahead_ms", millisecondsText(at - now) } });
+        if (hooks_.onFutureConfirmation)
+            hooks_.onFutureConfirmation(confirmation.source);
+    }
+    if (now - at <= freshness_.age(now))
+        confirmation_ = std::move(confirmation);
+    freshness_.confirmed(at);
 }
 
 auto ConfigurationFollower::applyFromPeer(std::string_view text, Moment at, std::string_view source) -> bool
 {
     const auto before = configuration_;
     if (text.empty() || applyConfiguration(text, source))
-        freshness_.confirmed(at);
+        confirm(at, { .source = std::string(source), .clock = "peer" });
     return configuration_ != before;
 }
 
@@ -180,7 +197,7 @@
         { { "version", std::to_string(configuration_->version.value()) }, { "source", std::string(source) },
             { "routes", std::to_string(configuration_->routes.size()) },
             { "members", std::to_string(configuration_->members.size()) } });
-    onChange_();
+    hooks_.onChange();
     return true;
 }
 
--- a/packages/serving/ConfigurationFollower.h
+++ b/packages/serving/ConfigurationFollower.h
@@ -18,13 +18,24 @@
 
 namespace eelgrass::serving {
 
+/// Who last confirmed that the configuration in force is the newest, and by which clock the moment was told.
+struct Confirmation {
+    std::string source;
+    std::string_view clock;
+};
+
 /// Keeps the operator's configuration and the adapter versions up to date. A version lower than the current one is
 /// ignored, whatever its source.
 ///
 /// Both are read from the store by long polls. While the store refuses this host, they come from other entries.
 class ConfigurationFollower {
 public:
-    using OnChange = std::function<void()>;
+    struct Hooks {
+        std::function<void()> onChange;
+        AdapterVersions::OnInForce onVersionInForce {};
+        /// A confirmation was told to be later than the present.
+        std::function<void(std::string_view source)> onFutureConfirmation {};
+    };
     struct Bounds {
         /// Time within which a new configuration must be in force.
         Duration inForce = 2s;
@@ -33,8 +44,7 @@
         std::optional<Duration> keys;
     };
 
-    ConfigurationFollower(wire::MainLoop& loop, hosting::Store& store, const Bounds& bounds, OnChange onChange,
-        AdapterVersions::OnInForce onVersionInForce = {});
+    ConfigurationFollower(wire::MainLoop& loop, hosting::Store& store, const Bounds& bounds, Hooks hooks);
 
     auto start() -> void { poll(); }
     /// The configuration in force; null until one is known.
@@ -48,6 +58,7 @@
     [[nodiscard]] auto keysUsable() const -> bool;
     /// Time since the configuration was last confirmed to be the newest.
     [[nodiscard]] auto age() const -> Duration { return freshness_.age(loop_.timers().now()); }
+    [[nodiscard]] auto confirmation() const noexcept -> const Confirmation& { return confirmation_; }
     /// The adapter versions that the operator has named, as far as this entry knows.
     [[nodiscard]] auto versions() const noexcept -> const AdapterVersions& { return versions_; }
 
@@ -76,6 +87,7 @@
     auto applyRows(const hosting::StoreAnswer& answer) -> void;
     auto applyRow(const hosting::Row& row) -> void;
     auto noteConfirmed(const hosting::StoreAnswer& answer) -> void;
+    auto confirm(Moment at, Confirmation confirmation) -> void;
     /// Reads the table at once, without waiting for the pending long poll, if the configuration was confirmed so long
     /// ago that the entries of the zone would poll the store themselves.
     auto refreshIfStale() -> void;
@@ -84,11 +96,12 @@
     wire::MainLoop& loop_;
     hosting::Store& store_;
     Bounds bounds_;
-    OnChange onChange_;
+    Hooks hooks_;
     std::shared_ptr<const ServingConfiguration> configuration_;
     RouteTable routes_;
     MemberTable members_;
     decisions::ConfigurationFreshness freshness_;
+    Confirmation confirmation_;
     decisions::RemoteClock storeClock_;
     /// The configuration in the store could not be parsed, so the one in force is not the newest.
     bool storeRowUnreadable_ = false;
--- a/packages/serving/GatewayRole.cpp
+++ b/packages/serving/GatewayRole.cpp
@@ -73,8 +73,14 @@
     , deferred_(loop.timers())
     , store_(loop.timers(), settings_.host.store, storeCallCounter(metrics_))
     , configuration_(
-          loop, store_, { settings_.configurationBound, settings_.keyBound }, [this] { onConfiguration(); },
-          [this](Duration age) { observeInForce("adapter version", age); })
+          loop, store_, { settings_.configurationBound, settings_.keyBound },
+          { .onChange = [this] { onConfiguration(); },
+              .onVersionInForce = [this](Duration age) { observeInForce("adapter version", age); },
+              .onFutureConfirmation =
+                  [this](std::string_view source) {
+                      metrics_.count("eelgrass_confirmations_from_the_future_total",
+                          { { "source", source == "store" ? "store" : "peer" } });
+                  } })
     , directory_(loop, store_,
           { .entry = settings_.host.name,
               .zone = settings_.host.zone,
@@ -95,6 +101,7 @@
     , retryBudgets_(loop, directory_, settings_)
     , gateway_ { loop, settings_, configuration_, directory_, metrics_, deferred_, suspects_, quotas_, rateLimits_,
         availability_, unknownFields_, origins_, retryBudgets_ }
+    , keyOutage_(metrics_)
     , peerSessions_(loop.timers())
     , reader_(loop, decisions::SharedReading(settings_.drainBound).sharedInterval(),
           { .fillQuery = [this](ReaderLink::Query query) { fillReaderQuery(query); },
@@ -126,6 +133,7 @@
         availability_.forgetEnded();
         chooseReader();
         askPeers();
+        keyOutage_.update(!needsKeys() || configuration_.keysUsable(), configuration_, loop_.timers().now());
     });
     log::info("listening",
         { { "port", std::to_string(clients_->port()) }, { "peer_port", std::to_string(peers_->port()) },
@@ -339,7 +347,7 @@
 /// to entries that can.
 auto GatewayRole::ready() const -> bool
 {
-    const auto serves = configuration_.members().empty() || configuration_.keysUsable();
+    const auto serves = !needsKeys() || configuration_.keysUsable();
     return !stopping_ && configuration_.configuration() && directory_.loaded() && serves;
 }
 
--- a/packages/serving/GatewayRole.h
+++ b/packages/serving/GatewayRole.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "serving/GatewayContext.h"
+#include "serving/KeyOutage.h"
 #include "serving/ReaderLink.h"
 #include "serving/RequestRun.h"
 #include "serving/TextServer.h"
@@ -58,6 +59,7 @@
     auto observeInForce(const std::string& what, Duration age) -> void;
     /// Peers to ask when the store is unreachable: the seeds from the settings, and the readers of the zones.
     [[nodiscard]] auto peersToAsk() const -> std::vector<Endpoint>;
+    [[nodiscard]] auto needsKeys() const -> bool { return !configuration_.members().empty(); }
     auto endIfIdle() -> void;
 
     wire::MainLoop& loop_;
@@ -75,6 +77,7 @@
     StreamOriginLookup origins_;
     RetryBudgets retryBudgets_;
     GatewayContext gateway_;
+    KeyOutage keyOutage_;
     std::map<CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
     std::unique_ptr<wire::TcpListener> clients_;
     std::unique_ptr<TextServer> readiness_;
--- a/packages/serving/RequestLog.cpp
+++ b/packages/serving/RequestLog.cpp
@@ -27,6 +27,19 @@
             { "left_ms", millisecondsText(timeLeft()) } });
 }
 
+auto RequestRun::noteKeyCheck() -> void
+{
+    const auto& configuration = gateway_.configuration;
+    keyCheck_ = KeyCheck { .version = configuration.configuration()->version,
+        .age = configuration.age(),
+        .confirmation = configuration.confirmation() };
+}
+
+auto RequestRun::KeyCheck::ageText() const -> std::string
+{
+    return age == Duration::max() ? "never" : millisecondsText(age);
+}
+
 auto RequestRun::noteRetry(const RetryVerdict& verdict) const -> void
 {
     const auto& decision = verdict.decision;
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -101,6 +101,7 @@
     const auto& members = gateway_.configuration.members();
     if (route_->isPublic || members.empty())
         return true;
+    noteKeyCheck();
     // An outdated configuration can neither confirm nor reject a key.
     if (!gateway_.configuration.keysUsable()) {
         gateway_.metrics.count("eelgrass_failed_closed_total", {});
@@ -117,6 +118,7 @@
 {
     if (!member_)
         return true;
+    noteKeyCheck();
     if (!gateway_.configuration.keysUsable()) {
         gateway_.metrics.count("eelgrass_failed_closed_total", {});
         giveUp("configuration not confirmed");
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -35,6 +35,15 @@
     [[nodiscard]] auto authenticate() -> bool;
     /// Checks the key against the current configuration before each send. Returns false if the request was rejected.
     [[nodiscard]] auto keyStillValid() -> bool;
+    /// What a check of the request's key rested on.
+    struct KeyCheck {
+        ConfigVersion version;
+        Duration age {};
+        Confirmation confirmation;
+
+        [[nodiscard]] auto ageText() const -> std::string;
+    };
+    auto noteKeyCheck() -> void;
     auto takeQuota() -> void;
     auto onQuotaDecision(const QuotaCharge& charge, const QuotaDecision& decision) -> void;
     [[nodiscard]] auto priority() const -> std::uint32_t;
@@ -181,6 +190,8 @@
     const RouteRecord* route_ = nullptr;
     /// The member that sent the request; null where no key is required.
     const MemberRecord* member_ = nullptr;
+    /// The last check of its key; empty if it needs none.
+    std::optional<KeyCheck> keyCheck_;
     /// The charge granted against the member's quota.
     std::optional<QuotaCharge> charged_;
     ServiceName service_;
--- a/tests/integration/SharedReading.cpp
+++ b/tests/integration/SharedReading.cpp
@@ -216,7 +216,7 @@
 {
     auto world = ServingWorld(1, 1);
     auto store = hosting::Store(world.loop().timers(), world.store().endpoint());
-    auto follower = serving::ConfigurationFollower(world.loop(), store, { 8s, std::nullopt }, [] {});
+    auto follower = serving::ConfigurationFollower(world.loop(), store, { 8s, std::nullopt }, { .onChange = [] {} });
     follower.start();
     BOOST_REQUIRE(world.until([&] { return follower.configuration() != nullptr; }));
     const auto before = world.store().readCount("op");
