Failing tests: answers that count as newer than they are

Answers of the store count as newer than they are when the entry is suspended behind the write of a call (a clock that sleeps at its n-th reading, every n; real processes, suspended by the store as it gets the call, on one core), when the store's clock has moved, and when the store sends late what it has read. The soak gets members, keys that come and go, a store in a process of its own, suspended entries, agents and stores, and entries that the store turns away.

--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -355,7 +355,8 @@
             { "waited_ms", millisecondsText(decision.waited) },
             { "adapter_ms", millisecondsText(decision.waitedForAdapter) },
             { "tokens_ahead", std::to_string(agent_.tokensAhead()) },
-            { "tokens_per_s", std::to_string(static_cast<std::uint64_t>(agent_.queue().readRate() * millisecondsPerSecond)) },
+            { "tokens_per_s",
+                std::to_string(static_cast<std::uint64_t>(agent_.queue().readRate() * millisecondsPerSecond)) },
             { "loads_waiting", std::to_string(agent_.loadsWaiting()) },
             { "running", std::to_string(agent_.queue().running()) },
             { "queued", std::to_string(agent_.queue().queued()) } });
--- a/packages/serving/GatewayRole.cpp
+++ b/packages/serving/GatewayRole.cpp
@@ -72,8 +72,7 @@
     , metrics_(metricClasses)
     , deferred_(loop.timers())
     , store_(loop.timers(), settings_.host.store, storeCallCounter(metrics_))
-    , configuration_(
-          loop, store_, { settings_.configurationBound, settings_.keyBound },
+    , configuration_(loop, store_, { settings_.configurationBound, settings_.keyBound },
           { .onChange = [this] { onConfiguration(); },
               .onVersionInForce = [this](Duration age) { observeInForce("adapter version", age); },
               .onFutureConfirmation =
--- a/packages/wire/MainLoop.cpp
+++ b/packages/wire/MainLoop.cpp
@@ -65,9 +65,10 @@
 
 } // namespace detail
 
-MainLoop::MainLoop()
+MainLoop::MainLoop(TimerService::Clock clock)
     : scope_(port_.loop())
     , loop_(g_main_loop_new(nullptr, FALSE), g_main_loop_unref)
+    , timers_(std::move(clock))
     , tasks_(*this)
 {
     timers_.onEarlier([this] { scheduleTimers(); });
--- a/packages/wire/MainLoop.h
+++ b/packages/wire/MainLoop.h
@@ -46,7 +46,7 @@
 /// ```
 class MainLoop final : private kj::TaskSet::ErrorHandler {
 public:
-    MainLoop();
+    explicit MainLoop(TimerService::Clock clock = eelgrass::now);
     ~MainLoop() noexcept(false);
     KJ_DISALLOW_COPY(MainLoop);
 
--- a/standins/StandinMain.cpp
+++ b/standins/StandinMain.cpp
@@ -3,6 +3,7 @@
 #include "standins/FaultProxy.h"
 #include "standins/PlatformStandin.h"
 #include "standins/ServiceStandin.h"
+#include "standins/StoreStandin.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -11,7 +12,7 @@
 #include <iostream>
 
 // NOLINTBEGIN
-ABSL_FLAG(std::string, kind, "", "platform, engine, service or proxy");
+ABSL_FLAG(std::string, kind, "", "platform, store, engine, service or proxy");
 ABSL_FLAG(int, port, 0, "port to listen on; 0 lets the kernel choose");
 ABSL_FLAG(std::string, platform, "", "URL of the platform stand-in, for an engine's loads");
 ABSL_FLAG(int, slots, 4, "adapter slots of an engine");
@@ -75,12 +76,14 @@
     auto loop = wire::MainLoop();
     if (kind == "platform")
         return runPlatform(loop);
+    if (kind == "store")
+        return serve(loop, standins::StoreStandin(loop.timers()));
     if (kind == "engine")
         return runEngine(loop);
     if (kind == "service")
         return serve(loop, standins::ServiceStandin(loop, "127.0.0.1", port()));
     if (kind == "proxy")
         return runProxy(loop);
-    std::cerr << "--kind must be platform, engine, service or proxy\n";
+    std::cerr << "--kind must be platform, store, engine, service or proxy\n";
     return 2;
 }
--- a/standins/StoreStandin.cpp
+++ b/standins/StoreStandin.cpp
@@ -3,6 +3,8 @@
 #include <glib.h>
 #include <nlohmann/json.hpp>
 
+#include <csignal>
+
 namespace eelgrass::standins {
 
 namespace {
@@ -113,28 +115,96 @@
     return found->second.at(key).value;
 }
 
+auto StoreStandin::suspendAsker(int pid, Duration time, std::uint64_t polls) -> void
+{
+    suspension_ = { .pid = pid, .time = time, .pollsLeft = polls };
+}
+
+auto StoreStandin::suspendIfAsked() -> void
+{
+    if (suspension_.pollsLeft == 0)
+        return;
+    --suspension_.pollsLeft;
+    const auto pid = suspension_.pid;
+    ::kill(pid, SIGSTOP);
+    suspension_.end = timers_.after(suspension_.time, [pid] { ::kill(pid, SIGCONT); });
+}
+
+auto StoreStandin::refuseAll(int status) -> void
+{
+    refuseWith(status);
+    if (status == 0)
+        return;
+    const auto waiting = std::exchange(polls_, {});
+    for (const auto& poll : waiting) {
+        if (poll->caller->open())
+            respond(poll->caller, status, "{}");
+    }
+}
+
 auto StoreStandin::handle(const Caller& caller, const wire::HttpRequestMessage& request) -> void
 {
+    const auto path = request.path();
+    if (path.starts_with("/standin/"))
+        return control(caller, request);
     if (refusal_ != 0)
         return respond(caller, refusal_, "{}");
-    const auto path = request.path();
     const auto& target = request.target;
     if (path == "/rows-get")
         return read(caller, query(target, "table"),
             { query(target, "from"), query(target, "to"), number(query(target, "limit")) });
-    if (path == "/rows-feed")
+    if (path == "/rows-feed") {
+        suspendIfAsked();
         return follow(caller, query(target, "table"), number(query(target, "after")),
             std::chrono::milliseconds(number(query(target, "waitMs"))));
+    }
     if (path == "/rows-tx")
         return transact(caller, request.body);
     respond(caller, 404, "{}");
 }
 
-auto StoreStandin::stamped(nlohmann::json answer) const -> std::string
+auto StoreStandin::answer(const Caller& caller, int status, nlohmann::json body) -> void
 {
-    answer["ver"] = version_;
-    answer["nowMs"] = std::chrono::duration_cast<std::chrono::milliseconds>(timers_.now().time_since_epoch()).count();
-    return answer.dump();
+    body["ver"] = version_;
+    auto send = [this, caller, status, body = std::move(body)]() mutable {
+        const auto time = std::chrono::duration<double, std::milli>(timers_.now().time_since_epoch() + clockShift_);
+        body["nowMs"] = time.count();
+        if (caller->open())
+            respond(caller, status, body.dump());
+    };
+    if (answerDelay_ == Duration(0))
+        return send();
+    const auto at = delayedAnswers_.emplace(delayedAnswers_.end());
+    *at = timers_.after(answerDelay_, [this, at, send = std::move(send)]() mutable {
+        send();
+        delayedAnswers_.erase(at);
+    });
+}
+
+auto StoreStandin::control(const Caller& caller, const wire::HttpRequestMessage& request) -> void
+{
+    const auto path = request.path();
+    const auto& target = request.target;
+    const auto milliseconds = [&] { return Duration(std::chrono::milliseconds(number(query(target, "ms")))); };
+    if (path == "/standin/put")
+        put(query(target, "table"), query(target, "key"), request.body);
+    else if (path == "/standin/remove")
+        remove(query(target, "table"), query(target, "key"));
+    else if (path == "/standin/refuse")
+        refuseAll(static_cast<int>(number(query(target, "status"))));
+    else if (path == "/standin/forget")
+        forgetHistory();
+    else if (path == "/standin/lose-write")
+        loseNextWrite();
+    else if (path == "/standin/suspend-asker")
+        suspendAsker(static_cast<int>(number(query(target, "pid"))), milliseconds(), number(query(target, "polls")));
+    else if (path == "/standin/shift-clock")
+        shiftClock(milliseconds());
+    else if (path == "/standin/slow")
+        answerAfter(milliseconds());
+    else if (path != "/standin/settle")
+        return respond(caller, 404, "{}");
+    respond(caller, 200, "{}");
 }
 
 auto StoreStandin::readCount(const std::string& table) const -> std::uint64_t
@@ -157,10 +227,10 @@
         rows.push_back({ { "table", table }, { "part", "" }, { "key", key }, { "value", base64(row.value) },
             { "ver", row.version } });
     }
-    respond(caller, 200, stamped({ { "rows", rows }, { "truncated", truncated } }));
+    answer(caller, 200, { { "rows", rows }, { "truncated", truncated } });
 }
 
-auto StoreStandin::changes(const std::string& table, std::uint64_t after) const -> std::string
+auto StoreStandin::changes(const std::string& table, std::uint64_t after) const -> nlohmann::json
 {
     auto rows = Json::array();
     const auto found = tables_.find(table);
@@ -171,21 +241,19 @@
                     { "ver", row.version }, { "tombstone", row.deleted } });
         }
     }
-    return rows.empty() ? std::string() : stamped({ { "rows", rows } });
+    return rows.empty() ? Json() : Json { { "rows", rows } };
 }
 
 auto StoreStandin::follow(const Caller& caller, const std::string& table, std::uint64_t after, Duration wait) -> void
 {
     if (after < forgotten_)
         return respond(caller, 410, "{}");
-    const auto now = changes(table, after);
-    if (!now.empty())
-        return respond(caller, 200, now);
+    if (auto now = changes(table, after); !now.is_null())
+        return answer(caller, 200, std::move(now));
     auto poll = std::make_unique<Poll>(Poll { caller, table, after, {} });
     auto* raw = poll.get();
     poll->timer = timers_.after(wait, [this, raw] {
-        if (const auto& waiting = raw->caller; waiting->open())
-            respond(waiting, 200, stamped({ { "rows", Json::array() } }));
+        answer(raw->caller, 200, { { "rows", Json::array() } });
         std::erase_if(polls_, [&](const auto& poll) { return poll.get() == raw; });
     });
     polls_.push_back(std::move(poll));
@@ -195,12 +263,11 @@
 {
     auto waiting = std::exchange(polls_, {});
     for (auto& poll : waiting) {
-        const auto changed = changes(poll->table, poll->after);
-        const auto& caller = poll->caller;
-        if (changed.empty())
+        auto changed = changes(poll->table, poll->after);
+        if (changed.is_null())
             polls_.push_back(std::move(poll));
-        else if (caller->open())
-            respond(caller, 200, changed);
+        else
+            answer(poll->caller, 200, std::move(changed));
     }
 }
 
@@ -219,14 +286,14 @@
                 { "ver", present.version } });
     }
     if (!holds)
-        return respond(caller, 412, stamped({ { "rows", rows } }));
+        return answer(caller, 412, { { "rows", rows } });
     ++version_;
     for (const auto& row : json.at("setKeys"))
         tables_[row.at("table").get<std::string>()][row.at("key").get<std::string>()]
             = { plain(row.at("value").get<std::string>()), version_ };
     if (std::exchange(loseWrite_, false))
         return caller->abort();
-    respond(caller, 200, stamped(Json::object()));
+    answer(caller, 200, Json::object());
     answerPolls();
 }
 
--- a/standins/StoreStandin.h
+++ b/standins/StoreStandin.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <string>
@@ -52,8 +53,16 @@
     auto forgetHistory() -> void { forgotten_ = version_; }
     /// Refuses every call with this status until set to 0.
     auto refuseWith(int status) -> void { refusal_ = status; }
+    /// The same, with the long polls that wait.
+    auto refuseAll(int status) -> void;
     /// Carries out the next write and cuts the connection in place of an answer.
     auto loseNextWrite() -> void { loseWrite_ = true; }
+    /// Moves the store's steady clock, as another process with a clock of its own would.
+    auto shiftClock(Duration shift) -> void { clockShift_ += shift; }
+    /// Suspends the process that asks, as soon as one of its next long polls has come in, for a while.
+    auto suspendAsker(int pid, Duration time, std::uint64_t polls) -> void;
+    /// Delays each answer after its rows have been read; its clock is read when the answer is sent.
+    auto answerAfter(Duration delay) -> void { answerDelay_ = delay; }
     auto server() noexcept -> LoopServer& { return server_; }
 
 private:
@@ -80,10 +89,13 @@
     auto read(const Caller& caller, const std::string& table, const Range& range) -> void;
     auto follow(const Caller& caller, const std::string& table, std::uint64_t after, Duration wait) -> void;
     auto transact(const Caller& caller, const std::string& body) -> void;
+    /// Calls of a test to a store in a process of its own: changes of rows, and faults.
+    auto control(const Caller& caller, const wire::HttpRequestMessage& request) -> void;
     auto answerPolls() -> void;
-    /// With the newest version and the store's clock, as text.
-    [[nodiscard]] auto stamped(nlohmann::json answer) const -> std::string;
-    [[nodiscard]] auto changes(const std::string& table, std::uint64_t after) const -> std::string;
+    auto suspendIfAsked() -> void;
+    auto answer(const Caller& caller, int status, nlohmann::json body) -> void;
+    /// The rows of a table that have changed since; null if there are none.
+    [[nodiscard]] auto changes(const std::string& table, std::uint64_t after) const -> nlohmann::json;
 
     TimerService& timers_;
     std::map<std::string, std::map<std::string, Row>> tables_;
@@ -93,6 +105,16 @@
     std::uint64_t forgotten_ = 0;
     int refusal_ = 0;
     bool loseWrite_ = false;
+    Duration clockShift_ {};
+    Duration answerDelay_ {};
+    struct Suspension {
+        int pid = 0;
+        Duration time {};
+        std::uint64_t pollsLeft = 0;
+        Timer end;
+    };
+    Suspension suspension_;
+    std::list<Timer> delayedAnswers_;
     LoopServer server_;
 };
 
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -1,6 +1,7 @@
 #include "tests/soak/Soak.h"
 
 #include "platform/Names.h"
+#include "tests/harness/CoreLimit.h"
 #include "tests/harness/ServingWorld.h"
 
 #include <nlohmann/json.hpp>
@@ -21,6 +22,8 @@
 constexpr auto turnPeriod = Duration(20ms);
 // In runs with releases, so that streams last for long enough to be broken.
 constexpr auto eventGap = Duration(40ms);
+constexpr auto members = std::size_t(4);
+constexpr auto keyBound = std::chrono::duration_cast<std::chrono::milliseconds>(tests::MemberKeys::bound);
 
 /// Where gateways find an engine and its agent, and where the agent itself listens.
 auto engineAddress(std::size_t index) -> std::string { return "127.0.3." + std::to_string(index + 1); }
@@ -34,16 +37,24 @@
     , availabilityRandom_(~seed * 3)
     , versionRandom_(~seed * 5)
     , streamRandom_(~seed * 7)
+    , keyRandom_(~seed * 11)
     , size_(size)
     , folder_(std::move(folder))
     , store_(loop_.timers())
+    , keys_(members)
 {
     std::filesystem::create_directories(folder_);
     if (size_.releases)
         usual_.eventGap = eventGap;
     if (size_.retries)
         usual_ = { .status = 500, .runsOneOf = 3 };
+    if (size_.keys) {
+        sparesFirst_ = seed % 2 == 1;
+        storeProcess_ = std::make_unique<tests::StoreProcess>(loop_);
+        storeProcess_->settle();
+    }
     configure();
+    keys_.acknowledgedFirst(loop_.timers().now());
     for (auto index = std::size_t(0); index < size_.plain; ++index)
         plain_.push_back(std::make_unique<standins::ReplicaStandin>(
             loop_.timers(), "127.0.0.1", "plain-" + std::to_string(index), "plain"));
@@ -59,8 +70,8 @@
         auto& node = gateways_[index];
         node.name = "gateway-" + std::to_string(index);
         node.role = "gateway";
-        node.store = std::make_unique<standins::FaultProxy>(
-            loop_, standins::FaultProxy::Options { .upstream = store_.port() });
+        node.store
+            = std::make_unique<standins::FaultProxy>(loop_, standins::FaultProxy::Options { .upstream = storePort() });
         startNode(node);
     }
 }
@@ -89,7 +100,7 @@
     node.name = "agent-" + name;
     node.role = "agent";
     node.store
-        = std::make_unique<standins::FaultProxy>(loop_, standins::FaultProxy::Options { .upstream = store_.port() });
+        = std::make_unique<standins::FaultProxy>(loop_, standins::FaultProxy::Options { .upstream = storePort() });
     startNode(node);
 }
 
@@ -121,10 +132,12 @@
         for (const auto& gateway : gateways_)
             seeds += gateway.peerPort == 0 ? "" : "  - \"127.0.0.1:" + std::to_string(gateway.peerPort) + "\"\n";
         writeSettings(node, "127.0.0.1",
-            retrySettings() + "clients: \"127.0.0.1:0\"\nreadiness: \"127.0.0.1:0\"\npeers: \"127.0.0.1:0\"\n"
+            retrySettings() + (size_.keys ? "key_bound_ms: " + std::to_string(keyBound.count()) + "\n" : "")
+                + "clients: \"127.0.0.1:0\"\nreadiness: \"127.0.0.1:0\"\npeers: \"127.0.0.1:0\"\n"
                 + (seeds.empty() ? std::string("seeds: []\n") : "seeds:\n" + seeds));
     }
     judgeLog(node);
+    const auto cores = tests::CoreLimit(size_.cores);
     node.process = std::make_unique<tests::Process>(node.name, "eelgrassrouterd",
         std::vector<std::string> { "--role=" + node.role, "--settings=" + node.settings });
     node.port = node.process->listeningPort();
@@ -151,12 +164,27 @@
 auto Soak::publish() -> void
 {
     for (const auto& engine : engines_)
-        store_.put("servers", engine.replica->instance(), listEntry(engine));
+        putRow("servers", engine.replica->instance(), listEntry(engine));
     for (const auto& replica : plain_)
-        store_.put("servers", replica->instance(), replica->entry());
+        putRow("servers", replica->instance(), replica->entry());
 }
 
-auto Soak::configure() -> void { store_.put("op", "config", tests::servingConfiguration(++version_)); }
+auto Soak::putRow(const std::string& table, const std::string& key, const std::string& value) -> void
+{
+    storeProcess_ ? storeProcess_->put(table, key, value) : store_.put(table, key, value);
+}
+
+auto Soak::storePort() const -> std::uint16_t { return storeProcess_ ? storeProcess_->endpoint().port : store_.port(); }
+
+auto Soak::configuration() -> std::string
+{
+    auto json = Json::parse(tests::servingConfiguration(++version_));
+    if (size_.keys)
+        json["tenants"] = keys_.json();
+    return json.dump();
+}
+
+auto Soak::configure() -> void { putRow("op", "config", configuration()); }
 
 auto Soak::number(int least, int most) -> int { return std::uniform_int_distribution<>(least, most)(random_); }
 
@@ -184,14 +212,18 @@
     return request;
 }
 
-auto Soak::ask(wire::HttpCaller& caller, std::size_t gateway, const std::string& path, const std::string& adapter)
-    -> kj::Promise<Call>
+auto Soak::ask(wire::HttpCaller& caller, std::size_t gateway, const std::string& path, const std::string& adapter,
+    const std::string& key) -> kj::Promise<Call>
 {
     auto call = Call { .attempt = "attempt-" + std::to_string(++asked_), .path = path, .gateway = gateway };
     call.began = loop_.timers().now();
+    if (size_.keys)
+        call.key = key.empty() ? keys_.draw(keyRandom_, call.began) : key;
     // One content that breaks off at two replicas is served no more; here each run is to be judged.
     const auto body = size_.namesVersions ? "prompt of " + call.attempt : std::string("prompt");
     auto request = requestFor(call.attempt, path, adapter, body);
+    if (!call.key.empty())
+        request.fields.add(names::apiKey, call.key);
     auto failure = std::make_shared<std::string>();
     return caller.call(std::move(request))
         .catch_([failure](kj::Exception&& error) {
@@ -225,16 +257,21 @@
     // Requests that reach no gateway would be counted for the budget and need none of it.
     if (size_.retries && gateways_[gateway].stopping && !over_)
         return loop_.sleep(soon(20, 120)).then([this, index] { return client(index); });
-    auto caller = std::make_shared<wire::HttpCaller>(loop_.timers(), "127.0.0.1", gateways_[gateway].port);
+    const auto port = gateways_[gateway].port;
+    auto caller = std::make_shared<wire::HttpCaller>(loop_.timers(), "127.0.0.1", port);
     const auto times = static_cast<std::size_t>(number(1, size_.retries ? 2 : 8));
     auto work = kj::Promise<void>(kj::READY_NOW);
     for (auto count = std::size_t(0); count < times; ++count) {
         const auto path = std::string(paths.at(static_cast<std::size_t>(number(0, size_.namesVersions ? 1 : 3))));
-        work = work.then([this, caller, gateway, path] { return ask(*caller, gateway, path); })
-                   .then([this](Call&& call) {
-                       calls_.push_back(std::move(call));
-                       return loop_.sleep(size_.retries ? soon(20, 120) : soon(1, 40));
-                   });
+        work = work.then([this, caller, gateway, path, port]() -> kj::Promise<void> {
+            // Keys are judged by what the process was asked that serves now.
+            if (size_.keys && gateways_[gateway].port != port)
+                return kj::READY_NOW;
+            return ask(*caller, gateway, path).then([this](Call&& call) {
+                calls_.push_back(std::move(call));
+                return loop_.sleep(size_.retries ? soon(20, 120) : soon(1, 40));
+            });
+        });
     }
     return work.then([this, index]() -> kj::Promise<void> {
         if (over_)
@@ -264,9 +301,10 @@
         clients.add(size_.releases && index % 3 != 0 ? streamClient() : client(index));
     auto asking = kj::joinPromises(clients.finish());
     auto faults = disturb();
-    auto limits = size_.retries ? kj::Promise<void>(kj::READY_NOW) : announceLimits();
+    auto limits = size_.retries || size_.keys ? kj::Promise<void>(kj::READY_NOW) : announceLimits();
     auto availability = size_.namesVersions ? nameVersions()
         : size_.releases                    ? release()
+        : size_.keys                        ? changeKeys()
         : size_.retries                     ? kj::Promise<void>(kj::READY_NOW)
                                             : announceAvailability();
     loop_.wait(loop_.sleep(size_.time));
@@ -292,6 +330,8 @@
     judgeStreamsGoneOn(broken);
     judgeRecovery(broken);
     judgeNewestVersions(broken);
+    judgeKeys(broken);
+    judgeLivingKeys(broken);
     return broken;
 }
 
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -4,8 +4,10 @@
 #include "standins/ReplicaStandin.h"
 #include "standins/StoreStandin.h"
 #include "tests/harness/AvailabilityRules.h"
+#include "tests/harness/MemberKeys.h"
 #include "tests/harness/Process.h"
 #include "tests/harness/RetryBudgetRule.h"
+#include "tests/harness/StoreProcess.h"
 #include "tests/harness/StreamCaller.h"
 #include "wire/HttpCaller.h"
 #include "wire/MainLoop.h"
@@ -41,6 +43,11 @@
     /// Light traffic, replicas that fail most requests, and gateways and agents that are killed and restarted in
     /// series.
     bool retries = false;
+    /// Members whose keys come and go, a store in a process of its own, and processes that are suspended for short and
+    /// long.
+    bool keys = false;
+    /// The processor cores that the processes of the system share; 0 for all.
+    std::size_t cores = 0;
 };
 
 /// One request as its client saw it.
@@ -57,6 +64,8 @@
     Moment ended {};
     /// Why there is no answer, in the client's words.
     std::string failure;
+    /// The key that it came with; empty for none.
+    std::string key;
 };
 
 /// An attempt of a client to take up a stream.
@@ -151,8 +160,12 @@
     [[nodiscard]] auto retrySettings() const -> std::string;
     auto writeSettings(Node& node, const std::string& address, const std::string& text) -> void;
     auto publish() -> void;
+    auto putRow(const std::string& table, const std::string& key, const std::string& value) -> void;
+    [[nodiscard]] auto storePort() const -> std::uint16_t;
     [[nodiscard]] auto listEntry(const Engine& engine) const -> std::string;
     auto configure() -> void;
+    /// The next version of the configuration.
+    [[nodiscard]] auto configuration() -> std::string;
 
     // Clients.
     auto client(std::size_t index) -> kj::Promise<void>;
@@ -164,9 +177,9 @@
         -> kj::Promise<tests::ReceivedAnswer>;
     auto takeUpUntilWhole(std::shared_ptr<Stream> stream, int attempts) -> kj::Promise<void>;
     static auto apply(Stream& stream, const tests::ReceivedAnswer& answer) -> bool;
-    /// Of an adapter drawn here, if none is named.
-    auto ask(wire::HttpCaller& caller, std::size_t gateway, const std::string& path, const std::string& adapter = {})
-        -> kj::Promise<Call>;
+    /// Of an adapter drawn here, if none is named, and with a key drawn here, if keys are needed and none is named.
+    auto ask(wire::HttpCaller& caller, std::size_t gateway, const std::string& path, const std::string& adapter = {},
+        const std::string& key = {}) -> kj::Promise<Call>;
 
     // Faults.
     auto disturb() -> kj::Promise<void>;
@@ -192,6 +205,15 @@
     /// A fault of a run with releases.
     auto faultBesideReleases() -> void;
     auto faultBesideRetries() -> void;
+    auto faultBesideKeys() -> void;
+    auto suspend(tests::Process& process, const std::string& name, Duration time) -> void;
+    auto suspendNode(Node& node, Duration time) -> void;
+    /// Records a disturbance that goes on for a while from now.
+    auto disturbedFor(std::vector<Moment>& disturbances, Duration time) -> void;
+    /// The store turns these gateways away for a while, and serves the operator.
+    auto turnAway(std::vector<Node*> nodes) -> void;
+    /// Takes keys away and adds others.
+    auto changeKeys() -> kj::Promise<void>;
     /// A fault of a run that names versions.
     auto faultBesideVersions() -> void;
     auto faultOnStoreLeg(Node& node) -> void;
@@ -234,6 +256,10 @@
     /// Since when a gateway has been in touch with the store, at `at`.
     [[nodiscard]] auto inTouchSince(std::size_t gateway, Moment at) const -> Moment;
     auto judgeNewestVersions(std::vector<std::string>& broken) -> void;
+    /// No run later than the bound after its key was taken away, and most requests with living keys are served.
+    auto judgeKeys(std::vector<std::string>& broken) -> void;
+    /// Every gateway serves a living key of each member, every adapter and every kind of request again.
+    auto judgeLivingKeys(std::vector<std::string>& broken) -> void;
     /// Whether a gateway may have missed what a replica told it, or may have forgotten it.
     [[nodiscard]] auto excused(std::size_t replica, std::size_t gateway, Moment from, Moment until) const -> bool;
     auto judgeLog(Node& node) -> void;
@@ -257,9 +283,16 @@
     std::mt19937_64 availabilityRandom_;
     std::mt19937_64 versionRandom_;
     std::mt19937_64 streamRandom_;
+    std::mt19937_64 keyRandom_;
     Size size_;
     std::string folder_;
+    /// Plays the store in this process, unless it has a process of its own.
     standins::StoreStandin store_;
+    std::unique_ptr<tests::StoreProcess> storeProcess_;
+    bool storeSuspended_ = false;
+    /// Nothing happens to the first gateway or for long to the store, so that living keys are served there throughout.
+    bool sparesFirst_ = false;
+    tests::MemberKeys keys_;
     std::vector<Engine> engines_;
     std::vector<std::unique_ptr<standins::ReplicaStandin>> plain_;
     std::vector<Node> agents_;
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -266,7 +266,7 @@
     const auto version = (versions.empty() ? 1 : versions.back().version) + 1 + versionRandom_() % 3;
     for (const auto& engine : engines_)
         engine.replica->nameVersion(adapter, version);
-    store_.put("op", "version/base." + adapter,
+    putRow("op", "version/base." + adapter,
         Json { { "model", "base" }, { "adapter", adapter }, { "version", version } }.dump());
     versions.push_back({ loop_.timers().now(), version });
     return loop_.sleep(std::chrono::milliseconds(500 + versionRandom_() % 4000)).then([this] {
@@ -345,6 +345,8 @@
         return faultBesideVersions();
     if (size_.releases)
         return faultBesideReleases();
+    if (size_.keys)
+        return faultBesideKeys();
     size_.retries ? faultBesideRetries() : fault();
 }
 
@@ -357,7 +359,7 @@
     for (auto count = 0; count < many; ++count)
         drawFault();
     const auto calmer = size_.namesVersions || size_.releases;
-    const auto pause = size_.retries ? soon(300, 1200) : calmer ? soon(100, 600) : soon(30, 350);
+    const auto pause = size_.retries || size_.keys ? soon(300, 1200) : calmer ? soon(100, 600) : soon(30, 350);
     return loop_.sleep(pause).then([this] { return disturb(); });
 }
 
@@ -365,6 +367,8 @@
 {
     steps_.clear();
     store_.refuseWith(0);
+    if (std::exchange(storeSuspended_, false))
+        storeProcess_->process().signal(SIGCONT);
     for (auto* replica : replicas()) {
         replica->announceLimit({});
         replica->askForRest({});
--- a/tests/soak/SoakMain.cpp
+++ b/tests/soak/SoakMain.cpp
@@ -21,6 +21,8 @@
 ABSL_FLAG(bool, versions, false, "names versions of the most-wanted adapters beside the faults");
 ABSL_FLAG(bool, releases, false, "replicas of several software versions, releases, and streams that are taken up");
 ABSL_FLAG(bool, retries, false, "light traffic, failing replicas, gateways and agents killed in series");
+ABSL_FLAG(bool, keys, false, "members whose keys come and go, a store process, suspended processes");
+ABSL_FLAG(std::size_t, cores, 0, "processor cores that the processes of the system share; 0 for all");
 // NOLINTEND
 
 namespace {
@@ -35,6 +37,8 @@
     size.namesVersions = absl::GetFlag(FLAGS_versions);
     size.releases = absl::GetFlag(FLAGS_releases);
     size.retries = absl::GetFlag(FLAGS_retries);
+    size.keys = absl::GetFlag(FLAGS_keys);
+    size.cores = absl::GetFlag(FLAGS_cores);
     size.time = std::chrono::milliseconds(absl::GetFlag(FLAGS_ms));
     const auto folder = std::filesystem::temp_directory_path() / ("eelgrass-soak-" + std::to_string(getpid()));
     auto run = soak::Soak(seed, size, folder.string());
