An older configuration row that comes late confirms nothing

A configuration that is not understood keeps an entry from confirming the older one that is in force. The reading beside the long poll may bring the older row after it, which undid this, and the older configuration was confirmed with every poll from then on. Rows are taken by their version now. The test failed before (age below 900 ms after a second).

--- a/packages/serving/ConfigurationFollower.cpp
+++ b/packages/serving/ConfigurationFollower.cpp
@@ -150,11 +150,20 @@
     if (row.deleted)
         return;
     if (row.key == configurationKey)
-        storeRowUnreadable_ = !applyConfiguration(row.value, "store");
+        applyConfigurationRow(row);
     else if (row.key.starts_with(versionPrefix))
         applyAdapterVersion(row.value, "store");
 }
 
+auto ConfigurationFollower::applyConfigurationRow(const hosting::Row& row) -> void
+{
+    // A reading that runs beside the long poll may bring an older row after a newer one.
+    if (row.version < storeRowVersion_)
+        return;
+    storeRowVersion_ = row.version;
+    storeRowUnreadable_ = !applyConfiguration(row.value, "store");
+}
+
 auto ConfigurationFollower::noteConfirmed(const hosting::StoreAnswer& answer) -> void
 {
     if (!storeRowUnreadable_)
--- a/packages/serving/ConfigurationFollower.h
+++ b/packages/serving/ConfigurationFollower.h
@@ -86,6 +86,7 @@
     auto onStoreAnswer(hosting::StoreAnswer answer) -> void;
     auto applyRows(const hosting::StoreAnswer& answer) -> void;
     auto applyRow(const hosting::Row& row) -> void;
+    auto applyConfigurationRow(const hosting::Row& row) -> void;
     auto noteConfirmed(const hosting::StoreAnswer& answer) -> void;
     auto confirm(Moment at, Confirmation confirmation) -> void;
     /// Reads the table at once, without waiting for the pending long poll, if the configuration was confirmed so long
@@ -106,6 +107,8 @@
     Confirmation confirmation_;
     /// The configuration in the store could not be parsed, so the one in force is not the newest.
     bool storeRowUnreadable_ = false;
+    /// The newest version of its row that was read.
+    std::uint64_t storeRowVersion_ = 0;
     AdapterVersions versions_;
     /// Version of the store up to which all changes are known; empty until the table has been read.
     std::optional<std::uint64_t> knownVersion_;
--- a/tests/integration/SharedReading.cpp
+++ b/tests/integration/SharedReading.cpp
@@ -223,3 +223,24 @@
     follower.setReadingRole(decisions::SharedReading::Role::Reader);
     BOOST_TEST(world.until([&] { return world.store().readCount("op") > before; }));
 }
+
+// Guards against confirming an older configuration while the newest is not understood, because a reading that runs
+// beside the long poll brings the older row late.
+BOOST_AUTO_TEST_CASE(an_older_row_that_comes_late_confirms_nothing)
+{
+    auto world = ServingWorld(1, 1);
+    auto store = hosting::Store(world.loop().timers(), world.store().endpoint());
+    auto follower
+        = serving::ConfigurationFollower(world.loop(), store, { 400ms, std::nullopt }, { .onChange = [] {} });
+    follower.start();
+    BOOST_REQUIRE(world.until([&] { return follower.configuration() && world.store().waitingPolls() > 0; }));
+    world.wait(180ms);
+    const auto before = world.store().readCount("op");
+    world.store().answerAfter(200ms);
+    follower.setReadingRole(decisions::SharedReading::Role::Reader);
+    BOOST_REQUIRE(world.until([&] { return world.store().readCount("op") > before; }));
+    world.store().answerAfter(0ms);
+    world.store().put("op", "config", "not understood");
+    world.wait(1s);
+    BOOST_TEST((follower.age() > 900ms));
+}
