An entry that the store turns away asks on while peers do not answer

What callers see: entries that the store turns away refuse requests with living keys (503) although another entry could confirm them. Cause: one peer was asked at a time, in turn, and one that is suspended or cut off holds up the next for a second; with three such peers the configuration expired before the turn came back to the one that answers. Up to three peers are asked at the same time, and the one that had news last is asked first. The bound on removed keys is not touched: each answer still counts from before it was asked for.

--- a/packages/serving/GatewayRole.cpp
+++ b/packages/serving/GatewayRole.cpp
@@ -184,7 +184,7 @@
     if (!behindSince_)
         behindSince_ = now;
     const auto holder = parseEndpoint(state.configHolder);
-    if (now - *behindSince_ > behindLimit && holder && *holder != settings_.peers)
+    if (now - *behindSince_ > behindLimit && holder && *holder != settings_.peers && peersAsked_ == 0)
         askPeer(*holder, "behind");
 }
 
@@ -231,42 +231,56 @@
     if (peers.empty())
         return;
     peerAskedAt_ = now;
-    const auto& peer = peers[nextPeer_++ % peers.size()];
+    const auto peer = choosePeer(peers);
     if (peer != settings_.peers)
         askPeer(peer, knowsAll ? "store closed" : "nothing known");
 }
 
+auto GatewayRole::choosePeer(const std::vector<Endpoint>& peers) -> Endpoint
+{
+    // The peer that had news last, once for each answer; others may be suspended or cut off as well.
+    const auto helpful = std::exchange(helpfulPeer_, std::nullopt);
+    if (helpful && std::find(peers.begin(), peers.end(), *helpful) != peers.end())
+        return *helpful;
+    return peers[nextPeer_++ % peers.size()];
+}
+
 auto GatewayRole::askPeer(const Endpoint& peer, std::string_view why) -> void
 {
-    if (std::exchange(askingPeer_, true))
+    // A peer that does not answer must not hold up the next one: the configuration could expire meanwhile.
+    constexpr auto mostPeersAsked = std::size_t(3);
+    if (peersAsked_ >= mostPeersAsked)
         return;
+    ++peersAsked_;
     log::info("peer asked", { { "peer", peer.str() }, { "reason", std::string(why) } });
     const auto mine = configuration_.configuration() ? configuration_.configuration()->version : ConfigVersion();
-    auto asked
-        = wire::connectTo(peer.address, peer.port).then([this, mine, name = peer.str()](kj::Own<wire::GlibStream>&& s) {
-              auto session = std::make_unique<wire::Connection>(kj::mv(s));
-              auto call = session->bootstrap().castAs<wire::schema::EntryPeer>().changesRequest();
-              call.setHaveConfig(mine.value());
-              call.setHaveList(directory_.knownVersion());
-              const auto asked = loop_.timers().now();
-              return call.send()
-                  .then([this, name, asked](auto&& answer) { applyPeerAnswer(answer, asked, name); })
-                  .attach(std::move(session));
-          });
+    auto asked = wire::connectTo(peer.address, peer.port).then([this, mine, peer](kj::Own<wire::GlibStream>&& s) {
+        auto session = std::make_unique<wire::Connection>(kj::mv(s));
+        auto call = session->bootstrap().castAs<wire::schema::EntryPeer>().changesRequest();
+        call.setHaveConfig(mine.value());
+        call.setHaveList(directory_.knownVersion());
+        const auto asked = loop_.timers().now();
+        return call.send()
+            .then([this, peer, asked](auto&& answer) { applyPeerAnswer(answer, asked, peer); })
+            .attach(std::move(session));
+    });
     constexpr auto peerTimeout = Duration(1s);
     loop_.spawn(
         asked.exclusiveJoin(loop_.sleep(peerTimeout))
             .catch_([name = peer.str()](kj::Exception&& error) {
                 log::warn("peer not reached", { { "peer", name }, { "reason", error.getDescription().cStr() } });
             })
-            .then([this] { askingPeer_ = false; }));
+            .then([this] { --peersAsked_; }));
 }
 
-auto GatewayRole::applyPeerAnswer(ReaderLink::Answer answer, Moment asked, const std::string& peer) -> void
+auto GatewayRole::applyPeerAnswer(ReaderLink::Answer answer, Moment asked, const Endpoint& peer) -> void
 {
-    applyConfiguration(answer, asked, peer);
+    const auto before = configuration_.age();
+    applyConfiguration(answer, asked, peer.str());
+    if (configuration_.age() < before)
+        helpfulPeer_ = peer;
     if (!directory_.loaded() || directory_.storeLostSince())
-        applyList(answer, asked, peer);
+        applyList(answer, asked, peer.str());
 }
 
 auto GatewayRole::chooseReader() -> void
--- a/packages/serving/GatewayRole.h
+++ b/packages/serving/GatewayRole.h
@@ -47,7 +47,8 @@
     auto askPeer(const Endpoint& peer, std::string_view why) -> void;
     /// If the store does not supply a current configuration or list, asks one peer for them, the next one at each call.
     auto askPeers() -> void;
-    auto applyPeerAnswer(ReaderLink::Answer answer, Moment asked, const std::string& peer) -> void;
+    auto applyPeerAnswer(ReaderLink::Answer answer, Moment asked, const Endpoint& peer) -> void;
+    [[nodiscard]] auto choosePeer(const std::vector<Endpoint>& peers) -> Endpoint;
     /// Chooses the entry that reads the store for this zone, by the votes of the zone's agents, and sets this entry's
     /// role.
     auto chooseReader() -> void;
@@ -89,7 +90,10 @@
     /// Hash of the adapter versions that the reader last sent.
     std::uint64_t readerVersionsHash_ = 0;
     std::size_t nextPeer_ = 0;
-    bool askingPeer_ = false;
+    /// Peers that have been asked and have not answered yet.
+    std::size_t peersAsked_ = 0;
+    /// The peer whose last answer was of use; empty once it is asked again.
+    std::optional<Endpoint> helpfulPeer_;
     bool directoryStarted_ = false;
     Moment peerAskedAt_ {};
     /// When another entry was first seen to have a newer configuration; empty while no such entry is known.
--- a/tests/harness/KeyWorld.cpp
+++ b/tests/harness/KeyWorld.cpp
@@ -46,11 +46,15 @@
 {
     const auto name = "gateway-" + std::to_string(index);
     const auto settings = folder_ + "/" + name + ".yaml";
+    if (options_.separateStores)
+        stores_.push_back(std::make_unique<standins::FaultProxy>(
+            loop, standins::FaultProxy::Options { .upstream = store.endpoint().port }));
+    const auto storePort = options_.separateStores ? stores_.back()->port() : store.endpoint().port;
     auto seeds = std::string();
     for (const auto port : peerPorts_)
         seeds += "\n  - \"127.0.0.1:" + std::to_string(port) + "\"";
     std::ofstream(settings)
-        << "name: " << name << "\navailability_zone: zone-1\naddress: 127.0.0.1\nstore: \"" << store.endpoint().str()
+        << "name: " << name << "\navailability_zone: zone-1\naddress: 127.0.0.1\nstore: \"127.0.0.1:" << storePort
         << "\"\nclients: \"127.0.0.1:0\"\nreadiness: \"127.0.0.1:0\"\npeers: \"127.0.0.1:0\"\nseeds:"
         << (seeds.empty() ? " []" : seeds)
         << "\nmetrics_port: 0\nagent_port: 1\nkey_bound_ms: " << options_.keyBound.count() << "\n";
--- a/tests/harness/KeyWorld.h
+++ b/tests/harness/KeyWorld.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "standins/FaultProxy.h"
 #include "standins/ReplicaStandin.h"
 #include "tests/harness/StoreProcess.h"
 
@@ -19,6 +20,8 @@
         std::chrono::milliseconds keyBound { 5000 };
         /// The processor cores that all processes share; 0 for all.
         std::size_t cores = 0;
+        /// Whether gateways can be turned away by the store one by one.
+        bool separateStores = false;
     };
     explicit KeyWorld(Options options, TimerService::Clock clock = eelgrass::now);
     ~KeyWorld();
@@ -40,6 +43,8 @@
     auto gateway(std::size_t index) -> Process& { return *gateways_.at(index); }
     /// Where other gateways find one.
     [[nodiscard]] auto peerOf(std::size_t gateway) const -> Endpoint { return { "127.0.0.1", peerPorts_.at(gateway) }; }
+    /// The store turns a gateway away from now on and serves the others and the operator.
+    auto turnAway(std::size_t gateway) -> void { stores_.at(gateway)->apply({ { "cut", true }, { "refuse", true } }); }
     [[nodiscard]] auto gateways() const noexcept -> std::size_t { return gateways_.size(); }
 
     wire::MainLoop loop;
@@ -52,6 +57,8 @@
     Options options_;
     std::string folder_;
     std::vector<std::unique_ptr<Process>> gateways_;
+    /// The way of each gateway to the store.
+    std::vector<std::unique_ptr<standins::FaultProxy>> stores_;
     std::vector<std::uint16_t> ports_;
     std::vector<std::uint16_t> peerPorts_;
     std::vector<std::unique_ptr<wire::HttpCaller>> callers_;
--- a/tests/integration/KeyConfirmation.cpp
+++ b/tests/integration/KeyConfirmation.cpp
@@ -96,3 +96,26 @@
         world.store.process().signal(SIGCONT);
     }
 }
+
+// Guards against refusing callers for want of a confirmation that another entry has: the store turns most entries away,
+// and some of those that could be asked are suspended.
+BOOST_AUTO_TEST_CASE(an_entry_that_the_store_turns_away_serves_living_keys_beside_suspended_peers)
+{
+    constexpr auto count = std::size_t(6);
+    auto world = KeyWorld({ .gateways = count, .separateStores = true });
+    for (auto index = std::size_t(1); index < count; ++index)
+        world.turnAway(index);
+    for (auto index = std::size_t(1); index < count - 1; ++index)
+        world.gateway(index).signal(SIGSTOP);
+    const auto until = world.loop.timers().now() + 12s;
+    auto asked = 0;
+    auto served = 0;
+    while (world.loop.timers().now() < until) {
+        ++asked;
+        served += world.askNow(count - 1, "key") == 200 ? 1 : 0;
+        world.wait(20ms);
+    }
+    BOOST_TEST(served == asked);
+    for (auto index = std::size_t(1); index < count - 1; ++index)
+        world.gateway(index).signal(SIGCONT);
+}
