Time for which a machine is suspended counts as age

The steady clock that all times were read from stands still while a machine is suspended; the users' platform says that its machines may be. An entry that wakes would take its configuration, and leases and all else that it knew, for as new as before. All moments are read from the boot clock now; where no machine is suspended the two are the same.

--- a/packages/router/target/PauseDetector.h
+++ b/packages/router/target/PauseDetector.h
@@ -17,7 +17,7 @@
     /// before its first order, so that a shorter, undetected pause of the old owner does no harm.
     static constexpr auto limit = Duration(1s);
 
-    explicit PauseDetector(TimerService& timers, std::function<Moment()> bootClock = bootNow)
+    explicit PauseDetector(TimerService& timers, std::function<Moment()> bootClock = now)
         : clock_(std::move(bootClock))
         , last_(clock_())
         , timer_(timers.every(tick, [this] { look(); }))
