The queries to other entries in a class of their own

GatewayRole had grown by them; PeerQueries asks, ReaderLink follows. The queries end with their owner now instead of with the loop. The moment of a reader's query travels with the query. No decision changes.

--- a/packages/serving/GatewayRole.cpp
+++ b/packages/serving/GatewayRole.cpp
@@ -102,6 +102,10 @@
         availability_, unknownFields_, origins_, retryBudgets_ }
     , keyOutage_(metrics_)
     , peerSessions_(loop.timers())
+    , peerQueries_(loop,
+          { .fillQuery = [this](ReaderLink::Query query) { fillVersions(query); },
+              .onAnswer = [this](ReaderLink::Answer answer, const Endpoint& peer,
+                              Moment asked) { return applyPeerAnswer(answer, peer, asked); } })
     , reader_(loop, decisions::SharedReading(settings_.drainBound).sharedInterval(),
           { .fillQuery = [this](ReaderLink::Query query) { fillReaderQuery(query); },
               .onAnswer = [this](ReaderLink::Answer answer, const Endpoint& reader,
@@ -184,8 +188,8 @@
     if (!behindSince_)
         behindSince_ = now;
     const auto holder = parseEndpoint(state.configHolder);
-    if (now - *behindSince_ > behindLimit && holder && *holder != settings_.peers && peersAsked_ == 0)
-        askPeer(*holder, "behind");
+    if (now - *behindSince_ > behindLimit && holder && *holder != settings_.peers && peerQueries_.idle())
+        peerQueries_.ask(*holder, "behind");
 }
 
 auto GatewayRole::countEntries() -> void
@@ -231,56 +235,16 @@
     if (peers.empty())
         return;
     peerAskedAt_ = now;
-    const auto peer = choosePeer(peers);
-    if (peer != settings_.peers)
-        askPeer(peer, knowsAll ? "store closed" : "nothing known");
+    peerQueries_.askNext(peers, settings_.peers, knowsAll ? "store closed" : "nothing known");
 }
 
-auto GatewayRole::choosePeer(const std::vector<Endpoint>& peers) -> Endpoint
-{
-    // The peer that had news last, once for each answer; others may be suspended or cut off as well.
-    const auto helpful = std::exchange(helpfulPeer_, std::nullopt);
-    if (helpful && std::find(peers.begin(), peers.end(), *helpful) != peers.end())
-        return *helpful;
-    return peers[nextPeer_++ % peers.size()];
-}
-
-auto GatewayRole::askPeer(const Endpoint& peer, std::string_view why) -> void
-{
-    // A peer that does not answer must not hold up the next one: the configuration could expire meanwhile.
-    constexpr auto mostPeersAsked = std::size_t(3);
-    if (peersAsked_ >= mostPeersAsked)
-        return;
-    ++peersAsked_;
-    log::info("peer asked", { { "peer", peer.str() }, { "reason", std::string(why) } });
-    const auto mine = configuration_.configuration() ? configuration_.configuration()->version : ConfigVersion();
-    auto asked = wire::connectTo(peer.address, peer.port).then([this, mine, peer](kj::Own<wire::GlibStream>&& s) {
-        auto session = std::make_unique<wire::Connection>(kj::mv(s));
-        auto call = session->bootstrap().castAs<wire::schema::EntryPeer>().changesRequest();
-        call.setHaveConfig(mine.value());
-        call.setHaveList(directory_.knownVersion());
-        const auto asked = loop_.timers().now();
-        return call.send()
-            .then([this, peer, asked](auto&& answer) { applyPeerAnswer(answer, asked, peer); })
-            .attach(std::move(session));
-    });
-    constexpr auto peerTimeout = Duration(1s);
-    loop_.spawn(
-        asked.exclusiveJoin(loop_.sleep(peerTimeout))
-            .catch_([name = peer.str()](kj::Exception&& error) {
-                log::warn("peer not reached", { { "peer", name }, { "reason", error.getDescription().cStr() } });
-            })
-            .then([this] { --peersAsked_; }));
-}
-
-auto GatewayRole::applyPeerAnswer(ReaderLink::Answer answer, Moment asked, const Endpoint& peer) -> void
+auto GatewayRole::applyPeerAnswer(ReaderLink::Answer answer, const Endpoint& peer, Moment asked) -> bool
 {
     const auto before = configuration_.age();
     applyConfiguration(answer, asked, peer.str());
-    if (configuration_.age() < before)
-        helpfulPeer_ = peer;
     if (!directory_.loaded() || directory_.storeLostSince())
         applyList(answer, asked, peer.str());
+    return configuration_.age() < before;
 }
 
 auto GatewayRole::chooseReader() -> void
@@ -306,11 +270,16 @@
     reader_.follow(reader);
 }
 
-auto GatewayRole::fillReaderQuery(ReaderLink::Query query) -> void
+auto GatewayRole::fillVersions(ReaderLink::Query query) const -> void
 {
     const auto& configuration = configuration_.configuration();
     query.setHaveConfig(configuration ? configuration->version.value() : 0);
     query.setHaveList(directory_.knownVersion());
+}
+
+auto GatewayRole::fillReaderQuery(ReaderLink::Query query) const -> void
+{
+    fillVersions(query);
     query.setHaveVersions(readerVersionsHash_);
 }
 
--- a/packages/serving/GatewayRole.h
+++ b/packages/serving/GatewayRole.h
@@ -2,6 +2,7 @@
 
 #include "serving/GatewayContext.h"
 #include "serving/KeyOutage.h"
+#include "serving/PeerQueries.h"
 #include "serving/ReaderLink.h"
 #include "serving/RequestRun.h"
 #include "serving/TextServer.h"
@@ -44,15 +45,15 @@
     auto onConfiguration() -> void;
     auto onState(Replica& replica) -> void;
     auto countEntries() -> void;
-    auto askPeer(const Endpoint& peer, std::string_view why) -> void;
     /// If the store does not supply a current configuration or list, asks one peer for them, the next one at each call.
     auto askPeers() -> void;
-    auto applyPeerAnswer(ReaderLink::Answer answer, Moment asked, const Endpoint& peer) -> void;
-    [[nodiscard]] auto choosePeer(const std::vector<Endpoint>& peers) -> Endpoint;
+    /// Returns whether the configuration is confirmed later than before.
+    auto applyPeerAnswer(ReaderLink::Answer answer, const Endpoint& peer, Moment asked) -> bool;
     /// Chooses the entry that reads the store for this zone, by the votes of the zone's agents, and sets this entry's
     /// role.
     auto chooseReader() -> void;
-    auto fillReaderQuery(ReaderLink::Query query) -> void;
+    auto fillVersions(ReaderLink::Query query) const -> void;
+    auto fillReaderQuery(ReaderLink::Query query) const -> void;
     auto applyReaderAnswer(ReaderLink::Answer answer, const Endpoint& reader, Moment asked) -> void;
     auto applyList(ReaderLink::Answer answer, Moment asked, const std::string& peer) -> void;
     auto applyConfiguration(ReaderLink::Answer answer, Moment asked, const std::string& peer) -> void;
@@ -85,15 +86,11 @@
     std::unique_ptr<TextServer> metricsServer_;
     std::unique_ptr<wire::Listener> peers_;
     wire::ConnectionSet peerSessions_;
+    PeerQueries peerQueries_;
     ReaderLink reader_;
     decisions::SharedReading readIntervals_;
     /// Hash of the adapter versions that the reader last sent.
     std::uint64_t readerVersionsHash_ = 0;
-    std::size_t nextPeer_ = 0;
-    /// Peers that have been asked and have not answered yet.
-    std::size_t peersAsked_ = 0;
-    /// The peer whose last answer was of use; empty once it is asked again.
-    std::optional<Endpoint> helpfulPeer_;
     bool directoryStarted_ = false;
     Moment peerAskedAt_ {};
     /// When another entry was first seen to have a newer configuration; empty while no such entry is known.
--- a/packages/serving/ReaderLink.cpp
+++ b/packages/serving/ReaderLink.cpp
@@ -71,9 +71,9 @@
     return ensureConnected().then([this] {
         auto call = session_->peer.changesRequest();
         hooks_.fillQuery(call);
-        return call.send().then([this](auto&& answer) {
+        return call.send().then([this, asked = askedAt_](auto&& answer) {
             queryPending_ = false;
-            hooks_.onAnswer(answer, *reader_, askedAt_);
+            hooks_.onAnswer(answer, *reader_, asked);
         });
     });
 }
