The list of replicas counts as old as its asking

A reader that is suspended between the store's answer and reading it passed the list on as new, and its followers kept a list that was older by that time; the age was counted from the receipt.

--- a/packages/serving/ReplicaDirectory.cpp
+++ b/packages/serving/ReplicaDirectory.cpp
@@ -113,9 +113,9 @@
     for (auto& row : answer.rows)
         list.push_back({ InstanceId(row.key), std::move(row.value), row.version });
     advanceNewestVersion(answer.newestVersion);
-    appliedListAge_ = Duration(0);
+    appliedListAge_ = now - answer.asOf;
     apply(list, "store");
-    listReadAt_ = now;
+    listReadAt_ = answer.asOf;
     noteListed(list, now);
     const auto named = instancesOf(list);
     const auto missing = missingFrom(named);
--- a/tests/integration/SharedReading.cpp
+++ b/tests/integration/SharedReading.cpp
@@ -230,8 +230,7 @@
 {
     auto world = ServingWorld(1, 1);
     auto store = hosting::Store(world.loop().timers(), world.store().endpoint());
-    auto follower
-        = serving::ConfigurationFollower(world.loop(), store, { 400ms, std::nullopt }, { .onChange = [] {} });
+    auto follower = serving::ConfigurationFollower(world.loop(), store, { 400ms, std::nullopt }, { .onChange = [] {} });
     follower.start();
     BOOST_REQUIRE(world.until([&] { return follower.configuration() && world.store().waitingPolls() > 0; }));
     world.wait(180ms);
@@ -244,3 +243,15 @@
     world.wait(1s);
     BOOST_TEST((follower.age() > 900ms));
 }
+
+// Guards against followers that keep an old list of replicas for a new one, because their reader took long to get it.
+BOOST_AUTO_TEST_CASE(the_age_of_the_list_counts_from_its_asking)
+{
+    constexpr auto slowness = Duration(300ms);
+    auto world = ServingWorld(1, 1);
+    auto& gateway = world.startGateway();
+    world.store().answerAfter(slowness);
+    const auto before = gateway.directory().storeReads();
+    BOOST_REQUIRE(world.until([&] { return gateway.directory().storeReads() > before + 1; }));
+    BOOST_TEST((gateway.directory().listAge() >= slowness));
+}
