--- a/packages/serving/ConfigurationFollower.cpp
+++ b/packages/serving/ConfigurationFollower.cpp
@@ -40,13 +40,15 @@
 auto ConfigurationFollower::pollWait() const -> Duration
 {
     const auto longest = longestPollWait();
+    // Of the last answer, whether or not it could confirm anything: one that cannot be understood comes again.
+    const auto age = std::min(this->age(), storeAsOf_ ? loop_.timers().now() - *storeAsOf_ : Duration::max());
     const auto ageMatters = role_ == decisions::SharedReading::Role::Reader || keysInUse();
     // After an answer with changes, which is as of its asking, or after an outage, the next confirmation comes when it
     // would have come otherwise. Small ages are left to the next poll, as each call is billed.
     constexpr auto leftToNextPoll = 0.25;
-    if (!ageMatters || age() <= std::chrono::duration_cast<Duration>(leftToNextPoll * longest))
+    if (!ageMatters || age <= std::chrono::duration_cast<Duration>(leftToNextPoll * longest))
         return longest;
-    return std::max(longest - age(), Duration(0));
+    return std::max(longest - age, Duration(0));
 }
 
 auto ConfigurationFollower::longestPollWait() const -> Duration
@@ -166,6 +168,7 @@
 
 auto ConfigurationFollower::noteConfirmed(const hosting::StoreAnswer& answer) -> void
 {
+    storeAsOf_ = answer.asOf;
     if (!storeRowUnreadable_)
         confirm(answer.asOf, { .source = "store", .clock = answer.waited ? "waited" : "asked" });
 }
--- a/packages/serving/ConfigurationFollower.h
+++ b/packages/serving/ConfigurationFollower.h
@@ -109,6 +109,8 @@
     bool storeRowUnreadable_ = false;
     /// The newest version of its row that was read.
     std::uint64_t storeRowVersion_ = 0;
+    /// As of when the store's last answer was.
+    std::optional<Moment> storeAsOf_;
     AdapterVersions versions_;
     /// Version of the store up to which all changes are known; empty until the table has been read.
     std::optional<std::uint64_t> knownVersion_;
--- a/standins/StoreStandin.cpp
+++ b/standins/StoreStandin.cpp
@@ -246,6 +246,7 @@
 
 auto StoreStandin::follow(const Caller& caller, const std::string& table, std::uint64_t after, Duration wait) -> void
 {
+    ++pollCount_;
     if (after < forgotten_)
         return respond(caller, 410, "{}");
     if (auto now = changes(table, after); !now.is_null())
--- a/standins/StoreStandin.h
+++ b/standins/StoreStandin.h
@@ -50,6 +50,8 @@
     [[nodiscard]] auto readCount(const std::string& table) const -> std::uint64_t;
     /// The number of long polls that wait for changes.
     [[nodiscard]] auto waitingPolls() const noexcept -> std::size_t { return polls_.size(); }
+    /// The number of long polls that were asked for.
+    [[nodiscard]] auto pollCount() const noexcept -> std::uint64_t { return pollCount_; }
     [[nodiscard]] auto value(const std::string& table, const std::string& key) const -> std::string;
     /// Forgets what was changed so far: long polls from before get 410.
     auto forgetHistory() -> void { forgotten_ = version_; }
@@ -103,6 +105,7 @@
     std::map<std::string, std::map<std::string, Row>> tables_;
     std::map<std::string, std::uint64_t> readCounts_;
     std::vector<std::unique_ptr<Poll>> polls_;
+    std::uint64_t pollCount_ = 0;
     std::uint64_t version_ = 1;
     std::uint64_t forgotten_ = 0;
     int refusal_ = 0;
--- a/tests/integration/SharedReading.cpp
+++ b/tests/integration/SharedReading.cpp
@@ -255,3 +255,20 @@
     BOOST_REQUIRE(world.until([&] { return gateway.directory().storeReads() > before + 1; }));
     BOOST_TEST((gateway.directory().listAge() >= slowness));
 }
+
+// Guards against polls without a wait, one after the other, for a configuration that is never confirmed.
+BOOST_AUTO_TEST_CASE(a_configuration_that_is_not_understood_costs_no_more_polls)
+{
+    auto world = ServingWorld(1, 1);
+    auto store = hosting::Store(world.loop().timers(), world.store().endpoint());
+    auto follower = serving::ConfigurationFollower(world.loop(), store, { 400ms, std::nullopt }, { .onChange = [] {} });
+    follower.start();
+    follower.setReadingRole(decisions::SharedReading::Role::Reader);
+    BOOST_REQUIRE(world.until([&] { return follower.configuration() && world.store().waitingPolls() > 0; }));
+    world.store().put("op", "config", "not understood");
+    const auto before = world.store().pollCount();
+    world.wait(1s);
+    // One for each wait of 100 ms, and one for the change.
+    BOOST_TEST(world.store().pollCount() - before <= 12U);
+    BOOST_TEST(world.store().pollCount() - before >= 5U);
+}
