Polls are shortened where the age matters to others, or after an outage

Their age may grow to two waits; a reader shortens a poll when its age would cost its followers polls of their own.

--- a/packages/serving/ConfigurationFollower.cpp
+++ b/packages/serving/ConfigurationFollower.cpp
@@ -42,13 +42,14 @@
     const auto longest = longestPollWait();
     // Of the last answer, whether or not it could confirm anything: one that cannot be understood comes again.
     const auto age = std::min(this->age(), storeAsOf_ ? loop_.timers().now() - *storeAsOf_ : Duration::max());
-    const auto ageMatters = role_ == decisions::SharedReading::Role::Reader || keysInUse();
-    // After an answer with changes, which is as of its asking, or after an outage, the next confirmation comes when it
-    // would have come otherwise. Small ages are left to the next poll, as each call is billed.
-    constexpr auto leftToNextPoll = 0.25;
-    if (!ageMatters || age <= std::chrono::duration_cast<Duration>(leftToNextPoll * longest))
-        return longest;
-    return std::max(longest - age, Duration(0));
+    // After an outage keys are in use again with the first answer. After an answer with changes, which is as of its
+    // asking, a reader keeps its age low enough that its followers need no polls of their own. Each call is billed, so
+    // smaller ages are left to the next poll.
+    constexpr auto leftToNextPoll = 0.45;
+    const auto isReader = role_ == decisions::SharedReading::Role::Reader;
+    const auto soon = isReader ? age > std::chrono::duration_cast<Duration>(leftToNextPoll * longest)
+                               : keysInUse() && age >= longest;
+    return soon ? std::max(longest - age, Duration(0)) : longest;
 }
 
 auto ConfigurationFollower::longestPollWait() const -> Duration
