--- a/tests/soak/SoakJudge.cpp
+++ b/tests/soak/SoakJudge.cpp
@@ -256,8 +256,13 @@
             else
                 loop_.wait(loop_.sleep(50ms));
         }
+        if (!waiting.empty() && !gateways_[index].process->running()) {
+            sayEnded("a process ended by itself", gateways_[index]);
+            broken.push_back(broken_.back());
+        }
         for (const auto& path : waiting)
-            broken.push_back("not served again: " + path + " at " + gateways_[index].name);
+            broken.push_back("not served again: " + path + " at " + gateways_[index].name + "\n"
+                + lastLogged(*gateways_[index].process, "request over"));
     }
 }
 
