--- a/packages/serving/GatewayRole.h
+++ b/packages/serving/GatewayRole.h
@@ -45,7 +45,7 @@
     auto onConfiguration() -> void;
     auto onState(Replica& replica) -> void;
     auto countEntries() -> void;
-    /// If the store does not supply a current configuration or list, asks one peer for them, the next one at each call.
+    /// If the store does not supply a current configuration or list, asks a peer for them.
     auto askPeers() -> void;
     /// Returns whether the configuration is confirmed later than before.
     auto applyPeerAnswer(ReaderLink::Answer answer, const Endpoint& peer, Moment asked) -> bool;
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -295,7 +295,8 @@
     standins::StoreStandin store_;
     std::unique_ptr<tests::StoreProcess> storeProcess_;
     bool storeSuspended_ = false;
-    /// Nothing happens to the first gateway or for long to the store, so that living keys are served there throughout.
+    /// The first gateway is left alone, and the store is suspended only briefly, so that living keys are served there
+    /// throughout.
     bool sparesFirst_ = false;
     tests::MemberKeys keys_;
     Duration latestRemovedKeyRun_ {};
--- a/tests/unit/LongPolls.cpp
+++ b/tests/unit/LongPolls.cpp
@@ -67,7 +67,9 @@
         auto asked = start + wait;
         for (auto count = 1; count < 4; ++count) {
             const auto time = peer + count * wait + step;
-            BOOST_TEST((polls.asOf(empty(asked, wait + 1ms, time)) <= asked + wait));
+            // Right after a step back the peer is not taken to have waited.
+            const auto latest = step < Duration(0) && count == 1 ? asked : asked + wait;
+            BOOST_TEST((polls.asOf(empty(asked, wait + 1ms, time)) <= latest));
             // A step that may be a wait that was not kept, or kept for longer, is not told from one.
             const auto certain = count == 1 && (step == Duration(-60s) || step == Duration(500s));
             BOOST_TEST((polls.clockStep() != Duration(0)) == certain);
