Logs and metrics tell what ended a request and what was given up for it

Cause: a run that is given up for its silence left no line and no counter, and `request over` did not tell what the client had, for how long the replica had been silent, or whether a configuration came while the request was open. A client's connection that closed in the middle of a request left no line.

Change: `run given up` with eelgrass_runs_given_up_total; `request over` has given_up, events, silent_ms, began_with, ended_with, changed_ms; `client connection ended in mid-request` says why, and what was read and not yet sent. No decision changes.

--- a/packages/serving/CallerConnection.cpp
+++ b/packages/serving/CallerConnection.cpp
@@ -1,5 +1,7 @@
 #include "serving/CallerConnection.h"
 
+#include "base/DurationText.h"
+#include "base/Log.h"
 #include "serving/CallerExchange.h"
 
 #include <array>
@@ -57,7 +59,7 @@
 
 auto CallerConnection::armIdle() -> void
 {
-    timer_ = timers_.after(limits_.idleTime, [this] { close(); });
+    timer_ = timers_.after(limits_.idleTime, [this] { close("idle limit"); });
 }
 
 auto CallerConnection::received() -> void
@@ -117,6 +119,20 @@
     respond({ .status = status }, {});
 }
 
+auto CallerConnection::noteRequestLost(std::string_view why) const -> void
+{
+    const auto unsent = connection_.backlog();
+    if (!requestOpen_ && !reading_ && unsent == 0)
+        return;
+    const auto* partRead = reading_ ? "part" : "none";
+    log::info("client connection ended in mid-request",
+        { { "peer", peer() }, { "reason", std::string(why) }, { "requests", std::to_string(exchangeCount_) },
+            { "read", requestOpen_ ? "all" : partRead }, { "unsent", std::to_string(unsent) },
+            { "began_ms", requestBegan_ == Moment() ? "" : millisecondsText(timers_.now() - requestBegan_) },
+            { "idle_limit_ms", millisecondsText(limits_.idleTime) },
+            { "header_limit_ms", millisecondsText(limits_.headerTime) } });
+}
+
 auto CallerConnection::addFraming(wire::HttpResponseHead& head) -> void
 {
     if (!keepAlive_ || closing_) {
@@ -173,7 +189,7 @@
     const auto self = shared_from_this();
     connection_.reset();
     watcher_ = {};
-    close();
+    close("aborted");
 }
 
 auto CallerConnection::noteMisuse() -> void
@@ -203,7 +219,7 @@
     connection_.input().clear();
     connection_.finishWriting();
     connection_.resumeReading();
-    timer_ = timers_.after(lingerTime, [this] { close(); });
+    timer_ = timers_.after(lingerTime, [this] { close("closed after its last answer"); });
 }
 
 auto CallerConnection::closeSoon() -> void { closing_ = true; }
@@ -227,13 +243,14 @@
     currentExchange_ = 0;
     if (onGone)
         onGone();
-    close();
+    close("closed by client");
 }
 
-auto CallerConnection::close() -> void
+auto CallerConnection::close(std::string_view why) -> void
 {
     if (std::exchange(closed_, true))
         return;
+    noteRequestLost(why);
     currentExchange_ = 0;
     timer_.cancel();
     hooks_.onClosed(this);
--- a/packages/serving/CallerConnection.h
+++ b/packages/serving/CallerConnection.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace eelgrass::serving {
 
@@ -75,7 +76,9 @@
     auto onAnswered() -> void;
     auto linger() -> void;
     auto ended() -> void;
-    auto close() -> void;
+    auto close(std::string_view why) -> void;
+    /// Logs a connection that ends with a request on it that is not completely read or not answered.
+    auto noteRequestLost(std::string_view why) const -> void;
     auto armIdle() -> void;
     auto addFraming(wire::HttpResponseHead& head) -> void;
 
--- a/packages/serving/ConfigurationFollower.cpp
+++ b/packages/serving/ConfigurationFollower.cpp
@@ -212,6 +212,7 @@
     if (!read || (configuration_ && configuration_->version >= read->version))
         return read != nullptr;
     configuration_ = std::move(read);
+    inForceSince_ = loop_.timers().now();
     routes_ = RouteTable(*configuration_);
     members_ = MemberTable(*configuration_);
     log::info("configuration in force",
--- a/packages/serving/ConfigurationFollower.h
+++ b/packages/serving/ConfigurationFollower.h
@@ -52,6 +52,8 @@
     {
         return configuration_;
     }
+    /// When the configuration in force came into force.
+    [[nodiscard]] auto inForceSince() const noexcept -> Moment { return inForceSince_; }
     [[nodiscard]] auto routes() const noexcept -> const RouteTable& { return routes_; }
     [[nodiscard]] auto members() const noexcept -> const MemberTable& { return members_; }
     /// Whether the configuration is recent enough to accept keys.
@@ -101,6 +103,7 @@
     Bounds bounds_;
     Hooks hooks_;
     std::shared_ptr<const ServingConfiguration> configuration_;
+    Moment inForceSince_ {};
     RouteTable routes_;
     MemberTable members_;
     decisions::ConfigurationFreshness freshness_;
--- a/packages/serving/RequestAnswer.cpp
+++ b/packages/serving/RequestAnswer.cpp
@@ -31,6 +31,7 @@
 {
     const auto self = shared_from_this();
     ++runs_;
+    noteGivenUp("silence");
     replica_->failed(gateway_.now());
     releaseReplica(false, RunEnd::Broke);
     retry("silence");
@@ -39,6 +40,7 @@
 auto RequestRun::onHead(const wire::HttpResponseHead& head) -> void
 {
     head_ = head;
+    heardAt_ = gateway_.now();
     answer_ = hosting::readAnswerMetadata(head, metadata_.attempt);
     gateway_.rateLimits.observe(*replica_, answer_, sentAt_);
     gateway_.availability.observe(*replica_, answer_, gateway_.entries);
@@ -51,6 +53,7 @@
 
 auto RequestRun::onBody(std::string_view bytes) -> void
 {
+    heardAt_ = gateway_.now();
     if (streaming_)
         return onEvents(bytes);
     body_.append(bytes);
@@ -99,6 +102,7 @@
     if (lastForwardedAt_ != Moment())
         longestPause_ = std::max(longestPause_, now - lastForwardedAt_);
     lastForwardedAt_ = now;
+    ++forwarded_;
     caller_->writeChunk(event.text);
     return true;
 }
--- a/packages/serving/RequestEnd.cpp
+++ b/packages/serving/RequestEnd.cpp
@@ -95,6 +95,8 @@
         gateway_.quotas.giveBack(*charged_);
     const auto now = gateway_.now();
     const auto name = route_ ? route_->name.str() : std::string("none");
+    const auto& latest = gateway_.configuration.configuration();
+    const auto changed = configuration_ && latest != configuration_;
     // Every other outcome is logged as a warning, since the logger may drop lines of lower levels.
     const auto ordinary = outcome == "answered" || outcome == "caller_gone";
     (ordinary ? log::info : log::warn)("request over",
@@ -110,6 +112,11 @@
             { "resumes", metadata_.resumed ? metadata_.resumed->attempt.str() : "" },
             { "began_on", origin_ ? origin_->software.str() : "" }, { "sends", std::to_string(sends_) },
             { "runs", std::to_string(runs_) }, { "took_ms", millisecondsText(now - beganAt_) },
+            { "given_up", std::to_string(givenUp_) }, { "events", std::to_string(forwarded_) },
+            { "silent_ms", heardAt_ == Moment() ? "" : millisecondsText(now - heardAt_) },
+            { "began_with", configuration_ ? std::to_string(configuration_->version.value()) : "" },
+            { "ended_with", latest ? std::to_string(latest->version.value()) : "" },
+            { "changed_ms", changed ? millisecondsText(now - gateway_.configuration.inForceSince()) : "" },
             { "first_ms", firstEventAt_ == Moment() ? "" : millisecondsText(firstEventAt_ - beganAt_) },
             { "pause_ms", millisecondsText(longestPause_) } });
     if (origin_ || resumesStream()) {
--- a/packages/serving/RequestLog.cpp
+++ b/packages/serving/RequestLog.cpp
@@ -27,6 +27,25 @@
             { "left_ms", millisecondsText(timeLeft()) } });
 }
 
+auto RequestRun::runProgress() const -> std::string_view
+{
+    if (runHasEvents_)
+        return "events";
+    return head_.status == 0 ? "nothing" : "head";
+}
+
+auto RequestRun::noteGivenUp(std::string_view why) -> void
+{
+    ++givenUp_;
+    gateway_.metrics.count("eelgrass_runs_given_up_total",
+        { { "service", service_.str() }, { "reason", std::string(why) }, { "had", std::string(runProgress()) } });
+    log::info("run given up",
+        { { "request", metadata_.attempt.str() }, { "replica", replica_->id().str() }, { "reason", std::string(why) },
+            { "had", std::string(runProgress()) }, { "events", std::to_string(forwarded_) },
+            { "silent_ms", millisecondsText(gateway_.now() - heardAt_) },
+            { "left_ms", millisecondsText(timeLeft()) } });
+}
+
 auto RequestRun::noteKeyCheck() -> void
 {
     const auto& configuration = gateway_.configuration;
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -267,6 +267,7 @@
     }
     ++sends_;
     sentAt_ = now;
+    heardAt_ = now;
     head_ = {};
     answer_ = {};
     body_.clear();
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -161,6 +161,10 @@
     /// Releases what the request holds, and logs and counts its outcome. `status` is 0 if the client got none.
     auto finish(int status, std::string_view outcome, std::string_view why) -> void;
     auto logDecision(std::string_view event, std::string_view why) const -> void;
+    /// Logs and counts that the current run is given up although its replica has not failed it.
+    auto noteGivenUp(std::string_view why) -> void;
+    /// How much of the run's answer this entry has.
+    [[nodiscard]] auto runProgress() const -> std::string_view;
     /// Logs and counts a decision on a retry, with what the retry budget stood at.
     auto noteRetry(const RetryVerdict& verdict) const -> void;
     /// Logs a send with the version that it expects, who decided on that version, and what this entry knows.
@@ -246,7 +250,13 @@
     std::optional<Moment> sendGrantedAt_;
     /// Sends after which the replica may have run the request.
     std::uint32_t runs_ = 0;
+    /// Runs that were given up although their replicas had not failed them.
+    std::uint32_t givenUp_ = 0;
+    /// Events that were passed on to the client.
+    std::uint64_t forwarded_ = 0;
     Moment sentAt_ {};
+    /// When the replica of the last run was last heard of; when that was sent, before its answer began.
+    Moment heardAt_ {};
     Moment firstEventAt_ {};
     Moment lastForwardedAt_ {};
     /// Longest time between two events of the stream.
