The soak's clients reach gateways at an address of their own

Cause: gateways listened on 127.0.0.1 at a port that the kernel chose. When one was killed, its port could be given to a stand-in of another test process, which answered the clients that still went there.

Change: gateways of a soak take clients at an address that is derived from the soak's process. No check is changed.

--- a/tests/harness/StreamCaller.cpp
+++ b/tests/harness/StreamCaller.cpp
@@ -2,9 +2,10 @@
 
 namespace eelgrass::tests {
 
-StreamCaller::StreamCaller(TimerService& timers, std::uint16_t port)
+StreamCaller::StreamCaller(TimerService& timers, std::uint16_t port, std::string address)
     : timers_(timers)
     , port_(port)
+    , address_(std::move(address))
 {
 }
 
@@ -14,7 +15,7 @@
     auto pair = kj::newPromiseAndFulfiller<ReceivedAnswer>();
     fulfiller_ = kj::mv(pair.fulfiller);
     deadline_ = timers_.after(call.timeout, [this] { finish(false); });
-    connection_ = wire::TcpConnection::connect("127.0.0.1", port_,
+    connection_ = wire::TcpConnection::connect(address_, port_,
         { .onData = [this] { received(); },
             .onEnd =
                 [this](wire::StreamEnd) {
--- a/tests/harness/StreamCaller.h
+++ b/tests/harness/StreamCaller.h
@@ -22,7 +22,7 @@
 /// A client of one call that keeps what it has received when its answer breaks off.
 class StreamCaller {
 public:
-    StreamCaller(TimerService& timers, std::uint16_t port);
+    StreamCaller(TimerService& timers, std::uint16_t port, std::string address = "127.0.0.1");
 
     /// Never rejects. The client closes its connection once it has received `leaveAfter`, if that is not empty.
     [[nodiscard]] auto call(const wire::HttpCall& call, std::string leaveAfter = {}) -> kj::Promise<ReceivedAnswer>;
@@ -33,6 +33,7 @@
 
     TimerService& timers_;
     std::uint16_t port_;
+    std::string address_;
     std::unique_ptr<wire::TcpConnection> connection_;
     wire::ResponseReader reader_ { false };
     std::string body_;
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <array>
 #include <filesystem>
@@ -31,6 +33,14 @@
 
 } // namespace
 
+auto Soak::clientAddress() -> std::string
+{
+    constexpr auto base = 64;
+    constexpr auto byte = 256;
+    const auto pid = static_cast<int>(getpid());
+    return "127." + std::to_string(base + pid / byte % base) + "." + std::to_string(pid % byte) + ".1";
+}
+
 Soak::Soak(std::uint64_t seed, Size size, std::string folder)
     : random_(seed)
     , limitRandom_(~seed)
@@ -133,7 +143,7 @@
             seeds += gateway.peerPort == 0 ? "" : "  - \"127.0.0.1:" + std::to_string(gateway.peerPort) + "\"\n";
         writeSettings(node, "127.0.0.1",
             retrySettings() + (size_.keys ? "key_bound_ms: " + std::to_string(keyBound.count()) + "\n" : "")
-                + "clients: \"127.0.0.1:0\"\nreadiness: \"127.0.0.1:0\"\npeers: \"127.0.0.1:0\"\n"
+                + "clients: \"" + clientAddress() + ":0\"\nreadiness: \"127.0.0.1:0\"\npeers: \"127.0.0.1:0\"\n"
                 + (seeds.empty() ? std::string("seeds: []\n") : "seeds:\n" + seeds));
     }
     judgeLog(node);
@@ -258,7 +268,7 @@
     if (size_.retries && gateways_[gateway].stopping && !over_)
         return loop_.sleep(soon(20, 120)).then([this, index] { return client(index); });
     const auto port = gateways_[gateway].port;
-    auto caller = std::make_shared<wire::HttpCaller>(loop_.timers(), "127.0.0.1", port);
+    auto caller = std::make_shared<wire::HttpCaller>(loop_.timers(), clientAddress(), port);
     const auto times = static_cast<std::size_t>(number(1, size_.retries ? 2 : 8));
     auto work = kj::Promise<void>(kj::READY_NOW);
     for (auto count = std::size_t(0); count < times; ++count) {
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -167,6 +167,9 @@
     [[nodiscard]] auto listEntry(const Engine& engine) const -> std::string;
     auto configure() -> void;
     /// The next version of the configuration.
+    /// Where gateways take clients: an address of this process alone, since the port of a gateway that has been killed
+    /// may be given to another process, which would answer its clients.
+    [[nodiscard]] static auto clientAddress() -> std::string;
     [[nodiscard]] auto configuration() -> std::string;
 
     // Clients.
--- a/tests/soak/SoakJudge.cpp
+++ b/tests/soak/SoakJudge.cpp
@@ -210,7 +210,7 @@
 auto Soak::judgeNewestVersions(std::vector<std::string>& broken) -> void
 {
     const auto newestRun = [&](std::size_t gateway, const std::string& adapter, std::uint64_t version) {
-        auto caller = wire::HttpCaller(loop_.timers(), "127.0.0.1", gateways_[gateway].port);
+        auto caller = wire::HttpCaller(loop_.timers(), clientAddress(), gateways_[gateway].port);
         const auto call = loop_.wait(ask(caller, gateway, "/resumable/x", adapter));
         return std::any_of(engines_.begin(), engines_.end(), [&](const Engine& engine) {
             const auto& runs = engine.replica->runs();
@@ -249,7 +249,7 @@
         auto waiting = std::vector<std::string> { "/resumable/x", "/whole/x", "/safe/x", "/once/x", newest };
         const auto until = loop_.timers().now() + recovery;
         while (!waiting.empty() && loop_.timers().now() < until) {
-            auto caller = wire::HttpCaller(loop_.timers(), "127.0.0.1", gateways_[index].port);
+            auto caller = wire::HttpCaller(loop_.timers(), clientAddress(), gateways_[index].port);
             const auto call = loop_.wait(ask(caller, index, waiting.back()));
             if (call.status == 200)
                 waiting.pop_back();
--- a/tests/soak/SoakKeys.cpp
+++ b/tests/soak/SoakKeys.cpp
@@ -147,7 +147,7 @@
         const auto until = loop_.timers().now() + recovery;
         while (!wanted.empty() && loop_.timers().now() < until) {
             const auto& [path, adapter, key] = wanted.back();
-            auto caller = wire::HttpCaller(loop_.timers(), "127.0.0.1", gateways_[gateway].port);
+            auto caller = wire::HttpCaller(loop_.timers(), clientAddress(), gateways_[gateway].port);
             const auto call
                 = loop_.wait(ask(caller, gateway, path, adapter, key.empty() ? keys_.living().front() : key));
             if (call.status == 200)
--- a/tests/soak/SoakStreams.cpp
+++ b/tests/soak/SoakStreams.cpp
@@ -47,7 +47,7 @@
 auto Soak::receive(std::shared_ptr<Stream> stream, std::string attempt, std::size_t gateway)
     -> kj::Promise<tests::ReceivedAnswer>
 {
-    auto caller = std::make_shared<tests::StreamCaller>(loop_.timers(), gateways_[gateway].port);
+    auto caller = std::make_shared<tests::StreamCaller>(loop_.timers(), gateways_[gateway].port, clientAddress());
     auto request = requestFor(attempt, "/resumable/x", {}, "prompt of " + stream->first);
     if (!stream->events.empty()) {
         request.fields.add(names::resumes, stream->first);
