Soak: sound replicas that fall silent and go on, and a judge of lost answers

Cause: the soak's silences came with other faults, and a broken stream at a silent replica counted as excused, so answers that were lost while their replica was well went unseen.

Proxies on the ways to engines (for gateways and for the agent) and to plain replicas hold everything for 0.3 to 2 s and then deliver it: one replica, several, all of a zone, all, in series that overlap. A configuration comes every 0.3 to 1.5 s with other route time-outs, numbers of attempts, connection limits and client limits, and now and then without a route. Nothing else happens, so nothing is excused: a request is lost if the events its replica wrote (or would have written) were whole 0.4 s before the shortest time that it had, and its client has no whole answer; if a stream is broken off sooner than its time ends; or if it gets nothing at all, except where it crosses the close of a gateway that stops and ends within 200 ms. Runs per request and the retry budget are judged as in the other modes.

The bound of "no answer in time" is now the request's deadline and 1,125 ms, which is the old one for the deadline of the other modes. An agent's and a gateway's earlier logs are kept for the report.

--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -18,10 +18,13 @@
 using Json = nlohmann::json;
 namespace names = hosting::names;
 
-constexpr auto patience = Duration(4s);
+// Clients wait for so long beyond their deadline.
+constexpr auto patience = std::chrono::milliseconds(1500);
 constexpr auto turnPeriod = Duration(20ms);
 // In runs with releases, so that streams last for long enough to be broken.
 constexpr auto eventGap = Duration(40ms);
+// In runs with pauses, so that many of them come between two events.
+constexpr auto wideEventGap = Duration(300ms);
 constexpr auto members = std::size_t(4);
 constexpr auto keyBound = std::chrono::duration_cast<std::chrono::milliseconds>(tests::MemberKeys::bound);
 
@@ -48,6 +51,9 @@
         usual_.eventGap = eventGap;
     if (size_.retries)
         usual_ = { .status = 500, .runsOneOf = 3 };
+    if (size_.pauses)
+        usual_.eventGap = wideEventGap;
+    plannedStops_ = seed % 2 == 0;
     if (size_.keys) {
         sparesFirst_ = seed % 2 == 1;
         storeProcess_ = std::make_unique<tests::StoreProcess>(loop_);
@@ -60,6 +66,10 @@
             loop_.timers(), "127.0.0.1", "plain-" + std::to_string(index), "plain"));
     for (const auto& replica : plain_)
         replica->behave(usual_);
+    for (auto index = std::size_t(0); size_.pauses && index < size_.plain; ++index)
+        plainLegs_.push_back(std::make_unique<standins::FaultProxy>(
+            loop_, standins::FaultProxy::Options { .upstream = plain_[index]->port() }));
+    silences_.resize(size_.engines + size_.plain);
     engines_.resize(size_.engines);
     agents_.resize(size_.engines);
     for (auto index = std::size_t(0); index < size_.engines; ++index)
@@ -109,7 +119,8 @@
     node.settings = folder_ + "/" + node.name + ".yaml";
     std::ofstream(node.settings) << "name: " << node.name << "\navailability_zone: zone-1\naddress: " << address
                                  << "\nstore: \"127.0.0.1:" << node.store->port()
-                                 << "\"\nmetrics_port: 0\ngrace_ms: 4000\nagent_port: " << agentPort_ << "\n"
+                                 << "\"\nmetrics_port: 0\ngrace_ms: " << grace().count()
+                                 << "\nagent_port: " << agentPort_ << "\n"
                                  << text;
 }
 
@@ -124,8 +135,12 @@
 {
     if (node.role == "agent") {
         const auto index = static_cast<std::size_t>(&node - agents_.data());
+        const auto& engine = engines_[index];
+        // An agent notices a pause of its replica too.
+        const auto replica
+            = size_.pauses ? Endpoint { engineAddress(index), engine.leg->port() } : engine.replica->endpoint();
         writeSettings(node, agentAddress(index),
-            "replica: \"" + engines_[index].replica->endpoint().str() + "\"\nservice: engine\n"
+            "replica: \"" + replica.str() + "\"\nservice: engine\n"
                 + (node.disturbances.empty() ? "first_start: true\nfirst_write_spread_ms: 0\n" : ""));
     } else {
         auto seeds = std::string();
@@ -137,6 +152,8 @@
                 + (seeds.empty() ? std::string("seeds: []\n") : "seeds:\n" + seeds));
     }
     judgeLog(node);
+    if (node.process)
+        node.earlierLog += node.process->log();
     const auto cores = tests::CoreLimit(size_.cores);
     node.process = std::make_unique<tests::Process>(node.name, "eelgrassrouterd",
         std::vector<std::string> { "--role=" + node.role, "--settings=" + node.settings });
@@ -153,20 +170,23 @@
     node.disturbances.push_back(node.disturbedAt);
 }
 
-auto Soak::listEntry(const Engine& engine) const -> std::string
+auto Soak::listEntry(std::size_t replica) const -> std::string
 {
-    auto entry = Json::parse(engine.replica->entry());
-    entry["address"]
-        = engineAddress(static_cast<std::size_t>(&engine - engines_.data())) + ":" + std::to_string(engine.leg->port());
+    auto entry = Json::parse(replicas().at(replica)->entry());
+    if (replica < engines_.size())
+        entry["address"] = engineAddress(replica) + ":" + std::to_string(leg(replica).port());
+    else if (size_.pauses)
+        entry["address"] = "127.0.0.1:" + std::to_string(leg(replica).port());
+    if (size_.pauses)
+        entry["zone"] = "zone-" + std::to_string(1 + replica % 2);
     return entry.dump();
 }
 
 auto Soak::publish() -> void
 {
-    for (const auto& engine : engines_)
-        putRow("servers", engine.replica->instance(), listEntry(engine));
-    for (const auto& replica : plain_)
-        putRow("servers", replica->instance(), replica->entry());
+    const auto all = replicas();
+    for (auto index = std::size_t(0); index < all.size(); ++index)
+        putRow("servers", all[index]->instance(), listEntry(index));
 }
 
 auto Soak::putRow(const std::string& table, const std::string& key, const std::string& value) -> void
@@ -181,6 +201,8 @@
     auto json = Json::parse(tests::servingConfiguration(++version_));
     if (size_.keys)
         json["tenants"] = keys_.json();
+    if (size_.pauses)
+        vary(json);
     return json.dump();
 }
 
@@ -196,14 +218,14 @@
 }
 
 auto Soak::requestFor(const std::string& attempt, const std::string& path, const std::string& adapter,
-    const std::string& body) -> wire::HttpCall
+    const std::string& body, std::chrono::milliseconds deadline) -> wire::HttpCall
 {
-    auto request = wire::HttpCall { .method = "POST", .target = path, .body = body, .timeout = patience };
+    auto request = wire::HttpCall { .method = "POST", .target = path, .body = body, .timeout = deadline + patience };
     const auto stream = path == "/resumable/x" || path == "/whole/x";
     requestsSent_[stream ? "engine" : "plain"].push_back(loop_.timers().now());
     request.fields.add("Host", "users.example");
     request.fields.add(names::attemptId, attempt);
-    request.fields.add(names::deadline, std::to_string(clientDeadline.count()));
+    request.fields.add(names::deadline, std::to_string(deadline.count()));
     if (stream) {
         request.fields.add(names::model, "base/" + (adapter.empty() ? drawAdapter() : adapter));
         request.fields.add(names::tokenCount, "100,20");
@@ -221,7 +243,8 @@
         call.key = key.empty() ? keys_.draw(keyRandom_, call.began) : key;
     // One content that breaks off at two replicas is served no more; here each run is to be judged.
     const auto body = size_.namesVersions ? "prompt of " + call.attempt : std::string("prompt");
-    auto request = requestFor(call.attempt, path, adapter, body);
+    call.deadline = drawDeadline(path);
+    auto request = requestFor(call.attempt, path, adapter, body, call.deadline);
     if (!call.key.empty())
         request.fields.add(names::apiKey, call.key);
     auto failure = std::make_shared<std::string>();
@@ -255,7 +278,7 @@
     static constexpr auto paths = std::array { "/resumable/x", "/whole/x", "/safe/x", "/once/x" };
     const auto gateway = static_cast<std::size_t>(number(0, static_cast<int>(size_.gateways) - 1));
     // Requests that reach no gateway would be counted for the budget and need none of it.
-    if (size_.retries && gateways_[gateway].stopping && !over_)
+    if ((size_.retries || size_.pauses) && gateways_[gateway].stopping && !over_)
         return loop_.sleep(soon(20, 120)).then([this, index] { return client(index); });
     const auto port = gateways_[gateway].port;
     auto caller = std::make_shared<wire::HttpCaller>(loop_.timers(), "127.0.0.1", port);
@@ -264,6 +287,9 @@
     for (auto count = std::size_t(0); count < times; ++count) {
         const auto path = std::string(paths.at(static_cast<std::size_t>(number(0, size_.namesVersions ? 1 : 3))));
         work = work.then([this, caller, gateway, path, port]() -> kj::Promise<void> {
+            // What is asked in a run with pauses is over before the processes are mended.
+            if (size_.pauses && over_)
+                return kj::READY_NOW;
             // Keys are judged by what the process was asked that serves now.
             if (size_.keys && gateways_[gateway].port != port)
                 return kj::READY_NOW;
@@ -302,10 +328,11 @@
         clients.add(size_.releases && index % 3 != 0 ? streamClient() : client(index));
     auto asking = kj::joinPromises(clients.finish());
     auto faults = disturb();
-    auto limits = size_.retries || size_.keys ? kj::Promise<void>(kj::READY_NOW) : announceLimits();
+    auto limits = size_.retries || size_.keys || size_.pauses ? kj::Promise<void>(kj::READY_NOW) : announceLimits();
     auto availability = size_.namesVersions ? nameVersions()
         : size_.releases                    ? release()
         : size_.keys                        ? changeKeys()
+        : size_.pauses                      ? changeConfiguration()
         : size_.retries                     ? kj::Promise<void>(kj::READY_NOW)
                                             : announceAvailability();
     loop_.wait(loop_.sleep(size_.time));
@@ -315,8 +342,11 @@
     loop_.wait(kj::mv(availability));
     if (size_.retries)
         usual_ = {};
+    if (size_.pauses)
+        loop_.wait(kj::mv(asking));
     mendAll();
-    loop_.wait(kj::mv(asking));
+    if (!size_.pauses)
+        loop_.wait(kj::mv(asking));
     for (auto* nodes : { &agents_, &gateways_ })
         std::for_each(nodes->begin(), nodes->end(), [this](Node& node) { judgeLog(node); });
     auto broken = broken_;
@@ -332,6 +362,7 @@
     judgeRecovery(broken);
     judgeNewestVersions(broken);
     judgeKeys(broken);
+    judgeLost(broken);
     judgeLivingKeys(broken);
     return broken;
 }
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -22,7 +22,7 @@
 
 namespace eelgrass::soak {
 
-/// Clients wait this long; an undisturbed gateway has answered by then and a little more.
+/// Most clients wait this long; an undisturbed gateway has answered by then and a little more.
 inline constexpr auto clientDeadline = std::chrono::milliseconds(2500);
 
 /// Versions of the replicas' software; only the first one serves in runs without releases.
@@ -46,6 +46,9 @@
     /// Members whose keys come and go, a store in a process of its own, and processes that are suspended for short and
     /// long.
     bool keys = false;
+    /// Sound replicas that fall silent and go on, changes of the configuration all along and, in every second seed,
+    /// planned stops and reloads of gateways.
+    bool pauses = false;
     /// The processor cores that the processes of the system share; 0 for all.
     std::size_t cores = 0;
 };
@@ -66,6 +69,7 @@
     std::string failure;
     /// The key that it came with; empty for none.
     std::string key;
+    std::chrono::milliseconds deadline = clientDeadline;
 };
 
 /// An attempt of a client to take up a stream.
@@ -133,6 +137,9 @@
         Moment disturbedAt {};
         /// When its way to the store was disturbed.
         std::vector<Moment> storeDisturbances;
+        /// When it was told to stop, and what its processes before this one have logged.
+        std::vector<Moment> stops;
+        std::string earlierLog;
     };
     /// A version as the operator named it.
     struct NamedVersion {
@@ -164,7 +171,8 @@
     auto publish() -> void;
     auto putRow(const std::string& table, const std::string& key, const std::string& value) -> void;
     [[nodiscard]] auto storePort() const -> std::uint16_t;
-    [[nodiscard]] auto listEntry(const Engine& engine) const -> std::string;
+    /// As others reach the replica.
+    [[nodiscard]] auto listEntry(std::size_t replica) const -> std::string;
     auto configure() -> void;
     /// The next version of the configuration.
     [[nodiscard]] auto configuration() -> std::string;
@@ -172,7 +180,7 @@
     // Clients.
     auto client(std::size_t index) -> kj::Promise<void>;
     [[nodiscard]] auto requestFor(const std::string& attempt, const std::string& path, const std::string& adapter,
-        const std::string& body) -> wire::HttpCall;
+        const std::string& body, std::chrono::milliseconds deadline = clientDeadline) -> wire::HttpCall;
     /// Begins streams, leaves some, and takes up each that breaks off.
     auto streamClient() -> kj::Promise<void>;
     auto receive(std::shared_ptr<Stream> stream, std::string attempt, std::size_t gateway)
@@ -190,6 +198,10 @@
     /// Kills a process that runs undisturbed; another one takes its place.
     auto kill(Node& node) -> void;
     auto faultOnNode(Node& node) -> void;
+    auto reload(Node& node) -> void;
+    auto stop(Node& node) -> void;
+    /// How long a process may take to stop.
+    [[nodiscard]] auto grace() const noexcept -> std::chrono::milliseconds { return size_.pauses ? 8s : 4s; }
     auto onStoreLegs(const nlohmann::json& faults) -> void;
     auto faultOnStore() -> void;
     auto faultOnEngine(Engine& engine) -> void;
@@ -212,6 +224,13 @@
     auto suspendNode(Node& node, Duration time) -> void;
     /// The store turns these gateways away for a while, and serves the operator.
     auto turnAway(std::vector<Node*> nodes) -> void;
+    auto faultBesidePauses() -> void;
+    /// Nothing reaches or leaves the replica for this long, then everything does.
+    auto pause(std::size_t replica, Duration time) -> void;
+    auto changeConfiguration() -> kj::Promise<void>;
+    auto vary(nlohmann::json& configuration) -> void;
+    [[nodiscard]] auto drawDeadline(const std::string& path) -> std::chrono::milliseconds;
+    [[nodiscard]] auto leg(std::size_t replica) const -> standins::FaultProxy&;
     /// Takes keys away and adds others.
     auto changeKeys() -> kj::Promise<void>;
     /// A fault of a run that names versions.
@@ -263,6 +282,25 @@
     auto judgeNewestVersions(std::vector<std::string>& broken) -> void;
     /// No run later than the bound after its key was taken away, and most requests with living keys are served.
     auto judgeKeys(std::vector<std::string>& broken) -> void;
+    /// Every request whose replica gave its whole answer in time has it; a pause excuses nothing.
+    auto judgeLost(std::vector<std::string>& broken) -> void;
+    struct LostRun {
+        std::size_t replica = 0;
+        Moment at {};
+        /// When a client that waited had, or would have had, the first event and the whole answer.
+        Moment first {};
+        Moment whole {};
+    };
+    [[nodiscard]] auto runsOfAll() const -> std::map<std::string, std::vector<LostRun>>;
+    /// When what a replica writes at this moment leaves it.
+    [[nodiscard]] auto leaves(std::size_t replica, Moment at) const -> Moment;
+    /// Whether a request that got no whole answer from a gateway should have had one.
+    [[nodiscard]] auto lost(const Call& call, const std::vector<LostRun>& runs, bool arrived) const -> bool;
+    /// The shortest time that routes gave a request in the meantime.
+    [[nodiscard]] auto timeFor(const Call& call) const -> Duration;
+    [[nodiscard]] auto storyOf(const Call& call, const std::vector<LostRun>& runs) const -> std::string;
+    /// What a process has logged about a request.
+    [[nodiscard]] static auto linesOf(const std::string& log, const std::string& attempt) -> std::string;
     /// Every gateway serves a living key of each member, every adapter and every kind of request again.
     auto judgeLivingKeys(std::vector<std::string>& broken) -> void;
     /// Whether a gateway may have missed what a replica told it, or may have forgotten it.
@@ -302,6 +340,13 @@
     Duration latestRemovedKeyRun_ {};
     std::vector<Engine> engines_;
     std::vector<std::unique_ptr<standins::ReplicaStandin>> plain_;
+    /// The ways to the plain replicas in runs with pauses.
+    std::vector<std::unique_ptr<standins::FaultProxy>> plainLegs_;
+    /// When each replica was silent, engines first.
+    std::vector<std::vector<Pause>> silences_;
+    /// The time that routes give a request, from each configuration on.
+    std::vector<std::pair<Moment, Duration>> routeTimes_;
+    bool plannedStops_ = false;
     std::vector<Node> agents_;
     std::vector<Node> gateways_;
     std::vector<Call> calls_;
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -41,6 +41,28 @@
     restart(node, soon(20, 400));
 }
 
+auto Soak::reload(Node& node) -> void
+{
+    note("reload " + node.role);
+    node.process->signal(SIGHUP);
+}
+
+auto Soak::stop(Node& node) -> void
+{
+    note("stop " + node.role);
+    node.stopping = true;
+    node.stops.push_back(loop_.timers().now());
+    node.process->signal(SIGTERM);
+    later(grace() + 500ms, [this, &node] {
+        if (node.process->running())
+            broken_.push_back("a stop took longer than its time: " + node.name);
+        (void)node.process->end(SIGKILL);
+        if (node.process->exitCode() != 0)
+            sayEnded("a stop ended badly", node);
+        restart(node, 10ms);
+    });
+}
+
 auto Soak::faultOnNode(Node& node) -> void
 {
     // One at a time on a process; several processes at once.
@@ -65,20 +87,9 @@
         });
     }
     case 2:
-        note("reload " + node.role);
-        return node.process->signal(SIGHUP);
+        return reload(node);
     default:
-        note("stop " + node.role);
-        node.stopping = true;
-        node.process->signal(SIGTERM);
-        return later(4500ms, [this, &node] {
-            if (node.process->running())
-                broken_.push_back("a stop took longer than its time: " + node.name);
-            (void)node.process->end(SIGKILL);
-            if (node.process->exitCode() != 0)
-                sayEnded("a stop ended badly", node);
-            restart(node, 10ms);
-        });
+        return stop(node);
     }
 }
 
@@ -339,6 +350,8 @@
         return faultBesideReleases();
     if (size_.keys)
         return faultBesideKeys();
+    if (size_.pauses)
+        return faultBesidePauses();
     size_.retries ? faultBesideRetries() : fault();
 }
 
@@ -351,7 +364,9 @@
     for (auto count = 0; count < many; ++count)
         drawFault();
     const auto calmer = size_.namesVersions || size_.releases;
-    const auto pause = size_.retries || size_.keys ? soon(300, 1200) : calmer ? soon(100, 600) : soon(30, 350);
+    const auto pause = size_.retries || size_.keys || size_.pauses ? soon(300, 1200)
+        : calmer                                                   ? soon(100, 600)
+                                                                   : soon(30, 350);
     return loop_.sleep(pause).then([this] { return disturb(); });
 }
 
@@ -371,7 +386,10 @@
     }
     for (const auto& replica : plain_)
         replica->behave(usual_);
-    const auto mended = Json { { "silent", "none" }, { "delay_ms", 0 }, { "refuse", false }, { "cut", true } };
+    const auto mended
+        = Json { { "silent", "none" }, { "delay_ms", 0 }, { "refuse", false }, { "freeze", false }, { "cut", true } };
+    for (const auto& leg : plainLegs_)
+        leg->apply(mended);
     for (auto& engine : engines_) {
         engine.replica->behave(usual_);
         engine.replica->carryOutLost();
--- a/tests/soak/SoakJudge.cpp
+++ b/tests/soak/SoakJudge.cpp
@@ -16,6 +16,8 @@
 namespace names = hosting::names;
 
 constexpr auto silence = Duration(3s);
+// An answer comes by its deadline and this.
+constexpr auto answerSlack = Duration(1125ms);
 // All entries know a limit after this, whatever else is disturbed; the users allow three seconds.
 constexpr auto limitContact = Duration(1s);
 // The users' bound, from the acknowledgement of a version to the last run that begins on an older one.
@@ -38,11 +40,11 @@
     return log.substr(begin, log.find('\n', at) - begin);
 }
 
-/// What a process has logged about a request, unless it has started again since.
-auto linesOf(tests::Process& process, const std::string& attempt) -> std::string
+} // namespace
+
+auto Soak::linesOf(const std::string& log, const std::string& attempt) -> std::string
 {
     auto lines = std::string();
-    const auto log = process.log();
     for (auto at = log.find('"' + attempt + '"'); at != std::string::npos; at = log.find('"' + attempt + '"', at)) {
         const auto begin = log.rfind('\n', at) + 1;
         at = std::min(log.find('\n', at), log.size());
@@ -51,8 +53,6 @@
     return lines;
 }
 
-} // namespace
-
 auto Soak::longestPause(Moment from, Moment until) const -> Duration
 {
     auto longest = Duration(0);
@@ -66,7 +66,7 @@
     const auto say = [&](const std::string& what) {
         broken.push_back(what + ": " + call.attempt + " " + call.path + " status " + std::to_string(call.status)
             + " runs " + std::to_string(runs) + " at " + gateways_[call.gateway].name
-            + linesOf(*gateways_[call.gateway].process, call.attempt));
+            + linesOf(gateways_[call.gateway].earlierLog + gateways_[call.gateway].process->log(), call.attempt));
     };
     if (runs > (repeatable(call) ? 2U : 1U))
         say("ran too often");
@@ -81,7 +81,7 @@
     if (call.status == 200 && !stream && !call.body.starts_with("body-of-plain"))
         say("another answer's body: " + call.body);
     const auto disturbed = gateways_[call.gateway].disturbedAt >= call.began - silence;
-    if (call.status == 0 && call.ended - call.began >= silence + Duration(clientDeadline) / 4 && !disturbed && !calm_) {
+    if (call.status == 0 && call.ended - call.began >= call.deadline + answerSlack && !disturbed && !calm_) {
         say("no answer in time: '" + call.failure + "' after " + millisecondsText(call.ended - call.began)
             + " ms, in which this process took no turn of its loop for "
             + millisecondsText(longestPause(call.began, call.ended)) + " ms");
