Failures at the same time make one pause of a replica

Cause: an entry counts each failed request at a replica, and each failure from the second on doubles the pause, up to 3 s. Ten streams that are given up in the same moment, as after a silence of one second, counted as ten failures in succession, and the entry avoided a sound replica for 3 s.

Change: failures during a pause don't count: those requests were sent before it. A failure after the pause doubles the next one as before.

Test: unit-FailurePauses, failures_at_the_same_time_make_one_short_pause failed before (not usable 400 ms after the first failure); each_failure_after_a_pause_doubles_the_next_one held before and after.

--- a/packages/serving/Replica.cpp
+++ b/packages/serving/Replica.cpp
@@ -63,6 +63,10 @@
 
 auto Replica::failed(Moment now) -> void
 {
+    // Requests that fail during a pause were sent before it. Counted one by one, the streams that a silence of a second
+    // ends at the same time made a pause of three.
+    if (failures_ >= failuresToPause && now < pausedUntil_)
+        return;
     ++failures_;
     if (failures_ < failuresToPause)
         return;
