--- a/standins/ReplicaStandin.cpp
+++ b/standins/ReplicaStandin.cpp
@@ -47,11 +47,33 @@
     , address_(address)
     , instance_(std::move(instance))
     , service_(std::move(service))
-    , server_(timers, address, 0,
-          [this](const Caller& caller, wire::HttpRequestMessage request) { handle(caller, request); })
+    , server_(timers, address, 0, [this](const Caller& caller, wire::HttpRequestMessage request) {
+        unlessPaused([this, caller, request = std::move(request)] { handle(caller, request); });
+    })
 {
 }
 
+auto ReplicaStandin::pauseFor(Duration length) -> void
+{
+    paused_ = true;
+    pauseTimer_ = timers_.after(length, [this] { resume(); });
+}
+
+auto ReplicaStandin::resume() -> void
+{
+    paused_ = false;
+    for (const auto& step : std::exchange(heldSteps_, {}))
+        step();
+}
+
+auto ReplicaStandin::unlessPaused(std::function<void()> step) -> void
+{
+    if (paused_)
+        heldSteps_.push_back(std::move(step));
+    else
+        step();
+}
+
 auto ReplicaStandin::adapterNames() const -> std::vector<std::string>
 {
     auto list = std::vector<std::string>();
@@ -80,6 +102,9 @@
     waitingOrders_.clear();
     running_.clear();
     timersOfRuns_.clear();
+    pauseTimer_.cancel();
+    paused_ = false;
+    heldSteps_.clear();
     sequence_ = 0;
     highestFence_ = 0;
     hasModel_ = false;
@@ -204,7 +229,8 @@
     if (delay == Duration(0))
         return step();
     std::erase_if(timersOfRuns_, [](const Timer& timer) { return !timer.active(); });
-    timersOfRuns_.push_back(timers_.after(delay, std::move(step)));
+    timersOfRuns_.push_back(
+        timers_.after(delay, [this, step = std::move(step)]() mutable { unlessPaused(std::move(step)); }));
 }
 
 auto ReplicaStandin::runEnded(const std::string& adapter, std::uint64_t start) -> void
--- a/standins/ReplicaStandin.h
+++ b/standins/ReplicaStandin.h
@@ -118,6 +118,10 @@
     [[nodiscard]] auto software() const noexcept -> const std::string& { return software_; }
     /// When its current start began.
     [[nodiscard]] auto startedAt() const noexcept -> Moment { return startedAt_; }
+    /// Does nothing for so long, and then goes on where it was: what has reached it meanwhile is handled then, also
+    /// calls whose connections have been closed since.
+    auto pauseFor(Duration length) -> void;
+    [[nodiscard]] auto paused() const noexcept -> bool { return paused_; }
     /// A new start at the same address, also under the same name: empty, born later.
     auto restart(const std::string& instance) -> void;
     /// Carries out the orders whose answers were lost, as far as their conditions still hold; tells how many did.
@@ -150,6 +154,9 @@
     auto writeEvents(Output output) -> void;
     auto end(const Output& output) -> void;
     auto afterwards(Duration delay, std::function<void()> step) -> void;
+    /// Takes the step now, or when the pause is over.
+    auto unlessPaused(std::function<void()> step) -> void;
+    auto resume() -> void;
     /// Whether requests for the adapter run or wait to begin.
     [[nodiscard]] auto runs(const std::string& adapter) const -> bool;
     /// The answer's status. Unloads, loads or replaces the adapter once none of its runs is left.
@@ -191,6 +198,10 @@
     bool crashed_ = false;
     std::size_t cancelled_ = 0;
     std::vector<Timer> timersOfRuns_;
+    bool paused_ = false;
+    Timer pauseTimer_;
+    /// What happened during the pause, in that order.
+    std::vector<std::function<void()>> heldSteps_;
     LoopServer server_;
 };
 
