An agent keeps what it knows of a replica that is only silent

Cause: two reports without an answer (1.05 to 1.3 s) counted as the end of the replica, whatever the reason. The agent forgot its name, adapters, orders under way and breaker. A replica that had only paused was then out of use until a health check, which waits for a place in the batch, had named it again. Entries took the forgotten name for another start, and counted streams that had broken off there within 2 s as crashes.

Change: decisions::ReplicaSilence tells the cases apart. A report without an answer in time: silent, nothing new is granted or ordered, entries hear that it isn't usable (at 0.4 to 0.65 s; before, requests were granted until 1.05 to 1.3 s), all that is known stays. Gone: the second report in succession that fails where the connection is refused or broken or the answer is no report (as before); another instance or a later start; or silence beyond 2.5 s, as it shows at the report limits (3.0 to 3.25 s): longer than a sound pause and than clients wait for an event, shorter than the three heartbeats after which the list drops it. A replica whose report has no start time is forgotten as before, as a restart in its silence could go unnoticed. Queued requests are sent away at the second report as before, now as late here, so that an entry with no other replica may wait for this one while the request can still be in time. A limit that passes while the agent itself doesn't run shows nothing. Reports, health checks and orders: no more than before. SuspectRequests waits 4 s for a crash, since a host that goes dark is noticed later.

Weighed: silent at the second report alone: for 650 ms more requests are granted to a replica that does nothing.

Tests: integration-AgentSilence; on the code before, replica_that_pauses_keeps_its_name_and_its_adapters (name and adapters gone), replica_is_used_again_after_a_pause_without_a_health_check (503), request_that_arrives_while_all_replicas_are_silent_is_served_when_they_go_on (503) and stream_that_broke_off_before_a_pause_is_not_taken_for_a_crash (suspected) failed; the others held before and after. suspended_agent_does_not_take_its_replica_for_silent failed without its condition.

--- a/packages/serving/AgentReports.cpp
+++ b/packages/serving/AgentReports.cpp
@@ -1,5 +1,6 @@
 // The part of ReplicaAgent that acquires the fencing token and reads what the replica says of itself: its report, its
 // name, and in any answer what it asks for.
+#include "base/DurationText.h"
 #include "base/Log.h"
 #include "decisions/Rendezvous.h"
 #include "platform/AnswerHeaders.h"
@@ -12,7 +13,7 @@
 
 namespace {
 
-// The replica runs on this host and answers within a millisecond, so a failed call means that the replica has ended.
+// The replica runs on this host and answers within a millisecond, unless it is silent or has ended.
 constexpr auto reportTimeout = Duration(400ms);
 // While an adapter is loading, the report is read at intervals of an eighth of the time that the load has taken so far,
 // between these bounds, so that requests for the adapter start within one interval of the end of the load. A load from
@@ -30,7 +31,8 @@
 constexpr auto maxReportLag = Duration(500ms);
 constexpr auto fencingRetryDelay = Duration(500ms);
 constexpr auto fencingTable = "epoch";
-constexpr auto failedReportsUntilLost = 2U;
+
+using Failure = decisions::ReplicaSilence::Failure;
 
 } // namespace
 
@@ -89,9 +91,14 @@
     if (resting() || std::exchange(reportInFlight_, true))
         return;
     reportTimer_.cancel();
+    reportAskedAt_ = loop_.timers().now();
     reportWork_ = replica_.call(hosting::reportCall(reportTimeout))
                       .then([this](wire::HttpAnswer&& answer) { handleReport(answer); },
-                          [this](kj::Exception&& error) { handleReportFailure(error.getDescription().cStr()); })
+                          [this](kj::Exception&& error) {
+                              const auto late = error.getType() == kj::Exception::Type::OVERLOADED;
+                              handleReportFailure(
+                                  late ? Failure::NoAnswerInTime : Failure::NoReport, error.getDescription().cStr());
+                          })
                       .eagerlyEvaluate([](kj::Exception&& error) {
                           log::error("reading the report failed", { { "reason", error.getDescription().cStr() } });
                       });
@@ -112,14 +119,14 @@
         });
     if (answer.status != ok || !read) {
         noteAvailability(answer);
-        return handleReportFailure("status " + std::to_string(answer.status));
+        return handleReportFailure(Failure::NoReport, "status " + std::to_string(answer.status));
     }
     if (isFromLaterStart(*read))
         resetReplicaState("started again");
     // The report may be slightly older than the answer to the last order.
     if (report_)
         read->sequence = std::max(read->sequence, report_->sequence);
-    reportFailures_ = 0;
+    noteSilenceEnd();
     if (!report_)
         log::info("replica available", { { "sequence", std::to_string(read->sequence) } });
     report_ = std::move(read);
@@ -162,16 +169,45 @@
     return read.sequence < report_->sequence && loop_.timers().now() - orderCountedAt_ >= maxReportLag;
 }
 
-auto ReplicaAgent::handleReportFailure(const std::string& reason) -> void
+auto ReplicaAgent::handleReportFailure(Failure failure, const std::string& reason) -> void
 {
     reportInFlight_ = false;
-    if (++reportFailures_ == failedReportsUntilLost) {
+    const auto now = loop_.timers().now();
+    // A process that has not run for a while finds the limit passed before it has read the answer.
+    const auto suspended = failure == Failure::NoAnswerInTime && now - reportAskedAt_ > reportTimeout + idleInterval;
+    // Without a start time, a restart during the silence could go unnoticed.
+    if (report_ && report_->startTime == StartTime())
+        failure = Failure::NoReport;
+    if (suspended)
+        log::info("report not read in time", { { "replica", instance_.str() } });
+    else if (silence_.reportFailed(failure, reportAskedAt_, now)) {
         resetReplicaState(reason);
         hooks_.onChange();
-    }
+    } else if (report_ && failure == Failure::NoAnswerInTime)
+        noteSilence(reason);
     reportTimer_ = loop_.timers().after(idleInterval, [this] { requestReport(); });
 }
 
+auto ReplicaAgent::noteSilence(const std::string& reason) -> void
+{
+    log::warn("replica silent",
+        { { "replica", instance_.str() }, { "silent_ms", millisecondsText(silence_.length(loop_.timers().now())) },
+            { "queued", std::to_string(queue_.queued()) }, { "running", std::to_string(queue_.running()) },
+            { "reason", reason } });
+    divertQueued();
+    hooks_.onChange();
+}
+
+auto ReplicaAgent::noteSilenceEnd() -> void
+{
+    const auto length = silence_.length(loop_.timers().now());
+    const auto silent = silence_.silent() && report_;
+    silence_.reported();
+    if (silent)
+        log::info(
+            "replica answers again", { { "replica", instance_.str() }, { "silent_ms", millisecondsText(length) } });
+}
+
 auto ReplicaAgent::identify() -> void
 {
     if (identifying_ || healthPath_.empty() || resting())
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -18,6 +18,7 @@
 constexpr auto demandHalfLife = Duration(15s);
 // Retry delay for requests that are refused because the replica is empty, gone or paused.
 constexpr auto retryDelay = Duration(300ms);
+constexpr auto silentReason = "replica silent";
 constexpr auto defaultLoadTime = Duration(300ms);
 // The moving average of load times gives the newest one a weight of 1/4.
 constexpr auto loadSmoothing = 4;
@@ -136,6 +137,14 @@
         reportDecision(refusal.attempt, { .retryAfter = refusal.retryAfter, .reason = reason });
 }
 
+auto ReplicaAgent::divertQueued() -> void
+{
+    if (!silence_.lasting())
+        return;
+    for (const auto& refusal : queue_.drain(retryDelay))
+        reportDecision(refusal.attempt, { .retryAfter = refusal.retryAfter, .reason = silentReason, .late = true });
+}
+
 /// Sets the state of the slots from the replica's report.
 auto ReplicaAgent::synchronizeSlots() -> void
 {
@@ -204,7 +213,7 @@
 
 auto ReplicaAgent::acceptsRequests() const -> bool
 {
-    return isUsable() && !leaving_ && breaker_.allows(loop_.timers().now());
+    return isUsable() && !silence_.silent() && !leaving_ && breaker_.allows(loop_.timers().now());
 }
 
 auto ReplicaAgent::isUsable() const -> bool { return report_ && report_->hasModel && slots_; }
@@ -238,6 +247,9 @@
         return reportDecision(attempt, { .retryAfter = retryDelay, .reason = "replica not usable" });
     if (leaving_)
         return reportDecision(attempt, { .retryAfter = retryDelay, .reason = "replica leaving" });
+    // Not a refusal for good: the entry may wait for this replica if no other one is free.
+    if (silence_.silent())
+        return reportDecision(attempt, { .retryAfter = retryDelay, .reason = silentReason, .late = true });
     if (!acceptsRequests())
         return reportDecision(attempt, { .retryAfter = retryDelay, .reason = "replica rests after failures" });
     if (!request.adapter.empty())
@@ -324,7 +336,7 @@
     updateLoadTime();
     if (report_ && instance_.empty())
         identify();
-    const auto ordersPaused = leaving_ || resting() || loop_.timers().now() < ordersPausedUntil_;
+    const auto ordersPaused = silence_.silent() || leaving_ || resting() || loop_.timers().now() < ordersPausedUntil_;
     if (!orderInFlight_ && !ordersPaused && fencingState_ == FencingState::Held && report_ && !instance_.empty()) {
         if (auto next = nextOrder())
             sendOrder(std::move(*next));
--- a/packages/serving/ReplicaAgent.h
+++ b/packages/serving/ReplicaAgent.h
@@ -6,6 +6,7 @@
 #include "decisions/KnownPrefixes.h"
 #include "decisions/LoadConcurrency.h"
 #include "decisions/RecentAdapters.h"
+#include "decisions/ReplicaSilence.h"
 #include "decisions/RequestedRest.h"
 #include "platform/Documents.h"
 #include "platform/Store.h"
@@ -90,7 +91,7 @@
 
     /// Whether the replica responds and holds its base model.
     [[nodiscard]] auto isUsable() const -> bool;
-    /// Whether new requests are accepted: the replica is usable, stays, and is not paused after failures.
+    /// Whether new requests are accepted: the replica is usable, answers, stays, and is not paused after failures.
     [[nodiscard]] auto acceptsRequests() const -> bool;
     /// Share of the recent requests that failed or broke off, from 0 to 1.
     [[nodiscard]] auto failureShare() const -> double { return breaker_.failureShare(loop_.timers().now()); }
@@ -135,7 +136,9 @@
     auto applyRest(Duration length, std::string_view source) -> void;
     [[nodiscard]] auto resting() const -> bool { return rest_.resting(loop_.timers().now()); }
     [[nodiscard]] auto firstFencingDelay() const -> Duration;
-    auto handleReportFailure(const std::string& reason) -> void;
+    auto handleReportFailure(decisions::ReplicaSilence::Failure failure, const std::string& reason) -> void;
+    auto noteSilence(const std::string& reason) -> void;
+    auto noteSilenceEnd() -> void;
     /// Asks the replica for its instance name. Each order carries this name, so that an instance with another name that
     /// follows a restart does not accept it.
     auto identify() -> void;
@@ -150,6 +153,8 @@
     auto reportDecision(const AttemptId& attempt, Decision decision) -> void;
     auto recordRunEnd(const AttemptId& attempt, RunEnd end) -> void;
     auto refuseQueued(const std::string& reason) -> void;
+    /// Sends queued requests elsewhere when the replica's silence lasts.
+    auto divertQueued() -> void;
     /// Whether the replica's current start may be this one, as far as it is known.
     [[nodiscard]] auto mayBeCurrentStart(const ReplicaStart& start) const -> bool;
     /// Drops the rate limit if another start has announced it.
@@ -235,7 +240,8 @@
     Timer restTimer_;
     std::optional<hosting::ReplicaReport> report_;
     Moment reportedAt_ {};
-    std::uint32_t reportFailures_ = 0;
+    decisions::ReplicaSilence silence_;
+    Moment reportAskedAt_ {};
     bool reportInFlight_ = false;
     bool orderInFlight_ = false;
     bool runningPendingWork_ = false;
--- a/packages/serving/SuspectRequests.h
+++ b/packages/serving/SuspectRequests.h
@@ -44,8 +44,8 @@
         ReplicaStart start;
         Moment at {};
     };
-    // An agent notices within this time that its replica has crashed.
-    static constexpr auto crashNoticeTime = Duration(2s);
+    // An agent notices within this time that its replica has crashed; one whose host goes dark is silent at first.
+    static constexpr auto crashNoticeTime = Duration(4s);
     static constexpr auto maxUnconfirmed = std::size_t(1000);
 
     auto count(const std::string& digest) -> void;
--- a/tests/unit/HttpCaller.cpp
+++ b/tests/unit/HttpCaller.cpp
@@ -63,3 +63,21 @@
     bed.server.close();
     BOOST_TEST(bed.call("/one") == "failed");
 }
+
+// Guards against taking a peer that only has not answered yet for one that is gone.
+BOOST_AUTO_TEST_CASE(a_call_without_an_answer_is_told_from_one_that_reached_nobody)
+{
+    auto bed = Bed();
+    const auto failure = [&] {
+        return bed.loop.wait(bed.caller.call({ .target = "/one", .timeout = 20ms })
+                                 .then([](HttpAnswer&&) { return std::string("answered"); },
+                                     [](kj::Exception&& error) {
+                                         const auto late = error.getType() == kj::Exception::Type::OVERLOADED;
+                                         return std::string(late ? "no answer" : "not reached");
+                                     }));
+    };
+    bed.silent = true;
+    BOOST_TEST(failure() == "no answer");
+    bed.server.close();
+    BOOST_TEST(failure() == "not reached");
+}
