Requests that wait at a silent replica go elsewhere at the first unanswered report

Cause: requests that wait at the agent of a silent replica learned of it after the second unanswered report only, and were late wherever they went then.

Change: at the first one, those that another replica may still serve in time are sent away as late here. A request that is late anyway keeps its place until the second one, when all are sent away, as before.

--- a/packages/decisions/AdmissionQueue.cpp
+++ b/packages/decisions/AdmissionQueue.cpp
@@ -199,6 +199,18 @@
     return refused;
 }
 
+auto AdmissionQueue::divert(Duration retryAfter, Moment now) -> std::vector<AdmissionRefusal>
+{
+    auto refused = std::vector<AdmissionRefusal>();
+    std::erase_if(waiting_, [&](const AdmissionRequest& request) {
+        if (!request.elsewhere || now >= request.firstEventDeadline)
+            return false;
+        refused.push_back({ request.attempt, retryAfter, true });
+        return true;
+    });
+    return refused;
+}
+
 auto AdmissionQueue::drain(Duration retryAfter) -> std::vector<AdmissionRefusal>
 {
     auto refused = std::vector<AdmissionRefusal>();
--- a/packages/decisions/AdmissionQueue.h
+++ b/packages/decisions/AdmissionQueue.h
@@ -136,6 +136,9 @@
         -> std::vector<AdmissionRequest>;
     /// Removes and refuses the requests that cannot start before their callers leave.
     [[nodiscard]] auto expire(const Ready& ready, Moment now) -> std::vector<AdmissionRefusal>;
+    /// Removes and refuses, with `late`, the requests that another replica may still serve in time; the others lose
+    /// nothing by waiting.
+    [[nodiscard]] auto divert(Duration retryAfter, Moment now) -> std::vector<AdmissionRefusal>;
     /// Removes and refuses all requests, for example when the replica is gone.
     [[nodiscard]] auto drain(Duration retryAfter) -> std::vector<AdmissionRefusal>;
 
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -139,9 +139,9 @@
 
 auto ReplicaAgent::divertQueued() -> void
 {
-    if (!silence_.lasting())
-        return;
-    for (const auto& refusal : queue_.drain(retryDelay))
+    const auto diverted
+        = silence_.lasting() ? queue_.drain(retryDelay) : queue_.divert(retryDelay, loop_.timers().now());
+    for (const auto& refusal : diverted)
         reportDecision(refusal.attempt, { .retryAfter = refusal.retryAfter, .reason = silentReason, .late = true });
 }
 
--- a/packages/serving/ReplicaAgent.h
+++ b/packages/serving/ReplicaAgent.h
@@ -153,7 +153,7 @@
     auto reportDecision(const AttemptId& attempt, Decision decision) -> void;
     auto recordRunEnd(const AttemptId& attempt, RunEnd end) -> void;
     auto refuseQueued(const std::string& reason) -> void;
-    /// Sends queued requests elsewhere when the replica's silence lasts.
+    /// Sends queued requests elsewhere while the replica is silent, first those that another replica may serve in time.
     auto divertQueued() -> void;
     /// Whether the replica's current start may be this one, as far as it is known.
     [[nodiscard]] auto mayBeCurrentStart(const ReplicaStart& start) const -> bool;
--- a/tests/integration/AgentSilence.cpp
+++ b/tests/integration/AgentSilence.cpp
@@ -90,6 +90,20 @@
     BOOST_TEST(world.until(usable(world, 0)));
 }
 
+// Guards against requests that wait for their adapter at a silent replica until they are late.
+BOOST_AUTO_TEST_CASE(requests_that_wait_at_a_silent_replica_go_elsewhere)
+{
+    auto world = ServingWorld(2, 0);
+    world.startGateway();
+    world.engine(0).pauseFor(60s);
+    auto waiting = std::vector<kj::Promise<wire::HttpAnswer>>();
+    for (const auto* adapter : { "a1", "a2", "a3", "a4" })
+        waiting.push_back(world.begin({ .attempt = adapter, .adapter = adapter }));
+    for (auto& answer : waiting)
+        BOOST_TEST(world.loop().wait(kj::mv(answer)).status == 200);
+    BOOST_TEST(world.engine(1).runs().size() == 4U);
+}
+
 // Guards against a load that is ordered twice because the replica paused before it answered the order.
 BOOST_AUTO_TEST_CASE(order_that_a_pause_delays_is_not_repeated)
 {
--- a/tests/unit/AdmissionQueue.cpp
+++ b/tests/unit/AdmissionQueue.cpp
@@ -198,3 +198,21 @@
     BOOST_REQUIRE(wanted.size() == 2U);
     BOOST_TEST(wanted[0].adapter.str() == "b");
 }
+
+// Guards against keeping requests at a replica that is silent while another one could still serve them in time. A
+// request that is late anyway, or that no other replica takes, keeps its place.
+BOOST_AUTO_TEST_CASE(only_requests_that_may_be_in_time_elsewhere_are_diverted)
+{
+    auto queue = AdmissionQueue();
+    auto movable = requestOf("movable", 100, 800ms, 4s);
+    movable.elsewhere = true;
+    auto late = requestOf("late", 100, 200ms, 4s);
+    late.elsewhere = true;
+    for (const auto& request : { movable, late, requestOf("nowhere else", 100, 800ms, 4s) })
+        BOOST_TEST(!queue.offer(request, always, {}, {}).has_value());
+    const auto diverted = queue.divert(300ms, Moment(400ms));
+    BOOST_REQUIRE(diverted.size() == 1U);
+    BOOST_TEST(diverted.front().attempt.str() == "movable");
+    BOOST_TEST(diverted.front().late);
+    BOOST_TEST(queue.queued() == 2U);
+}
