A silent replica that names no time of birth is kept too

Change: they are kept as well. A new start is told by its lower count of orders, as between any two reports, and after two unanswered reports the agent asks the health check for the name again, while the replica is in use: as many health checks as when the replica was forgotten. Another name ends what is known.

Tests: replica_without_a_time_of_birth_is_used_again_after_a_pause, another_instance_after_a_silence_is_noticed_without_a_time_of_birth.

--- a/packages/serving/AgentReports.cpp
+++ b/packages/serving/AgentReports.cpp
@@ -126,6 +126,8 @@
     // The report may be slightly older than the answer to the last order.
     if (report_)
         read->sequence = std::max(read->sequence, report_->sequence);
+    // Without a start time, the report does not show that another instance has taken the replica's place meanwhile.
+    nameUncertain_ = nameUncertain_ || (report_ && silence_.lasting() && read->startTime == StartTime());
     noteSilenceEnd();
     if (!report_)
         log::info("replica available", { { "sequence", std::to_string(read->sequence) } });
@@ -175,9 +177,6 @@
     const auto now = loop_.timers().now();
     // A process that has not run for a while finds the limit passed before it has read the answer.
     const auto suspended = failure == Failure::NoAnswerInTime && now - reportAskedAt_ > reportTimeout + idleInterval;
-    // Without a start time, a restart during the silence could go unnoticed.
-    if (report_ && report_->startTime == StartTime())
-        failure = Failure::NoReport;
     if (suspended)
         log::info("report not read in time", { { "replica", instance_.str() } });
     else if (silence_.reportFailed(failure, reportAskedAt_, now)) {
@@ -217,13 +216,23 @@
                         .then(
                             [this](wire::HttpAnswer&& answer) {
                                 noteAvailability(answer);
-                                instance_ = hosting::answeredBy(answer);
-                                identified(instance_.empty() ? "status " + std::to_string(answer.status) : "");
+                                const auto name = hosting::answeredBy(answer);
+                                if (!name.empty())
+                                    applyName(name);
+                                identified(name.empty() ? "status " + std::to_string(answer.status) : "");
                             },
                             [this](kj::Exception&& error) { identified(error.getDescription().cStr()); })
                         .eagerlyEvaluate(nullptr);
 }
 
+auto ReplicaAgent::applyName(const InstanceId& name) -> void
+{
+    if (!instance_.empty() && instance_ != name)
+        resetReplicaState("another instance");
+    instance_ = name;
+    nameUncertain_ = false;
+}
+
 /// Continues from a timer, because asking again from here would replace the promise that is running this function.
 auto ReplicaAgent::identified(const std::string& failure) -> void
 {
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -77,6 +77,7 @@
     ++replicaLosses_;
     report_.reset();
     instance_ = {};
+    nameUncertain_ = false;
     prompts_.clear();
     pendingUnloads_.clear();
     pendingReplacements_.clear();
@@ -334,7 +335,7 @@
     scheduleNextPermit();
     updateWantedAdapters();
     updateLoadTime();
-    if (report_ && instance_.empty())
+    if (report_ && (instance_.empty() || nameUncertain_))
         identify();
     const auto ordersPaused = silence_.silent() || leaving_ || resting() || loop_.timers().now() < ordersPausedUntil_;
     if (!orderInFlight_ && !ordersPaused && fencingState_ == FencingState::Held && report_ && !instance_.empty()) {
--- a/packages/serving/ReplicaAgent.h
+++ b/packages/serving/ReplicaAgent.h
@@ -143,6 +143,7 @@
     /// follows a restart does not accept it.
     auto identify() -> void;
     auto identified(const std::string& failure) -> void;
+    auto applyName(const InstanceId& name) -> void;
     auto resetReplicaState(std::string_view reason) -> void;
     auto synchronizeSlots() -> void;
 
@@ -232,6 +233,8 @@
     /// Number of times that this process has seen a start of the replica end.
     std::uint64_t replicaLosses_ = 0;
     InstanceId instance_;
+    /// The replica may have ended in a silence, and another instance may answer.
+    bool nameUncertain_ = false;
     /// The start whose rate limit is in the queue.
     ReplicaStart rateLimitOf_;
     bool leaving_ = false;
--- a/standins/ReplicaStandin.cpp
+++ b/standins/ReplicaStandin.cpp
@@ -88,7 +88,9 @@
     if (hasModel_)
         models.push_back({ { "name", base }, { "version", 1 }, { "adapters", adapterNames() } });
     auto entry = Json { { "service", service_ }, { "address", endpoint().str() }, { "zone", "zone-1" }, { "slots", 8 },
-        { "state", state }, { "models", models }, { "sequence", sequence_ }, { "born", born_ } };
+        { "state", state }, { "models", models }, { "sequence", sequence_ } };
+    if (tellsBirth_)
+        entry["born"] = born_;
     if (!software_.empty())
         entry["version"] = software_;
     return entry.dump();
@@ -153,10 +155,11 @@
     auto models = Json::array();
     if (hasModel_)
         models.push_back({ { "name", base }, { "version", 1 }, { "adapters", adapterNames() } });
-    respond(caller, { .status = 200 },
-        Json { { "models", models }, { "busy", false }, { "sequence", sequence_ }, { "born", born_ }, { "queued", 0 },
-            { "running", 0 }, { "kvUsed", 0 } }
-            .dump());
+    auto report = Json { { "models", models }, { "busy", false }, { "sequence", sequence_ }, { "queued", 0 },
+        { "running", 0 }, { "kvUsed", 0 } };
+    if (tellsBirth_)
+        report["born"] = born_;
+    respond(caller, { .status = 200 }, report.dump());
 }
 
 auto ReplicaStandin::order(const Caller& caller, const wire::HttpRequestMessage& request) -> void
--- a/standins/ReplicaStandin.h
+++ b/standins/ReplicaStandin.h
@@ -122,6 +122,8 @@
     /// calls whose connections have been closed since.
     auto pauseFor(Duration length) -> void;
     [[nodiscard]] auto paused() const noexcept -> bool { return paused_; }
+    /// Names no time of birth from now on.
+    auto hideBirth() -> void { tellsBirth_ = false; }
     /// A new start at the same address, also under the same name: empty, born later.
     auto restart(const std::string& instance) -> void;
     /// Carries out the orders whose answers were lost, as far as their conditions still hold; tells how many did.
@@ -198,6 +200,7 @@
     bool crashed_ = false;
     std::size_t cancelled_ = 0;
     std::vector<Timer> timersOfRuns_;
+    bool tellsBirth_ = true;
     bool paused_ = false;
     Timer pauseTimer_;
     /// What happened during the pause, in that order.
--- a/tests/integration/AgentSilence.cpp
+++ b/tests/integration/AgentSilence.cpp
@@ -75,6 +75,46 @@
     BOOST_TEST(world.ask({ .attempt = "after" }).status == 200);
 }
 
+// The same for a replica that names no time of birth.
+BOOST_AUTO_TEST_CASE(replica_without_a_time_of_birth_is_used_again_after_a_pause)
+{
+    auto world = ServingWorld(1, 0);
+    world.engine(0).hideBirth();
+    world.publishReplicas();
+    world.startGateway();
+    BOOST_TEST(world.ask({ .attempt = "before" }).status == 200);
+    // A report without a time of birth has been read by then.
+    world.wait(600ms);
+    world.engine(0).behave({ .unhealthy = true });
+    auto forgotten = 0;
+    pauseOf(world, 0, 2s, [&] { forgotten += holds(world, 0, "a1") ? 0 : 1; });
+    BOOST_TEST(forgotten == 0);
+    BOOST_TEST(world.until(usable(world, 0)));
+    BOOST_TEST(world.ask({ .attempt = "after" }).status == 200);
+}
+
+// Guards against keeping the name of a replica in whose place another instance answers after a silence.
+BOOST_AUTO_TEST_CASE(another_instance_after_a_silence_is_noticed_without_a_time_of_birth)
+{
+    auto world = ServingWorld(1, 0);
+    world.engine(0).hideBirth();
+    world.publishReplicas();
+    world.startGateway();
+    BOOST_REQUIRE(world.until([&] { return identified(world, 0); }));
+    world.wait(600ms);
+    world.engine(0).pauseFor(60s);
+    BOOST_REQUIRE(world.until([&] { return !stateOf(world, 0).usable; }));
+    world.wait(900ms);
+    world.engine(0).restart("engine-0b");
+    world.publishReplicas();
+    const auto& replicas = world.gateway().directory().all();
+    BOOST_TEST(world.until([&] {
+        const auto found = replicas.find(serving::InstanceId("engine-0b"));
+        return found != replicas.end() && found->second->agent()
+            && found->second->agent()->state().start.instance.str() == "engine-0b";
+    }));
+}
+
 // Guards against requests that are sent to a silent replica although another one is free.
 BOOST_AUTO_TEST_CASE(requests_go_to_another_replica_while_one_is_silent)
 {
