--- a/standins/ReplicaStandin.cpp
+++ b/standins/ReplicaStandin.cpp
@@ -47,11 +47,33 @@
     , address_(address)
     , instance_(std::move(instance))
     , service_(std::move(service))
-    , server_(timers, address, 0,
-          [this](const Caller& caller, wire::HttpRequestMessage request) { handle(caller, request); })
+    , server_(timers, address, 0, [this](const Caller& caller, wire::HttpRequestMessage request) {
+        unlessPaused([this, caller, request = std::move(request)] { handle(caller, request); });
+    })
 {
 }
 
+auto ReplicaStandin::pauseFor(Duration length) -> void
+{
+    paused_ = true;
+    pauseTimer_ = timers_.after(length, [this] { resume(); });
+}
+
+auto ReplicaStandin::resume() -> void
+{
+    paused_ = false;
+    for (const auto& step : std::exchange(heldSteps_, {}))
+        step();
+}
+
+auto ReplicaStandin::unlessPaused(std::function<void()> step) -> void
+{
+    if (paused_)
+        heldSteps_.push_back(std::move(step));
+    else
+        step();
+}
+
 auto ReplicaStandin::adapterNames() const -> std::vector<std::string>
 {
     auto list = std::vector<std::string>();
@@ -66,7 +88,9 @@
     if (hasModel_)
         models.push_back({ { "name", base }, { "version", 1 }, { "adapters", adapterNames() } });
     auto entry = Json { { "service", service_ }, { "address", endpoint().str() }, { "zone", "zone-1" }, { "slots", 8 },
-        { "state", state }, { "models", models }, { "sequence", sequence_ }, { "born", born_ } };
+        { "state", state }, { "models", models }, { "sequence", sequence_ } };
+    if (tellsBirth_)
+        entry["born"] = born_;
     if (!software_.empty())
         entry["version"] = software_;
     return entry.dump();
@@ -80,6 +104,9 @@
     waitingOrders_.clear();
     running_.clear();
     timersOfRuns_.clear();
+    pauseTimer_.cancel();
+    paused_ = false;
+    heldSteps_.clear();
     sequence_ = 0;
     highestFence_ = 0;
     hasModel_ = false;
@@ -128,10 +155,11 @@
     auto models = Json::array();
     if (hasModel_)
         models.push_back({ { "name", base }, { "version", 1 }, { "adapters", adapterNames() } });
-    respond(caller, { .status = 200 },
-        Json { { "models", models }, { "busy", false }, { "sequence", sequence_ }, { "born", born_ }, { "queued", 0 },
-            { "running", 0 }, { "kvUsed", 0 } }
-            .dump());
+    auto report = Json { { "models", models }, { "busy", false }, { "sequence", sequence_ }, { "queued", 0 },
+        { "running", 0 }, { "kvUsed", 0 } };
+    if (tellsBirth_)
+        report["born"] = born_;
+    respond(caller, { .status = 200 }, report.dump());
 }
 
 auto ReplicaStandin::order(const Caller& caller, const wire::HttpRequestMessage& request) -> void
@@ -204,7 +232,8 @@
     if (delay == Duration(0))
         return step();
     std::erase_if(timersOfRuns_, [](const Timer& timer) { return !timer.active(); });
-    timersOfRuns_.push_back(timers_.after(delay, std::move(step)));
+    timersOfRuns_.push_back(
+        timers_.after(delay, [this, step = std::move(step)]() mutable { unlessPaused(std::move(step)); }));
 }
 
 auto ReplicaStandin::runEnded(const std::string& adapter, std::uint64_t start) -> void
