The end of an answer that its client takes slowly is not cut off

A client's connection counted as idle from the moment at which the last byte of its answer was handed to the connection, and a last answer (stop, Connection: close) had one second from there. Bytes that the client had not taken by then were dropped with the connection: the answer broke off within its last part, without a line that said so before.

The idle limit and the time to linger now begin when everything is sent.

--- a/packages/serving/CallerConnection.cpp
+++ b/packages/serving/CallerConnection.cpp
@@ -42,11 +42,7 @@
     const auto self = shared_from_this();
     connection_.setHandlers({ .onData = [this] { received(); },
         .onEnd = [this](wire::StreamEnd) { ended(); },
-        .onDrained =
-            [this] {
-                if (const auto callback = watcher_.onDrained)
-                    callback();
-            } });
+        .onDrained = [this] { drained(); } });
     armIdle();
     connection_.start();
 }
@@ -62,6 +58,17 @@
     timer_ = timers_.after(limits_.idleTime, [this] { close("idle limit"); });
 }
 
+auto CallerConnection::drained() -> void
+{
+    const auto self = shared_from_this();
+    if (const auto callback = watcher_.onDrained)
+        return callback();
+    if (lingering_)
+        armLinger();
+    else if (!requestOpen_ && !reading_)
+        armIdle();
+}
+
 auto CallerConnection::received() -> void
 {
     const auto self = shared_from_this();
@@ -207,7 +214,9 @@
     // now is not read, and the close tells the client so.
     if (!keepAlive_ || closing_)
         return linger();
-    armIdle();
+    // A client that takes its answer slowly is not idle: the limit counts from the end of the answer.
+    if (connection_.backlog() == 0)
+        armIdle();
     connection_.resumeReading();
     if (!closed_ && !connection_.input().empty())
         received();
@@ -216,9 +225,16 @@
 auto CallerConnection::linger() -> void
 {
     lingering_ = true;
+    timer_.cancel();
     connection_.input().clear();
     connection_.finishWriting();
     connection_.resumeReading();
+    if (connection_.backlog() == 0)
+        armLinger();
+}
+
+auto CallerConnection::armLinger() -> void
+{
     timer_ = timers_.after(lingerTime, [this] { close("closed after its last answer"); });
 }
 
--- a/packages/serving/CallerConnection.h
+++ b/packages/serving/CallerConnection.h
@@ -71,10 +71,13 @@
     auto noteMisuse() -> void;
 
     auto received() -> void;
+    auto drained() -> void;
     auto refuse(wire::HttpFault fault) -> void;
     auto reject(int status) -> void;
     auto onAnswered() -> void;
+    /// Closes the connection once the client has had time to take everything that is sent.
     auto linger() -> void;
+    auto armLinger() -> void;
     auto ended() -> void;
     auto close(std::string_view why) -> void;
     /// Logs a connection that ends with a request on it that is not completely read or not answered.
--- a/tests/harness/RawCaller.h
+++ b/tests/harness/RawCaller.h
@@ -28,6 +28,10 @@
     auto receiveUntil(std::string_view text) -> const std::string&;
     /// Everything up to the end of the connection.
     auto receiveAll() -> const std::string&;
+    /// Waits for bytes; false at the end of the connection.
+    auto receiveSome() -> bool { return receive(); }
+    /// Everything received so far.
+    [[nodiscard]] auto received() const noexcept -> const std::string& { return received_; }
     /// Whether bytes or the end of the connection can be received without waiting.
     [[nodiscard]] auto readable() const -> bool;
     auto hangUp() -> void;
