A limit on a client's time counts only after reading what has come

When the idle limit or the limit on a head's time passed, the connection was closed or refused with 408 at once, though what it waited for could lie in its socket: an entry that has had no processor time for a while runs its timers and its sockets in one turn. closeIfIdle has always read first; the two limits now do too.

Tests: three cases of integration-ClientConnections failed before (a whole request, the rest of a body, the rest of a head); they run the timers first. In which order a process that was suspended runs them is not shown by them.

--- a/packages/serving/CallerConnection.cpp
+++ b/packages/serving/CallerConnection.cpp
@@ -55,7 +55,21 @@
 
 auto CallerConnection::armIdle() -> void
 {
-    timer_ = timers_.after(limits_.idleTime, [this] { close("idle limit"); });
+    timer_ = timers_.after(limits_.idleTime, [this] {
+        if (clientIsLate())
+            close("idle limit");
+    });
+}
+
+/// Called when a limit on the client's time has passed. A process that had no processor time may not have read yet what
+/// came in time.
+auto CallerConnection::clientIsLate() -> bool
+{
+    const auto self = shared_from_this();
+    timer_.cancel();
+    connection_.start();
+    // What was read has started another limit, or completed a request.
+    return !closed_ && !requestOpen_ && !lingering_ && !timer_.active();
 }
 
 auto CallerConnection::drained() -> void
@@ -84,7 +98,10 @@
     if (!reading_ && !connection_.input().empty()) {
         reading_ = true;
         requestBegan_ = timers_.now();
-        timer_ = timers_.after(limits_.headerTime, [this] { reject(requestTimeout); });
+        timer_ = timers_.after(limits_.headerTime, [this] {
+            if (clientIsLate())
+                reject(requestTimeout);
+        });
     }
     const auto fault = reader_.feed(connection_.input());
     if (fault != wire::HttpFault::None)
--- a/packages/serving/CallerConnection.h
+++ b/packages/serving/CallerConnection.h
@@ -72,6 +72,8 @@
 
     auto received() -> void;
     auto drained() -> void;
+    /// Whether the client has sent too little within a limit, also after reading what has come.
+    [[nodiscard]] auto clientIsLate() -> bool;
     auto refuse(wire::HttpFault fault) -> void;
     auto reject(int status) -> void;
     auto onAnswered() -> void;
--- a/tests/integration/ClientConnections.cpp
+++ b/tests/integration/ClientConnections.cpp
@@ -138,6 +138,42 @@
     client.takeUntil([&] { return client.caller.received().size() > largeAnswer; });
 }
 
+// Guards against a request that is not read because its connection reaches the idle limit while the entry has no
+// processor time.
+BOOST_AUTO_TEST_CASE(a_request_that_waits_to_be_read_at_the_idle_limit_is_read)
+{
+    auto client = Client();
+    BOOST_REQUIRE(client.caller.send(aRequest));
+    client.pass(idleTime);
+    BOOST_REQUIRE(client.exchanges.size() == 1U);
+    client.answerRest();
+}
+
+// The same for the rest of a body, whose pauses the idle limit bounds.
+BOOST_AUTO_TEST_CASE(a_body_whose_rest_waits_to_be_read_at_the_idle_limit_is_read)
+{
+    auto client = Client();
+    BOOST_REQUIRE(client.caller.send(headOfABody));
+    BOOST_REQUIRE(client.caller.send("12345"));
+    client.turn();
+    BOOST_REQUIRE(client.caller.send("67890"));
+    client.pass(idleTime);
+    BOOST_REQUIRE(client.exchanges.size() == 1U);
+    client.answerRest();
+}
+
+// Guards against a 408 for a head whose rest had come in time.
+BOOST_AUTO_TEST_CASE(a_head_whose_rest_waits_to_be_read_at_its_limit_is_read)
+{
+    auto client = Client();
+    BOOST_REQUIRE(client.caller.send("GET /one HTTP/1.1\r\nHo"));
+    client.turn();
+    BOOST_REQUIRE(client.caller.send("st: h\r\n\r\n"));
+    client.pass(headerTime);
+    BOOST_REQUIRE(client.exchanges.size() == 1U);
+    client.answerRest();
+}
+
 BOOST_AUTO_TEST_CASE(a_head_that_does_not_come_is_refused_at_its_limit)
 {
     auto client = Client();
