A raised limit on a client's time applies to the wait that has begun

A connection that was idle, or in the middle of a head, when the configuration raised the limit was ended by the limit with which its timer had been armed, while its client went by the new one: clients use connections again that have been idle for up to four fifths of the limit in force. A request sent then crossed the close, and a head that took longer got a 408. The timer is now set anew. A limit that is lowered applies from the next request on, as before: the client may not have heard of it.

Tests: two cases of integration-ClientConnections failed before (raised idle limit, raised limit on a head's time); the lowered one passed.

--- a/packages/serving/CallerConnection.cpp
+++ b/packages/serving/CallerConnection.cpp
@@ -43,7 +43,7 @@
     connection_.setHandlers({ .onData = [this] { received(); },
         .onEnd = [this](wire::StreamEnd) { ended(); },
         .onDrained = [this] { drained(); } });
-    armIdle();
+    armLimit(&CallerLimits::idleTime);
     connection_.start();
 }
 
@@ -51,21 +51,41 @@
 {
     limits_ = limits;
     reader_.setLimits(limits.http);
+    // A lower limit applies from the next request on: the client may not have heard of it yet.
+    if (lingering_ || !timer_.active() || limits_.*timeLimit_ <= timeAllowed_)
+        return;
+    timeAllowed_ = limits_.*timeLimit_;
+    scheduleLimit();
+}
+
+auto CallerConnection::armLimit(TimeLimit limit) -> void
+{
+    timeLimit_ = limit;
+    timeAllowed_ = limits_.*limit;
+    limitBegan_ = timers_.now();
+    scheduleLimit();
+}
+
+auto CallerConnection::scheduleLimit() -> void
+{
+    timer_ = timers_.after(limitBegan_ + timeAllowed_ - timers_.now(), [this] { onLimit(); });
 }
 
-auto CallerConnection::armIdle() -> void
+auto CallerConnection::onLimit() -> void
 {
-    timer_ = timers_.after(limits_.idleTime, [this] {
-        if (clientIsLate())
-            close("idle limit");
-    });
+    const auto self = shared_from_this();
+    if (!clientIsLate())
+        return;
+    if (timeLimit_ == &CallerLimits::headerTime)
+        reject(requestTimeout);
+    else
+        close("idle limit");
 }
 
 /// Called when a limit on the client's time has passed. A process that had no processor time may not have read yet what
 /// came in time.
 auto CallerConnection::clientIsLate() -> bool
 {
-    const auto self = shared_from_this();
     timer_.cancel();
     connection_.start();
     // What was read has started another limit, or completed a request.
@@ -80,7 +100,7 @@
     if (lingering_)
         armLinger();
     else if (!requestOpen_ && !reading_)
-        armIdle();
+        armLimit(&CallerLimits::idleTime);
 }
 
 auto CallerConnection::received() -> void
@@ -98,10 +118,7 @@
     if (!reading_ && !connection_.input().empty()) {
         reading_ = true;
         requestBegan_ = timers_.now();
-        timer_ = timers_.after(limits_.headerTime, [this] {
-            if (clientIsLate())
-                reject(requestTimeout);
-        });
+        armLimit(&CallerLimits::headerTime);
     }
     const auto fault = reader_.feed(connection_.input());
     if (fault != wire::HttpFault::None)
@@ -110,7 +127,7 @@
         connection_.write("HTTP/1.1 100 Continue\r\n\r\n");
     // The idle limit applies to the pauses within a body, counted from its last byte.
     if (reader_.headComplete() && !reader_.complete())
-        armIdle();
+        armLimit(&CallerLimits::idleTime);
     if (!reader_.complete())
         return;
     timer_.cancel();
@@ -233,7 +250,7 @@
         return linger();
     // A client that takes its answer slowly is not idle: the limit counts from the end of the answer.
     if (connection_.backlog() == 0)
-        armIdle();
+        armLimit(&CallerLimits::idleTime);
     connection_.resumeReading();
     if (!closed_ && !connection_.input().empty())
         received();
--- a/packages/serving/CallerConnection.h
+++ b/packages/serving/CallerConnection.h
@@ -46,7 +46,8 @@
     CallerConnection(TimerService& timers, wire::ObjectPtr<GSocket> socket, const CallerLimits& limits, Hooks hooks);
     /// Starts to read. Separate from the constructor, because the first request may be answered at once.
     auto start() -> void;
-    /// Sets the limits that apply from the next request on.
+    /// Sets the limits that apply from the next request on. A limit on the client's time that is raised applies at
+    /// once.
     auto setLimits(const CallerLimits& limits) -> void;
     /// Closes the connection after its next answer, which announces the close.
     auto closeSoon() -> void;
@@ -84,7 +85,11 @@
     auto close(std::string_view why) -> void;
     /// Logs a connection that ends with a request on it that is not completely read or not answered.
     auto noteRequestLost(std::string_view why) const -> void;
-    auto armIdle() -> void;
+    /// A limit on the time that the client may take.
+    using TimeLimit = milliseconds CallerLimits::*;
+    auto armLimit(TimeLimit limit) -> void;
+    auto scheduleLimit() -> void;
+    auto onLimit() -> void;
     auto addFraming(wire::HttpResponseHead& head) -> void;
 
     TimerService& timers_;
@@ -97,6 +102,10 @@
     /// Number of the exchange that may write; 0 if none.
     ExchangeNumber currentExchange_ = 0;
     Timer timer_;
+    /// The limit that `timer_` watches over, unless the connection lingers: what it allows, and since when.
+    TimeLimit timeLimit_ = &CallerLimits::idleTime;
+    Duration timeAllowed_ {};
+    Moment limitBegan_ {};
     Moment openedAt_;
     Moment requestBegan_ {};
     bool requestOpen_ = false;
--- a/tests/integration/ClientConnections.cpp
+++ b/tests/integration/ClientConnections.cpp
@@ -194,6 +194,23 @@
     BOOST_TEST(client.closed);
 }
 
+// Guards against a connection that is closed by the limit that was in force when it became idle, while its client goes
+// by the one that is in force now.
+BOOST_AUTO_TEST_CASE(a_raised_idle_limit_applies_to_idle_connections)
+{
+    auto client = Client();
+    client.ask();
+    client.answerRest();
+    client.pass(idleTime / 2);
+    client.connection->setLimits(limitsWith(2 * idleTime));
+    client.pass(idleTime);
+    BOOST_REQUIRE(!client.closed);
+    client.ask();
+    client.answerRest();
+    client.pass(2 * idleTime);
+    BOOST_TEST(client.closed);
+}
+
 // The client may not have heard of the lower limit.
 BOOST_AUTO_TEST_CASE(a_lowered_idle_limit_applies_from_the_next_request_on)
 {
@@ -209,6 +226,20 @@
     BOOST_TEST(client.closed);
 }
 
+// Guards against a 408 by the limit that was in force when the head began.
+BOOST_AUTO_TEST_CASE(a_raised_limit_on_a_heads_time_applies_to_a_head_that_has_begun)
+{
+    auto client = Client();
+    BOOST_REQUIRE(client.caller.send("GET /one HTTP/1.1\r\nHo"));
+    client.turn();
+    client.connection->setLimits(limitsWith(idleTime, 2 * headerTime));
+    client.pass(headerTime);
+    BOOST_REQUIRE(client.caller.send("st: h\r\n\r\n"));
+    client.until([&] { return client.exchanges.size() == 1U || client.caller.readable(); });
+    BOOST_REQUIRE(client.exchanges.size() == 1U);
+    client.answerRest();
+}
+
 // Guards against a 413 for a request within the limits under which it was begun.
 BOOST_AUTO_TEST_CASE(a_lowered_limit_on_bodies_applies_from_the_next_request_on)
 {
