A head is measured by the limit under which it was begun

A head of which a line was still incomplete was measured by the limit of the latest configuration, and refused with 431 in the middle, when maxHeaderBytes was lowered below what had come. Body and complete lines were measured by the limit in force when the request began.

Tests: a case of integration-ClientConnections failed before; the same for a body passed.

--- a/packages/wire/HttpReader.cpp
+++ b/packages/wire/HttpReader.cpp
@@ -116,7 +116,18 @@
 
 } // namespace
 
-class RequestReader::Parser : public MessageParser<true> { };
+class RequestReader::Parser : public MessageParser<true> {
+public:
+    explicit Parser(const HttpLimits& limits)
+        : headerBytes_(limits.headerBytes)
+    {
+        header_limit(limits.headerBytes);
+        body_limit(limits.bodyBytes);
+    }
+
+    /// The limit in force when the request began.
+    std::uint32_t headerBytes_;
+};
 
 RequestReader::RequestReader(HttpLimits limits)
     : limits_(limits)
@@ -128,9 +139,7 @@
 
 auto RequestReader::restart() -> void
 {
-    parser_ = std::make_unique<Parser>();
-    parser_->header_limit(limits_.headerBytes);
-    parser_->body_limit(limits_.bodyBytes);
+    parser_ = std::make_unique<Parser>(limits_);
     begun_ = false;
 }
 
@@ -148,7 +157,7 @@
     }
     const auto fault = parser_->putAll(input);
     // A head without end: the parser waits for a whole line, so the bytes that it has not taken count too.
-    if (fault == HttpFault::None && !parser_->is_header_done() && input.size() > limits_.headerBytes)
+    if (fault == HttpFault::None && !parser_->is_header_done() && input.size() > parser_->headerBytes_)
         return HttpFault::HeaderTooLarge;
     return fault;
 }
--- a/tests/integration/ClientConnections.cpp
+++ b/tests/integration/ClientConnections.cpp
@@ -240,6 +240,26 @@
     client.answerRest();
 }
 
+// Guards against a 431 for a request within the limits under which it was begun.
+BOOST_AUTO_TEST_CASE(a_lowered_limit_on_heads_applies_from_the_next_request_on)
+{
+    auto client = Client();
+    auto lower = limitsWith(idleTime);
+    lower.http.headerBytes = 512;
+    BOOST_REQUIRE(client.caller.send("GET /one HTTP/1.1\r\nHost: h\r\nLong: " + std::string(2000, 'x')));
+    client.turn();
+    client.connection->setLimits(lower);
+    BOOST_REQUIRE(client.caller.send("x"));
+    client.turn();
+    BOOST_REQUIRE(client.caller.send("\r\n\r\n"));
+    client.until([&] { return client.exchanges.size() == 1U || client.caller.readable(); });
+    BOOST_REQUIRE(client.exchanges.size() == 1U);
+    client.answerRest();
+    BOOST_REQUIRE(client.caller.send("GET /two HTTP/1.1\r\nHost: h\r\nLong: " + std::string(2000, 'x') + "\r\n\r\n"));
+    client.until([&] { return client.caller.readable(); });
+    BOOST_TEST(client.caller.receiveUntil("431").find("HTTP/1.1 431") != std::string::npos);
+}
+
 // Guards against a 413 for a request within the limits under which it was begun.
 BOOST_AUTO_TEST_CASE(a_lowered_limit_on_bodies_applies_from_the_next_request_on)
 {
