A kept connection is read before a request is written to it

The close of a replica, or bytes that nobody asked for, can lie unread in the socket of a kept connection. The request was then written to a connection that had ended: one that may run once failed with 502 though no replica had run it, and another one used up a run.

Tests: integration-ReplicaConnections, new. Two of its cases failed before (the end, and bytes, that wait to be read). The others passed before: an answer before the body is read, with and without a reset behind it; an answer without a length, ended in order and reset; a request that may run once whose connection ends without an answer gets a 502.

--- a/packages/serving/ReplicaLeg.cpp
+++ b/packages/serving/ReplicaLeg.cpp
@@ -198,6 +198,10 @@
         const auto age = now - newest.since;
         if (age > kept || !newest.connection->usable())
             continue;
+        // The replica's close may have come without having been read, and a request must not be written after it.
+        newest.connection->readWaiting();
+        if (!newest.connection->usable() || !newest.connection->reusable())
+            continue;
         if (nonRepeatable && age > maxIdleForNonRepeatable) {
             idle_.push_back(std::move(newest));
             break;
--- a/packages/serving/ReplicaLeg.h
+++ b/packages/serving/ReplicaLeg.h
@@ -61,6 +61,8 @@
     [[nodiscard]] auto reusable() const noexcept -> bool { return reusable_; }
     /// How long the replica keeps an idle connection open, from its Keep-Alive header; empty if it did not send one.
     [[nodiscard]] auto idleTimeout() const noexcept -> std::optional<std::chrono::seconds> { return idleTimeout_; }
+    /// Reads what waits on an idle connection: the replica may have closed it, or sent bytes that nobody asked for.
+    auto readWaiting() -> void { connection_->start(); }
     /// Sets the callback for an idle connection that can no longer be used.
     auto onIdleEnd(std::function<void()> callback) -> void { onIdleEnd_ = std::move(callback); }
 
