Requests that are sent together are read in a loop

Each request that was answered at once began to read the next one within its own call. A client that sent some ten thousand short requests behind one that took longer (they fit into the bytes that are read ahead), all answered at once (404), exhausted the entry's stack: the process ended with every request on it.

Test: a case of integration-ClientConnections crashed before.

--- a/packages/serving/CallerConnection.cpp
+++ b/packages/serving/CallerConnection.cpp
@@ -103,6 +103,8 @@
         armLimit(&CallerLimits::idleTime);
 }
 
+/// Requests that are answered at once are read in a loop: a client may send thousands of them together, and one call
+/// within the other would exhaust the stack.
 auto CallerConnection::received() -> void
 {
     const auto self = shared_from_this();
@@ -115,6 +117,16 @@
             connection_.pauseReading();
         return;
     }
+    if (std::exchange(inReceived_, true))
+        return;
+    do {
+        readRequest();
+    } while (!closed_ && !requestOpen_ && !reading_ && !lingering_ && !connection_.input().empty());
+    inReceived_ = false;
+}
+
+auto CallerConnection::readRequest() -> void
+{
     if (!reading_ && !connection_.input().empty()) {
         reading_ = true;
         requestBegan_ = timers_.now();
@@ -137,7 +149,7 @@
     auto request = reader_.take();
     keepAlive_ = request.keepAlive;
     currentExchange_ = ++exchangeCount_;
-    hooks_.onRequest(std::make_shared<CallerExchange>(self, currentExchange_), std::move(request));
+    hooks_.onRequest(std::make_shared<CallerExchange>(shared_from_this(), currentExchange_), std::move(request));
 }
 
 auto CallerConnection::refuse(wire::HttpFault fault) -> void
--- a/packages/serving/CallerConnection.h
+++ b/packages/serving/CallerConnection.h
@@ -72,6 +72,8 @@
     auto noteMisuse() -> void;
 
     auto received() -> void;
+    /// Reads what has come of the next request, and passes it on when it is complete.
+    auto readRequest() -> void;
     auto drained() -> void;
     /// Whether the client has sent too little within a limit, also after reading what has come.
     [[nodiscard]] auto clientIsLate() -> bool;
@@ -110,6 +112,7 @@
     Moment requestBegan_ {};
     bool requestOpen_ = false;
     bool reading_ = false;
+    bool inReceived_ = false;
     bool continueSent_ = false;
     bool keepAlive_ = true;
     bool closing_ = false;
--- a/tests/integration/ClientConnections.cpp
+++ b/tests/integration/ClientConnections.cpp
@@ -36,14 +36,20 @@
     auto accept(wire::ObjectPtr<GSocket> socket) -> void
     {
         auto hooks = CallerConnection::Hooks {
-            .onRequest = [this](std::shared_ptr<CallerExchange> exchange,
-                             const wire::HttpRequestMessage&) { exchanges.push_back(std::move(exchange)); },
+            .onRequest
+            = [this](std::shared_ptr<CallerExchange> exchange, const wire::HttpRequestMessage&) { take(exchange); },
             .onClosed = [this](CallerConnection*) { closed = true; },
         };
         connection = std::make_shared<CallerConnection>(
             loop.timers(), std::move(socket), limitsWith(idleTime), std::move(hooks));
         connection->start();
     }
+    auto take(const std::shared_ptr<CallerExchange>& exchange) -> void
+    {
+        exchanges.push_back(exchange);
+        if (answersAtOnce)
+            exchange->respond({ .status = 404 }, {});
+    }
     auto until(const std::function<bool()>& done) -> void
     {
         while (!done())
@@ -83,6 +89,7 @@
     std::shared_ptr<CallerConnection> connection;
     std::vector<std::shared_ptr<CallerExchange>> exchanges;
     bool closed = false;
+    bool answersAtOnce = false;
     wire::TcpListener listener { "127.0.0.1", 0,
         [this](wire::ObjectPtr<GSocket> socket) { accept(std::move(socket)); } };
     RawCaller caller;
@@ -278,3 +285,25 @@
     client.until([&] { return client.caller.readable(); });
     BOOST_TEST(client.caller.receiveUntil("413").find("HTTP/1.1 413") != std::string::npos);
 }
+
+// Guards against a crash of the entry, which ends every open request on it, by a client that sends many requests
+// together: each answer that is written at once began the next request one call deeper.
+BOOST_AUTO_TEST_CASE(requests_that_are_sent_together_and_answered_at_once_are_all_answered)
+{
+    // As many as fit into the bytes that are read ahead.
+    constexpr auto pieces = std::size_t(6);
+    constexpr auto perPiece = std::size_t(1900);
+    auto client = Client();
+    client.ask();
+    client.answersAtOnce = true;
+    auto piece = std::string();
+    for (auto index = std::size_t(0); index < perPiece; ++index)
+        piece += "GET / HTTP/1.1\r\nHost:h\r\n\r\n";
+    for (auto index = std::size_t(0); index < pieces; ++index) {
+        BOOST_REQUIRE(client.caller.send(piece));
+        client.turn();
+    }
+    client.exchanges[0]->respond({ .status = 200 }, {});
+    client.until([&] { return client.exchanges.size() == pieces * perPiece + 1; });
+    BOOST_TEST(!client.closed);
+}
