--- a/packages/serving/CallerConnection.cpp
+++ b/packages/serving/CallerConnection.cpp
@@ -42,12 +42,8 @@
     const auto self = shared_from_this();
     connection_.setHandlers({ .onData = [this] { received(); },
         .onEnd = [this](wire::StreamEnd) { ended(); },
-        .onDrained =
-            [this] {
-                if (const auto callback = watcher_.onDrained)
-                    callback();
-            } });
-    armIdle();
+        .onDrained = [this] { drained(); } });
+    armLimit(&CallerLimits::idleTime);
     connection_.start();
 }
 
@@ -55,13 +51,60 @@
 {
     limits_ = limits;
     reader_.setLimits(limits.http);
+    // A lower limit applies from the next request on: the client may not have heard of it yet.
+    if (lingering_ || !timer_.active() || limits_.*timeLimit_ <= timeAllowed_)
+        return;
+    timeAllowed_ = limits_.*timeLimit_;
+    scheduleLimit();
+}
+
+auto CallerConnection::armLimit(TimeLimit limit) -> void
+{
+    timeLimit_ = limit;
+    timeAllowed_ = limits_.*limit;
+    limitBegan_ = timers_.now();
+    scheduleLimit();
+}
+
+auto CallerConnection::scheduleLimit() -> void
+{
+    timer_ = timers_.after(limitBegan_ + timeAllowed_ - timers_.now(), [this] { onLimit(); });
+}
+
+auto CallerConnection::onLimit() -> void
+{
+    const auto self = shared_from_this();
+    if (!clientIsLate())
+        return;
+    if (timeLimit_ == &CallerLimits::headerTime)
+        reject(requestTimeout);
+    else
+        close("idle limit");
+}
+
+/// Called when a limit on the client's time has passed. A process that had no processor time may not have read yet what
+/// came in time.
+auto CallerConnection::clientIsLate() -> bool
+{
+    timer_.cancel();
+    connection_.start();
+    // What was read has started another limit, or completed a request.
+    return !closed_ && !requestOpen_ && !lingering_ && !timer_.active();
 }
 
-auto CallerConnection::armIdle() -> void
+auto CallerConnection::drained() -> void
 {
-    timer_ = timers_.after(limits_.idleTime, [this] { close("idle limit"); });
+    const auto self = shared_from_this();
+    if (const auto callback = watcher_.onDrained)
+        return callback();
+    if (lingering_)
+        armLinger();
+    else if (!requestOpen_ && !reading_)
+        armLimit(&CallerLimits::idleTime);
 }
 
+/// Requests that are answered at once are read in a loop: a client may send thousands of them together, and one call
+/// within the other would exhaust the stack.
 auto CallerConnection::received() -> void
 {
     const auto self = shared_from_this();
@@ -74,10 +117,20 @@
             connection_.pauseReading();
         return;
     }
+    if (std::exchange(inReceived_, true))
+        return;
+    do {
+        readRequest();
+    } while (!closed_ && !requestOpen_ && !reading_ && !lingering_ && !connection_.input().empty());
+    inReceived_ = false;
+}
+
+auto CallerConnection::readRequest() -> void
+{
     if (!reading_ && !connection_.input().empty()) {
         reading_ = true;
         requestBegan_ = timers_.now();
-        timer_ = timers_.after(limits_.headerTime, [this] { reject(requestTimeout); });
+        armLimit(&CallerLimits::headerTime);
     }
     const auto fault = reader_.feed(connection_.input());
     if (fault != wire::HttpFault::None)
@@ -86,7 +139,7 @@
         connection_.write("HTTP/1.1 100 Continue\r\n\r\n");
     // The idle limit applies to the pauses within a body, counted from its last byte.
     if (reader_.headComplete() && !reader_.complete())
-        armIdle();
+        armLimit(&CallerLimits::idleTime);
     if (!reader_.complete())
         return;
     timer_.cancel();
@@ -96,7 +149,7 @@
     auto request = reader_.take();
     keepAlive_ = request.keepAlive;
     currentExchange_ = ++exchangeCount_;
-    hooks_.onRequest(std::make_shared<CallerExchange>(self, currentExchange_), std::move(request));
+    hooks_.onRequest(std::make_shared<CallerExchange>(shared_from_this(), currentExchange_), std::move(request));
 }
 
 auto CallerConnection::refuse(wire::HttpFault fault) -> void
@@ -207,7 +260,9 @@
     // now is not read, and the close tells the client so.
     if (!keepAlive_ || closing_)
         return linger();
-    armIdle();
+    // A client that takes its answer slowly is not idle: the limit counts from the end of the answer.
+    if (connection_.backlog() == 0)
+        armLimit(&CallerLimits::idleTime);
     connection_.resumeReading();
     if (!closed_ && !connection_.input().empty())
         received();
@@ -216,9 +271,16 @@
 auto CallerConnection::linger() -> void
 {
     lingering_ = true;
+    timer_.cancel();
     connection_.input().clear();
     connection_.finishWriting();
     connection_.resumeReading();
+    if (connection_.backlog() == 0)
+        armLinger();
+}
+
+auto CallerConnection::armLinger() -> void
+{
     timer_ = timers_.after(lingerTime, [this] { close("closed after its last answer"); });
 }
 
