Agents' sessions know when their role is gone

Cause: AgentRole::Session and Door held a reference to the role. Calls of a session belong to the loop: destroying the connection only asks for them to be cancelled, so that a session with an open admission was destroyed after the role, and removed itself from publisher, zone entries and queue of freed memory.

Change: both reach the role through a weak pointer that expires first of all members. A session that outlives the role leaves it alone; a call that begins then fails as DISCONNECTED. Members could not be ordered so that this holds, as the calls end with the loop's next turn at the earliest.

--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -24,23 +24,35 @@
 
 } // namespace
 
+/// A call that waits for its turn, or is being cancelled, keeps its session or door beyond the end of the role.
+auto AgentRole::reach(const std::weak_ptr<AgentRole>& role) -> AgentRole&
+{
+    const auto held = role.lock();
+    if (!held)
+        kj::throwFatalException(KJ_EXCEPTION(DISCONNECTED, "the agent has ended"));
+    return *held;
+}
+
 /// The session of one entry. When the session ends, everything granted to the entry is released.
 class AgentRole::Session final : public wire::schema::AgentSession::Server {
 public:
     Session(AgentRole& role, std::string entry, bool sameZone)
-        : role_(role)
+        : role_(role.self_)
         , entry_(std::move(entry))
         , sameZone_(sameZone)
     {
     }
     ~Session() noexcept(false)
     {
-        role_.publisher_.remove(this);
-        if (role_.sameZoneEntries_.erase(this) > 0)
-            role_.publisher_.changed();
-        for (const auto& attempt : std::exchange(attempts_, {}))
-            role_.agent_.release(attempt);
         log::info("entry detached", { { "peer", entry_ } });
+        const auto held = role_.lock();
+        if (!held)
+            return;
+        held->publisher_.remove(this);
+        if (held->sameZoneEntries_.erase(this) > 0)
+            held->publisher_.changed();
+        for (const auto& attempt : std::exchange(attempts_, {}))
+            held->agent_.release(attempt);
     }
     KJ_DISALLOW_COPY(Session);
 
@@ -48,37 +60,37 @@
     {
         const auto attempt = AttemptId(running.getAttempt().cStr());
         attempts_.insert(attempt);
-        role_.agent_.adopt({ .attempt = attempt,
+        role().agent_.adopt({ .attempt = attempt,
             .adapter = AdapterId(running.getAdapter().cStr()),
             .promptTokens = running.getPromptTokens(),
             .outputTokens = running.getOutputTokens() });
-        detail::note(role_.origins_, running.getOrigin(), role_.loop_.timers().now());
+        detail::note(role().origins_, running.getOrigin(), role().loop_.timers().now());
     }
 
     auto admit(AdmitContext context) -> kj::Promise<void> override
     {
         const auto request = context.getParams().getRequest();
         const auto attempt = AttemptId(request.getAttempt().cStr());
-        const auto now = role_.loop_.timers().now();
+        const auto now = role().loop_.timers().now();
         auto pair = kj::newPromiseAndFulfiller<ReplicaAgent::Decision>();
-        role_.pendingAdmissions_.erase(attempt);
-        role_.pendingAdmissions_.emplace(attempt, PendingAdmission { this, kj::mv(pair.fulfiller) });
+        role().pendingAdmissions_.erase(attempt);
+        role().pendingAdmissions_.emplace(attempt, PendingAdmission { this, kj::mv(pair.fulfiller) });
         attempts_.insert(attempt);
-        role_.publisher_.noteRequest(this);
+        role().publisher_.noteRequest(this);
         auto shared = std::vector<decisions::SharedPrefix>();
         for (auto prefix : request.getShared())
             shared.push_back({ prefix.getId(), prefix.getTokens() });
-        role_.agent_.admit({ .attempt = attempt,
-                               .adapter = AdapterId(request.getAdapter().cStr()),
-                               .promptTokens = request.getPromptTokens(),
-                               .outputTokens = request.getOutputTokens(),
-                               .priority = request.getPriority(),
-                               .arrivedAt = now,
-                               .firstEventDeadline = now + Duration(milliseconds(request.getAimMs())),
-                               .callerDeadline = now + Duration(milliseconds(request.getLeftMs())),
-                               .elsewhere = request.getElsewhere() },
+        role().agent_.admit({ .attempt = attempt,
+                                .adapter = AdapterId(request.getAdapter().cStr()),
+                                .promptTokens = request.getPromptTokens(),
+                                .outputTokens = request.getOutputTokens(),
+                                .priority = request.getPriority(),
+                                .arrivedAt = now,
+                                .firstEventDeadline = now + Duration(milliseconds(request.getAimMs())),
+                                .callerDeadline = now + Duration(milliseconds(request.getLeftMs())),
+                                .elsewhere = request.getElsewhere() },
             requiredVersion(request), shared);
-        role_.publisher_.changed();
+        role().publisher_.changed();
         const auto adapter = AdapterId(request.getAdapter().cStr());
         return pair.promise.then([this, context, adapter](ReplicaAgent::Decision&& decision) mutable {
             auto answer = context.getResults().initAnswer();
@@ -88,20 +100,20 @@
                 static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(decision.retryAfter).count()));
             answer.setReason(decision.reason);
             answer.setLate(decision.late);
-            answer.setInstance(role_.agent_.instance().str());
-            if (const auto& known = role_.agent_.knownVersion(adapter); known.learnedAt) {
+            answer.setInstance(role().agent_.instance().str());
+            if (const auto& known = role().agent_.knownVersion(adapter); known.learnedAt) {
                 answer.setNamedVersion(known.version.value());
-                answer.setNamedAgeMs(detail::ageOfMoment(known.namedAfter, role_.loop_.timers().now()));
+                answer.setNamedAgeMs(detail::ageOfMoment(known.namedAfter, role().loop_.timers().now()));
             }
-            role_.publisher_.fillFigures(answer.initState());
+            role().publisher_.fillFigures(answer.initState());
         });
     }
 
     auto started(StartedContext context) -> kj::Promise<void> override
     {
-        role_.agent_.started(AttemptId(context.getParams().getAttempt().cStr()));
-        detail::note(role_.origins_, context.getParams().getOrigin(), role_.loop_.timers().now());
-        role_.publisher_.changed();
+        role().agent_.started(AttemptId(context.getParams().getAttempt().cStr()));
+        detail::note(role().origins_, context.getParams().getOrigin(), role().loop_.timers().now());
+        role().publisher_.changed();
         return kj::READY_NOW;
     }
 
@@ -110,9 +122,9 @@
         const auto params = context.getParams();
         const auto attempt = AttemptId(params.getAttempt().cStr());
         attempts_.erase(attempt);
-        role_.pendingAdmissions_.erase(attempt);
-        role_.agent_.release(attempt, params.getUnsent() ? RunEnd::Unsent : static_cast<RunEnd>(params.getEnd()));
-        role_.publisher_.changed();
+        role().pendingAdmissions_.erase(attempt);
+        role().agent_.release(attempt, params.getUnsent() ? RunEnd::Unsent : static_cast<RunEnd>(params.getEnd()));
+        role().publisher_.changed();
         return kj::READY_NOW;
     }
 
@@ -120,13 +132,13 @@
     {
         const auto params = context.getParams();
         if (sameZone_) {
-            role_.sameZoneEntries_[this] = { params.getHolder().cStr(), params.getReaderWeight() };
-            role_.publisher_.changed();
+            role().sameZoneEntries_[this] = { params.getHolder().cStr(), params.getReaderWeight() };
+            role().publisher_.changed();
         }
         const auto shares = std::size_t(params.getRetryShares());
-        role_.retryReserve_.assign(std::exchange(retryShares_, shares), shares, role_.loop_.timers().now());
-        role_.applyConfiguration(params.getVersion(), params.getHolder().cStr(), params.getLimits());
-        role_.publisher_.publishInitial(this);
+        role().retryReserve_.assign(std::exchange(retryShares_, shares), shares, role().loop_.timers().now());
+        role().applyConfiguration(params.getVersion(), params.getHolder().cStr(), params.getLimits());
+        role().publisher_.publishInitial(this);
         return kj::READY_NOW;
     }
 
@@ -134,18 +146,18 @@
     {
         const auto digest = std::string(context.getParams().getDigest().cStr());
         if (context.getParams().getBroke())
-            role_.suspects_.crashed(digest, role_.suspects_.crashes(digest));
+            role().suspects_.crashed(digest, role().suspects_.crashes(digest));
         else
-            role_.suspects_.succeeded(digest);
-        role_.publisher_.changed();
+            role().suspects_.succeeded(digest);
+        role().publisher_.changed();
         return kj::READY_NOW;
     }
 
     auto takeQuota(TakeQuotaContext context) -> kj::Promise<void> override
     {
         const auto charge = context.getParams().getCharge();
-        const auto now = role_.loop_.timers().now();
-        auto& bucket = role_.quotas_.bucketFor(charge, now);
+        const auto now = role().loop_.timers().now();
+        auto& bucket = role().quotas_.bucketFor(charge, now);
         const auto verdict = bucket.take(charge.getAmount(), now);
         auto results = context.getResults();
         results.setGranted(verdict.granted);
@@ -158,8 +170,8 @@
     auto noteQuota(NoteQuotaContext context) -> kj::Promise<void> override
     {
         const auto charge = context.getParams().getCharge();
-        const auto now = role_.loop_.timers().now();
-        auto& bucket = role_.quotas_.bucketFor(charge, now);
+        const auto now = role().loop_.timers().now();
+        auto& bucket = role().quotas_.bucketFor(charge, now);
         bucket.charge(charge.getAmount(), now);
         if (charge.getAmount() > 0)
             bucket.capLevel(context.getParams().getLevel(), now);
@@ -169,23 +181,23 @@
     auto noteRateLimit(NoteRateLimitContext context) -> kj::Promise<void> override
     {
         const auto params = context.getParams();
-        role_.applyRateLimit(
-            detail::readRateLimit(params.getStatement(), role_.loop_.timers().now()), params.getOwn(), entry_);
+        role().applyRateLimit(
+            detail::readRateLimit(params.getStatement(), role().loop_.timers().now()), params.getOwn(), entry_);
         return kj::READY_NOW;
     }
 
     auto takePermit(TakePermitContext context) -> kj::Promise<void> override
     {
         const auto params = context.getParams();
-        const auto now = role_.loop_.timers().now();
+        const auto now = role().loop_.timers().now();
         const auto limit = detail::readRateLimit(params.getStatement(), now);
-        role_.applyRateLimit(limit, false, entry_);
-        auto* arrivals = role_.keptRateLimits_.find(limit.start);
+        role().applyRateLimit(limit, false, entry_);
+        auto* arrivals = role().keptRateLimits_.find(limit.start);
         // The entry has not heard yet that the limit has ended.
         auto verdict = decisions::ArrivalPermits::Verdict { .granted = true };
         if (arrivals && arrivals->limited())
             verdict = arrivals->permits().take(params.getPriority(), permitCost(params.getStandIn()), now);
-        role_.metrics_.count("eelgrass_permits_total",
+        role().metrics_.count("eelgrass_permits_total",
             { { "granted", verdict.granted ? "yes" : "no" }, { "stand_in", params.getStandIn() ? "yes" : "no" } });
         context.getResults().setGranted(verdict.granted);
         context.getResults().setAskAgainAfterMs(
@@ -200,8 +212,8 @@
         const auto terms = decisions::ReserveTerms { .perShare = params.getPerShare(),
             .window = milliseconds(params.getWindowMs()),
             .handover = milliseconds(params.getHandoverMs()) };
-        const auto decision = role_.retryReserve_.take(service, terms, role_.loop_.timers().now());
-        role_.metrics_.count("eelgrass_reserve_retries_total",
+        const auto decision = role().retryReserve_.take(service, terms, role().loop_.timers().now());
+        role().metrics_.count("eelgrass_reserve_retries_total",
             { { "service", service.str() }, { "granted", decision.granted ? "yes" : "no" } });
         auto results = context.getResults();
         results.setGranted(decision.granted);
@@ -214,14 +226,14 @@
     auto noteLeaving(NoteLeavingContext context) -> kj::Promise<void> override
     {
         const auto params = context.getParams();
-        role_.agent_.noteLeaving({ InstanceId(params.getInstance().cStr()), StartTime(params.getBirth()) }, entry_);
+        role().agent_.noteLeaving({ InstanceId(params.getInstance().cStr()), StartTime(params.getBirth()) }, entry_);
         return kj::READY_NOW;
     }
 
     auto noteHostRest(NoteHostRestContext context) -> kj::Promise<void> override
     {
         const auto params = context.getParams();
-        role_.agent_.noteHostRest({ InstanceId(params.getInstance().cStr()), StartTime(params.getBirth()) },
+        role().agent_.noteHostRest({ InstanceId(params.getInstance().cStr()), StartTime(params.getBirth()) },
             milliseconds(params.getRestMs()), entry_);
         return kj::READY_NOW;
     }
@@ -229,8 +241,8 @@
     auto returnPermit(ReturnPermitContext context) -> kj::Promise<void> override
     {
         const auto params = context.getParams();
-        const auto now = role_.loop_.timers().now();
-        auto* arrivals = role_.keptRateLimits_.find(detail::readRateLimit(params.getStatement(), now).start);
+        const auto now = role().loop_.timers().now();
+        auto* arrivals = role().keptRateLimits_.find(detail::readRateLimit(params.getStatement(), now).start);
         if (arrivals && arrivals->limited())
             arrivals->permits().giveBack(permitCost(params.getStandIn()), now);
         return kj::READY_NOW;
@@ -241,28 +253,30 @@
         using Known = std::optional<StreamOrigins::Known>;
         const auto params = context.getParams();
         const auto stream = StreamId { MemberId(params.getMember().cStr()), AttemptId(params.getAttempt().cStr()) };
-        auto known = role_.origins_.find(stream, role_.loop_.timers().now());
+        auto known = role().origins_.find(stream, role().loop_.timers().now());
         auto answer = known || !params.getAskEntries() ? kj::Promise<Known>(std::move(known))
-                                                       : role_.attachedEntries_.findStreamOrigin(stream, this);
+                                                       : role().attachedEntries_.findStreamOrigin(stream, this);
         return answer.then([this, context, stream](Known&& found) mutable {
-            role_.metrics_.count("eelgrass_stream_origins_asked_total", { { "known", found ? "yes" : "no" } });
+            role().metrics_.count("eelgrass_stream_origins_asked_total", { { "known", found ? "yes" : "no" } });
             context.getResults().setKnown(found.has_value());
             if (found)
-                detail::fill(context.getResults().initOrigin(), { stream, *found }, role_.loop_.timers().now());
+                detail::fill(context.getResults().initOrigin(), { stream, *found }, role().loop_.timers().now());
         });
     }
 
 private:
+    [[nodiscard]] auto role() const -> AgentRole& { return reach(role_); }
+
     [[nodiscard]] auto requiredVersion(wire::schema::AdmitRequest::Reader request) const -> RequiredVersion
     {
         return { .version = AdapterVersion(request.getVersion()),
             .source = entry_,
-            .namedAfter = detail::momentOfAge(request.getVersionAgeMs(), role_.loop_.timers().now()) };
+            .namedAfter = detail::momentOfAge(request.getVersionAgeMs(), role().loop_.timers().now()) };
     }
 
     static auto permitCost(bool standIn) -> double { return standIn ? decisions::ArrivalPermits::standInCost : 1; }
 
-    AgentRole& role_;
+    std::weak_ptr<AgentRole> role_;
     std::string entry_;
     bool sameZone_;
     std::set<AttemptId> attempts_;
@@ -273,25 +287,26 @@
 class AgentRole::Door final : public wire::schema::Agent::Server {
 public:
     explicit Door(AgentRole& role)
-        : role_(role)
+        : role_(role.self_)
     {
     }
 
     auto attach(AttachContext context) -> kj::Promise<void> override
     {
         const auto params = context.getParams();
-        const auto sameZone = role_.settings_.host.zone.view() == params.getZone().cStr();
-        auto session = kj::heap<Session>(role_, params.getEntry().cStr(), sameZone);
+        auto& role = reach(role_);
+        const auto sameZone = role.settings_.host.zone.view() == params.getZone().cStr();
+        auto session = kj::heap<Session>(role, params.getEntry().cStr(), sameZone);
         for (auto running : params.getRunning())
             session->adopt(running);
-        role_.publisher_.add(session.get(), params.getListener(), sameZone);
+        role.publisher_.add(session.get(), params.getListener(), sameZone);
         log::info("entry attached", { { "peer", params.getEntry().cStr() } });
         context.getResults().setSession(kj::mv(session));
         return kj::READY_NOW;
     }
 
 private:
-    AgentRole& role_;
+    std::weak_ptr<AgentRole> role_;
 };
 
 AgentRole::AgentRole(wire::MainLoop& loop, AgentSettings settings)
--- a/packages/serving/AgentRole.h
+++ b/packages/serving/AgentRole.h
@@ -39,6 +39,8 @@
         kj::Own<kj::PromiseFulfiller<ReplicaAgent::Decision>> fulfiller;
     };
 
+    /// Throws if the role is gone.
+    [[nodiscard]] static auto reach(const std::weak_ptr<AgentRole>& role) -> AgentRole&;
     auto handleDecision(const AttemptId& attempt, const ReplicaAgent::Decision& decision) -> void;
     [[nodiscard]] auto figures() const -> decisions::ReplicaLoad;
     auto fillNames(wire::schema::ReplicaState::Builder state) const -> void;
@@ -84,6 +86,8 @@
     std::unique_ptr<wire::Listener> listener_;
     std::unique_ptr<TextServer> metricsServer_;
     wire::ConnectionSet connections_;
+    /// Through which sessions and doors reach the role. Expires first, before the connections and what sessions use.
+    std::shared_ptr<AgentRole> self_ { this, [](AgentRole*) {} };
 };
 
 } // namespace eelgrass::serving
