A gateway that ends closes the connections of open requests

Cause: a connection's watcher holds the request's run, and the run holds the connection by its exchange. With an open request neither was destroyed with the gateway: the client's connection stayed open, and the run's timers, calls and promises went on with a context that was gone.

Change: the gateway aborts its open connections first, while all that runs use is still there. The daemon's own end is not affected, as it exits without destroying the role.

--- a/packages/serving/GatewayRole.cpp
+++ b/packages/serving/GatewayRole.cpp
@@ -114,6 +114,13 @@
 {
 }
 
+GatewayRole::~GatewayRole()
+{
+    const auto held = connections_;
+    for (const auto& [raw, connection] : held)
+        connection->abort();
+}
+
 auto GatewayRole::start() -> void
 {
     clients_ = std::make_unique<wire::TcpListener>(
--- a/packages/serving/GatewayRole.h
+++ b/packages/serving/GatewayRole.h
@@ -23,6 +23,8 @@
 class GatewayRole {
 public:
     GatewayRole(wire::MainLoop& loop, GatewaySettings settings);
+    /// Aborts the connections that are open, since an open request and its connection hold each other.
+    ~GatewayRole();
     KJ_DISALLOW_COPY(GatewayRole);
 
     auto start() -> void;
--- a/tests/integration/ServingEnds.cpp
+++ b/tests/integration/ServingEnds.cpp
@@ -46,3 +46,15 @@
     world.startGateway();
     const auto open = openAdmissions(world);
 }
+
+// Guards against requests that are never destroyed because they and their connections hold each other: the event loop
+// then ended with their events in its queue, which ended the process.
+BOOST_AUTO_TEST_CASE(gateway_that_ends_closes_the_connections_of_open_requests)
+{
+    auto world = ServingWorld(1, 0);
+    world.startGateway();
+    auto open = openAdmissions(world);
+    world.stopGateway(0);
+    for (auto& answer : open)
+        BOOST_TEST(world.loop().wait(kj::mv(answer)).status == 0);
+}
