--- a/standins/ReplicaStandin.cpp
+++ b/standins/ReplicaStandin.cpp
@@ -80,6 +80,8 @@
     waitingOrders_.clear();
     running_.clear();
     timersOfRuns_.clear();
+    heldSteps_.clear();
+    pausedUntil_ = {};
     sequence_ = 0;
     highestFence_ = 0;
     hasModel_ = false;
@@ -99,13 +101,34 @@
 auto ReplicaStandin::handle(const Caller& caller, const wire::HttpRequestMessage& request) -> void
 {
     static constexpr auto calls = std::array { "/report", "/health", "/order" };
-    if (std::find(calls.begin(), calls.end(), request.path()) != calls.end())
-        return handleCall(caller, request);
-    runModel(caller, request);
+    const auto isCall = std::find(calls.begin(), calls.end(), request.path()) != calls.end();
+    whenAwake([this, caller, request, isCall] { isCall ? handleCall(caller, request) : runModel(caller, request); });
+}
+
+auto ReplicaStandin::pauseFor(Duration time) -> void
+{
+    pausedUntil_ = timers_.now() + time;
+    pauseTimer_ = timers_.after(time, [this] { wake(); });
+}
+
+auto ReplicaStandin::wake() -> void
+{
+    pausedUntil_ = {};
+    for (const auto& step : std::exchange(heldSteps_, {}))
+        step();
+}
+
+auto ReplicaStandin::whenAwake(std::function<void()> step) -> void
+{
+    if (pausedUntil_ == Moment())
+        return step();
+    heldSteps_.push_back(std::move(step));
 }
 
 auto ReplicaStandin::handleCall(const Caller& caller, const wire::HttpRequestMessage& request) -> void
 {
+    if (!caller->open())
+        return;
     calls_.push_back(timers_.now());
     auto head = wire::HttpResponseHead { .status = 200 };
     if (!restOfCallers_.empty()) {
@@ -204,7 +227,8 @@
     if (delay == Duration(0))
         return step();
     std::erase_if(timersOfRuns_, [](const Timer& timer) { return !timer.active(); });
-    timersOfRuns_.push_back(timers_.after(delay, std::move(step)));
+    timersOfRuns_.push_back(
+        timers_.after(delay, [this, step = std::move(step)]() mutable { whenAwake(std::move(step)); }));
 }
 
 auto ReplicaStandin::runEnded(const std::string& adapter, std::uint64_t start) -> void
@@ -245,6 +269,8 @@
 {
     const auto attempt = std::string(request.fields.get(names::attemptId));
     arrivals_.push_back({ timers_.now(), attempt, born_, {}, leaving_ });
+    if (!caller->open())
+        return;
     if (request.fields.get(names::expectInstance) != instance_)
         return respond(caller, { .status = 421 }, {});
     auto head = answerHead(request, behaviour_.status);
@@ -262,9 +288,8 @@
     const auto adapter = adapterOf(request);
     if (auto refused = refusal(adapter, request))
         return caller->respond(std::move(*refused), {});
-    if (adapter.empty())
-        return begin(caller, request, adapter);
-    ++running_[adapter];
+    if (!adapter.empty())
+        ++running_[adapter];
     afterwards(behaviour_.beginsAfter, [this, caller, request, adapter] { begin(caller, request, adapter); });
 }
 
@@ -308,58 +333,121 @@
         stranger.fields.add("Content-Length", "8");
         caller->write(wire::responseHeadText(stranger) + "stranger");
     }
-    if (request.fields.get(names::model).empty())
-        return caller->respond(std::move(head), "body-of-" + instance_);
+    auto output = Output { .caller = caller, .adapter = adapter, .next = from + 1, .run = runs_.size() - 1 };
+    output.silence = nextSilence();
+    caller->watch({ .onGone = [this, run = output.run] { runs_.at(run).endedAt = timers_.now(); } });
+    const auto streamed = !request.fields.get(names::model).empty();
+    if (streamed)
+        planStream(output);
+    const auto silence = silenceAt(output, Silence::At::BeforeHead);
+    continueAfter(silence, output, [this, output, head, streamed] { beginAnswer(output, head, streamed); });
+}
+
+auto ReplicaStandin::beginAnswer(Output output, wire::HttpResponseHead head, bool streamed) -> void
+{
+    if (!streamed) {
+        if (output.silence.at != Silence::At::Nowhere)
+            return respondInParts(output, head);
+        over(output);
+        return output.caller->respond(std::move(head), "body-of-" + instance_);
+    }
     head.fields.add("Content-Type", "text/event-stream");
-    caller->begin(std::move(head));
-    stream(caller, adapter, from);
+    output.caller->begin(std::move(head));
+    const auto silence = silenceAt(output, Silence::At::AfterHead);
+    continueAfter(silence, output, [this, output] { writeEvents(output); });
+}
+
+auto ReplicaStandin::respondInParts(const Output& output, const wire::HttpResponseHead& head) -> void
+{
+    const auto body = "body-of-" + instance_;
+    const auto middle = body.size() / 2;
+    output.caller->begin(head);
+    output.caller->writeChunk(std::string_view(body).substr(0, middle));
+    continueAfter(output.silence.time, output, [this, output, rest = body.substr(middle)] {
+        over(output);
+        output.caller->writeChunk(rest);
+        output.caller->finish();
+    });
+}
+
+auto ReplicaStandin::nextSilence() -> Silence
+{
+    const auto& silence = behaviour_.silence;
+    return silence.runs && (*silence.runs)-- <= 0 ? Silence() : silence;
 }
 
-auto ReplicaStandin::stream(const Caller& caller, const std::string& adapter, std::uint64_t from) -> void
+auto ReplicaStandin::silenceAt(Output& output, Silence::At at) -> Duration
 {
-    auto then = behaviour_.then;
-    if (then != Behaviour::Then::Finish && behaviour_.times && (*behaviour_.times)-- <= 0)
-        then = Behaviour::Then::Finish;
-    const auto last = then == Behaviour::Then::Finish ? behaviour_.events : behaviour_.sent;
-    writeEvents({ caller, adapter, from + 1, last, then });
+    if (output.silence.at != at)
+        return Duration(0);
+    output.silence.at = Silence::At::Nowhere;
+    return output.silence.time;
+}
+
+auto ReplicaStandin::over(const Output& output) -> void { runs_.at(output.run).endedAt = timers_.now(); }
+
+auto ReplicaStandin::continueAfter(Duration delay, const Output& output, std::function<void()> step) -> void
+{
+    afterwards(delay, [this, output, step = std::move(step)] {
+        if (output.caller->open())
+            return step();
+        runEnded(output.adapter, born_);
+    });
+}
+
+auto ReplicaStandin::planStream(Output& output) -> void
+{
+    output.then = behaviour_.then;
+    if (output.then != Behaviour::Then::Finish && behaviour_.times && (*behaviour_.times)-- <= 0)
+        output.then = Behaviour::Then::Finish;
+    output.last = output.then == Behaviour::Then::Finish ? behaviour_.events : behaviour_.sent;
 }
 
 auto ReplicaStandin::writeEvents(Output output) -> void
 {
-    const auto gap = behaviour_.eventGap;
+    constexpr auto eventsBeforeSilence = 2;
+    const auto writeMore = [this](const Output& rest) { return [this, rest] { writeEvents(rest); }; };
     while (output.next <= output.last) {
-        output.caller->writeChunk(streamEvent(output.next++, software_));
-        if (gap > Duration(0)) {
-            return afterwards(gap, [this, output] {
-                if (output.caller->open())
-                    writeEvents(output);
-                else
-                    runEnded(output.adapter, born_);
-            });
+        const auto event = streamEvent(output.next, software_);
+        if (output.next > eventsBeforeSilence) {
+            const auto partly = output.silence.at == Silence::At::InEvent;
+            const auto silence = silenceAt(output, partly ? Silence::At::InEvent : Silence::At::InAnswer);
+            if (partly)
+                output.caller->writeChunk(std::string_view(event).substr(0, output.written = event.size() / 2));
+            if (silence > Duration(0))
+                return continueAfter(silence, output, writeMore(output));
         }
+        output.caller->writeChunk(std::string_view(event).substr(std::exchange(output.written, 0)));
+        ++output.next;
+        if (behaviour_.eventGap > Duration(0))
+            return continueAfter(behaviour_.eventGap, output, writeMore(output));
     }
-    end(output);
+    end(std::move(output));
 }
 
-auto ReplicaStandin::end(const Output& output) -> void
+auto ReplicaStandin::end(Output output) -> void
 {
-    const auto& [caller, adapter, next, last, then] = output;
-    switch (then) {
-    case Behaviour::Then::Finish:
-        return afterwards(behaviour_.runsFor, [this, caller = caller, adapter = adapter] {
-            if (caller->open())
-                caller->finish();
-            runEnded(adapter, born_);
+    switch (output.then) {
+    case Behaviour::Then::Finish: {
+        const auto silence = silenceAt(output, Silence::At::BeforeEnd);
+        return afterwards(behaviour_.runsFor + silence, [this, output] {
+            over(output);
+            if (output.caller->open())
+                output.caller->finish();
+            runEnded(output.adapter, born_);
         });
+    }
     case Behaviour::Then::Reset:
         // A reset overtakes what was sent just before it; the events have to be there first.
-        return afterwards(50ms, [this, caller = caller, adapter = adapter] {
-            caller->abort();
-            runEnded(adapter, born_);
+        return afterwards(50ms, [this, output] {
+            over(output);
+            output.caller->abort();
+            runEnded(output.adapter, born_);
         });
     case Behaviour::Then::Silence:
-        caller->watch({ .onGone = [this, adapter = adapter, start = born_] {
+        output.caller->watch({ .onGone = [this, run = output.run, adapter = output.adapter, start = born_] {
             ++cancelled_;
+            runs_.at(run).endedAt = timers_.now();
             runEnded(adapter, start);
         } });
     }
--- a/standins/ReplicaStandin.h
+++ b/standins/ReplicaStandin.h
@@ -22,6 +22,14 @@
 /// short body.
 class ReplicaStandin {
 public:
+    /// A moment of a run's answer at which it is silent for a while.
+    struct Silence {
+        /// `InAnswer` is between two events, or in the middle of a plain body. `InEvent` is between two bytes of one.
+        enum class At { Nowhere, BeforeHead, AfterHead, InAnswer, InEvent, BeforeEnd } at = At::Nowhere;
+        Duration time {};
+        /// How many more runs are silent; all if null. Shared by the replicas that were given it.
+        std::shared_ptr<int> runs {};
+    };
     /// What it does with the next requests.
     struct Behaviour {
         /// Events of a stream, and how many it sends before it does what `then` says.
@@ -43,7 +51,7 @@
         bool loseOrders = false;
         /// The health check answers 503 and does not say which instance it is.
         bool unhealthy = false;
-        /// How long a request for a model waits, after its version has been checked, before it begins.
+        /// How long a request waits, after its version has been checked, before it begins.
         Duration beginsAfter {};
         /// How long a model request runs after its first token.
         Duration runsFor {};
@@ -51,6 +59,7 @@
         Duration eventGap {};
         /// Whether requests for an adapter are taken while an order waits for its runs; if not, they are turned away.
         bool runsWhileReplacing = false;
+        Silence silence {};
     };
     /// A request that began to run: that produced its first token.
     struct Run {
@@ -65,6 +74,8 @@
         std::string software;
         wire::HeaderFields fields;
         std::string body;
+        /// When it was over or its connection was closed; empty while it goes on.
+        std::optional<Moment> endedAt {};
     };
 
     /// A request that reached the replica, whether it ran or was refused, and what its answer asked for.
@@ -91,6 +102,8 @@
     /// Its entry in the platform's list.
     [[nodiscard]] auto entry(const std::string& state = "ready") const -> std::string;
     auto behave(Behaviour behaviour) -> void { behaviour_ = behaviour; }
+    /// Falls silent for this long. Its connections stay open, and what is received or due meanwhile follows in order.
+    auto pauseFor(Duration time) -> void;
     /// Names this rate limit, in requests per second, in every answer to a request from now on; none if empty.
     auto announceLimit(const std::string& limit) -> void { announcements_.push_back({ timers_.now(), limit }); }
     [[nodiscard]] auto announcements() const noexcept -> const std::vector<Announcement>& { return announcements_; }
@@ -145,10 +158,26 @@
         std::uint64_t next = 0;
         std::uint64_t last = 0;
         Behaviour::Then then = Behaviour::Then::Finish;
+        /// Its place in the list of runs.
+        std::size_t run = 0;
+        /// Bytes of the next event that are written already.
+        std::size_t written = 0;
+        Silence silence {};
     };
-    auto stream(const Caller& caller, const std::string& adapter, std::uint64_t from) -> void;
+    auto beginAnswer(Output output, wire::HttpResponseHead head, bool streamed) -> void;
+    auto respondInParts(const Output& output, const wire::HttpResponseHead& head) -> void;
+    [[nodiscard]] auto nextSilence() -> Silence;
+    /// How long the run is silent at this moment; it is only once.
+    [[nodiscard]] static auto silenceAt(Output& output, Silence::At at) -> Duration;
+    auto planStream(Output& output) -> void;
     auto writeEvents(Output output) -> void;
-    auto end(const Output& output) -> void;
+    auto end(Output output) -> void;
+    /// Goes on with the run after the delay, or ends it if its connection has been closed.
+    auto continueAfter(Duration delay, const Output& output, std::function<void()> step) -> void;
+    auto over(const Output& output) -> void;
+    /// Takes the step now, or once a pause is over.
+    auto whenAwake(std::function<void()> step) -> void;
+    auto wake() -> void;
     auto afterwards(Duration delay, std::function<void()> step) -> void;
     /// Whether requests for the adapter run or wait to begin.
     [[nodiscard]] auto runs(const std::string& adapter) const -> bool;
@@ -191,6 +220,9 @@
     bool crashed_ = false;
     std::size_t cancelled_ = 0;
     std::vector<Timer> timersOfRuns_;
+    Moment pausedUntil_ {};
+    std::vector<std::function<void()>> heldSteps_;
+    Timer pauseTimer_;
     LoopServer server_;
 };
 
