A silent run ends only when another replica takes its request

Seen by callers: while their replica paused for a second or so, streams were broken off with most of their time left, and plain requests and streams before their first event got a 502, though the replica gave the whole answer in time.

Cause: onSilence counted the run, reset its connection and then looked for a place. Whatever kept it from finding one (refused by agents, budget spent, no connection, keys not confirmed) ended the request.

Change: the run goes on, and is forwarded, while a place is searched. It ends right before the request is written to the other replica (startRun, from mayWrite, which is now asked on kept connections too); until then giveUp keeps it, and the search is repeated. Anything that the replica sends ends the search. A replica takes over only if it was heard of more recently. A replica that is silent towards all requests of the entry is given until the latest moment that leaves time to move. A run that a slow client holds up is not silent. What a run has answered is in ReplicaRun, apart from the replica that a search has chosen.

Replicas that hang, are dark or cut off: docs/design/silent-runs.md.

--- a/packages/serving/Replica.cpp
+++ b/packages/serving/Replica.cpp
@@ -44,7 +44,8 @@
 auto Replica::requestSent(Tokens tokens, Moment now) -> void
 {
     announced_.rest.recordSend(now);
-    ++inFlight_;
+    if (inFlight_++ == 0)
+        heardAt_ = now;
     tokensSent_ += tokens;
 }
 
@@ -75,6 +76,12 @@
     pausedUntil_ = now + std::min(maxPause, minPause * (1U << doublings));
 }
 
+auto Replica::wentOn() -> void
+{
+    failures_ = 0;
+    pausedUntil_ = {};
+}
+
 auto Replica::reportedFull(Moment now) -> void { pausedUntil_ = std::max(pausedUntil_, now + pauseWhenFull); }
 
 auto Replica::usable(Moment now) const noexcept -> bool
--- a/packages/serving/Replica.h
+++ b/packages/serving/Replica.h
@@ -76,6 +76,13 @@
     auto requestSent(Tokens tokens, Moment now) -> void;
     auto requestEnded() -> void;
     [[nodiscard]] auto inFlight() const noexcept -> std::size_t { return inFlight_; }
+    /// Notes that the replica has sent part of an answer.
+    auto heard(Moment now) -> void { heardAt_ = now; }
+    /// For how long the replica has sent nothing to this entry although a request of this entry is there.
+    [[nodiscard]] auto silence(Moment now) const noexcept -> Duration
+    {
+        return inFlight_ == 0 ? Duration(0) : now - heardAt_;
+    }
     /// Called when the agent has reported its load figures, which include all requests sent before.
     auto agentReported() -> void
     {
@@ -96,6 +103,8 @@
     /// Record an answer that arrived after `took`, or a failure; see `usable`.
     auto succeeded(Duration took) -> void;
     auto failed(Moment now) -> void;
+    /// Records that a run goes on that was silent, which had counted as a failure.
+    auto wentOn() -> void;
     /// Records that the replica refused a request because it is full.
     auto reportedFull(Moment now) -> void;
     /// Whether the replica may be chosen for a request: false if it is listed without being there, before its next
@@ -164,6 +173,8 @@
     std::uint32_t earlierStartRecords_ = 0;
     std::uint64_t earlierStartVersion_ = 0;
     std::size_t inFlight_ = 0;
+    /// When the replica was last heard of, or sent a request while it had none.
+    Moment heardAt_ {};
     Tokens tokensSent_ = 0;
     /// Adapters that were not loaded when this entry requested them, since the agent's last report.
     std::set<AdapterName> loadsRequested_;
--- a/packages/serving/ReplicaLeg.cpp
+++ b/packages/serving/ReplicaLeg.cpp
@@ -54,9 +54,9 @@
     auto bytes = std::string();
     bytes.reserve(head.size() + body.size());
     bytes.append(head).append(body);
-    if (connection_->connected())
-        return connection_->write(bytes);
     unsent_ = std::move(bytes);
+    if (connection_->connected())
+        return connected();
     connectTimer_ = timers_.after(connectTimeout, [this] { fail(ReplicaFault::NotSent); });
 }
 
--- a/packages/serving/ReplicaLeg.h
+++ b/packages/serving/ReplicaLeg.h
@@ -35,7 +35,7 @@
         /// The answer is complete according to its HTTP framing.
         std::function<void()> onDone;
         std::function<void(ReplicaFault)> onFault;
-        /// Asked once a new connection stands, right before the request is written; empty for yes.
+        /// Asked once the connection stands, right before the request is written; empty for yes.
         std::function<bool()> mayWrite {};
     };
     /// Whether the head of an answer belongs to the request that was sent. Other answers are skipped.
--- a/packages/serving/RequestAnswer.cpp
+++ b/packages/serving/RequestAnswer.cpp
@@ -17,58 +17,68 @@
 
 } // namespace
 
-/// Limits how long a request that may run again waits for a silent replica, so that time is left to try another one.
-auto RequestRun::startSilenceTimer() -> void
+auto RequestRun::noteHeard() -> void
 {
-    silenceTimer_.cancel();
-    if (!route_->repeatable() || runs_ + 1 >= route_->maxRuns || sends_ >= maxSends)
+    run_->heardAt = gateway_.now();
+    run_->replica->heard(run_->heardAt);
+    if (!std::exchange(run_->silent, false))
         return;
-    const auto limit = firstEventSeen_ || streaming_ ? streamSilenceLimit : timeLeft() / 2;
-    silenceTimer_ = gateway_.loop.timers().after(limit, guarded(&RequestRun::onSilence));
-}
-
-auto RequestRun::onSilence() -> void
-{
-    const auto self = shared_from_this();
-    ++runs_;
-    noteGivenUp("silence");
-    replica_->failed(gateway_.now());
-    releaseReplica(false, RunEnd::Broke);
-    retry("silence");
+    noteSilentRun("silent run went on", "eelgrass_silent_runs_gone_on_total", "heard of");
+    run_->replica->wentOn();
+    withdrawSearch();
 }
 
 auto RequestRun::onHead(const wire::HttpResponseHead& head) -> void
 {
-    head_ = head;
-    heardAt_ = gateway_.now();
-    answer_ = hosting::readAnswerMetadata(head, metadata_.attempt);
-    gateway_.rateLimits.observe(*replica_, answer_, sentAt_);
-    gateway_.availability.observe(*replica_, answer_, gateway_.entries);
-    gateway_.unknownFields.record(head.fields, replica_->id());
+    auto& replica = *run_->replica;
+    noteHeard();
+    run_->head = head;
+    run_->answer = hosting::readAnswerMetadata(head, metadata_.attempt);
+    gateway_.rateLimits.observe(replica, run_->answer, run_->sentAt);
+    gateway_.availability.observe(replica, run_->answer, gateway_.entries);
+    gateway_.unknownFields.record(head.fields, replica.id());
     checkAnsweredVersion();
-    streaming_ = route_->streamed && head.status == ok;
-    if (streaming_)
+    run_->streaming = route_->streamed && head.status == ok;
+    if (run_->streaming)
         startSilenceTimer();
 }
 
 auto RequestRun::onBody(std::string_view bytes) -> void
 {
-    heardAt_ = gateway_.now();
-    if (streaming_)
+    noteHeard();
+    if (run_->streaming)
         return onEvents(bytes);
-    body_.append(bytes);
+    run_->body.append(bytes);
 }
 
 auto RequestRun::onEvents(std::string_view bytes) -> void
 {
     const auto self = shared_from_this();
     startSilenceTimer();
-    for (const auto& event : events_.feed(bytes)) {
+    for (const auto& event : run_->events.feed(bytes)) {
         if (!forwardEvent(event))
             return;
     }
-    if (connection_ && caller_->backlog() > maxBacklog)
-        connection_->pause();
+    if (running() && caller_->backlog() > maxBacklog)
+        pauseRun();
+}
+
+/// A replica that is not read from is not silent.
+auto RequestRun::pauseRun() -> void
+{
+    run_->paused = true;
+    run_->connection->pause();
+    silenceTimer_.cancel();
+}
+
+auto RequestRun::resumeRun() -> void
+{
+    if (!running() || !run_->paused || caller_->backlog() >= maxBacklog)
+        return;
+    run_->paused = false;
+    run_->heardAt = gateway_.now();
+    run_->connection->resume();
+    startSilenceTimer();
 }
 
 /// Forwards one complete event to the client. Returns false if the request ended.
@@ -80,15 +90,14 @@
         if (*event.id <= *lastEventId_)
             return true;
         if (*event.id > *lastEventId_ + 1) {
-            ++runs_;
-            releaseReplica(false);
+            releaseRun(false);
             giveUp("events missing");
             return false;
         }
     }
     if (event.id)
         lastEventId_ = event.id;
-    if (!std::exchange(runHasEvents_, true))
+    if (!std::exchange(run_->hasEvents, true))
         onFirstEventOfRun();
     if (!std::exchange(firstEventSeen_, true)) {
         firstEventAt_ = gateway_.now();
@@ -96,7 +105,7 @@
     }
     if (delivered_ == Delivered::Nothing) {
         delivered_ = Delivered::Part;
-        caller_->begin({ head_.status, hosting::returnedFields(head_) });
+        caller_->begin({ run_->head.status, hosting::returnedFields(run_->head) });
     }
     const auto now = gateway_.now();
     if (lastForwardedAt_ != Moment())
@@ -110,50 +119,63 @@
 auto RequestRun::onDone() -> void
 {
     const auto self = shared_from_this();
-    const auto now = gateway_.now();
     silenceTimer_.cancel();
-    if (answer_.notRun) {
-        if (answer_.otherInstance && !answer_.instance.empty() && answer_.instance != replica_->id())
-            gateway_.directory.markGone(replica_->id(), "another instance has its address");
-        else if (!answer_.otherInstance)
-            replica_->reportedFull(now);
-        // The agent counts it as a failure: a replica that turns requests away looks idle, and would draw the next ones
-        // from entries that it has not told to rest.
-        releaseReplica(true, answer_.availability.rest ? RunEnd::Failed : RunEnd::Plain);
-        return onNotRun(head_.status == unavailable ? "replica full" : "replica did not run it");
-    }
-    ++runs_;
+    if (run_->silent)
+        withdrawSearch();
+    if (run_->answer.notRun)
+        return onAnsweredNotRun();
     gateway_.suspects.recordSuccess(digest_);
-    if (streaming_) {
-        if (!events_.incomplete().empty()) {
-            releaseReplica(false);
-            return giveUp("stream ended within an event");
-        }
-        replica_->succeeded(now - sentAt_);
-        releaseReplica(true);
-        if (delivered_ == Delivered::Nothing)
-            caller_->begin({ head_.status, hosting::returnedFields(head_) });
-        delivered_ = Delivered::Everything;
-        caller_->finish();
-        return finish(ok, "answered", {});
-    }
-    if (head_.status >= firstServerError)
-        replica_->failed(now);
+    if (run_->streaming)
+        return onStreamDone();
+    const auto now = gateway_.now();
+    const auto status = run_->head.status;
+    if (status >= firstServerError)
+        run_->replica->failed(now);
     else
-        replica_->succeeded(now - sentAt_);
-    const auto failed = head_.status >= firstServerError && head_.status != gatewayTimeout;
-    releaseReplica(true, failed ? RunEnd::Failed : RunEnd::Plain);
-    if (head_.status >= firstServerError && mayRunAgain())
-        return retry("replica failed");
+        run_->replica->succeeded(now - run_->sentAt);
+    const auto failed = status >= firstServerError && status != gatewayTimeout;
+    releaseRun(true, failed ? RunEnd::Failed : RunEnd::Plain);
+    if (status >= firstServerError && mayRunAgain())
+        return retryAfterRun("replica failed", "replica failed");
     if (delivered_ == Delivered::Part)
         return giveUp("stream not resumed");
     // An answer without the replica's seal is not forwarded. A status that promises that the request has not run is not
     // forwarded without the header that confirms this.
-    if (!answer_.sealed || promisesNotRun(head_.status))
+    if (!run_->answer.sealed || promisesNotRun(status))
         return fail(badGateway, "answer not to be trusted");
     delivered_ = Delivered::Everything;
-    caller_->respond({ head_.status, hosting::returnedFields(head_) }, body_);
-    finish(head_.status, "answered", {});
+    caller_->respond({ status, hosting::returnedFields(run_->head) }, run_->body);
+    finish(status, "answered", {});
+}
+
+auto RequestRun::onStreamDone() -> void
+{
+    if (!run_->events.incomplete().empty()) {
+        releaseRun(false);
+        return giveUp("stream ended within an event");
+    }
+    run_->replica->succeeded(gateway_.now() - run_->sentAt);
+    releaseRun(true);
+    if (delivered_ == Delivered::Nothing)
+        caller_->begin({ run_->head.status, hosting::returnedFields(run_->head) });
+    delivered_ = Delivered::Everything;
+    caller_->finish();
+    finish(ok, "answered", {});
+}
+
+auto RequestRun::onAnsweredNotRun() -> void
+{
+    --runs_;
+    const auto& answer = run_->answer;
+    const auto replica = run_->replica;
+    if (answer.otherInstance && !answer.instance.empty() && answer.instance != replica->id())
+        gateway_.directory.markGone(replica->id(), "another instance has its address");
+    else if (!answer.otherInstance)
+        replica->reportedFull(gateway_.now());
+    // The agent counts it as a failure: a replica that turns requests away looks idle, and would draw the next ones
+    // from entries that it has not told to rest.
+    releaseRun(true, answer.availability.rest ? RunEnd::Failed : RunEnd::Plain);
+    onNotRun(replica, run_->head.status == unavailable ? "replica full" : "replica did not run it");
 }
 
 /// The request goes elsewhere as if it had not been sent: the replica got nothing and did not fail.
@@ -162,34 +184,36 @@
     countWithheld();
     logDecision("send withheld", withheldReason().text);
     returnPermit();
-    releaseReplica(false, RunEnd::Unsent);
-    --sends_;
-    retryGrantedAt_ = sendGrantedAt_;
+    dropPrepared(RunEnd::Unsent);
     waitTimer_ = gateway_.loop.timers().after(Duration(0), guarded(&RequestRun::place));
 }
 
+auto RequestRun::onNotReached() -> void
+{
+    replica_->failed(gateway_.now());
+    dropPrepared(RunEnd::Plain);
+    onNotRun(replica_, "not reached");
+}
+
 auto RequestRun::onFault(ReplicaFault fault) -> void
 {
     const auto self = shared_from_this();
-    silenceTimer_.cancel();
     if (fault == ReplicaFault::Withheld)
         return onWithheld();
-    replica_->failed(gateway_.now());
-    releaseReplica(false, fault == ReplicaFault::NotSent ? RunEnd::Plain : RunEnd::Broke);
     if (fault == ReplicaFault::NotSent)
-        return onNotRun("not reached");
-    ++runs_;
-    gateway_.suspects.recordBreak(digest_, *replica_, runHasEvents_ || origin_);
-    logDecision("replica connection failed", toString(fault));
-    if (mayRunAgain())
-        return retry(toString(fault));
-    giveUp("the replica broke off");
+        return onNotReached();
+    const auto replica = run_->replica;
+    replica->failed(gateway_.now());
+    releaseRun(false, RunEnd::Broke);
+    gateway_.suspects.recordBreak(digest_, *replica, run_->hasEvents || origin_);
+    logDecision("replica connection failed", toString(fault), replica);
+    retryAfterRun(toString(fault), "the replica broke off");
 }
 
-auto RequestRun::onNotRun(std::string_view why) -> void
+auto RequestRun::onNotRun(const ReplicaPtr& replica, std::string_view why) -> void
 {
-    logDecision("not run", why);
-    tried_.insert(replica_->id());
+    logDecision("not run", why, replica);
+    tried_.insert(replica->id());
     if (sends_ >= maxSends)
         return giveUp(why);
     retry(why);
--- a/packages/serving/RequestEnd.cpp
+++ b/packages/serving/RequestEnd.cpp
@@ -15,10 +15,8 @@
 auto RequestRun::onTimeUp() -> void
 {
     const auto self = shared_from_this();
-    if (connection_) {
-        ++runs_;
-        releaseReplica(false, gateway_.now() - sentAt_ > failureSilence ? RunEnd::Broke : RunEnd::Plain);
-    }
+    if (running())
+        releaseRun(false, gateway_.now() - run_->sentAt > failureSilence ? RunEnd::Broke : RunEnd::Plain);
     if (delivered_ == Delivered::Part) {
         caller_->abort();
         return finish(gatewayTimeout, "broken_off", "time up");
@@ -31,8 +29,7 @@
 auto RequestRun::onCallerGone() -> void
 {
     const auto self = shared_from_this();
-    if (connection_)
-        releaseReplica(false);
+    releaseRun(false);
     finish(0, "caller_gone", {});
 }
 
@@ -67,6 +64,8 @@
 auto RequestRun::giveUp(std::string_view why) -> void
 {
     const auto self = shared_from_this();
+    if (keepsRun(why))
+        return;
     if (delivered_ == Delivered::Part) {
         caller_->abort();
         return finish(badGateway, "broken_off", why);
@@ -84,12 +83,8 @@
         return;
     deadlineTimer_.cancel();
     silenceTimer_.cancel();
-    waitTimer_.cancel();
-    replicaClosed_.reset();
-    returnPermit();
-    if (admittingAgent_)
-        admittingAgent_->release(metadata_.attempt, RunEnd::Unsent);
-    admittingAgent_ = nullptr;
+    withdrawSearch();
+    releaseRun(false);
     // A refused request has not run.
     if (charged_ && outcome == "refused")
         gateway_.quotas.giveBack(*charged_);
@@ -97,6 +92,8 @@
     const auto name = route_ ? route_->name.str() : std::string("none");
     const auto& latest = gateway_.configuration.configuration();
     const auto changed = configuration_ && latest != configuration_;
+    const auto& replica = run_ ? run_->replica : replica_;
+    const auto version = run_ ? run_->answer.version : std::nullopt;
     // Every other outcome is logged as a warning, since the logger may drop lines of lower levels.
     const auto ordinary = outcome == "answered" || outcome == "caller_gone";
     (ordinary ? log::info : log::warn)("request over",
@@ -107,13 +104,13 @@
             { "configuration_age_ms", keyCheck_ ? keyCheck_->ageText() : "" },
             { "configuration_source", keyCheck_ ? keyCheck_->confirmation.source : "" },
             { "configuration_clock", keyCheck_ ? std::string(keyCheck_->confirmation.clock) : "" },
-            { "replica", replica_ ? replica_->id().str() : "" },
-            { "version", answer_.version ? std::to_string(answer_.version->value()) : "" },
+            { "replica", replica ? replica->id().str() : "" },
+            { "version", version ? std::to_string(version->value()) : "" },
             { "resumes", metadata_.resumed ? metadata_.resumed->attempt.str() : "" },
             { "began_on", origin_ ? origin_->software.str() : "" }, { "sends", std::to_string(sends_) },
             { "runs", std::to_string(runs_) }, { "took_ms", millisecondsText(now - beganAt_) },
             { "given_up", std::to_string(givenUp_) }, { "events", std::to_string(forwarded_) },
-            { "silent_ms", heardAt_ == Moment() ? "" : millisecondsText(now - heardAt_) },
+            { "silent_ms", run_ ? millisecondsText(now - run_->heardAt) : "" },
             { "began_with", configuration_ ? std::to_string(configuration_->version.value()) : "" },
             { "ended_with", latest ? std::to_string(latest->version.value()) : "" },
             { "changed_ms", changed ? millisecondsText(now - gateway_.configuration.inForceSince()) : "" },
@@ -130,8 +127,6 @@
     gateway_.metrics.observe("eelgrass_request_seconds", member, RequestClass(name), now - beganAt_);
     gateway_.metrics.count("eelgrass_requests_total",
         { { "class", name }, { "outcome", std::string(outcome) }, { "status", std::to_string(status) } });
-    // The promise is destroyed from the event loop, because this function may run within the promise's own callback.
-    gateway_.deferred.add([self = shared_from_this()] { self->admission_ = nullptr; });
 }
 
 } // namespace eelgrass::serving
--- a/packages/serving/RequestLog.cpp
+++ b/packages/serving/RequestLog.cpp
@@ -27,25 +27,6 @@
             { "left_ms", millisecondsText(timeLeft()) } });
 }
 
-auto RequestRun::runProgress() const -> std::string_view
-{
-    if (runHasEvents_)
-        return "events";
-    return head_.status == 0 ? "nothing" : "head";
-}
-
-auto RequestRun::noteGivenUp(std::string_view why) -> void
-{
-    ++givenUp_;
-    gateway_.metrics.count("eelgrass_runs_given_up_total",
-        { { "service", service_.str() }, { "reason", std::string(why) }, { "had", std::string(runProgress()) } });
-    log::info("run given up",
-        { { "request", metadata_.attempt.str() }, { "replica", replica_->id().str() }, { "reason", std::string(why) },
-            { "had", std::string(runProgress()) }, { "events", std::to_string(forwarded_) },
-            { "silent_ms", millisecondsText(gateway_.now() - heardAt_) },
-            { "left_ms", millisecondsText(timeLeft()) } });
-}
-
 auto RequestRun::noteKeyCheck() -> void
 {
     const auto& configuration = gateway_.configuration;
@@ -74,25 +55,30 @@
 auto RequestRun::checkAnsweredVersion() -> void
 {
     const auto& known = knownVersion();
-    if (metadata_.adapter.empty() || !answer_.version || *answer_.version >= known.version)
+    const auto& version = run_->answer.version;
+    if (metadata_.adapter.empty() || !version || *version >= known.version)
         return;
-    gateway_.metrics.count(
-        "eelgrass_older_version_runs_total", { { "decided_by", admittingAgent_ ? "agent" : "entry" } });
+    gateway_.metrics.count("eelgrass_older_version_runs_total", { { "decided_by", run_->agent ? "agent" : "entry" } });
     log::warn("run on older version",
-        { { "request", metadata_.attempt.str() }, { "replica", replica_->id().str() },
-            { "adapter", metadata_.adapter.str() }, { "version", std::to_string(answer_.version->value()) },
+        { { "request", metadata_.attempt.str() }, { "replica", run_->replica->id().str() },
+            { "adapter", metadata_.adapter.str() }, { "version", std::to_string(version->value()) },
             { "known_version", std::to_string(known.version.value()) },
             { "known_ms", millisecondsText(gateway_.now() - *known.learnedAt) } });
 }
 
 auto RequestRun::logDecision(std::string_view event, std::string_view why) const -> void
 {
-    const auto* agent = replica_ ? replica_->agent() : nullptr;
+    logDecision(event, why, replica_);
+}
+
+auto RequestRun::logDecision(std::string_view event, std::string_view why, const ReplicaPtr& replica) const -> void
+{
+    const auto* agent = replica ? replica->agent() : nullptr;
     const auto age = agent && agent->state().receivedAt != Moment()
         ? millisecondsText(gateway_.now() - agent->state().receivedAt)
         : "";
     log::info(event,
-        { { "request", metadata_.attempt.str() }, { "replica", replica_ ? replica_->id().str() : "" },
+        { { "request", metadata_.attempt.str() }, { "replica", replica ? replica->id().str() : "" },
             { "adapter", metadata_.adapter.str() }, { "reason", std::string(why) }, { "state_age_ms", age },
             { "left_ms", millisecondsText(timeLeft()) } });
 }
--- a/packages/serving/RequestPlacing.cpp
+++ b/packages/serving/RequestPlacing.cpp
@@ -95,6 +95,8 @@
 {
     if (!replica.usable(now) || tried_.contains(replica.id()) || !mayContinueAt(replica))
         return false;
+    if (running() && !mayTakeOver(replica, now))
+        return false;
     const auto* agent = replica.agent();
     if (!agent || !agent->alive())
         return true;
@@ -141,6 +143,7 @@
 {
     if (finished_)
         return;
+    searching_ = true;
     auto choice = chooseReplica();
     if (!choice && !lateReplicas_.empty()) {
         // Every usable replica would start the request late; a late start is better than a refusal.
--- a/packages/serving/RequestResume.cpp
+++ b/packages/serving/RequestResume.cpp
@@ -85,12 +85,12 @@
 {
     const auto continues = firstEventSeen_ || resumesStream();
     if (!origin_ && route_->resumable)
-        origin_ = StreamOrigin { service_, replica_->record().software };
+        origin_ = StreamOrigin { service_, run_->replica->record().software };
     auto statement = std::optional<StreamOrigins::Statement>();
     if (origin_)
         statement = gateway_.origins.note(streamId(), *origin_, keepAfterAttempt(*route_, metadata_, timeLeft()));
-    if (admittingAgent_)
-        admittingAgent_->started(metadata_.attempt, statement);
+    if (run_->agent)
+        run_->agent->started(metadata_.attempt, statement);
     if (continues)
         noteContinued();
 }
@@ -110,12 +110,13 @@
 
 auto RequestRun::noteContinued() const -> void
 {
-    const auto& software = replica_->record().software;
+    const auto& replica = *run_->replica;
+    const auto& software = replica.record().software;
     gateway_.metrics.count("eelgrass_streams_continued_total",
         { { "way", resumesStream() ? "by client" : "same answer" },
-            { "software", mayContinueAt(*replica_) ? "same" : "other" } });
+            { "software", mayContinueAt(replica) ? "same" : "other" } });
     log::info("stream continued",
-        { { "request", metadata_.attempt.str() }, { "replica", replica_->id().str() },
+        { { "request", metadata_.attempt.str() }, { "replica", replica.id().str() },
             { "began_on", origin_ ? origin_->software.str() : "" }, { "software", software.str() } });
 }
 
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -50,11 +50,7 @@
     if (!readRequest())
         return;
     caller_->watch({ .onGone = [self = shared_from_this()] { self->onCallerGone(); },
-        .onDrained =
-            [self = shared_from_this()] {
-                if (self->connection_ && self->caller_->backlog() < maxBacklog)
-                    self->connection_->resume();
-            } });
+        .onDrained = [self = shared_from_this()] { self->resumeRun(); } });
     deadlineTimer_ = gateway_.loop.timers().after(firstEventBy_ - gateway_.now(), guarded(&RequestRun::onTimeUp));
     takeQuota();
 }
@@ -250,50 +246,38 @@
     replicaClosed_.reset();
     // With less time left the request would be cut off at once, and the client could not be told that it has not run.
     if (timeLeft() < minTimeToSend)
-        return onTimeUp();
+        return running() ? giveUp("time up") : onTimeUp();
     if (!keyStillValid())
         return;
     if (!chargeSend()) {
         grantedVersion_ = grantedVersion;
         return;
     }
-    const auto nonRepeatable = !route_->repeatable();
-    connection_ = replica_->pool().take(nonRepeatable);
-    if (!connection_->usable()) {
-        connection_.reset();
+    // A connection that its replica may just be closing is not enough to end a run for.
+    auto connection = replica_->pool().take(!route_->repeatable() || running());
+    if (!connection->usable()) {
         returnPermit();
         retryGrantedAt_ = sendGrantedAt_;
         return retry("no connection");
     }
+    prepareRun(std::move(connection));
+}
+
+auto RequestRun::prepareRun(std::shared_ptr<ReplicaConnection> connection) -> void
+{
+    const auto now = gateway_.now();
     ++sends_;
-    sentAt_ = now;
-    heardAt_ = now;
-    head_ = {};
-    answer_ = {};
-    body_.clear();
-    streaming_ = false;
-    runHasEvents_ = false;
-    events_.clear();
-    auto options = hosting::ForwardOptions { .instance = replica_->id() };
-    if (!metadata_.adapter.empty())
-        options.version = runVersion_;
-    options.timeLeft = std::max(std::chrono::duration_cast<milliseconds>(timeLeft()), milliseconds(1));
-    if (replica_->agent())
-        options.priority = std::min(priority(), lowestPriority);
-    if (member_)
-        options.member = member_->name;
-    if (delivered_ == Delivered::Part)
-        options.lastEventId = lastEventId_;
-    const auto fields = hosting::forwardedFields(request_, options);
-    const auto head = wire::requestHeadText(request_.method, request_.target, fields, request_.body.size());
+    prepared_ = std::make_shared<ReplicaRun>();
+    prepared_->replica = replica_;
+    prepared_->connection = connection;
+    prepared_->sentAt = now;
     replica_->requestSent(metadata_.promptTokens, now);
     if (replica_->agent())
         replica_->prompts().remember(sharedPrefixes_);
     gateway_.rateLimits.countSend(*replica_);
     gateway_.availability.countSend(*replica_);
     logSend();
-    startSilenceTimer();
-    connection_->send(head, request_.body,
+    connection->send(forwardedHead(), request_.body,
         [attempt = metadata_.attempt](const wire::HttpResponseHead& answer) {
             return !hosting::readAnswerMetadata(answer, attempt).forOtherAttempt;
         },
@@ -301,7 +285,29 @@
             .onBody = [this](std::string_view bytes) { onBody(bytes); },
             .onDone = [this] { onDone(); },
             .onFault = [this](ReplicaFault fault) { onFault(fault); },
-            .mayWrite = [this] { return mayWrite(); } });
+            .mayWrite =
+                [this] {
+                    if (!mayWrite())
+                        return false;
+                    startRun();
+                    return true;
+                } });
+}
+
+auto RequestRun::forwardedHead() const -> std::string
+{
+    auto options = hosting::ForwardOptions { .instance = replica_->id() };
+    if (!metadata_.adapter.empty())
+        options.version = runVersion_;
+    options.timeLeft = std::max(std::chrono::duration_cast<milliseconds>(timeLeft()), milliseconds(1));
+    if (replica_->agent())
+        options.priority = std::min(priority(), lowestPriority);
+    if (member_)
+        options.member = member_->name;
+    if (delivered_ == Delivered::Part)
+        options.lastEventId = lastEventId_;
+    const auto fields = hosting::forwardedFields(request_, options);
+    return wire::requestHeadText(request_.method, request_.target, fields, request_.body.size());
 }
 
 auto RequestRun::mayRunAgain() const -> bool
@@ -319,6 +325,7 @@
         noteRetry({});
         return giveUp(retryBudgetReason);
     }
+    searching_ = true;
     if (replica_)
         tried_.insert(replica_->id());
     // A stream waits for its next replica as long as a new request does.
@@ -328,21 +335,29 @@
     waitTimer_ = gateway_.loop.timers().after(Duration(0), guarded(&RequestRun::place));
 }
 
-auto RequestRun::releaseReplica(bool keepConnection, RunEnd end) -> void
+auto RequestRun::retryAfterRun(std::string_view reason, std::string_view why) -> void
+{
+    if (searching_ && (prepared_ || mayRunAgain()))
+        return;
+    if (!searching_ && mayRunAgain())
+        return retry(reason);
+    giveUp(why);
+}
+
+auto RequestRun::releaseRun(bool keepConnection, RunEnd end) -> void
 {
     silenceTimer_.cancel();
-    if (admittingAgent_)
-        admittingAgent_->release(metadata_.attempt, firstEventSeen_ && end != RunEnd::Unsent ? RunEnd::Plain : end);
-    admittingAgent_ = nullptr;
-    if (!connection_)
+    if (!running())
         return;
-    permit_.reset();
-    replica_->requestEnded();
+    if (run_->agent)
+        run_->agent->release(metadata_.attempt, firstEventSeen_ ? RunEnd::Plain : end);
+    run_->agent = nullptr;
+    run_->replica->requestEnded();
     if (!keepConnection)
-        connection_->abort();
+        run_->connection->abort();
     // The connection is returned to the pool from the event loop, because this function may run within its callback.
-    gateway_.deferred.add([held = std::move(connection_), replica = replica_] { replica->pool().giveBack(held); });
-    connection_.reset();
+    gateway_.deferred.add(
+        [held = std::exchange(run_->connection, nullptr), replica = run_->replica] { replica->pool().giveBack(held); });
 }
 
 } // namespace eelgrass::serving
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -4,9 +4,8 @@
 #include "platform/AnswerHeaders.h"
 #include "platform/RequestHeaders.h"
 #include "serving/CallerExchange.h"
-#include "serving/EventSplitter.h"
 #include "serving/GatewayContext.h"
-#include "serving/ReplicaLeg.h"
+#include "serving/ReplicaRun.h"
 
 #include <memory>
 #include <optional>
@@ -112,6 +111,12 @@
     auto abandonAdmission(std::string_view why) -> void;
     /// Sends the request to `replica_`, on the version of its adapter that the replica holds.
     auto send() -> void;
+    /// Prepares a run at `replica_`, which starts when its connection stands.
+    auto prepareRun(std::shared_ptr<ReplicaConnection> connection) -> void;
+    /// Head of the request as `replica_` is to get it.
+    [[nodiscard]] auto forwardedHead() const -> std::string;
+    /// Called right before the request is written to `replica_`: ends the silent run before it, if there is one.
+    auto startRun() -> void;
     /// Whether a request may run on this version of its adapter, 0 if the replica does not hold it. Every way to a
     /// replica ends in this question: when it is chosen, when the request is sent, and when a connection to it stands.
     [[nodiscard]] auto mayRunOn(AdapterVersion version) const -> bool;
@@ -129,11 +134,18 @@
     // The replica's answer.
     auto onHead(const wire::HttpResponseHead& head) -> void;
     auto onBody(std::string_view bytes) -> void;
+    /// Notes that the current run's replica has sent something, which ends a search for another one.
+    auto noteHeard() -> void;
+    auto pauseRun() -> void;
+    auto resumeRun() -> void;
     auto onEvents(std::string_view bytes) -> void;
     auto forwardEvent(const StreamEvent& event) -> bool;
     auto onDone() -> void;
+    auto onStreamDone() -> void;
+    auto onAnsweredNotRun() -> void;
     auto onFault(ReplicaFault fault) -> void;
-    auto onNotRun(std::string_view why) -> void;
+    auto onNotRun(const ReplicaPtr& replica, std::string_view why) -> void;
+    auto onNotReached() -> void;
     auto onWithheld() -> void;
     /// A reason as metrics and as log lines name it.
     struct WithheldReason {
@@ -143,13 +155,36 @@
     /// Why nothing is written to `replica_`.
     [[nodiscard]] auto withheldReason() const -> WithheldReason;
     auto countWithheld() -> void;
-    auto onSilence() -> void;
     auto startSilenceTimer() -> void;
 
+    // Replacing a silent run. It goes on while a replica is searched that takes the request from it, and ends when the
+    // request is about to be written there.
+    [[nodiscard]] auto running() const noexcept -> bool { return run_ && run_->connection; }
+    auto onSilence() -> void;
+    /// Whether the replica of the current run, which is silent, is silent towards the other requests of this entry too.
+    /// A replica that pauses is, while one that answers others has lost the run.
+    [[nodiscard]] auto replicaIsSilent(Moment now) const -> bool;
+    /// The latest moment to search another replica, so that the client gets an event or its answer before it gives up.
+    [[nodiscard]] auto latestSearch() const -> Moment;
+    auto searchReplacement() -> void;
+    /// Whether the replica may take the request from the current run, whose replica is silent.
+    [[nodiscard]] auto mayTakeOver(const Replica& replica, Moment now) const -> bool;
+    /// Whether the current run goes on although the search for another replica has failed. If so, the search is
+    /// repeated later.
+    [[nodiscard]] auto keepsRun(std::string_view why) -> bool;
+    /// Ends the search: releases the admission, the permit and the connection that it has or waits for.
+    auto withdrawSearch() -> void;
+    /// Drops the prepared run, whose request was not written.
+    auto dropPrepared(RunEnd end) -> void;
+
     // Retries.
     [[nodiscard]] auto mayRunAgain() const -> bool;
     auto retry(std::string_view why) -> void;
-    auto releaseReplica(bool keepConnection, RunEnd end = RunEnd::Plain) -> void;
+    /// Retries after the current run has ended, unless a search has begun already. `why` ends the request if it may not
+    /// run again.
+    auto retryAfterRun(std::string_view reason, std::string_view why) -> void;
+    /// Ends the current run.
+    auto releaseRun(bool keepConnection, RunEnd end = RunEnd::Plain) -> void;
 
     // Ending the request.
     auto onTimeUp() -> void;
@@ -160,11 +195,11 @@
     auto giveUp(std::string_view why) -> void;
     /// Releases what the request holds, and logs and counts its outcome. `status` is 0 if the client got none.
     auto finish(int status, std::string_view outcome, std::string_view why) -> void;
+    /// Logs a decision on the request and `replica_`.
     auto logDecision(std::string_view event, std::string_view why) const -> void;
-    /// Logs and counts that the current run is given up although its replica has not failed it.
-    auto noteGivenUp(std::string_view why) -> void;
-    /// How much of the run's answer this entry has.
-    [[nodiscard]] auto runProgress() const -> std::string_view;
+    auto logDecision(std::string_view event, std::string_view why, const ReplicaPtr& replica) const -> void;
+    /// Logs and counts what becomes of the current run, whose replica is silent.
+    auto noteSilentRun(std::string_view event, std::string_view metric, std::string_view why) const -> void;
     /// Logs and counts a decision on a retry, with what the retry budget stood at.
     auto noteRetry(const RetryVerdict& verdict) const -> void;
     /// Logs a send with the version that it expects, who decided on that version, and what this entry knows.
@@ -209,8 +244,17 @@
     /// Prefixes of the prompt that other requests may share, each ending with one more part.
     std::vector<decisions::SharedPrefix> sharedPrefixes_;
 
+    /// The latest run that was started. It is forwarded to the client while it has its connection.
+    std::shared_ptr<ReplicaRun> run_;
+    /// The run that `send` has prepared, while its connection is being made.
+    std::shared_ptr<ReplicaRun> prepared_;
+    /// Whether a replica is being searched for the request.
+    bool searching_ = false;
+    /// The replica that the search has chosen. Until the request is written there, the current run may be elsewhere.
     ReplicaPtr replica_;
     std::set<InstanceId> tried_;
+    /// Replicas that the request was written to.
+    std::set<InstanceId> ranAt_;
     /// Replicas that refused the request because it would start late. Of these, `soonestReplica_` announced the
     /// earliest start.
     std::set<InstanceId> lateReplicas_;
@@ -231,16 +275,8 @@
     std::optional<AdapterVersion> grantedVersion_;
     /// The version that `replica_` is to run the request on; 0 for the base model.
     AdapterVersion runVersion_;
-    std::shared_ptr<ReplicaConnection> connection_;
-    wire::HttpResponseHead head_;
-    hosting::AnswerMetadata answer_;
-    std::string body_;
-    EventSplitter events_;
     std::optional<std::uint64_t> lastEventId_;
-    bool streaming_ = false;
     bool firstEventSeen_ = false;
-    /// Whether `replica_` has brought an event of the current run.
-    bool runHasEvents_ = false;
     /// Where the stream began; empty until it has brought an event that the client has.
     std::optional<StreamOrigin> origin_;
     std::uint32_t sends_ = 0;
@@ -248,15 +284,12 @@
     std::optional<Moment> retryGrantedAt_;
     /// When it granted the current send; empty for the first send.
     std::optional<Moment> sendGrantedAt_;
-    /// Sends after which the replica may have run the request.
+    /// Runs that were started, without those that their replicas answered as not run.
     std::uint32_t runs_ = 0;
-    /// Runs that were given up although their replicas had not failed them.
+    /// Runs that were given up for their silence.
     std::uint32_t givenUp_ = 0;
     /// Events that were passed on to the client.
     std::uint64_t forwarded_ = 0;
-    Moment sentAt_ {};
-    /// When the replica of the last run was last heard of; when that was sent, before its answer began.
-    Moment heardAt_ {};
     Moment firstEventAt_ {};
     Moment lastForwardedAt_ {};
     /// Longest time between two events of the stream.
--- a/packages/serving/RequestWaiting.cpp
+++ b/packages/serving/RequestWaiting.cpp
@@ -114,17 +114,9 @@
 auto RequestRun::abandonAdmission(std::string_view why) -> void
 {
     logDecision("admission abandoned", why);
-    replicaClosed_.reset();
-    ++admissionCount_;
-    waitTimer_.cancel();
-    returnPermit();
-    if (admittingAgent_)
-        admittingAgent_->release(metadata_.attempt, RunEnd::Unsent);
-    admittingAgent_ = nullptr;
-    if (finished_)
-        return;
-    admission_ = nullptr;
-    place();
+    withdrawSearch();
+    if (!finished_)
+        place();
 }
 
 auto RequestRun::nextOpening() const -> std::optional<Opening>
--- a/packages/serving/detail/RunLimits.h
+++ b/packages/serving/detail/RunLimits.h
@@ -41,9 +41,16 @@
 inline constexpr auto sessionOpenLimit = Duration(400ms);
 // How often a pending admission checks that its agent still responds.
 inline constexpr auto agentCheckInterval = Duration(250ms);
-// A stream that can be resumed is moved to another replica after this silence, well before its client gives up, which
-// takes at least two seconds.
+// After this silence another replica is searched for a stream that can be resumed, well before its client gives up,
+// which takes at least two seconds.
 inline constexpr auto streamSilenceLimit = Duration(1200ms);
+// Time to find another replica for a stream, send it there and get an event.
+inline constexpr auto moveTime = Duration(800ms);
+// The same for a request whose answer is not a stream; at least so many times its mean time at the replica.
+inline constexpr auto plainMoveTime = Duration(200ms);
+inline constexpr auto plainMoveRuns = 4;
+// When another replica is searched again for a silent run, after a search that found none.
+inline constexpr auto nextSearchDelay = Duration(300ms);
 // A replica counts as failed if, when a request's deadline passes, the request was sent longer ago than this and
 // the replica has sent no event. Prefill takes less than a second.
 inline constexpr auto failureSilence = Duration(1500ms);
