The mean time of a run claims a quarter of a plain request's time at most

Cause: the later search leaves four times the replica's mean time, which pauses had made long. Change: a quarter of the request's time at most.

--- a/packages/serving/RequestReplace.cpp
+++ b/packages/serving/RequestReplace.cpp
@@ -48,8 +48,11 @@
 
 auto RequestRun::latestSearch() const -> Moment
 {
-    if (!route_->streamed)
-        return endAt_ - std::max(plainMoveTime, plainMoveRuns * run_->replica->meanTime());
+    if (!route_->streamed) {
+        // Pauses make the mean time longer than a run takes, so it claims a quarter of the request's time at most.
+        const auto most = std::max(plainMoveTime, (endAt_ - beganAt_) / 4);
+        return endAt_ - std::clamp(plainMoveRuns * run_->replica->meanTime(), plainMoveTime, most);
+    }
     return (firstEventSeen_ ? lastForwardedAt_ + clientEventTimeout(*route_) : firstEventBy_) - moveTime;
 }
 
