A stop tells what it waits for, and a request that it cuts off has a line

Cause: a request that was open when the stop of its entry ended had 'sent' and no end at all in the logs, and a stop told nothing between its first and its last line; the hypotheses of the incident could not be told apart.

Change: the planned stop of a gateway has a class of its own (GatewayStop), with its times in decisions::StopSchedule; the times are the same. New lines 'stop waits' and 'request cut off', the counter eelgrass_requests_cut_off_total, and 'after_stop_ms' and 'left_ms' in 'request over'.

--- a/packages/serving/CallerConnection.cpp
+++ b/packages/serving/CallerConnection.cpp
@@ -26,6 +26,27 @@
 
 } // namespace
 
+auto toString(CallerStage stage) noexcept -> std::string_view
+{
+    switch (stage) {
+    case CallerStage::Idle:
+        return "idle";
+    case CallerStage::HalfRead:
+        return "half_read";
+    case CallerStage::Waiting:
+        return "waiting";
+    case CallerStage::Searching:
+        return "searching";
+    case CallerStage::AtWork:
+        return "at_work";
+    case CallerStage::Silent:
+        return "silent";
+    case CallerStage::Ending:
+        break;
+    }
+    return "ending";
+}
+
 CallerConnection::CallerConnection(
     TimerService& timers, wire::ObjectPtr<GSocket> socket, const CallerLimits& limits, Hooks hooks)
     : timers_(timers)
@@ -297,6 +318,22 @@
         linger();
 }
 
+auto CallerConnection::cutOff() -> void
+{
+    const auto self = shared_from_this();
+    if (const auto callback = watcher_.onCutOff)
+        callback();
+}
+
+auto CallerConnection::stage() const -> CallerStage
+{
+    if (requestOpen_)
+        return watcher_.stage ? watcher_.stage() : CallerStage::Waiting;
+    if (lingering_)
+        return CallerStage::Ending;
+    return reading_ ? CallerStage::HalfRead : CallerStage::Idle;
+}
+
 auto CallerConnection::ended() -> void
 {
     const auto self = shared_from_this();
--- a/packages/serving/CallerConnection.h
+++ b/packages/serving/CallerConnection.h
@@ -15,6 +15,26 @@
 
 class CallerExchange;
 
+/// What a client's connection holds.
+enum class CallerStage {
+    /// No request.
+    Idle,
+    /// A request of which a part has been read.
+    HalfRead,
+    /// A request that waits for its first run.
+    Waiting,
+    /// A request that has lost its run, while a replica is searched for it.
+    Searching,
+    /// A request that runs.
+    AtWork,
+    /// A request that runs, whose replica has been silent for long.
+    Silent,
+    /// An answer after which the connection closes.
+    Ending,
+};
+
+[[nodiscard]] auto toString(CallerStage) noexcept -> std::string_view;
+
 /// HTTP connection of a client. Serves one request after another, with strict framing and limits on size and time. Each
 /// request is passed on with the `CallerExchange` that answers it.
 ///
@@ -32,6 +52,10 @@
         std::function<void()> onGone;
         /// Everything written has been sent to the client.
         std::function<void()> onDrained;
+        /// The entry ends while the request is open.
+        std::function<void()> onCutOff {};
+        /// How far the request is.
+        std::function<CallerStage()> stage {};
     };
     struct Hooks {
         std::function<void(std::shared_ptr<CallerExchange>, wire::HttpRequestMessage)> onRequest;
@@ -57,6 +81,10 @@
     /// Resets the connection, even while a request is served.
     auto abort() -> void;
 
+    /// Tells the handler of a request that is open that the entry ends.
+    auto cutOff() -> void;
+
+    [[nodiscard]] auto stage() const -> CallerStage;
     [[nodiscard]] auto peer() const -> const std::string& { return connection_.peer(); }
 
 private:
--- a/packages/serving/GatewayContext.h
+++ b/packages/serving/GatewayContext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/DeferredCalls.h"
+#include "decisions/StopSchedule.h"
 #include "router/Metrics.h"
 #include "serving/ConfigurationFollower.h"
 #include "serving/MemberQuotas.h"
@@ -32,6 +33,8 @@
     RetryBudgets& retryBudgets;
     /// Estimated number of entries that share quotas, rate limits and connections.
     std::size_t entries = 6;
+    /// Empty until the entry is told to stop.
+    std::optional<decisions::StopSchedule> stop {};
 
     [[nodiscard]] auto now() const -> Moment { return loop.timers().now(); }
 };
--- a/packages/serving/GatewayRole.cpp
+++ b/packages/serving/GatewayRole.cpp
@@ -20,13 +20,6 @@
 constexpr auto listAgeLimit = Duration(1s);
 // Interval between requests to peers while the configuration is getting too old to check keys.
 constexpr auto keyRetryInterval = Duration(400ms);
-// The platform stops sending connections after two failed probes a second apart; idle connections may be closed then.
-constexpr auto balancerDelay = Duration(2500ms);
-// A stopping entry accepts no connection after this time: requests on it could not be finished before the process ends.
-constexpr auto acceptUntil = Duration(2900ms);
-// Time left of the grace period when requests still running are aborted.
-constexpr auto stopMargin = Duration(500ms);
-constexpr auto stopCheckInterval = Duration(100ms);
 
 /// Age of the configuration at which an entry asks its peers: two fifths of the bound for keys.
 constexpr auto keyAgeLimit(Duration bound) -> Duration { return 2 * bound / 5; }
@@ -162,7 +155,7 @@
     auto connection = std::make_shared<CallerConnection>(
         loop_.timers(), std::move(socket), configuration ? configuration->limits : CallerLimits {}, std::move(hooks));
     connections_.emplace(connection.get(), connection);
-    if (stopping_)
+    if (stop_)
         connection->closeSoon();
     connection->start();
 }
@@ -337,7 +330,7 @@
 auto GatewayRole::ready() const -> bool
 {
     const auto serves = !needsKeys() || configuration_.keysUsable();
-    return !stopping_ && configuration_.configuration() && directory_.loaded() && serves;
+    return !stop_ && configuration_.configuration() && directory_.loaded() && serves;
 }
 
 auto GatewayRole::reload(const GatewaySettings& settings) -> void
@@ -353,35 +346,8 @@
 
 auto GatewayRole::stop() -> void
 {
-    if (std::exchange(stopping_, true))
-        return;
-    stopBegan_ = loop_.timers().now();
-    log::info("stopping", { { "connections", std::to_string(connections_.size()) } });
-    for (const auto& [raw, connection] : connections_)
-        connection->closeSoon();
-    stopTimer_ = loop_.timers().every(stopCheckInterval, [this] { endIfIdle(); });
-}
-
-auto GatewayRole::endIfIdle() -> void
-{
-    const auto age = loop_.timers().now() - stopBegan_;
-    if (age < balancerDelay)
-        return;
-    // If too few entries of a zone are ready, the platform keeps sending connections. Requests on them would now be
-    // aborted when the process ends; a client whose connection is refused tries another entry at once.
-    if (age >= acceptUntil)
-        clients_->close();
-    const auto held = connections_;
-    for (const auto& [raw, connection] : held)
-        connection->closeIfIdle();
-    // The last connections that the kernel has completed may bring requests.
-    if (connections_.empty())
-        clients_->close();
-    if (!connections_.empty() && age < Duration(settings_.grace) - stopMargin)
-        return;
-    log::info("stopped", { { "cut", std::to_string(connections_.size()) } });
-    stopTimer_.cancel();
-    loop_.quitWhenFlushed();
+    if (!stop_)
+        stop_ = std::make_unique<GatewayStop>(gateway_, connections_, *clients_);
 }
 
 } // namespace eelgrass::serving
--- a/packages/serving/GatewayRole.h
+++ b/packages/serving/GatewayRole.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "serving/GatewayContext.h"
+#include "serving/GatewayStop.h"
 #include "serving/KeyOutage.h"
 #include "serving/PeerQueries.h"
 #include "serving/ReaderLink.h"
@@ -64,8 +65,6 @@
     /// Peers to ask when the store is unreachable: the seeds from the settings, and the readers of the zones.
     [[nodiscard]] auto peersToAsk() const -> std::vector<Endpoint>;
     [[nodiscard]] auto needsKeys() const -> bool { return !configuration_.members().empty(); }
-    auto endIfIdle() -> void;
-
     wire::MainLoop& loop_;
     GatewaySettings settings_;
     router::Metrics metrics_;
@@ -82,7 +81,7 @@
     RetryBudgets retryBudgets_;
     GatewayContext gateway_;
     KeyOutage keyOutage_;
-    std::map<CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
+    GatewayStop::Connections connections_;
     std::unique_ptr<wire::TcpListener> clients_;
     std::unique_ptr<TextServer> readiness_;
     std::unique_ptr<TextServer> metricsServer_;
@@ -97,10 +96,9 @@
     Moment peerAskedAt_ {};
     /// When another entry was first seen to have a newer configuration; empty while no such entry is known.
     std::optional<Moment> behindSince_;
-    bool stopping_ = false;
-    Moment stopBegan_ {};
     Timer peerCheckTimer_;
-    Timer stopTimer_;
+    /// Null until the entry is told to stop.
+    std::unique_ptr<GatewayStop> stop_;
 };
 
 } // namespace eelgrass::serving
--- a/packages/serving/RequestEnd.cpp
+++ b/packages/serving/RequestEnd.cpp
@@ -110,6 +110,7 @@
             { "began_on", origin_ ? origin_->software.str() : "" }, { "sends", std::to_string(sends_) },
             { "runs", std::to_string(runs_) }, { "took_ms", millisecondsText(now - beganAt_) },
             { "given_up", std::to_string(givenUp_) }, { "events", std::to_string(forwarded_) },
+            { "left_ms", route_ ? millisecondsText(endAt_ - now) : "" }, { "after_stop_ms", afterStopText() },
             { "silent_ms", run_ ? millisecondsText(now - run_->heardAt) : "" },
             { "began_with", configuration_ ? std::to_string(configuration_->version.value()) : "" },
             { "ended_with", latest ? std::to_string(latest->version.value()) : "" },
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -35,6 +35,7 @@
     , caller_(std::move(caller))
     , request_(std::move(request))
     , beganAt_(caller_->requestBegan())
+    , readAt_(gateway.now())
 {
 }
 
@@ -50,7 +51,9 @@
     if (!readRequest())
         return;
     caller_->watch({ .onGone = [self = shared_from_this()] { self->onCallerGone(); },
-        .onDrained = [self = shared_from_this()] { self->resumeRun(); } });
+        .onDrained = [self = shared_from_this()] { self->resumeRun(); },
+        .onCutOff = [self = shared_from_this()] { self->noteCutOff(); },
+        .stage = [self = shared_from_this()] { return self->stage(); } });
     deadlineTimer_ = gateway_.loop.timers().after(firstEventBy_ - gateway_.now(), guarded(&RequestRun::onTimeUp));
     takeQuota();
 }
@@ -182,6 +185,13 @@
     };
 }
 
+auto RequestRun::stage() const -> CallerStage
+{
+    if (!running())
+        return runs_ > 0 || firstEventSeen_ ? CallerStage::Searching : CallerStage::Waiting;
+    return run_->silent ? CallerStage::Silent : CallerStage::AtWork;
+}
+
 auto RequestRun::timeLeft() const -> Duration { return endAt_ - gateway_.now(); }
 
 auto RequestRun::grantUsable(const std::optional<Moment>& grantedAt) const -> bool
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -208,6 +208,11 @@
     /// Reports a run on an older version than the one that this entry knows.
     auto checkAnsweredVersion() -> void;
     [[nodiscard]] auto timeLeft() const -> Duration;
+    [[nodiscard]] auto stage() const -> CallerStage;
+    /// Logs and counts that the end of the entry's stop ends the request.
+    auto noteCutOff() const -> void;
+    /// How long after the begin of the entry's stop the request was whole, negative before it; empty without a stop.
+    [[nodiscard]] auto afterStopText() const -> std::string;
     /// Whether the client resumes a stream that an earlier attempt has begun.
     [[nodiscard]] auto resumesStream() const -> bool
     {
@@ -235,6 +240,8 @@
     std::optional<QuotaCharge> charged_;
     ServiceName service_;
     Moment beganAt_ {};
+    /// When the request had been read whole.
+    Moment readAt_ {};
     Moment lateAt_ {};
     Moment endAt_ {};
     /// When a client that has received no event of its stream is assumed to disconnect.
