--- /dev/null
+++ b/tests/harness/GatewayProcess.cpp
@@ -0,0 +1,78 @@
+#include "tests/harness/GatewayProcess.h"
+
+#include "platform/Names.h"
+#include "tests/harness/ServingWorld.h"
+
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+
+namespace eelgrass::tests {
+
+GatewayProcess::GatewayProcess(const Options& options)
+    : agent_(loop_,
+        { .host = { .name = "agent",
+              .zone = AvailabilityZone("zone-1"),
+              .store = store_.endpoint(),
+              .address = "127.0.0.1" },
+            .replica = engine_.endpoint(),
+            .service = serving::ServiceName("engine") })
+    , settings_("/tmp/eelgrass-gateway-process-" + std::to_string(getpid()) + ".yaml")
+{
+    auto configuration = nlohmann::json::parse(servingConfiguration(1));
+    if (options.configure)
+        options.configure(configuration);
+    store_.put("op", "config", configuration.dump());
+    store_.put("servers", engine_.instance(), engine_.entry());
+    store_.put("servers", plain_.instance(), plain_.entry());
+    agent_.start();
+    std::ofstream(settings_) << "name: gateway\navailability_zone: zone-1\naddress: 127.0.0.1\nstore: \""
+                             << store_.endpoint().str()
+                             << "\"\nclients: \"127.0.0.1:0\"\nreadiness: \"127.0.0.1:0\"\npeers: "
+                                "\"127.0.0.1:0\"\nseeds: []\nmetrics_port: 0\ngrace_ms: "
+                             << options.grace.count() << "\nagent_port: " << agent_.port() << "\n";
+    process_ = std::make_unique<Process>(
+        "gateway", "eelgrassrouterd", std::vector<std::string> { "--role=gateway", "--settings=" + settings_ });
+}
+
+GatewayProcess::~GatewayProcess() { std::remove(settings_.c_str()); }
+
+auto GatewayProcess::until(const std::function<bool()>& done) -> void
+{
+    while (!done())
+        loop_.wait(loop_.sleep(5ms));
+}
+
+auto GatewayProcess::beginStop() -> void
+{
+    stopAt_ = loop_.timers().now();
+    process_->signal(SIGTERM);
+    until([&] { return process_->logged("stopping").has_value(); });
+}
+
+auto GatewayProcess::waitUntilAfterStop(Duration time) -> void
+{
+    const auto left = stopAt_ + time - loop_.timers().now();
+    if (left > Duration(0))
+        wait(left);
+}
+
+auto GatewayProcess::awaitEnd() -> int
+{
+    until([&] { return !process_->running(); });
+    return process_->exitCode();
+}
+
+auto RawCall::text() const -> std::string
+{
+    namespace names = hosting::names;
+    auto text = "POST " + path + " HTTP/1.1\r\nHost: users.example\r\n" + names::attemptId + ": " + attempt + "\r\n"
+        + names::deadline + ": " + std::to_string(deadlineMs) + "\r\n" + names::model + ": base";
+    if (!adapter.empty())
+        text += "/" + adapter;
+    return text + "\r\n" + names::tokenCount + ": 100,20\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+        + body;
+}
+
+} // namespace eelgrass::tests
--- a/tests/integration/ServingProcess.cpp
+++ b/tests/integration/ServingProcess.cpp
@@ -1,43 +1,21 @@
 #include "platform/Names.h"
-#include "serving/Serving.h"
-#include "standins/ReplicaStandin.h"
-#include "standins/StoreStandin.h"
-#include "tests/harness/Process.h"
+#include "tests/harness/GatewayProcess.h"
 #include "tests/harness/ServingWorld.h"
 #include "wire/HttpCaller.h"
-#include "wire/MainLoop.h"
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
-#include <cstdio>
-#include <fstream>
-#include <functional>
-#include <unistd.h>
-
 using namespace eelgrass;
 
 namespace {
 
-/// A gateway in a process of its own, with a store, a replica and an agent that run in the test's process.
-struct World {
+/// A client of one call at a time, beside the gateway's process.
+struct World : tests::GatewayProcess {
     World()
+        : caller(std::make_unique<wire::HttpCaller>(loop().timers(), "127.0.0.1", port()))
     {
-        store.put("op", "config", tests::servingConfiguration(1));
-        store.put("servers", replica.instance(), replica.entry());
-        agent.start();
-        std::ofstream(settings) << "name: gateway\navailability_zone: zone-1\naddress: 127.0.0.1\nstore: \""
-                                << store.endpoint().str()
-                                << "\"\nclients: \"127.0.0.1:0\"\nreadiness: \"127.0.0.1:0\"\npeers: "
-                                   "\"127.0.0.1:0\"\nseeds: []\nmetrics_port: 0\ngrace_ms: 3500\nagent_port: "
-                                << agent.port() << "\n";
-        gateway = std::make_unique<tests::Process>(
-            "gateway", "eelgrassrouterd", std::vector<std::string> { "--role=gateway", "--settings=" + settings });
-        caller = std::make_unique<wire::HttpCaller>(loop.timers(), "127.0.0.1", gateway->listeningPort());
     }
-    ~World() { std::remove(settings.c_str()); }
-    World(const World&) = delete;
-    auto operator=(const World&) -> World& = delete;
 
     /// A stream of the base model, or of an adapter.
     auto ask(const std::string& model, const std::string& key = {}) -> kj::Promise<int>
@@ -54,24 +32,6 @@
             .then([](wire::HttpAnswer&& answer) { return answer.status; }, [](kj::Exception&&) { return 0; });
     }
 
-    auto until(const std::function<bool()>& done) -> void
-    {
-        while (!done())
-            loop.wait(loop.sleep(5ms));
-    }
-
-    wire::MainLoop loop;
-    standins::StoreStandin store { loop.timers() };
-    standins::ReplicaStandin replica { loop.timers(), "127.0.0.1", "engine-0", "engine" };
-    serving::AgentRole agent { loop,
-        { .host = { .name = "agent",
-              .zone = AvailabilityZone("zone-1"),
-              .store = store.endpoint(),
-              .address = "127.0.0.1" },
-            .replica = replica.endpoint(),
-            .service = serving::ServiceName("engine") } };
-    std::string settings = "/tmp/eelgrass-serving-process-" + std::to_string(getpid()) + ".yaml";
-    std::unique_ptr<tests::Process> gateway;
     std::unique_ptr<wire::HttpCaller> caller;
 };
 
@@ -82,13 +42,13 @@
 BOOST_AUTO_TEST_CASE(stop_aborts_a_silent_stream_and_exits_with_0)
 {
     auto world = World();
-    world.replica.behave({ .sent = 2, .then = standins::ReplicaStandin::Behaviour::Then::Silence });
+    world.engine().behave({ .sent = 2, .then = standins::ReplicaStandin::Behaviour::Then::Silence });
     auto status = world.ask("base");
-    world.until([&] { return !world.replica.runs().empty(); });
-    world.gateway->signal(SIGTERM);
-    BOOST_TEST(world.loop.wait(kj::mv(status)) == 0);
-    world.until([&] { return !world.gateway->running(); });
-    BOOST_TEST(world.gateway->exitCode() == 0);
+    world.until([&] { return !world.engine().runs().empty(); });
+    world.process().signal(SIGTERM);
+    BOOST_TEST(world.loop().wait(kj::mv(status)) == 0);
+    world.until([&] { return !world.process().running(); });
+    BOOST_TEST(world.process().exitCode() == 0);
 }
 
 // The gateway is told to stop while a request waits for an adapter that the replica never finishes loading. Events left
@@ -96,13 +56,13 @@
 BOOST_AUTO_TEST_CASE(stop_during_a_pending_admission_exits_with_0)
 {
     auto world = World();
-    world.replica.behave({ .loseOrders = true });
+    world.engine().behave({ .loseOrders = true });
     auto status = world.ask("base/a1");
-    world.until([&] { return !world.replica.orders().empty(); });
-    world.gateway->signal(SIGTERM);
-    (void)world.loop.wait(kj::mv(status));
-    world.until([&] { return !world.gateway->running(); });
-    BOOST_TEST(world.gateway->exitCode() == 0);
+    world.until([&] { return !world.engine().orders().empty(); });
+    world.process().signal(SIGTERM);
+    (void)world.loop().wait(kj::mv(status));
+    world.until([&] { return !world.process().running(); });
+    BOOST_TEST(world.process().exitCode() == 0);
 }
 
 // Guards against leaking keys into the logs. A member calls, a client with an unknown key calls, and the member's key
@@ -114,21 +74,21 @@
     auto world = World();
     auto json = nlohmann::json::parse(tests::servingConfiguration(2));
     json["tenants"] = nlohmann::json::array({ { { "name", "armor" }, { "apiKeys", { key } } } });
-    world.store.put("op", "config", json.dump());
+    world.store().put("op", "config", json.dump());
     // The configuration is in force once an unknown key is rejected.
     auto status = 0;
     while (status != 401)
-        status = world.loop.wait(world.ask("base", unknownKey));
+        status = world.loop().wait(world.ask("base", unknownKey));
     while (status != 200)
-        status = world.loop.wait(world.ask("base", key));
+        status = world.loop().wait(world.ask("base", key));
     json["version"] = 3;
     json["tenants"][0]["apiKeys"] = nlohmann::json::array();
-    world.store.put("op", "config", json.dump());
+    world.store().put("op", "config", json.dump());
     while (status != 401)
-        status = world.loop.wait(world.ask("base", key));
-    world.gateway->signal(SIGTERM);
-    world.until([&] { return !world.gateway->running(); });
-    const auto output = world.gateway->output();
+        status = world.loop().wait(world.ask("base", key));
+    world.process().signal(SIGTERM);
+    world.until([&] { return !world.process().running(); });
+    const auto output = world.process().output();
     BOOST_TEST(output.find("armor") != std::string::npos);
     BOOST_TEST(output.find(key) == std::string::npos);
     BOOST_TEST(output.find(unknownKey) == std::string::npos);
