A stream under way has all of its client's time

Callers saw a stream broken off 40 ms before its deadline: the replica was at work, and what it wrote in that time was lost.

Cause: answerMargin, which lets a failure reach the client before its deadline, was taken off the time of every request. Once a part of a stream has been delivered no failure can be told, so the margin only takes the stream's end away. The replica was given the shorter time too.

Why it works: an answer has to begin by the margin, and to end by the deadline or the route's timeout. A request without a part of its answer still ends 40 ms before the deadline, so failures come in time as before.

--- a/packages/serving/RequestAnswer.cpp
+++ b/packages/serving/RequestAnswer.cpp
@@ -101,7 +101,7 @@
         onFirstEventOfRun();
     if (!std::exchange(firstEventSeen_, true)) {
         firstEventAt_ = gateway_.now();
-        deadlineTimer_ = gateway_.loop.timers().after(endAt_ - firstEventAt_, guarded(&RequestRun::onTimeUp));
+        startDeadlineTimer();
     }
     if (delivered_ == Delivered::Nothing) {
         delivered_ = Delivered::Part;
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -54,10 +54,15 @@
         .onDrained = [self = shared_from_this()] { self->resumeRun(); },
         .onCutOff = [self = shared_from_this()] { self->noteCutOff(); },
         .stage = [self = shared_from_this()] { return self->stage(); } });
-    deadlineTimer_ = gateway_.loop.timers().after(firstEventBy_ - gateway_.now(), guarded(&RequestRun::onTimeUp));
+    startDeadlineTimer();
     takeQuota();
 }
 
+auto RequestRun::startDeadlineTimer() -> void
+{
+    deadlineTimer_ = gateway_.loop.timers().after(nextEnd() - gateway_.now(), guarded(&RequestRun::onTimeUp));
+}
+
 auto RequestRun::readRequest() -> bool
 {
     auto metadata = hosting::readRequestMetadata(request_);
@@ -86,15 +91,22 @@
     service_ = pickService(*route_, metadata_.attempt);
     gateway_.retryBudgets.received(service_);
     gateway_.metrics.count("eelgrass_service_requests_total", { { "service", service_.str() } });
-    const auto timeout = Duration(route_->timeout);
-    const auto deadline = metadata_.deadline ? Duration(*metadata_.deadline) - answerMargin : timeout;
-    endAt_ = beganAt_ + std::min(timeout, deadline);
-    firstEventBy_ = route_->streamed ? std::min(endAt_, beganAt_ + clientEventTimeout(*route_)) : endAt_;
-    lateAt_ = beganAt_ + Duration(route_->latencyTarget);
+    setTimes();
     sharedPrefixes_ = sharedPrefixes(metadata_);
     return true;
 }
 
+auto RequestRun::setTimes() -> void
+{
+    const auto timeout = Duration(route_->timeout);
+    const auto deadline = metadata_.deadline ? Duration(*metadata_.deadline) : Duration::max();
+    const auto answerBy = beganAt_ + std::min(timeout, deadline - answerMargin);
+    firstEventBy_ = route_->streamed ? std::min(answerBy, beganAt_ + clientEventTimeout(*route_)) : answerBy;
+    // No failure can be told to the client of a stream that is under way.
+    endAt_ = route_->streamed ? beganAt_ + std::min(timeout, deadline) : answerBy;
+    lateAt_ = beganAt_ + Duration(route_->latencyTarget);
+}
+
 auto RequestRun::authenticate() -> bool
 {
     const auto& members = gateway_.configuration.members();
@@ -255,7 +267,7 @@
     }
     replicaClosed_.reset();
     // With less time left the request would be cut off at once, and the client could not be told that it has not run.
-    if (timeLeft() < minTimeToSend)
+    if (nextEnd() - now < minTimeToSend)
         return running() ? giveUp("time up") : onTimeUp();
     if (!keyStillValid())
         return;
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -29,6 +29,7 @@
 
     // Steps before the request is sent.
     [[nodiscard]] auto readRequest() -> bool;
+    auto setTimes() -> void;
     /// Identifies the member by the request's key. Returns false if the request was rejected, because the key is
     /// unknown or the configuration is too old to check it.
     [[nodiscard]] auto authenticate() -> bool;
@@ -208,6 +209,9 @@
     /// Reports a run on an older version than the one that this entry knows.
     auto checkAnsweredVersion() -> void;
     [[nodiscard]] auto timeLeft() const -> Duration;
+    /// Until when the answer has to begin or, if it has, to end.
+    [[nodiscard]] auto nextEnd() const -> Moment { return firstEventSeen_ ? endAt_ : firstEventBy_; }
+    auto startDeadlineTimer() -> void;
     [[nodiscard]] auto stage() const -> CallerStage;
     /// Logs and counts that the end of the entry's stop ends the request.
     auto noteCutOff() const -> void;
@@ -243,8 +247,10 @@
     /// When the request had been read whole.
     Moment readAt_ {};
     Moment lateAt_ {};
+    /// When the request ends, whatever it has.
     Moment endAt_ {};
-    /// When a client that has received no event of its stream is assumed to disconnect.
+    /// When a request without a part of its answer ends: in time for a failure to reach the client, and before a client
+    /// that has received no event of its stream is assumed to disconnect.
     Moment firstEventBy_ {};
     /// Hash of the request's content and member (see `digestOf`); the same at every entry.
     std::string digest_;
