A stop does not close a kept connection without notice after its answer

Callers saw a connection end on which they had sent their next request: the head of the answer before it had not announced a close.

Cause: an answer whose head was written before the SIGTERM said that the connection stays, and the entry closed it right after the answer. What the client had sent by then was read and discarded.

Why it works: such a connection is idle like any other that is kept at that moment. Its next answer announces the close, and if no request comes it is closed with the other idle ones, once the platform sends no connections.

--- a/packages/serving/CallerConnection.cpp
+++ b/packages/serving/CallerConnection.cpp
@@ -277,9 +277,9 @@
     watcher_ = {};
     currentExchange_ = 0;
     requestOpen_ = false;
-    // A stop may have begun after the head announced that the connection stays open. A request that the client sends
-    // now is not read, and the close tells the client so.
-    if (!keepAlive_ || closing_)
+    // A stop that has begun after the head announced that the connection stays open does not close it here: the client
+    // may have sent its next request already.
+    if (!keepAlive_)
         return linger();
     // A client that takes its answer slowly is not idle: the limit counts from the end of the answer.
     if (connection_.backlog() == 0)
