A stop has an end that each request knows

Callers saw no byte, or a stream without its end: a request that an entry had read whole was cut off when the entry's stop ran out.

Cause: who ended the process did not know what it owed. A connection was taken until 2.9 s after SIGTERM, its first request until 3.4 s, a half-sent request until it was whole; 7.5 s after SIGTERM the process ended whatever was open, waiting or at work. A grace period shorter than the balancer's delay ended by SIGKILL.

Why it works: each request's time ends with the stop's. What decides on it by its time (admission, the deadline that a replica gets, the search for another replica) does so by the shorter one. At the end it goes through its own end: a refusal if it has not run, a failure if it has, broken off if it is a stream under way; 0.3 s are left for clients to take that. Whoever is read whole after the first three seconds is served only if its time ends before the stop does, and refused at once if not, so that another entry serves it. What is half read is refused too.

--- a/packages/serving/CallerConnection.cpp
+++ b/packages/serving/CallerConnection.cpp
@@ -23,6 +23,7 @@
 constexpr auto requestTimeout = 408;
 constexpr auto contentTooLarge = 413;
 constexpr auto headerTooLarge = 431;
+constexpr auto unavailable = 503;
 
 } // namespace
 
@@ -305,7 +306,13 @@
     timer_ = timers_.after(lingerTime, [this] { close("closed after its last answer"); });
 }
 
-auto CallerConnection::closeSoon() -> void { closing_ = true; }
+auto CallerConnection::closeSoon() -> void
+{
+    const auto self = shared_from_this();
+    closing_ = true;
+    if (const auto callback = watcher_.onStop)
+        callback();
+}
 
 auto CallerConnection::closeIfIdle() -> void
 {
@@ -318,11 +325,16 @@
         linger();
 }
 
-auto CallerConnection::cutOff() -> void
+auto CallerConnection::endRequest() -> void
 {
     const auto self = shared_from_this();
-    if (const auto callback = watcher_.onCutOff)
+    // The rest of a request may have arrived since this connection was last read.
+    if (!closed_ && !requestOpen_ && !lingering_)
+        connection_.start();
+    if (const auto callback = watcher_.onStopEnds)
         callback();
+    else if (!closed_ && reading_ && !lingering_)
+        reject(unavailable);
 }
 
 auto CallerConnection::stage() const -> CallerStage
--- a/packages/serving/CallerConnection.h
+++ b/packages/serving/CallerConnection.h
@@ -52,8 +52,10 @@
         std::function<void()> onGone;
         /// Everything written has been sent to the client.
         std::function<void()> onDrained;
-        /// The entry ends while the request is open.
-        std::function<void()> onCutOff {};
+        /// The entry begins to stop.
+        std::function<void()> onStop {};
+        /// The stop of the entry runs out.
+        std::function<void()> onStopEnds {};
         /// How far the request is.
         std::function<CallerStage()> stage {};
     };
@@ -73,7 +75,7 @@
     /// Sets the limits that apply from the next request on. A limit on the client's time that is raised applies at
     /// once.
     auto setLimits(const CallerLimits& limits) -> void;
-    /// Closes the connection after its next answer, which announces the close.
+    /// Closes the connection after its next answer, which announces the close: the entry begins to stop.
     auto closeSoon() -> void;
     /// Closes the connection if no request is being read or answered on it. A new connection is first given time to
     /// bring a request.
@@ -81,9 +83,11 @@
     /// Resets the connection, even while a request is served.
     auto abort() -> void;
 
-    /// Tells the handler of a request that is open that the entry ends.
-    auto cutOff() -> void;
+    /// Ends the request that is open or half read: the stop of the entry runs out.
+    auto endRequest() -> void;
 
+    /// Whether the client waits for an answer, or for the rest of one.
+    [[nodiscard]] auto owesAnswer() const noexcept -> bool { return requestOpen_ || connection_.backlog() > 0; }
     [[nodiscard]] auto stage() const -> CallerStage;
     [[nodiscard]] auto peer() const -> const std::string& { return connection_.peer(); }
 
--- a/packages/serving/GatewayStop.cpp
+++ b/packages/serving/GatewayStop.cpp
@@ -3,6 +3,8 @@
 #include "base/DurationText.h"
 #include "base/Log.h"
 
+#include <algorithm>
+
 namespace eelgrass::serving {
 
 namespace {
@@ -35,15 +37,17 @@
     }
     if (now < schedule_.closesIdleAt())
         return;
-    // If too few entries of a zone are ready, the platform keeps sending connections. Requests on them would now be
-    // aborted when the process ends; a client whose connection is refused tries another entry at once.
+    // If too few entries of a zone are ready, the platform keeps sending connections; a client whose connection is
+    // refused tries another entry at once.
     if (now >= schedule_.acceptsUntil())
         listener_.close();
     closeIdle();
+    if (now >= schedule_.requestsEnd())
+        endRequests();
     // The last connections that the kernel has completed may bring requests.
     if (connections_.empty())
         listener_.close();
-    if (connections_.empty() || now >= schedule_.requestsEnd())
+    if (connections_.empty() || now >= schedule_.processEnds())
         end();
 }
 
@@ -54,6 +58,13 @@
         connection->closeIfIdle();
 }
 
+auto GatewayStop::endRequests() -> void
+{
+    const auto held = connections_;
+    for (const auto& [raw, connection] : held)
+        connection->endRequest();
+}
+
 auto GatewayStop::reportOpen() const -> void
 {
     auto counts = std::map<CallerStage, std::size_t>();
@@ -70,10 +81,9 @@
 auto GatewayStop::end() -> void
 {
     timer_.cancel();
-    const auto held = connections_;
-    for (const auto& [raw, connection] : held)
-        connection->cutOff();
-    log::info("stopped", { { "cut", std::to_string(connections_.size()) } });
+    const auto cut = std::count_if(
+        connections_.begin(), connections_.end(), [](const auto& entry) { return entry.second->owesAnswer(); });
+    log::info("stopped", { { "cut", std::to_string(cut) } });
     gateway_.loop.quitWhenFlushed();
 }
 
--- a/packages/serving/GatewayStop.h
+++ b/packages/serving/GatewayStop.h
@@ -8,8 +8,8 @@
 
 namespace eelgrass::serving {
 
-/// The planned stop of an entry: closes its listener and idle connections in time, and ends the process with the last
-/// request.
+/// The planned stop of an entry: closes its listener and idle connections in time, ends what is open when the stop runs
+/// out, and ends the process with the last request.
 ///
 /// ```cpp
 /// stop_ = std::make_unique<GatewayStop>(gateway_, connections_, *clients_);
@@ -25,6 +25,7 @@
 private:
     auto check() -> void;
     auto closeIdle() -> void;
+    auto endRequests() -> void;
     /// Logs what the connections that are left are doing.
     auto reportOpen() const -> void;
     auto end() -> void;
--- a/packages/serving/RequestEnd.cpp
+++ b/packages/serving/RequestEnd.cpp
@@ -15,15 +15,46 @@
 auto RequestRun::onTimeUp() -> void
 {
     const auto self = shared_from_this();
-    if (running())
-        releaseRun(false, gateway_.now() - run_->sentAt > failureSilence ? RunEnd::Broke : RunEnd::Plain);
+    const auto byStop = endsWithStop_ && timeLeft() <= Duration(0);
+    const auto* why = byStop ? stopReason : "time up";
+    if (byStop)
+        noteCutOff();
+    if (running()) {
+        const auto replicaFailed = !byStop && gateway_.now() - run_->sentAt > failureSilence;
+        releaseRun(false, replicaFailed ? RunEnd::Broke : RunEnd::Plain);
+    }
     if (delivered_ == Delivered::Part) {
         caller_->abort();
-        return finish(gatewayTimeout, "broken_off", "time up");
+        return finish(gatewayTimeout, "broken_off", why);
     }
     if (runs_ > 0)
-        return fail(gatewayTimeout, "time up");
-    refuse("time up", defaultRetryAfter);
+        return fail(gatewayTimeout, why);
+    refuse(why, byStop ? otherEntryRetryAfter : defaultRetryAfter);
+}
+
+auto RequestRun::onStop() -> void
+{
+    // A request that waits for the first configuration has no times yet.
+    if (!route_)
+        return;
+    limitToStop();
+    startDeadlineTimer();
+}
+
+auto RequestRun::limitToStop() -> void
+{
+    if (!gateway_.stop || endAt_ <= gateway_.stop->requestsEnd())
+        return;
+    endsWithStop_ = true;
+    endAt_ = gateway_.stop->requestsEnd();
+    firstEventBy_ = std::min(firstEventBy_, endAt_);
+}
+
+auto RequestRun::onStopEnds() -> void
+{
+    endsWithStop_ = true;
+    endAt_ = std::min(endAt_, gateway_.now());
+    onTimeUp();
 }
 
 auto RequestRun::onCallerGone() -> void
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -44,18 +44,24 @@
     configuration_ = gateway_.configuration.configuration();
     const auto loaded = configuration_ && gateway_.directory.loaded();
     if (!loaded && gateway_.now() - beganAt_ < configurationWait) {
-        caller_->watch({ .onGone = [self = shared_from_this()] { self->onCallerGone(); } });
+        watchCaller();
         waitTimer_ = gateway_.loop.timers().after(placementRetryDelay, guarded(&RequestRun::start));
         return;
     }
     if (!readRequest())
         return;
+    watchCaller();
+    startDeadlineTimer();
+    takeQuota();
+}
+
+auto RequestRun::watchCaller() -> void
+{
     caller_->watch({ .onGone = [self = shared_from_this()] { self->onCallerGone(); },
         .onDrained = [self = shared_from_this()] { self->resumeRun(); },
-        .onCutOff = [self = shared_from_this()] { self->noteCutOff(); },
+        .onStop = [self = shared_from_this()] { self->onStop(); },
+        .onStopEnds = [self = shared_from_this()] { self->onStopEnds(); },
         .stage = [self = shared_from_this()] { return self->stage(); } });
-    startDeadlineTimer();
-    takeQuota();
 }
 
 auto RequestRun::startDeadlineTimer() -> void
@@ -92,6 +98,11 @@
     gateway_.retryBudgets.received(service_);
     gateway_.metrics.count("eelgrass_service_requests_total", { { "service", service_.str() } });
     setTimes();
+    if (gateway_.stop && !gateway_.stop->serves(readAt_, endAt_)) {
+        refuse(stopReason, otherEntryRetryAfter);
+        return false;
+    }
+    limitToStop();
     sharedPrefixes_ = sharedPrefixes(metadata_);
     return true;
 }
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -189,6 +189,10 @@
 
     // Ending the request.
     auto onTimeUp() -> void;
+    auto onStop() -> void;
+    auto onStopEnds() -> void;
+    /// Lets the request end with the stop of the entry, if its own time is longer.
+    auto limitToStop() -> void;
     auto onCallerGone() -> void;
     auto refuse(std::string_view why, milliseconds retryAfter) -> void;
     auto refuseWith(int status, std::string_view why, std::optional<milliseconds> retryAfter) -> void;
@@ -212,6 +216,7 @@
     /// Until when the answer has to begin or, if it has, to end.
     [[nodiscard]] auto nextEnd() const -> Moment { return firstEventSeen_ ? endAt_ : firstEventBy_; }
     auto startDeadlineTimer() -> void;
+    auto watchCaller() -> void;
     [[nodiscard]] auto stage() const -> CallerStage;
     /// Logs and counts that the end of the entry's stop ends the request.
     auto noteCutOff() const -> void;
@@ -249,6 +254,8 @@
     Moment lateAt_ {};
     /// When the request ends, whatever it has.
     Moment endAt_ {};
+    /// Whether that is the end of the entry's stop.
+    bool endsWithStop_ = false;
     /// When a request without a part of its answer ends: in time for a failure to reach the client, and before a client
     /// that has received no event of its stream is assumed to disconnect.
     Moment firstEventBy_ {};
--- a/packages/serving/detail/RunLimits.h
+++ b/packages/serving/detail/RunLimits.h
@@ -84,6 +84,10 @@
 inline constexpr auto restReason = "the replica asked for rest";
 // Retry-After for clients when there is no estimate; by then a replica has usually recovered or has a free slot.
 inline constexpr auto defaultRetryAfter = std::chrono::milliseconds(300);
+// Reason for ending or refusing a request because the entry's stop runs out before the request would.
+inline constexpr auto stopReason = "the entry stops";
+// Retry-After for clients that another entry can serve at once.
+inline constexpr auto otherEntryRetryAfter = std::chrono::milliseconds(10);
 // Bytes buffered for a slow client before reading from its replica pauses.
 inline constexpr auto maxBacklog = std::size_t(256) << 10U;
 // Upper bound on the slowness factor of a replica, so that a slow replica is still tried and can show that it has
