A stop ends in favour of the caller where it has a choice

Callers saw, read in a review of the stop's end: a request that the stop limits could be sent 10 ms before its end and got 504 in place of 503; a stream sent right after the third second counted as early if the signal had been handled late; and a connection whose answer had announced no close stayed open on a stopping entry, so that more requests began there and the process ended later.

Cause: the mean time at the replica played no part in the last send; the platform counts from its SIGTERM, the entry from the moment at which it handles it; the mend of the unannounced close kept the connection, not just the request that had come.

Change: nothing is sent that would probably be cut off by the stop, if it has not run. Requests count as early for 2.9 s. After an answer that announced no close a stopping entry serves what the client has sent by then, and closes. The lines keep the time that the request had by itself.

--- a/packages/decisions/StopSchedule.h
+++ b/packages/decisions/StopSchedule.h
@@ -38,7 +38,7 @@
     /// expects to see a late one whole, while an early one may be cut off as it runs.
     [[nodiscard]] constexpr auto serves(Moment readAt, Moment endAt) const noexcept -> bool
     {
-        return readAt < began_ + earlyTime || endAt <= requestsEnd();
+        return readAt < std::min(began_ + earlyTime, requestsEnd()) || endAt <= requestsEnd();
     }
     /// Requests that are still open end here.
     [[nodiscard]] constexpr auto requestsEnd() const noexcept -> Moment
@@ -55,7 +55,8 @@
     // The platform stops sending connections after two failed probes a second apart.
     static constexpr auto balancerDelay = Duration(2500ms);
     static constexpr auto acceptTime = Duration(2900ms);
-    static constexpr auto earlyTime = Duration(3s);
+    // Less than the three seconds that the platform counts, as the signal may be handled late.
+    static constexpr auto earlyTime = Duration(2900ms);
     // Time of the grace period that is left for clients to take their last answers, and for the end of the process.
     static constexpr auto endMargin = Duration(500ms);
     static constexpr auto exitMargin = Duration(200ms);
--- a/packages/serving/CallerConnection.cpp
+++ b/packages/serving/CallerConnection.cpp
@@ -278,8 +278,6 @@
     watcher_ = {};
     currentExchange_ = 0;
     requestOpen_ = false;
-    // A stop that has begun after the head announced that the connection stays open does not close it here: the client
-    // may have sent its next request already.
     if (!keepAlive_)
         return linger();
     // A client that takes its answer slowly is not idle: the limit counts from the end of the answer.
@@ -288,6 +286,10 @@
     connection_.resumeReading();
     if (!closed_ && !connection_.input().empty())
         received();
+    // A stop may have begun after the head announced that the connection stays open. A request that the client has sent
+    // by now is served.
+    if (closing_)
+        closeIfIdle();
 }
 
 auto CallerConnection::linger() -> void
@@ -337,11 +339,13 @@
         reject(unavailable);
 }
 
+auto CallerConnection::cutOff() -> void { noteRequestLost("the entry ends"); }
+
 auto CallerConnection::stage() const -> CallerStage
 {
     if (requestOpen_)
         return watcher_.stage ? watcher_.stage() : CallerStage::Waiting;
-    if (lingering_)
+    if (lingering_ || connection_.backlog() > 0)
         return CallerStage::Ending;
     return reading_ ? CallerStage::HalfRead : CallerStage::Idle;
 }
--- a/packages/serving/CallerConnection.h
+++ b/packages/serving/CallerConnection.h
@@ -86,6 +86,8 @@
     /// Ends the request that is open or half read: the stop of the entry runs out.
     auto endRequest() -> void;
 
+    /// Logs that the process ends before the client has taken its answer.
+    auto cutOff() -> void;
     /// Whether the client waits for an answer, or for the rest of one.
     [[nodiscard]] auto owesAnswer() const noexcept -> bool { return requestOpen_ || connection_.backlog() > 0; }
     [[nodiscard]] auto stage() const -> CallerStage;
--- a/packages/serving/GatewayRole.h
+++ b/packages/serving/GatewayRole.h
@@ -65,6 +65,7 @@
     /// Peers to ask when the store is unreachable: the seeds from the settings, and the readers of the zones.
     [[nodiscard]] auto peersToAsk() const -> std::vector<Endpoint>;
     [[nodiscard]] auto needsKeys() const -> bool { return !configuration_.members().empty(); }
+
     wire::MainLoop& loop_;
     GatewaySettings settings_;
     router::Metrics metrics_;
--- a/packages/serving/GatewayStop.cpp
+++ b/packages/serving/GatewayStop.cpp
@@ -3,7 +3,7 @@
 #include "base/DurationText.h"
 #include "base/Log.h"
 
-#include <algorithm>
+#include <map>
 
 namespace eelgrass::serving {
 
@@ -23,7 +23,8 @@
 {
     gateway_.stop = schedule_;
     log::info("stopping", { { "connections", std::to_string(connections_.size()) } });
-    for (const auto& [raw, connection] : connections_)
+    const auto held = connections_;
+    for (const auto& [raw, connection] : held)
         connection->closeSoon();
     timer_ = gateway_.loop.timers().every(checkInterval, [this] { check(); });
 }
@@ -81,8 +82,13 @@
 auto GatewayStop::end() -> void
 {
     timer_.cancel();
-    const auto cut = std::count_if(
-        connections_.begin(), connections_.end(), [](const auto& entry) { return entry.second->owesAnswer(); });
+    auto cut = std::size_t(0);
+    for (const auto& [raw, connection] : connections_) {
+        if (!connection->owesAnswer())
+            continue;
+        ++cut;
+        connection->cutOff();
+    }
     log::info("stopped", { { "cut", std::to_string(cut) } });
     gateway_.loop.quitWhenFlushed();
 }
--- a/packages/serving/RequestEnd.cpp
+++ b/packages/serving/RequestEnd.cpp
@@ -15,7 +15,7 @@
 auto RequestRun::onTimeUp() -> void
 {
     const auto self = shared_from_this();
-    const auto byStop = endsWithStop_ && timeLeft() <= Duration(0);
+    const auto byStop = endsWithStop();
     const auto* why = byStop ? stopReason : "time up";
     if (byStop)
         noteCutOff();
@@ -29,9 +29,13 @@
     }
     if (runs_ > 0)
         return fail(gatewayTimeout, why);
-    refuse(why, byStop ? otherEntryRetryAfter : defaultRetryAfter);
+    if (byStop)
+        return refuseForStop();
+    refuse(why, defaultRetryAfter);
 }
 
+auto RequestRun::refuseForStop() -> void { refuse(stopReason, otherEntryRetryAfter); }
+
 auto RequestRun::onStop() -> void
 {
     // A request that waits for the first configuration has no times yet.
@@ -45,15 +49,15 @@
 {
     if (!gateway_.stop || endAt_ <= gateway_.stop->requestsEnd())
         return;
-    endsWithStop_ = true;
+    ownEndAt_ = endAt_;
     endAt_ = gateway_.stop->requestsEnd();
     firstEventBy_ = std::min(firstEventBy_, endAt_);
 }
 
 auto RequestRun::onStopEnds() -> void
 {
-    endsWithStop_ = true;
-    endAt_ = std::min(endAt_, gateway_.now());
+    if (!route_)
+        return refuseForStop();
     onTimeUp();
 }
 
@@ -141,8 +145,8 @@
             { "began_on", origin_ ? origin_->software.str() : "" }, { "sends", std::to_string(sends_) },
             { "runs", std::to_string(runs_) }, { "took_ms", millisecondsText(now - beganAt_) },
             { "given_up", std::to_string(givenUp_) }, { "events", std::to_string(forwarded_) },
-            { "left_ms", route_ ? millisecondsText(endAt_ - now) : "" }, { "after_stop_ms", afterStopText() },
-            { "silent_ms", run_ ? millisecondsText(now - run_->heardAt) : "" },
+            { "left_ms", route_ ? millisecondsText(ownEndAt_.value_or(endAt_) - now) : "" },
+            { "after_stop_ms", afterStopText() }, { "silent_ms", run_ ? millisecondsText(now - run_->heardAt) : "" },
             { "began_with", configuration_ ? std::to_string(configuration_->version.value()) : "" },
             { "ended_with", latest ? std::to_string(latest->version.value()) : "" },
             { "changed_ms", changed ? millisecondsText(now - gateway_.configuration.inForceSince()) : "" },
--- a/packages/serving/RequestLog.cpp
+++ b/packages/serving/RequestLog.cpp
@@ -33,12 +33,12 @@
     const auto stage = std::string(toString(this->stage()));
     gateway_.metrics.count("eelgrass_requests_cut_off_total", { { "stage", stage }, { "had", had } });
     log::warn("request cut off",
-        { { "request", metadata_.attempt.str() }, { "route", route_ ? route_->name.str() : "" }, { "stage", stage },
-            { "had", had }, { "events", std::to_string(forwarded_) }, { "runs", std::to_string(runs_) },
+        { { "request", metadata_.attempt.str() }, { "route", route_->name.str() }, { "stage", stage }, { "had", had },
+            { "events", std::to_string(forwarded_) }, { "runs", std::to_string(runs_) },
             { "replica", run_ ? run_->replica->id().str() : "" },
             { "silent_ms", run_ ? millisecondsText(gateway_.now() - run_->heardAt) : "" },
             { "took_ms", millisecondsText(gateway_.now() - beganAt_) }, { "after_stop_ms", afterStopText() },
-            { "left_ms", millisecondsText(timeLeft()) } });
+            { "left_ms", millisecondsText(ownEndAt_.value_or(endAt_) - gateway_.now()) } });
 }
 
 auto RequestRun::afterStopText() const -> std::string
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -99,7 +99,7 @@
     gateway_.metrics.count("eelgrass_service_requests_total", { { "service", service_.str() } });
     setTimes();
     if (gateway_.stop && !gateway_.stop->serves(readAt_, endAt_)) {
-        refuse(stopReason, otherEntryRetryAfter);
+        refuseForStop();
         return false;
     }
     limitToStop();
@@ -215,6 +215,15 @@
     return run_->silent ? CallerStage::Silent : CallerStage::AtWork;
 }
 
+auto RequestRun::hasTimeToRun() const -> bool
+{
+    const auto left = nextEnd() - gateway_.now();
+    // The stop would probably cut the run off, and another entry can still serve the request.
+    if (endsWithStop() && runs_ == 0 && left < replica_->meanTime())
+        return false;
+    return left >= minTimeToSend;
+}
+
 auto RequestRun::timeLeft() const -> Duration { return endAt_ - gateway_.now(); }
 
 auto RequestRun::grantUsable(const std::optional<Moment>& grantedAt) const -> bool
@@ -278,7 +287,7 @@
     }
     replicaClosed_.reset();
     // With less time left the request would be cut off at once, and the client could not be told that it has not run.
-    if (nextEnd() - now < minTimeToSend)
+    if (!hasTimeToRun())
         return running() ? giveUp("time up") : onTimeUp();
     if (!keyStillValid())
         return;
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -193,6 +193,10 @@
     auto onStopEnds() -> void;
     /// Lets the request end with the stop of the entry, if its own time is longer.
     auto limitToStop() -> void;
+    /// Whether the request's next end is that of the entry's stop.
+    [[nodiscard]] auto endsWithStop() const -> bool { return ownEndAt_ && nextEnd() == endAt_; }
+    /// Ends the request: it cannot be answered before the entry's stop ends.
+    auto refuseForStop() -> void;
     auto onCallerGone() -> void;
     auto refuse(std::string_view why, milliseconds retryAfter) -> void;
     auto refuseWith(int status, std::string_view why, std::optional<milliseconds> retryAfter) -> void;
@@ -215,6 +219,8 @@
     [[nodiscard]] auto timeLeft() const -> Duration;
     /// Until when the answer has to begin or, if it has, to end.
     [[nodiscard]] auto nextEnd() const -> Moment { return firstEventSeen_ ? endAt_ : firstEventBy_; }
+    /// Whether a run at `replica_` has a chance to answer in time.
+    [[nodiscard]] auto hasTimeToRun() const -> bool;
     auto startDeadlineTimer() -> void;
     auto watchCaller() -> void;
     [[nodiscard]] auto stage() const -> CallerStage;
@@ -254,8 +260,8 @@
     Moment lateAt_ {};
     /// When the request ends, whatever it has.
     Moment endAt_ {};
-    /// Whether that is the end of the entry's stop.
-    bool endsWithStop_ = false;
+    /// When it would end by its own time; empty unless the end of the entry's stop comes first.
+    std::optional<Moment> ownEndAt_;
     /// When a request without a part of its answer ends: in time for a failure to reach the client, and before a client
     /// that has received no event of its stream is assumed to disconnect.
     Moment firstEventBy_ {};
--- a/packages/serving/RequestWaiting.cpp
+++ b/packages/serving/RequestWaiting.cpp
@@ -175,7 +175,7 @@
 auto RequestRun::waitForOpening(const Opening& opening) -> void
 {
     const auto answerTime = route_->streamed ? minTimeToSend : std::max(minTimeToSend, opening.replica->meanTime());
-    if (opening.at + answerTime < std::min(lateAt_, endAt_)) {
+    if (opening.at + answerTime < std::min(lateAt_, nextEnd())) {
         const auto delay = opening.at - gateway_.now() + (opening.rests ? urgencyDelay(priority()) : Duration(0));
         waitTimer_ = gateway_.loop.timers().after(delay, guarded(&RequestRun::place));
         return;
--- a/tests/harness/GatewayProcess.cpp
+++ b/tests/harness/GatewayProcess.cpp
@@ -18,6 +18,7 @@
               .address = "127.0.0.1" },
             .replica = engine_.endpoint(),
             .service = serving::ServiceName("engine") })
+    , grace_(options.grace)
     , settings_("/tmp/eelgrass-gateway-process-" + std::to_string(getpid()) + ".yaml")
 {
     auto configuration = nlohmann::json::parse(servingConfiguration(1));
@@ -48,6 +49,7 @@
 {
     stopAt_ = loop_.timers().now();
     process_->signal(SIGTERM);
+    killer_ = loop_.timers().after(Duration(grace_), [this] { process_->signal(SIGKILL); });
     until([&] { return process_->logged("stopping").has_value(); });
 }
 
--- a/tests/harness/GatewayProcess.h
+++ b/tests/harness/GatewayProcess.h
@@ -42,7 +42,7 @@
     /// Runs the loop until `done`.
     auto until(const std::function<bool()>& done) -> void;
     auto wait(Duration time) -> void { loop_.wait(loop_.sleep(time)); }
-    /// Sends SIGTERM and waits until the gateway has noticed.
+    /// Sends SIGTERM, and SIGKILL when the grace period is over, and waits until the gateway has noticed the first.
     auto beginStop() -> void;
     /// Runs the loop until this long after the SIGTERM.
     auto waitUntilAfterStop(Duration time) -> void;
@@ -55,9 +55,11 @@
     standins::ReplicaStandin engine_ { loop_.timers(), "127.0.0.1", "engine-0", "engine" };
     standins::ReplicaStandin plain_ { loop_.timers(), "127.0.0.1", "plain-0", "plain" };
     serving::AgentRole agent_;
+    std::chrono::milliseconds grace_;
     std::string settings_;
     std::unique_ptr<Process> process_;
     Moment stopAt_ {};
+    Timer killer_;
 };
 
 /// A request to one of its routes as bytes.
--- a/tests/integration/StopEnds.cpp
+++ b/tests/integration/StopEnds.cpp
@@ -16,7 +16,7 @@
 /// Longer than any stop.
 constexpr auto forGood = Duration(100s);
 /// A request that is whole by then may be cut at work by the end of the stop.
-constexpr auto lateInStop = Duration(3200ms);
+constexpr auto lateInStop = Duration(3500ms);
 constexpr auto unfinishedBytes = std::size_t(3);
 
 /// Routes that allow more time than a stop has.
@@ -31,7 +31,6 @@
 struct World : GatewayProcess {
     explicit World(std::chrono::milliseconds graceTime = std::chrono::milliseconds(4500))
         : GatewayProcess({ .grace = graceTime, .configure = patientRoutes })
-        , grace(graceTime)
     {
         until([&] { return ask({ .path = "/once/x", .attempt = "first" }).status == 200; });
         until([&] { return ask({ .path = "/whole/x", .attempt = "first" }).status == 200; });
@@ -49,18 +48,6 @@
         until([&] { return caller.ended() || (!caller.answers().empty() && caller.answers().front().whole); });
         return caller.answers().empty() ? ReceivedAnswer() : caller.answers().front();
     }
-    auto killWhenGraceIsOver() -> void
-    {
-        killer = loop().timers().after(Duration(grace), [this] { process().signal(SIGKILL); });
-    }
-    auto stop() -> void
-    {
-        beginStop();
-        killWhenGraceIsOver();
-    }
-
-    std::chrono::milliseconds grace;
-    Timer killer;
 };
 
 auto isRefusal(const ReceivedAnswer& answer) -> bool
@@ -78,7 +65,7 @@
     auto caller = ByteCaller(world.port());
     caller.send(RawCall { .path = "/whole/x", .adapter = "a1" }.text());
     world.until([&] { return !world.engine().orders().empty(); });
-    world.stop();
+    world.beginStop();
     const auto answer = world.answerOf(caller);
     BOOST_TEST(isRefusal(answer));
     BOOST_TEST(!answer.fields.get("Retry-After").empty());
@@ -98,7 +85,7 @@
         auto caller = ByteCaller(world.port());
         caller.send(RawCall { .path = path }.text());
         world.until([&] { return world.plain().runs().size() + world.engine().runs().size() > before; });
-        world.stop();
+        world.beginStop();
         const auto answer = world.answerOf(caller);
         BOOST_TEST(answer.whole);
         BOOST_TEST(answer.status == 504);
@@ -119,7 +106,7 @@
         auto caller = ByteCaller(world.port());
         caller.send(text.substr(0, text.size() - unfinishedBytes));
         world.wait(50ms);
-        world.stop();
+        world.beginStop();
         world.waitUntilAfterStop(lateInStop);
         caller.send(text.substr(text.size() - unfinishedBytes));
         BOOST_TEST_CONTEXT(path)
@@ -136,12 +123,12 @@
 {
     auto world = World(std::chrono::milliseconds(8000));
     for (const auto* path : { "/once/x", "/whole/x" }) {
-        const auto text = RawCall { .path = path, .deadlineMs = 5000 }.text();
+        const auto text = RawCall { .path = path, .deadlineMs = 4500 }.text();
         auto caller = ByteCaller(world.port());
         caller.send(text.substr(0, text.size() - unfinishedBytes));
         world.wait(50ms);
         if (!world.process().logged("stopping"))
-            world.stop();
+            world.beginStop();
         world.waitUntilAfterStop(path == std::string("/once/x") ? Duration(2s) : lateInStop);
         caller.send(text.substr(text.size() - unfinishedBytes));
         const auto answer = world.answerOf(caller);
@@ -159,7 +146,7 @@
     auto caller = ByteCaller(world.port());
     caller.send(text.substr(0, text.size() - unfinishedBytes));
     world.wait(50ms);
-    world.stop();
+    world.beginStop();
     BOOST_TEST(isRefusal(world.answerOf(caller)));
     BOOST_TEST(world.awaitEnd() == 0);
 }
@@ -172,7 +159,7 @@
     auto caller = ByteCaller(world.port());
     caller.send(RawCall { .path = "/whole/x" }.text());
     world.until([&] { return caller.received().find("id:") != std::string::npos; });
-    world.stop();
+    world.beginStop();
     caller.send(RawCall { .path = "/once/x", .attempt = "next" }.text());
     world.until([&] { return caller.ended(); });
     const auto answers = caller.answers();
@@ -195,7 +182,7 @@
     auto caller = ByteCaller(world.port());
     caller.send(RawCall { .path = "/once/x" }.text());
     world.until([&] { return world.plain().runs().size() > before; });
-    world.stop();
+    world.beginStop();
     const auto answer = world.answerOf(caller);
     BOOST_TEST(answer.whole);
     BOOST_TEST(answer.status == 504);
