--- a/tests/harness/ByteCaller.cpp
+++ b/tests/harness/ByteCaller.cpp
@@ -7,6 +7,8 @@
         { .onData = [this] { received_.append(std::exchange(connection_->input(), {})); },
             .onEnd = [this](wire::StreamEnd) { ended_ = true; } }))
 {
+    // A refusal on this host may be known at once.
+    ended_ = ended_ || !connection_;
 }
 
 auto ByteCaller::answers() const -> std::vector<ReceivedAnswer>
--- a/tests/harness/ByteCaller.h
+++ b/tests/harness/ByteCaller.h
@@ -23,11 +23,15 @@
     ByteCaller(const ByteCaller&) = delete;
     auto operator=(const ByteCaller&) -> ByteCaller& = delete;
 
-    auto send(std::string_view bytes) -> void { connection_->write(bytes); }
+    auto send(std::string_view bytes) -> void
+    {
+        if (connection_)
+            connection_->write(bytes);
+    }
     /// Reads nothing more until `resumeReading`.
     auto pauseReading() -> void { connection_->pauseReading(); }
     auto resumeReading() -> void { connection_->resumeReading(); }
-    /// Whether the other side has closed or reset the connection.
+    /// Whether the other side has refused, closed or reset the connection.
     [[nodiscard]] auto ended() const noexcept -> bool { return ended_; }
     /// The answers so far; the last one may be incomplete.
     [[nodiscard]] auto answers() const -> std::vector<ReceivedAnswer>;
--- a/tests/harness/GatewayProcess.h
+++ b/tests/harness/GatewayProcess.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace eelgrass::tests {
 
@@ -38,6 +39,11 @@
     auto plain() -> standins::ReplicaStandin& { return plain_; }
     auto process() -> Process& { return *process_; }
     [[nodiscard]] auto port() const -> std::uint16_t { return process_->listeningPort(); }
+    /// Where gateways look for the agent of every engine.
+    [[nodiscard]] auto agentPort() const -> std::uint16_t { return agent_.port(); }
+    [[nodiscard]] auto gracePeriod() const noexcept -> std::chrono::milliseconds { return options_.grace; }
+    /// Starts another gateway beside the first one; it lives as long as this object.
+    auto addGateway(const std::string& name) -> Process&;
 
     /// Runs the loop until `done`.
     auto until(const std::function<bool()>& done) -> void;
@@ -50,13 +56,17 @@
     auto awaitEnd() -> int;
 
 private:
+    [[nodiscard]] auto startGateway(const std::string& name, const std::string& seeds) -> std::unique_ptr<Process>;
+
+    Options options_;
     wire::MainLoop loop_;
     standins::StoreStandin store_ { loop_.timers() };
     standins::ReplicaStandin engine_ { loop_.timers(), "127.0.0.1", "engine-0", "engine" };
     standins::ReplicaStandin plain_ { loop_.timers(), "127.0.0.1", "plain-0", "plain" };
     serving::AgentRole agent_;
-    std::string settings_;
+    std::vector<std::string> settings_;
     std::unique_ptr<Process> process_;
+    std::vector<std::unique_ptr<Process>> others_;
     Moment stopAt_ {};
 };
 
@@ -68,6 +78,8 @@
     std::string body = "prompt";
     /// Of the base model, on the routes of streams.
     std::string adapter {};
+    /// More fields of the head, each with its line end.
+    std::string fields {};
 
     [[nodiscard]] auto text() const -> std::string;
 };
