--- a/tests/harness/StopTraffic.h
+++ b/tests/harness/StopTraffic.h
@@ -61,7 +61,8 @@
 private:
     struct Request {
         RawCall call;
-        /// When its last byte was sent.
+        /// When its first byte was sent, from which its time counts, and its last one.
+        Moment begunAt {};
         Moment sentAt {};
         bool whole = false;
     };
--- a/tests/integration/StopRequests.cpp
+++ b/tests/integration/StopRequests.cpp
@@ -45,7 +45,9 @@
         store().put("servers", secondPlain.instance(), secondPlain.entry());
         for (const auto* path : paths)
             awaitService(path);
+        plain().behave({ .status = 503, .notRun = true });
         until([&] { return ask("/safe/x").body == "body-of-plain-1"; });
+        plain().behave({});
     }
     auto ask(const std::string& path) -> ReceivedAnswer
     {
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -299,6 +299,11 @@
     [[nodiscard]] auto leaves(std::size_t replica, Moment at) const -> Moment;
     /// Whether a request that got no whole answer from a gateway should have had one.
     [[nodiscard]] auto lost(const Call& call, const std::vector<LostRun>& runs, bool arrived) const -> bool;
+    /// Whether a request ended with its gateway's stop, while the run was at work in the last part of the grace period.
+    [[nodiscard]] auto endedAtWorkByStop(const Call& call, const LostRun& run) const -> bool;
+    [[nodiscard]] auto outlastsStop(const Call& call, const LostRun& run, Duration slack) const -> bool;
+    /// Whether its gateway stopped, and neither passed it on nor knows of it: it crossed a close or came too late.
+    [[nodiscard]] auto unreadAtStop(const Call& call, bool arrived) const -> bool;
     /// The shortest time that routes gave a request in the meantime.
     [[nodiscard]] auto timeFor(const Call& call) const -> Duration;
     [[nodiscard]] auto storyOf(const Call& call, const std::vector<LostRun>& runs) const -> std::string;
@@ -350,6 +355,8 @@
     /// The time that routes give a request, from each configuration on.
     std::vector<std::pair<Moment, Duration>> routeTimes_;
     bool plannedStops_ = false;
+    /// Whether streams last for half of a stop.
+    bool longStreams_ = false;
     std::vector<Node> agents_;
     std::vector<Node> gateways_;
     std::vector<Call> calls_;
