A connection is read a part at a time

A peer that sends without end kept the loop for as long as bytes came, since reading went on until the kernel had none left; every other request waited. After 64 KB the connection now goes on in the next turn by a source of its own, since the edge-triggered set does not report again.

--- a/packages/wire/TcpConnection.cpp
+++ b/packages/wire/TcpConnection.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr auto readSize = std::size_t(64) << 10U;
+// Bytes read from one connection in one turn of the loop.
+constexpr auto maxReadPerTurn = readSize;
 // New connections that wait to be accepted: a burst of callers within one turn of the loop.
 constexpr auto acceptBacklog = 512;
 
@@ -96,6 +98,8 @@
 TcpConnection::~TcpConnection()
 {
     *alive_ = false;
+    if (nextTurn_)
+        g_source_remove(nextTurn_);
     watch_.reset();
     g_socket_close(socket_.get(), nullptr);
 }
@@ -130,11 +134,15 @@
 auto TcpConnection::pump() -> void
 {
     const auto alive = alive_;
-    while (*alive && !over_ && !paused_ && connected_) {
+    auto taken = std::size_t(0);
+    while (!over_ && !paused_ && connected_) {
+        if (taken >= maxReadPerTurn)
+            return pumpNextTurn();
         const auto before = input_.size();
         const auto more = readSome();
         if (!*alive)
             return;
+        taken += input_.size() - before;
         if (input_.size() > before && handlers_.onData)
             handlers_.onData();
         if (!*alive || !more)
@@ -142,6 +150,19 @@
     }
 }
 
+auto TcpConnection::pumpNextTurn() -> void
+{
+    if (nextTurn_)
+        return;
+    const auto readOn = [](gpointer self) -> gboolean {
+        auto& connection = *static_cast<TcpConnection*>(self);
+        connection.nextTurn_ = 0;
+        connection.pump();
+        return G_SOURCE_REMOVE;
+    };
+    nextTurn_ = g_idle_add_full(G_PRIORITY_DEFAULT, readOn, this, nullptr);
+}
+
 auto TcpConnection::resumeReading() -> void
 {
     if (!std::exchange(paused_, false))
--- a/packages/wire/TcpConnection.h
+++ b/packages/wire/TcpConnection.h
@@ -20,6 +20,8 @@
 
 /// One TCP connection on the loop, with callbacks: bytes are gathered in `input()` and written at once or queued.
 ///
+/// A connection on which bytes come without end is read a part at a time, so that the others have their turn.
+///
 /// A vanished peer is noticed by keep-alive probes and by unacknowledged bytes, within `silenceLimit`.
 /// Every callback may destroy the connection.
 ///
@@ -77,6 +79,8 @@
 private:
     auto ready(std::uint32_t events) -> void;
     auto pump() -> void;
+    /// Reads on in the next turn of the loop: the kernel does not report again what it has reported.
+    auto pumpNextTurn() -> void;
     auto readSome() -> bool;
     auto flush() -> void;
     auto end(StreamEnd) -> void;
@@ -92,6 +96,8 @@
     bool paused_ = false;
     bool finishing_ = false;
     bool over_ = false;
+    /// The GLib source that reads on; 0 for none.
+    unsigned nextTurn_ = 0;
     /// False once this object is destroyed; held by callbacks that may destroy it.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
