What comes beside an answer's body is bounded

The parser leaves lines that are not whole in the input, whatever their length, and skipped answers counted nowhere. Now 64 KB of an unfinished line and 256 KB of bytes beside the body (8 more for each byte of it) are bad bytes: the request is moved or failed and the replica avoided as for any others. Bytes on an idle connection close it at once.

--- a/packages/serving/ReplicaLeg.cpp
+++ b/packages/serving/ReplicaLeg.cpp
@@ -14,6 +14,10 @@
 constexpr auto maxIdleForNonRepeatable = Duration(500ms);
 // Idle timeout that is assumed if the replica sends no Keep-Alive timeout.
 constexpr auto defaultIdleTimeout = std::chrono::seconds(4);
+// Bytes that may come beside an answer's body: heads, interim answers, answers to other requests, chunk framing.
+constexpr auto maxOverhead = std::size_t(256) << 10U;
+// More of them for each byte of the body; a chunk of one byte has five.
+constexpr auto maxOverheadPerByte = std::size_t(8);
 
 } // namespace
 
@@ -50,6 +54,8 @@
     reusable_ = false;
     headReported_ = false;
     skippingAnswer_ = false;
+    passedOn_ = 0;
+    overhead_ = 0;
     reader_ = std::make_unique<wire::ResponseReader>();
     auto bytes = std::string();
     bytes.reserve(head.size() + body.size());
@@ -85,25 +91,36 @@
     const auto alive = alive_;
     const auto handlers = handlers_;
     if (!busy_) {
-        // Bytes arrived without a pending request, so the connection cannot be reused.
+        // Bytes arrived without a pending request, so the connection cannot be reused. More may follow without end.
         reusable_ = false;
+        connection_->reset();
         if (const auto callback = onIdleEnd_)
             callback();
         return;
     }
     while (*alive && busy_) {
+        const auto waiting = connection_->input().size();
         const auto fault = reader_->feed(connection_->input(), pendingBody_);
+        overhead_ += waiting - connection_->input().size();
         if (fault != wire::HttpFault::None)
             return fail(ReplicaFault::BadBytes);
-        if (reader_->headComplete() && !headReported_ && !readHead())
+        if (reader_->headComplete() && !headReported_ && !readHead()) {
+            if (*alive && busy_ && tooMuchOverhead())
+                return fail(ReplicaFault::BadBytes);
             continue;
+        }
         if (!*alive || !busy_)
             return;
         auto piece = std::exchange(pendingBody_, {});
-        if (!piece.empty() && !skippingAnswer_)
+        if (!piece.empty() && !skippingAnswer_) {
+            overhead_ -= piece.size();
+            passedOn_ += piece.size();
             handlers->onBody(piece);
+        }
         if (!*alive || !busy_)
             return;
+        if (tooMuchOverhead())
+            return fail(ReplicaFault::BadBytes);
         if (!reader_->complete())
             return;
         if (skippingAnswer_) {
@@ -116,6 +133,11 @@
     }
 }
 
+auto ReplicaConnection::tooMuchOverhead() const noexcept -> bool
+{
+    return overhead_ > maxOverhead + maxOverheadPerByte * passedOn_;
+}
+
 /// Handles a complete head. Returns false if it belongs to an interim answer or if this connection was destroyed.
 auto ReplicaConnection::readHead() -> bool
 {
--- a/packages/serving/ReplicaLeg.h
+++ b/packages/serving/ReplicaLeg.h
@@ -20,7 +20,7 @@
     Withheld,
     /// The connection was closed or reset before the answer was complete.
     Broken,
-    /// The replica sent bytes that are not a valid HTTP response.
+    /// The replica sent bytes that are not a valid HTTP response, or an answer that is too long to be kept.
     BadBytes,
 };
 
@@ -69,6 +69,8 @@
 private:
     auto connected() -> void;
     auto received() -> void;
+    /// Whether the replica has sent too much that is no part of the answer's body.
+    [[nodiscard]] auto tooMuchOverhead() const noexcept -> bool;
     auto ended(wire::StreamEnd how) -> void;
     auto readHead() -> bool;
     auto finish() -> void;
@@ -85,6 +87,9 @@
     /// The request, while the connection is being made.
     std::string unsent_;
     std::string pendingBody_;
+    /// Bytes of the answer's body that were passed on, and all others that have come for the request.
+    std::size_t passedOn_ = 0;
+    std::size_t overhead_ = 0;
     std::optional<std::chrono::seconds> idleTimeout_;
     bool busy_ = false;
     bool skippingAnswer_ = false;
--- a/packages/wire/HttpReader.cpp
+++ b/packages/wire/HttpReader.cpp
@@ -16,7 +16,7 @@
 using boost::beast::error_code;
 using boost::beast::string_view;
 
-// An answer's head; engines send a few hundred bytes.
+// An answer's head, and each line of its framing; engines send a few hundred bytes.
 constexpr auto answerHeadLimit = std::uint32_t(64) << 10U;
 
 auto view(string_view text) -> std::string_view { return { text.data(), text.size() }; }
@@ -208,6 +208,9 @@
     parser_->takeHead();
     body.append(parser_->body_);
     parser_->body_.clear();
+    // The parser leaves a head, a chunk's head and trailers in the input until they are whole, whatever their length.
+    if (fault == HttpFault::None && !parser_->is_done() && input.size() > answerHeadLimit)
+        return HttpFault::HeaderTooLarge;
     return fault;
 }
 
