An answer that is kept until it is whole is bounded

A plain answer without end, and an event without end, were kept whole (419 MB in the tests, where the test's server stops). Each answer now has 256 KB of its own, so that short ones never fail for others, and up to 8 MB from 48 MB that all share; an event has 256 KB. What is longer counts as bad bytes.

--- a/packages/serving/GatewayContext.h
+++ b/packages/serving/GatewayContext.h
@@ -4,6 +4,7 @@
 #include "decisions/StopSchedule.h"
 #include "router/Metrics.h"
 #include "serving/ConfigurationFollower.h"
+#include "serving/KeptAnswer.h"
 #include "serving/MemberQuotas.h"
 #include "serving/RateLimits.h"
 #include "serving/ReplicaAvailability.h"
@@ -35,6 +36,7 @@
     std::size_t entries = 6;
     /// Empty until the entry is told to stop.
     std::optional<decisions::StopSchedule> stop {};
+    std::shared_ptr<AnswerMemory> answerMemory = std::make_shared<AnswerMemory>();
 
     [[nodiscard]] auto now() const -> Moment { return loop.timers().now(); }
 };
--- a/packages/serving/ReplicaRun.h
+++ b/packages/serving/ReplicaRun.h
@@ -2,6 +2,7 @@
 
 #include "platform/AnswerHeaders.h"
 #include "serving/EventSplitter.h"
+#include "serving/KeptAnswer.h"
 #include "serving/Replica.h"
 #include "serving/ReplicaLeg.h"
 
@@ -13,6 +14,11 @@
 
 /// One run of a request at one replica, and what has come of its answer.
 struct ReplicaRun {
+    explicit ReplicaRun(std::shared_ptr<AnswerMemory> memory)
+        : body(std::move(memory))
+    {
+    }
+
     ReplicaPtr replica;
     /// Null once the run is over.
     std::shared_ptr<ReplicaConnection> connection;
@@ -23,7 +29,7 @@
     Moment heardAt {};
     wire::HttpResponseHead head;
     hosting::AnswerMetadata answer;
-    std::string body;
+    KeptAnswer body;
     EventSplitter events;
     /// The answer is a stream that is forwarded event by event.
     bool streaming = false;
--- a/packages/serving/RequestAnswer.cpp
+++ b/packages/serving/RequestAnswer.cpp
@@ -48,7 +48,8 @@
     noteHeard();
     if (run_->streaming)
         return onEvents(bytes);
-    run_->body.append(bytes);
+    if (!run_->body.append(bytes))
+        onFault(ReplicaFault::BadBytes);
 }
 
 auto RequestRun::onEvents(std::string_view bytes) -> void
@@ -59,6 +60,8 @@
         if (!forwardEvent(event))
             return;
     }
+    if (running() && run_->events.incomplete().size() > maxEventBytes)
+        return onFault(ReplicaFault::BadBytes);
     if (running() && caller_->backlog() > maxBacklog)
         pauseRun();
 }
@@ -144,7 +147,7 @@
     if (!run_->answer.sealed || promisesNotRun(status))
         return fail(badGateway, "answer not to be trusted");
     delivered_ = Delivered::Everything;
-    caller_->respond({ status, hosting::returnedFields(run_->head) }, run_->body);
+    caller_->respond({ status, hosting::returnedFields(run_->head) }, run_->body.text());
     finish(status, "answered", {});
 }
 
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -300,7 +300,7 @@
 {
     const auto now = gateway_.now();
     ++sends_;
-    prepared_ = std::make_shared<ReplicaRun>();
+    prepared_ = std::make_shared<ReplicaRun>(gateway_.answerMemory);
     prepared_->replica = replica_;
     prepared_->connection = connection;
     prepared_->sentAt = now;
--- a/packages/serving/detail/RunLimits.h
+++ b/packages/serving/detail/RunLimits.h
@@ -90,6 +90,8 @@
 inline constexpr auto otherEntryRetryAfter = std::chrono::milliseconds(10);
 // Bytes buffered for a slow client before reading from its replica pauses.
 inline constexpr auto maxBacklog = std::size_t(256) << 10U;
+// An event of a stream is passed on when it is whole; a longer one is taken for bytes without end.
+inline constexpr auto maxEventBytes = std::size_t(256) << 10U;
 // Upper bound on the slowness factor of a replica, so that a slow replica is still tried and can show that it has
 // recovered.
 inline constexpr auto maxSlowness = 8.0;
