Answers to a process' own calls are bounded

The store's answer took all memory until the call's time was over (377 MB for four calls in the tests, before the change), and so may a report.

--- a/packages/wire/HttpCaller.cpp
+++ b/packages/wire/HttpCaller.cpp
@@ -55,6 +55,8 @@
     }
     if (reader_->feed(connection_->input(), body_) != HttpFault::None)
         return fail("not an answer");
+    if (body_.size() > waiting_.front().call.maxAnswerBytes)
+        return fail("the answer is too long");
     if (connection_->over())
         reader_->finish();
     if (reader_->complete())
--- a/packages/wire/HttpCaller.h
+++ b/packages/wire/HttpCaller.h
@@ -31,6 +31,8 @@
     std::string body;
     /// The call fails after this long without a whole answer.
     Duration timeout = 1s;
+    /// The call fails when the body of its answer is longer.
+    std::size_t maxAnswerBytes = std::size_t(1) << 20U;
 };
 
 /// Calls to one peer over one kept connection, in order, none of them ever sent twice.
@@ -46,8 +48,8 @@
     ~HttpCaller();
     KJ_DISALLOW_COPY(HttpCaller);
 
-    /// Rejects when the peer cannot be reached, breaks off, sends what is no answer, or takes too long; the last with
-    /// the type `OVERLOADED`, the others with `DISCONNECTED`.
+    /// Rejects when the peer cannot be reached, breaks off, sends what is no answer or too long a one, or takes too
+    /// long; the last with the type `OVERLOADED`, the others with `DISCONNECTED`.
     [[nodiscard]] auto call(HttpCall call) -> kj::Promise<HttpAnswer>;
 
 private:
