--- a/tests/harness/Process.cpp
+++ b/tests/harness/Process.cpp
@@ -61,17 +61,32 @@
         signal(SIGKILL);
         wait();
     }
+    resumeReading();
     drainer_.join();
 }
 
+auto Process::pauseReading() -> void
+{
+    auto lock = std::lock_guard(mutex_);
+    paused_ = true;
+}
+
+auto Process::resumeReading() -> void
+{
+    auto lock = std::lock_guard(mutex_);
+    paused_ = false;
+    more_.notify_all();
+}
+
 auto Process::drain(int fd) -> void
 {
     constexpr auto bufferSize = 65536;
     auto buffer = std::string(bufferSize, '\0');
     for (auto size = read(fd, buffer.data(), buffer.size()); size > 0; size = read(fd, buffer.data(), buffer.size())) {
-        auto lock = std::lock_guard(mutex_);
+        auto lock = std::unique_lock(mutex_);
         log_.append(buffer, 0, static_cast<std::size_t>(size));
         more_.notify_all();
+        more_.wait(lock, [this] { return !paused_; });
     }
     close(fd);
     auto lock = std::lock_guard(mutex_);
--- a/tests/harness/Process.h
+++ b/tests/harness/Process.h
@@ -27,6 +27,9 @@
     /// The line with this message, if it was logged by now.
     [[nodiscard]] auto logged(const std::string& message) -> std::optional<std::string>;
 
+    /// Reads nothing more of what it logs until `resumeReading`.
+    auto pauseReading() -> void;
+    auto resumeReading() -> void;
     auto signal(int number) const -> void { ::kill(pid_, number); }
     /// Whether it ended by itself: its output is closed.
     [[nodiscard]] auto ended() -> bool;
@@ -55,6 +58,7 @@
     std::condition_variable more_;
     std::string log_;
     bool ended_ = false;
+    bool paused_ = false;
     std::thread drainer_;
 };
 
--- a/tests/harness/ServingWorld.h
+++ b/tests/harness/ServingWorld.h
@@ -48,6 +48,8 @@
     /// Agent beside an engine; none after `stopAgent`.
     auto stopAgent(std::size_t index) -> void;
     auto startAgent(std::size_t index) -> void;
+    /// Of every agent.
+    [[nodiscard]] auto agentPort() const noexcept -> std::uint16_t { return agentPort_; }
 
     /// A client's request to the first gateway, by a connection of its own.
     struct Request {
