The last log lines of a process reach a reader that is behind

Operators saw a log that ends before the process did: its last lines, which tell what a stop cut off, were missing.

Cause: lines that the reader of standard output does not take at once wait in the log queue, and nothing wrote them when the process left with std::exit.

Why it works: at its exit the process waits for its reader, 100 ms at most. A reader that has stopped, or has gone, does not keep the process.

--- a/packages/base/Log.cpp
+++ b/packages/base/Log.cpp
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace eelgrass::log {
 
@@ -38,6 +39,20 @@
 public:
     ~QueueAppender() override { queue_.flush(); }
     auto close() -> void override { queue_.flush(); }
+    /// Waits for a reader that is behind, as the process ends: its last lines tell how. Nothing else is owed by then.
+    auto finish() -> void
+    {
+        constexpr auto longest = Duration(100ms);
+        const auto until = now() + longest;
+        queue_.flush();
+        while (!queue_.empty()) {
+            const auto left = std::chrono::ceil<std::chrono::milliseconds>(until - now()).count();
+            auto ready = pollfd { .fd = STDOUT_FILENO, .events = POLLOUT };
+            if (left <= 0 || poll(&ready, 1, static_cast<int>(left)) != 1 || (ready.revents & POLLERR) != 0)
+                return;
+            queue_.flush();
+        }
+    }
     [[nodiscard]] auto requiresLayout() const -> bool override { return true; }
 
 protected:
@@ -75,8 +90,9 @@
 {
     auto layout = std::make_shared<log4cxx::JSONLayout>();
     layout->setLocationInfo(false);
-    auto appender = std::make_shared<QueueAppender>();
+    static auto appender = std::make_shared<QueueAppender>();
     appender->setLayout(layout);
+    std::atexit([] { appender->finish(); });
     log4cxx::BasicConfigurator::configure(appender);
     logger()->setLevel(log4cxx::Level::toLevel(std::string(level)));
     log4cxx::MDC::put("process", std::string(process));
--- a/packages/base/LogQueue.h
+++ b/packages/base/LogQueue.h
@@ -39,6 +39,8 @@
     auto add(std::string line, bool important, Moment now) -> void;
     /// Hands on what the sink takes.
     auto flush() -> void;
+    /// Whether no line waits for the reader.
+    [[nodiscard]] auto empty() const noexcept -> bool { return lines_.empty(); }
     [[nodiscard]] auto leftOut() const noexcept -> std::uint64_t { return leftOut_; }
 
 private:
--- a/tests/integration/LastLogLines.cpp
+++ b/tests/integration/LastLogLines.cpp
@@ -26,3 +26,17 @@
     BOOST_TEST(log.find("fill-" + std::to_string(requests - 1)) != std::string::npos);
     BOOST_TEST(log.find("\"message\": \"stopped\"") != std::string::npos);
 }
+
+// Guards against a process that does not end because nobody reads its log.
+BOOST_AUTO_TEST_CASE(a_reader_that_has_stopped_hardly_delays_the_end)
+{
+    constexpr auto requests = 300;
+    constexpr auto longest = Duration(1s);
+    auto world = AgentProcesses(1, 0);
+    world.agents[0]->pauseReading();
+    for (auto count = 0; count < requests; ++count)
+        (void)world.world.ask({ .attempt = "fill-" + std::to_string(count) });
+    const auto stoppedAt = now();
+    BOOST_TEST(world.stopAgent(0) == 0);
+    BOOST_TEST((now() - stoppedAt < longest));
+}
