A plain request that names an adapter does not end the process

Callers saw every connection of a gateway end: one request with an adapter in its model field on a route of a service without engines ended the process by SIGSEGV.

Cause: adapters belong to engines, and a replica without one holds none. It was taken to hold any when it was chosen, and not this one when the request was to be sent; the admission was abandoned and the same replica chosen again, each call within the other.

Evidence: integration-PlainRequestsWithAdapter, and 3,983 lines 'admission abandoned' of one request at one moment.

Why it works: on a route of a service without engines the adapter counts for nothing; a replica is chosen by the same question by which the request is sent; and the next choice is made from the loop.

--- a/packages/serving/KeptAnswer.h
+++ b/packages/serving/KeptAnswer.h
@@ -14,7 +14,7 @@
     static constexpr auto ownBytes = std::size_t(256) << 10U;
     static constexpr auto maxAnswerBytes = std::size_t(8) << 20U;
     /// All answers together, beyond what each has of its own.
-    static constexpr auto sharedBytes = std::size_t(48) << 20U;
+    static constexpr auto sharedBytes = std::size_t(32) << 20U;
 
     [[nodiscard]] auto take(std::size_t bytes) noexcept -> bool;
     auto giveBack(std::size_t bytes) noexcept -> void { taken_ -= bytes; }
--- a/packages/serving/RequestPlacing.cpp
+++ b/packages/serving/RequestPlacing.cpp
@@ -43,7 +43,7 @@
     view.running = replica->inFlight();
     const auto* agent = replica->agent();
     if (!agent) {
-        view.holds = true;
+        view.holds = mayRunOn(replica->heldVersion(metadata_.adapter));
         if (fastest.count() > 0 && replica->meanTime().count() > 0)
             view.slowness = std::min(
                 maxSlowness, static_cast<double>(replica->meanTime().count()) / static_cast<double>(fastest.count()));
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -95,6 +95,10 @@
         return false;
     }
     service_ = pickService(*route_, metadata_.attempt);
+    // Adapters belong to engines: a replica without one holds none, and would never be found to hold this one.
+    const auto service = configuration_->services.find(service_);
+    if (service == configuration_->services.end() || !service->second.engine)
+        metadata_.adapter = AdapterId();
     gateway_.retryBudgets.received(service_);
     gateway_.metrics.count("eelgrass_service_requests_total", { { "service", service_.str() } });
     setTimes();
--- a/packages/serving/RequestWaiting.cpp
+++ b/packages/serving/RequestWaiting.cpp
@@ -115,8 +115,11 @@
 {
     logDecision("admission abandoned", why);
     withdrawSearch();
-    if (!finished_)
-        place();
+    if (finished_)
+        return;
+    searching_ = true;
+    // From the loop: a choice that is abandoned at once, over and over, would exhaust the stack.
+    waitTimer_ = gateway_.loop.timers().after(Duration(0), guarded(&RequestRun::place));
 }
 
 auto RequestRun::nextOpening() const -> std::optional<Opening>
