--- a/tests/harness/StopTraffic.cpp
+++ b/tests/harness/StopTraffic.cpp
@@ -112,11 +112,12 @@
     stopped.stoppedAt = world_.loop().timers().now();
     stopped.killer = world_.loop().timers().after(
         Duration(world_.gracePeriod()), [process = stopped.process] { process->signal(SIGKILL); });
-    for (auto& [time, step] : std::exchange(planned_, {}))
+    for (auto& [time, step] : std::exchange(planned_, {})) {
         steps_.push_back(world_.loop().timers().after(time, [this, step = std::move(step)] {
             --stepsLeft_;
             step();
         }));
+    }
 }
 
 auto StopTraffic::finish() -> void
