--- a/tests/integration/StopConnections.cpp
+++ b/tests/integration/StopConnections.cpp
@@ -74,10 +74,11 @@
     auto& traffic = world.traffic;
     const auto kept = traffic.openKept(160);
     world.slowDown();
-    for (const auto connection : kept)
+    for (const auto connection : kept) {
         traffic.at(connection * 50ms, [&traffic, connection, path = paths[connection % paths.size()]] {
             traffic.send(connection, { .path = path });
         });
+    }
     for (auto time = Duration(0); time < Duration(grace); time += 100ms) {
         for (const auto* path : paths)
             traffic.at(time + 30ms, [&traffic, path] { traffic.ask({ .path = path }); });
--- a/tests/integration/StopSeries.cpp
+++ b/tests/integration/StopSeries.cpp
@@ -139,13 +139,14 @@
     auto world = World();
     world.plan(0, Duration(grace), 400ms);
     auto version = std::uint64_t(1);
-    for (const auto time : { Duration(200ms), Duration(1500ms), Duration(4s) })
+    for (const auto time : { Duration(200ms), Duration(1500ms), Duration(4s) }) {
         world.traffic.at(time, [&world, &version] {
             auto json = Json::parse(servingConfiguration(++version));
             patientRoutes(json);
             json["services"][0]["maxConns"] = 20 + version;
             world.store().put("op", "config", json.dump());
         });
+    }
     world.traffic.stop();
     world.judge();
 }
@@ -155,11 +156,12 @@
 {
     auto world = World();
     world.plan(0, Duration(grace), 400ms);
-    for (const auto time : { Duration(500ms), Duration(4s) })
+    for (const auto time : { Duration(500ms), Duration(4s) }) {
         world.traffic.at(time, [&world] {
             world.plain().pauseFor(1200ms);
             world.engine().pauseFor(1200ms);
         });
+    }
     world.traffic.stop();
     world.judge();
 }
--- a/tests/soak/SoakPauses.cpp
+++ b/tests/soak/SoakPauses.cpp
@@ -194,11 +194,12 @@
         return false;
     // A stream may end broken off when its time is over, or the stop of its gateway; a silence is no reason to end it
     // sooner.
-    if (!runs.empty())
+    if (!runs.empty()) {
         return call.ended + slack < call.began + timeFor(call)
             && !(isStream(call) && std::any_of(runs.begin(), runs.end(), [&](const LostRun& run) {
                    return endedAtWorkByStop(call, run);
                }));
+    }
     return !unreadAtStop(call, arrived);
 }
 
