Runs without an answer, and what is counted of them, have lines and counters

Cause: no line and no metric said that a run had ended without its answer, that its break was counted, by whom or why not, or what an entry knew when it sent; the hypotheses of docs/incidents/2026-12-04-crashing-requests.md could not be told apart. Change: 'run not answered' at each such end, 'break counted', 'break not confirmed yet', 'break not counted' and 'breaks cleared' by digest, replica and start, 'breaks' in 'sent', two counters; no change of logic. docs/OPERATIONS.md leads from a request's id to them.

--- a/packages/serving/GatewayRole.cpp
+++ b/packages/serving/GatewayRole.cpp
@@ -84,7 +84,7 @@
               .onRateLimits = [this](const std::vector<ReplicaRateLimit>& limits,
                                   const Endpoint& agent) { rateLimits_.applyPublished(limits, agent); },
               .knownOrigin = [this](const StreamId& stream) { return origins_.known(stream); } })
-    , suspects_(loop, directory_)
+    , suspects_(loop, directory_, metrics_)
     , quotas_(loop, directory_, settings_.quotas)
     , rateLimits_(loop, directory_, metrics_, settings_.host.name)
     , availability_(loop, directory_, metrics_, settings_.host)
--- a/packages/serving/RequestAnswer.cpp
+++ b/packages/serving/RequestAnswer.cpp
@@ -207,6 +207,7 @@
         return onNotReached();
     const auto replica = run_->replica;
     replica->failed(gateway_.now());
+    noteUnanswered(toString(fault));
     releaseRun(false, RunEnd::Broke);
     gateway_.suspects.recordBreak(digest_, *replica, run_->hasEvents || origin_);
     logDecision("replica connection failed", toString(fault), replica);
--- a/packages/serving/RequestEnd.cpp
+++ b/packages/serving/RequestEnd.cpp
@@ -21,6 +21,7 @@
         noteCutOff();
     if (running()) {
         const auto replicaFailed = !byStop && gateway_.now() - run_->sentAt > failureSilence;
+        noteUnanswered(why);
         releaseRun(false, replicaFailed ? RunEnd::Broke : RunEnd::Plain);
     }
     if (delivered_ == Delivered::Part) {
@@ -64,6 +65,8 @@
 auto RequestRun::onCallerGone() -> void
 {
     const auto self = shared_from_this();
+    if (running())
+        noteUnanswered("client gone");
     releaseRun(false);
     finish(0, "caller_gone", {});
 }
--- a/packages/serving/RequestLog.cpp
+++ b/packages/serving/RequestLog.cpp
@@ -7,10 +7,15 @@
 
 auto RequestRun::logSend() const -> void
 {
-    if (metadata_.adapter.empty())
-        return logDecision("sent", {});
-    const auto& known = knownVersion();
     const auto now = gateway_.now();
+    const auto breaks = std::to_string(gateway_.suspects.breaks(digest_));
+    if (metadata_.adapter.empty()) {
+        log::info("sent",
+            { { "request", metadata_.attempt.str() }, { "replica", replica_->id().str() }, { "digest", digest_ },
+                { "breaks", breaks }, { "left_ms", millisecondsText(timeLeft()) } });
+        return;
+    }
+    const auto& known = knownVersion();
     const auto* agent = replica_->agent();
     const auto* decider = admittingAgent_ ? "agent" : "entry";
     const auto decidedAt = admittingAgent_ ? admissionAskedAt_ : now;
@@ -24,7 +29,20 @@
             { "known_ms", known.learnedAt ? millisecondsText(now - *known.learnedAt) : "" },
             { "known_from", known.source }, { "confirmed_ms", millisecondsText(gateway_.configuration.age()) },
             { "state_age_ms", stateKnown ? millisecondsText(now - agent->state().receivedAt) : "" },
-            { "left_ms", millisecondsText(timeLeft()) } });
+            { "digest", digest_ }, { "breaks", breaks }, { "left_ms", millisecondsText(timeLeft()) } });
+}
+
+auto RequestRun::noteUnanswered(std::string_view how) const -> void
+{
+    const auto now = gateway_.now();
+    const auto& start = run_->replica->record().start;
+    const auto had = std::string(run_->progress());
+    gateway_.metrics.count("eelgrass_unanswered_runs_total", { { "how", std::string(how) }, { "had", had } });
+    log::info("run not answered",
+        { { "request", metadata_.attempt.str() }, { "digest", digest_ }, { "replica", start.instance.str() },
+            { "birth", std::to_string(start.startTime.value()) }, { "how", std::string(how) }, { "had", had },
+            { "ran_ms", millisecondsText(now - run_->sentAt) }, { "silent_ms", millisecondsText(now - run_->heardAt) },
+            { "breaks", std::to_string(gateway_.suspects.breaks(digest_)) } });
 }
 
 auto RequestRun::noteCutOff() const -> void
--- a/packages/serving/RequestReplace.cpp
+++ b/packages/serving/RequestReplace.cpp
@@ -129,6 +129,7 @@
     if (running()) {
         noteSilentRun("run given up", "eelgrass_runs_given_up_total", "silence");
         ++givenUp_;
+        noteUnanswered("given up");
         releaseRun(false, RunEnd::Broke);
     }
     run_ = std::exchange(prepared_, nullptr);
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -209,6 +209,8 @@
     auto logDecision(std::string_view event, std::string_view why, const ReplicaPtr& replica) const -> void;
     /// Logs and counts what becomes of the current run, whose replica is silent.
     auto noteSilentRun(std::string_view event, std::string_view metric, std::string_view why) const -> void;
+    /// Logs and counts that the current run ended without its whole answer.
+    auto noteUnanswered(std::string_view how) const -> void;
     /// Logs and counts a decision on a retry, with what the retry budget stood at.
     auto noteRetry(const RetryVerdict& verdict) const -> void;
     /// Logs a send with the version that it expects, who decided on that version, and what this entry knows.
--- a/packages/serving/SuspectRequests.cpp
+++ b/packages/serving/SuspectRequests.cpp
@@ -1,5 +1,6 @@
 #include "serving/SuspectRequests.h"
 
+#include "base/Log.h"
 #include "decisions/FirstByRendezvous.h"
 
 #include <xxhash.h>
@@ -37,21 +38,35 @@
     return agents.empty() ? nullptr : agents.front();
 }
 
-auto SuspectRequests::count(const std::string& digest) -> void
+auto SuspectRequests::note(std::string_view event, std::string_view outcome, const std::string& digest,
+    const ReplicaStart& start, std::string_view why) const -> void
+{
+    const auto* agent = countingAgentFor(digest);
+    metrics_.count("eelgrass_request_crashes_total", { { "outcome", std::string(outcome) } });
+    log::info(event,
+        { { "digest", digest }, { "replica", start.instance.str() },
+            { "birth", std::to_string(start.startTime.value()) }, { "reason", std::string(why) },
+            { "breaks", std::to_string(breaks(digest)) }, { "counted_by", agent ? agent->endpoint().str() : "" } });
+}
+
+auto SuspectRequests::count(const std::string& digest, const ReplicaStart& start) -> void
 {
     ownCounts_.crashed(digest, ownCounts_.crashes(digest));
     if (auto* agent = countingAgentFor(digest))
         agent->reportSuspect(digest, true);
+    note("break counted", "counted", digest, start, {});
 }
 
 auto SuspectRequests::recordBreak(const std::string& digest, const Replica& replica, bool begun) -> void
 {
+    const auto& start = replica.record().start;
     if (!begun || !replica.agent())
-        return count(digest);
+        return count(digest, start);
     // A replica that leaves ends by plan.
     if (replica.leaving())
-        return;
-    unconfirmed_.push_back({ digest, replica.record().start, loop_.timers().now() });
+        return note("break not counted", "not counted", digest, start, "the replica leaves");
+    note("break not confirmed yet", "waits", digest, start, "the stream had begun");
+    unconfirmed_.push_back({ digest, start, loop_.timers().now() });
     if (unconfirmed_.size() > maxUnconfirmed)
         unconfirmed_.pop_front();
 }
@@ -64,11 +79,14 @@
     const auto& reported = replica.agent()->state().start;
     for (const auto& broken : unconfirmed_) {
         if (broken.start.instance == replica.id() && !sameStart(broken.start, reported))
-            count(broken.digest);
+            count(broken.digest, broken.start);
     }
     std::erase_if(unconfirmed_, [&](const Unconfirmed& broken) {
         const auto crashed = broken.start.instance == replica.id() && !sameStart(broken.start, reported);
-        return crashed || now - broken.at > crashNoticeTime;
+        const auto forgotten = !crashed && now - broken.at > crashNoticeTime;
+        if (forgotten)
+            note("break not counted", "forgotten", broken.digest, broken.start, "no crash was reported");
+        return crashed || forgotten;
     });
 }
 
@@ -79,9 +97,10 @@
     ownCounts_.succeeded(digest);
     if (auto* agent = countingAgentFor(digest))
         agent->reportSuspect(digest, false);
+    note("breaks cleared", "cleared", digest, {}, "answered");
 }
 
-auto SuspectRequests::isBlocked(const std::string& digest) const -> bool
+auto SuspectRequests::breaks(const std::string& digest) const -> std::uint32_t
 {
     auto breaks = std::uint32_t(0);
     for (const auto& [instance, replica] : directory_.all()) {
@@ -91,7 +110,7 @@
         const auto found = suspects.find(digest);
         breaks += found == suspects.end() ? 0 : found->second;
     }
-    return std::max(breaks, ownCounts_.crashes(digest)) >= limit;
+    return std::max(breaks, ownCounts_.crashes(digest));
 }
 
 } // namespace eelgrass::serving
--- a/packages/serving/SuspectRequests.h
+++ b/packages/serving/SuspectRequests.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decisions/Quarantine.h"
+#include "router/Metrics.h"
 #include "serving/ReplicaDirectory.h"
 
 #include <cstdint>
@@ -24,9 +25,10 @@
     /// Number of breaks after which a request is blocked.
     static constexpr auto limit = std::uint32_t(3);
 
-    SuspectRequests(wire::MainLoop& loop, const ReplicaDirectory& directory)
+    SuspectRequests(wire::MainLoop& loop, const ReplicaDirectory& directory, router::Metrics& metrics)
         : loop_(loop)
         , directory_(directory)
+        , metrics_(metrics)
     {
     }
 
@@ -35,7 +37,9 @@
     /// Applies what the replica's agent has reported: whether the replica has survived the runs that broke off there.
     auto applyState(const Replica& replica) -> void;
     auto recordSuccess(const std::string& digest) -> void;
-    [[nodiscard]] auto isBlocked(const std::string& digest) const -> bool;
+    [[nodiscard]] auto isBlocked(const std::string& digest) const -> bool { return breaks(digest) >= limit; }
+    /// Number of breaks that this entry knows of.
+    [[nodiscard]] auto breaks(const std::string& digest) const -> std::uint32_t;
 
 private:
     /// A run of a stream that had brought an event; its replica may have crashed.
@@ -48,11 +52,14 @@
     static constexpr auto crashNoticeTime = Duration(4s);
     static constexpr auto maxUnconfirmed = std::size_t(1000);
 
-    auto count(const std::string& digest) -> void;
+    auto count(const std::string& digest, const ReplicaStart& start) -> void;
+    auto note(std::string_view event, std::string_view outcome, const std::string& digest, const ReplicaStart& start,
+        std::string_view why) const -> void;
     [[nodiscard]] auto countingAgentFor(const std::string& digest) const -> AgentLink*;
 
     wire::MainLoop& loop_;
     const ReplicaDirectory& directory_;
+    router::Metrics& metrics_;
     decisions::Quarantine ownCounts_;
     std::deque<Unconfirmed> unconfirmed_;
 };
