--- a/standins/ReplicaStandin.cpp
+++ b/standins/ReplicaStandin.cpp
@@ -113,7 +113,25 @@
     announcements_.push_back({ timers_.now(), {} });
     leaving_ = false;
     ++born_;
-    server_.resetAll();
+    if (!std::exchange(over_, false))
+        server_.resetAll();
+    server_.open();
+}
+
+auto ReplicaStandin::crashUnder(Crash crash, std::function<void()> onCrash) -> void
+{
+    crash_ = std::move(crash);
+    onCrash_ = std::move(onCrash);
+}
+
+auto ReplicaStandin::end(bool silent) -> void
+{
+    over_ = true;
+    timersOfRuns_.clear();
+    heldSteps_.clear();
+    for (auto& run : runs_)
+        run.endedAt = run.endedAt.value_or(timers_.now());
+    silent ? server_.fallSilent() : server_.close();
 }
 
 auto ReplicaStandin::respond(const Caller& caller, wire::HttpResponseHead head, const std::string& body) const -> void
@@ -341,6 +359,8 @@
     auto output = Output { .caller = caller, .adapter = adapter, .next = from + 1, .run = runs_.size() - 1 };
     output.silence = nextSilence();
     caller->watch({ .onGone = [this, run = output.run] { runs_.at(run).endedAt = timers_.now(); } });
+    if (crash_ && request.body == crash_->body)
+        return beginCrash(caller, std::move(head));
     const auto streamed = !request.fields.get(names::model).empty();
     if (streamed)
         planStream(output);
@@ -348,6 +368,23 @@
     continueAfter(silence, output, [this, output, head, streamed] { beginAnswer(output, head, streamed); });
 }
 
+auto ReplicaStandin::beginCrash(const Caller& caller, wire::HttpResponseHead head) -> void
+{
+    if (crash_->events > 0) {
+        head.fields.add("Content-Type", "text/event-stream");
+        caller->begin(std::move(head));
+        caller->writeChunk(streamEvents(1, crash_->events, software_));
+    }
+    afterwards(crash_->after, [this] {
+        if (over_)
+            return;
+        // Ends the timer whose step this is.
+        const auto onCrash = onCrash_;
+        end(crash_->silent);
+        onCrash();
+    });
+}
+
 auto ReplicaStandin::beginAnswer(Output output, wire::HttpResponseHead head, bool streamed) -> void
 {
     if (!streamed) {
@@ -427,10 +464,10 @@
         if (behaviour_.eventGap > Duration(0))
             return continueAfter(behaviour_.eventGap, output, writeMore(output));
     }
-    end(std::move(output));
+    endStream(std::move(output));
 }
 
-auto ReplicaStandin::end(Output output) -> void
+auto ReplicaStandin::endStream(Output output) -> void
 {
     switch (output.then) {
     case Behaviour::Then::Finish: {
--- a/standins/ReplicaStandin.h
+++ b/standins/ReplicaStandin.h
@@ -61,6 +61,16 @@
         bool runsWhileReplacing = false;
         Silence silence {};
     };
+    /// How requests with this body crash the replica that runs them.
+    struct Crash {
+        std::string body;
+        /// Events of the stream that are sent before.
+        std::uint64_t events = 0;
+        /// From the begin of the run until the crash.
+        Duration after { 50ms };
+        /// Whether its callers see nothing of the crash: their connections stay as they are.
+        bool silent = false;
+    };
     /// A request that began to run: that produced its first token.
     struct Run {
         Moment at {};
@@ -135,6 +145,11 @@
     [[nodiscard]] auto paused() const noexcept -> bool { return paused_; }
     /// Names no time of birth from now on.
     auto hideBirth() -> void { tellsBirth_ = false; }
+    /// Crashes under requests as `crash` says, and tells of it; the next start is left to who is told.
+    auto crashUnder(Crash crash, std::function<void()> onCrash) -> void;
+    /// Ends the current start, and refuses connections until the next one.
+    auto end(bool silent) -> void;
+    [[nodiscard]] auto ended() const noexcept -> bool { return over_; }
     /// A new start at the same address, also under the same name: empty, born later.
     auto restart(const std::string& instance) -> void;
     /// Carries out the orders whose answers were lost, as far as their conditions still hold; tells how many did.
@@ -155,6 +170,7 @@
     [[nodiscard]] auto refusal(const std::string& adapter, const wire::HttpRequestMessage& request) const
         -> std::optional<wire::HttpResponseHead>;
     auto begin(const Caller& caller, const wire::HttpRequestMessage& request, const std::string& adapter) -> void;
+    auto beginCrash(const Caller& caller, wire::HttpResponseHead head) -> void;
     /// A stream that is being written: its next event, and how it ends after `last`.
     struct Output {
         Caller caller;
@@ -175,7 +191,7 @@
     [[nodiscard]] static auto silenceAt(Output& output, Silence::At at) -> Duration;
     auto planStream(Output& output) -> void;
     auto writeEvents(Output output) -> void;
-    auto end(Output output) -> void;
+    auto endStream(Output output) -> void;
     /// Goes on with the run after the delay, or ends it if its connection has been closed.
     auto continueAfter(Duration delay, const Output& output, std::function<void()> step) -> void;
     auto over(const Output& output) -> void;
@@ -217,6 +233,9 @@
     std::map<std::string, std::size_t> running_;
     std::uint64_t sequence_ = 0;
     std::uint64_t begun_ = 0;
+    std::optional<Crash> crash_;
+    std::function<void()> onCrash_;
+    bool over_ = false;
     std::uint64_t highestFence_ = 0;
     std::uint64_t born_ = 1'700'000'000'000;
     std::size_t slots_ = 2;
--- a/standins/StoreStandin.cpp
+++ b/standins/StoreStandin.cpp
@@ -66,9 +66,13 @@
     if (listener_)
         return;
     listener_ = std::make_unique<wire::TcpListener>(address_, port_, [this](auto socket) {
+        auto handle = [this, silences = silences_](auto caller, auto request) {
+            if (silences == silences_)
+                handler_(caller, std::move(request));
+        };
         auto connection
             = std::make_shared<serving::CallerConnection>(timers_, std::move(socket), serving::CallerLimits {},
-                serving::CallerConnection::Hooks { .onRequest = handler_,
+                serving::CallerConnection::Hooks { .onRequest = std::move(handle),
                     .onClosed = [this](serving::CallerConnection* closed) { connections_.erase(closed); } });
         connections_.emplace(connection.get(), connection);
         connection->start();
@@ -81,6 +85,12 @@
     resetAll();
 }
 
+auto LoopServer::fallSilent() -> void
+{
+    listener_.reset();
+    ++silences_;
+}
+
 auto LoopServer::resetAll() -> void
 {
     const auto held = connections_;
--- a/standins/StoreStandin.h
+++ b/standins/StoreStandin.h
@@ -21,12 +21,15 @@
 
     LoopServer(TimerService& timers, const std::string& address, std::uint16_t port, Handler handler);
 
-    [[nodiscard]] auto port() const noexcept -> std::uint16_t { return listener_->port(); }
+    [[nodiscard]] auto port() const noexcept -> std::uint16_t { return port_; }
     /// Cuts every connection and takes no new ones until `open`.
     auto close() -> void;
     auto open() -> void;
     /// Resets the connections that carry no request, or all of them.
     auto resetAll() -> void;
+    /// Leaves every connection as it is and answers nothing more on it, as if all packets were lost. New connections
+    /// are refused until `open`.
+    auto fallSilent() -> void;
 
 private:
     TimerService& timers_;
@@ -35,6 +38,8 @@
     Handler handler_;
     std::map<serving::CallerConnection*, std::shared_ptr<serving::CallerConnection>> connections_;
     std::unique_ptr<wire::TcpListener> listener_;
+    /// How often it fell silent. Requests on connections from before are not handled.
+    std::uint64_t silences_ = 0;
 };
 
 /// The users' platform's store, in memory: rows in tables, transactions, long polls.
