--- /dev/null
+++ b/packages/decisions/CrashLedger.cpp
@@ -0,0 +1,219 @@
+#include "decisions/CrashLedger.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace eelgrass::decisions {
+
+auto CrashLedger::counts(const Fact& fact, Moment now) noexcept -> bool
+{
+    return fact.evidence == CrashEvidence::Crashed
+        || (fact.evidence == CrashEvidence::Broke && now - fact.at < breakLifetime);
+}
+
+auto CrashLedger::expired(const Fact& fact, Moment now) noexcept -> bool
+{
+    switch (fact.evidence) {
+    case CrashEvidence::Broke:
+        return now - fact.at >= breakRetention;
+    case CrashEvidence::Cleared:
+        return now - fact.at >= clearedRetention;
+    case CrashEvidence::Crashed:
+        break;
+    }
+    return now - fact.at >= retention;
+}
+
+auto CrashLedger::apply(const CrashReport& report, Moment now) -> bool
+{
+    if (expired({ report.evidence, report.at }, now))
+        return false;
+    const auto known = requests_.contains(report.request);
+    if (!known && requests_.size() >= capacity)
+        makeRoom(now);
+    auto& facts = requests_[report.request];
+    const auto key = RunKey(report.start, report.breaksBefore);
+    const auto [found, added] = facts.try_emplace(key, Fact { report.evidence, report.at });
+    auto& fact = found->second;
+    // The moment of a whole run says how long the report is kept; that of a crash is the earliest known.
+    const auto stronger = report.evidence > fact.evidence;
+    if (stronger && report.evidence == CrashEvidence::Cleared)
+        fact.at = report.at;
+    else if (report.evidence != CrashEvidence::Cleared && fact.evidence != CrashEvidence::Cleared)
+        fact.at = std::min(fact.at, report.at);
+    fact.evidence = std::max(fact.evidence, report.evidence);
+    auto& start = starts_[report.start];
+    if (report.evidence != CrashEvidence::Cleared)
+        start.endedAt = start.endedAt == Moment() ? report.at : std::min(start.endedAt, report.at);
+    start.requests.insert(report.request);
+    if (!added && !stronger)
+        return false;
+    ++version_;
+    return true;
+}
+
+auto CrashLedger::confirm(StartHash start, Moment now) -> std::vector<CrashReport>
+{
+    auto confirmed = std::vector<CrashReport>();
+    const auto ended = starts_.find(start);
+    if (ended == starts_.end())
+        return confirmed;
+    for (const auto& request : ended->second.requests) {
+        const auto found = requests_.find(request);
+        if (found == requests_.end())
+            continue;
+        // The last one; the start has outlived those before.
+        auto fact = found->second.upper_bound({ start, UINT8_MAX });
+        if (fact == found->second.begin() || (--fact)->first.first != start)
+            continue;
+        if (fact->second.evidence == CrashEvidence::Broke && !expired(fact->second, now))
+            confirmed.push_back({ request, start, fact->first.second, CrashEvidence::Crashed, fact->second.at });
+    }
+    for (const auto& report : confirmed)
+        (void)apply(report, now);
+    return confirmed;
+}
+
+auto CrashLedger::clear(RequestDigest request, Moment now) -> std::vector<CrashReport>
+{
+    auto cleared = std::vector<CrashReport>();
+    const auto found = requests_.find(request);
+    if (found == requests_.end())
+        return cleared;
+    for (const auto& [key, fact] : found->second) {
+        if (fact.evidence != CrashEvidence::Cleared)
+            cleared.push_back({ request, key.first, key.second, CrashEvidence::Cleared, now });
+    }
+    for (const auto& report : cleared)
+        (void)apply(report, now);
+    return cleared;
+}
+
+auto CrashLedger::crashesOf(RequestDigest request, Moment now) const -> std::size_t
+{
+    const auto found = requests_.find(request);
+    if (found == requests_.end())
+        return 0;
+    return static_cast<std::size_t>(std::count_if(
+        found->second.begin(), found->second.end(), [&](const auto& entry) { return counts(entry.second, now); }));
+}
+
+auto CrashLedger::crashesInARow(RequestDigest request, StartHash start, Moment now) const -> std::size_t
+{
+    auto most = crashesOf(request, now);
+    const auto found = requests_.find(request);
+    if (found == requests_.end())
+        return most;
+    const auto& facts = found->second;
+    for (auto here = facts.lower_bound({ start, 0 }); here != facts.end() && here->first.first == start; ++here) {
+        if (here->second.evidence != CrashEvidence::Cleared)
+            continue;
+        const auto together = std::count_if(facts.begin(), facts.end(), [&](const auto& entry) {
+            const auto& [key, fact] = entry;
+            const auto apart = std::max(fact.at, here->second.at) - std::min(fact.at, here->second.at);
+            return fact.evidence == CrashEvidence::Cleared && apart < sameClearing;
+        });
+        most = std::max(most, static_cast<std::size_t>(together));
+    }
+    return most;
+}
+
+auto CrashLedger::endedTogether(const Start& start) const -> bool
+{
+    return std::any_of(starts_.begin(), starts_.end(), [&](const auto& entry) {
+        const auto& other = entry.second;
+        const auto apart = std::max(other.endedAt, start.endedAt) - std::min(other.endedAt, start.endedAt);
+        if (&other == &start || other.endedAt == Moment() || apart > sameMoment)
+            return false;
+        return std::none_of(other.requests.begin(), other.requests.end(),
+            [&](RequestDigest request) { return start.requests.contains(request); });
+    });
+}
+
+auto CrashLedger::explained(RequestDigest request, StartHash start, std::size_t crashes, Moment now) const -> bool
+{
+    const auto found = starts_.find(start);
+    if (found == starts_.end())
+        return false;
+    const auto& others = found->second.requests;
+    const auto suspected = std::any_of(others.begin(), others.end(),
+        [&](RequestDigest other) { return other != request && crashesInARow(other, start, now) >= crashes; });
+    return suspected || endedTogether(found->second);
+}
+
+auto CrashLedger::verdict(RequestDigest request, Moment now) const -> Verdict
+{
+    auto verdict = Verdict { .crashes = crashesOf(request, now) };
+    if (verdict.crashes == 0)
+        return verdict;
+    for (const auto& [key, fact] : requests_.at(request)) {
+        if (counts(fact, now))
+            verdict.last = std::max(verdict.last, fact.at);
+    }
+    if (verdict.crashes < limit)
+        return verdict;
+    for (const auto& [key, fact] : requests_.at(request)) {
+        if (counts(fact, now) && !explained(request, key.first, verdict.crashes, now))
+            ++verdict.unexplained;
+    }
+    // Beyond this number of doublings the refusal lasts for as long as the reports.
+    constexpr auto maxDoublings = std::size_t(4);
+    const auto doublings = std::min(verdict.crashes - limit, maxDoublings);
+    verdict.until = verdict.last + refusalTime * (1U << doublings);
+    verdict.refused = (verdict.unexplained >= limit || verdict.crashes >= certainLimit) && now < verdict.until;
+    return verdict;
+}
+
+auto CrashLedger::breaksAt(RequestDigest request, StartHash start, Moment before) const -> std::uint8_t
+{
+    const auto found = requests_.find(request);
+    if (found == requests_.end())
+        return 0;
+    const auto first = found->second.lower_bound({ start, 0 });
+    const auto last = found->second.upper_bound({ start, UINT8_MAX });
+    const auto breaks = std::count_if(first, last, [&](const auto& entry) { return entry.second.at <= before; });
+    return static_cast<std::uint8_t>(std::min<std::ptrdiff_t>(breaks, UINT8_MAX));
+}
+
+auto CrashLedger::reports(Moment now) const -> std::vector<CrashReport>
+{
+    auto reports = std::vector<CrashReport>();
+    for (const auto& [request, facts] : requests_) {
+        for (const auto& [key, fact] : facts) {
+            const auto old = fact.evidence == CrashEvidence::Cleared && now - fact.at >= clearedNewsTime;
+            if (!old && !expired(fact, now))
+                reports.push_back({ request, key.first, key.second, fact.evidence, fact.at });
+        }
+    }
+    return reports;
+}
+
+auto CrashLedger::expire(Moment now) -> bool
+{
+    auto dropped = std::size_t(0);
+    for (auto& [request, facts] : requests_)
+        dropped += std::erase_if(facts, [&](const auto& entry) { return expired(entry.second, now); });
+    std::erase_if(requests_, [](const auto& entry) { return entry.second.empty(); });
+    std::erase_if(starts_, [&](const auto& entry) {
+        return std::none_of(entry.second.requests.begin(), entry.second.requests.end(),
+            [&](RequestDigest request) { return requests_.contains(request); });
+    });
+    if (dropped > 0)
+        ++version_;
+    return dropped > 0;
+}
+
+auto CrashLedger::makeRoom(Moment now) -> void
+{
+    const auto rank = [&](const auto& entry) {
+        auto last = Moment();
+        for (const auto& [key, fact] : entry.second)
+            last = std::max(last, fact.at);
+        return std::tuple(crashesOf(entry.first, now), last);
+    };
+    const auto first = std::min_element(requests_.begin(), requests_.end(),
+        [&](const auto& left, const auto& right) { return rank(left) < rank(right); });
+    requests_.erase(first);
+}
+
+} // namespace eelgrass::decisions
--- a/packages/serving/AgentCalls.cpp
+++ b/packages/serving/AgentCalls.cpp
@@ -1,5 +1,6 @@
 // The part of AgentLink that makes the calls of a session.
 #include "serving/AgentLink.h"
+#include "serving/detail/CrashMessages.h"
 #include "serving/detail/NewsAge.h"
 #include "serving/detail/OneWayCall.h"
 #include "serving/detail/StreamOriginMessages.h"
@@ -119,12 +120,11 @@
     });
 }
 
-auto AgentLink::reportSuspect(const std::string& digest, bool broke) -> void
+auto AgentLink::noteCrashes(const std::vector<decisions::CrashReport>& crashes) -> void
 {
     withClient([&](wire::schema::AgentSession::Client& client) {
-        auto call = client.suspectRequest();
-        call.setDigest(digest);
-        call.setBroke(broke);
+        auto call = client.noteCrashesRequest();
+        detail::fill(call.initCrashes(static_cast<unsigned>(crashes.size())), crashes, loop_.timers().now());
         detail::sendOneWay(loop_, call);
     });
 }
--- a/packages/serving/AgentLink.cpp
+++ b/packages/serving/AgentLink.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Log.h"
 #include "decisions/Rendezvous.h"
+#include "serving/detail/CrashMessages.h"
 #include "serving/detail/RunLimits.h"
 #include "serving/detail/StreamOriginMessages.h"
 
@@ -287,9 +288,10 @@
     state_.reader = state.getReader().cStr();
     state_.leaving = state.getLeaving();
     state_.hostRestUntil = loop_.timers().now() + milliseconds(state.getHostRestMs());
-    state_.suspects.clear();
-    for (auto suspect : state.getSuspects())
-        state_.suspects.emplace(suspect.getDigest().cStr(), suspect.getBreaks());
+    state_.crashes = detail::readCrashes(state.getCrashes(), loop_.timers().now());
+    state_.lostStart = { InstanceId(state.getLostInstance().cStr()), StartTime(state.getLostBirth()) };
+    state_.lostIsOver = state.getLostIsOver();
+    hooks_.onNames();
     auto limits = std::vector<ReplicaRateLimit>();
     for (auto limit : state.getRateLimits())
         limits.push_back(detail::readRateLimit(limit, loop_.timers().now()));
--- a/packages/serving/AgentLink.h
+++ b/packages/serving/AgentLink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decisions/CrashLedger.h"
 #include "decisions/KnownPrefixes.h"
 #include "decisions/QuotaBucket.h"
 #include "decisions/RetryReserve.h"
@@ -49,8 +50,12 @@
     std::string reader;
     /// Number of entries attached to the agent.
     std::size_t entries = 0;
-    /// How often requests broke off at replicas, by request digest, as reported to this agent by all entries.
-    std::map<std::string, std::uint32_t> suspects;
+    /// Runs that ended without their answers, as this agent keeps them for all entries.
+    std::vector<decisions::CrashReport> crashes;
+    /// The replica's last start before this one that the agent has seen; empty for none. It is over, or could not be
+    /// reached any more.
+    ReplicaStart lostStart;
+    bool lostIsOver = false;
     /// The replica has said that it leaves.
     bool leaving = false;
     /// Until when the replica wants nothing from the agent's host.
@@ -145,6 +150,8 @@
         std::function<void()> onState;
         /// Called when the answer to an admission request contains the replica's load figures.
         std::function<void()> onFigures;
+        /// Called when the agent has published names, which have changed.
+        std::function<void()> onNames;
         /// Called with the rate limits that the agent publishes, when its names have changed.
         std::function<void(const std::vector<ReplicaRateLimit>&)> onRateLimits;
         /// Returns what this entry knows of the replica's rate limit; a new agent process is told it.
@@ -204,9 +211,8 @@
     [[nodiscard]] auto findStreamOrigin(const StreamId& stream, bool askEntries)
         -> kj::Promise<std::optional<StreamOrigins::Known>>;
     auto release(const AttemptId& attempt, RunEnd end = RunEnd::Plain) -> void;
-    /// Reports that a request with this digest broke off at a replica, or that such a request completed after it had
-    /// broken off earlier.
-    auto reportSuspect(const std::string& digest, bool broke) -> void;
+    /// Tells the agent of runs that ended without their answers.
+    auto noteCrashes(const std::vector<decisions::CrashReport>& crashes) -> void;
     /// Counts a request against its member's quota if there is credit. The promise is rejected when the session is
     /// lost.
     [[nodiscard]] auto takeQuota(const QuotaCharge& charge) -> kj::Promise<QuotaDecision>;
--- a/packages/serving/AgentReports.cpp
+++ b/packages/serving/AgentReports.cpp
@@ -231,6 +231,18 @@
         resetReplicaState("another instance");
     instance_ = name;
     nameUncertain_ = false;
+    compareWithLostStart();
+}
+
+auto ReplicaAgent::compareWithLostStart() -> void
+{
+    if (!lostStart_ || lostStart_->over)
+        return;
+    if (sameStart(lostStart_->start, { instance_, startTime() }))
+        lostStart_.reset();
+    else
+        lostStart_->over = true;
+    hooks_.onChange();
 }
 
 /// Continues from a timer, because asking again from here would replace the promise that is running this function.
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -5,6 +5,7 @@
 #include "decisions/Rendezvous.h"
 #include "decisions/SharedReading.h"
 #include "serving/StoreCalls.h"
+#include "serving/detail/CrashMessages.h"
 #include "serving/detail/NewsAge.h"
 #include "serving/detail/StreamOriginMessages.h"
 
@@ -21,6 +22,7 @@
 // How long the agent waits for an entry to send the limits before it reads them from the store, and between reads.
 // Entries attach within a second of the first configuration, which may arrive a few seconds after the agent starts.
 constexpr auto limitsWait = Duration(8s);
+constexpr auto crashExpiryInterval = Duration(5s);
 
 } // namespace
 
@@ -142,14 +144,16 @@
         return kj::READY_NOW;
     }
 
-    auto suspect(SuspectContext context) -> kj::Promise<void> override
+    auto noteCrashes(NoteCrashesContext context) -> kj::Promise<void> override
     {
-        const auto digest = std::string(context.getParams().getDigest().cStr());
-        if (context.getParams().getBroke())
-            role().suspects_.crashed(digest, role().suspects_.crashes(digest));
-        else
-            role().suspects_.succeeded(digest);
-        role().publisher_.changed();
+        const auto now = role().loop_.timers().now();
+        auto fresh = std::size_t(0);
+        for (const auto& crash : detail::readCrashes(context.getParams().getCrashes(), now))
+            fresh += role().crashes_.apply(crash, now) ? 1 : 0;
+        if (fresh > 0) {
+            log::info("crashes noted", { { "peer", entry_ }, { "reports", std::to_string(fresh) } });
+            role().publisher_.changed();
+        }
         return kj::READY_NOW;
     }
 
@@ -343,6 +347,10 @@
     agent_.start();
     publisher_.start();
     limitsTimer_ = loop_.timers().every(limitsWait, [this] { requestLimits(); });
+    expiryTimer_ = loop_.timers().every(crashExpiryInterval, [this] {
+        if (crashes_.expire(loop_.timers().now()))
+            publisher_.changed();
+    });
     log::info("listening",
         { { "port", std::to_string(listener_->port()) }, { "version", EELGRASS_VERSION },
             { "peer", settings_.replica.str() } });
@@ -499,8 +507,9 @@
         text.append("|").append(adapter.str()).append("@").append(std::to_string(version.value()));
     for (const auto& adapter : agent_.loading())
         text.append("|+").append(adapter.str());
-    for (const auto& [digest, breaks] : suspects_.known())
-        text.append("|!").append(digest).append(":").append(std::to_string(breaks));
+    text.append("|!").append(std::to_string(crashes_.version()));
+    if (const auto& lost = agent_.lostStart())
+        text.append("|-").append(lost->start.instance.str()).append(lost->over ? "!" : "");
     for (const auto& limit : rateLimits()) {
         text.append("|=").append(limit.start.instance.str());
         text.append(":").append(std::to_string(limit.statement.perSecond.value_or(-1)));
@@ -526,12 +535,13 @@
     auto loading = state.initLoading(static_cast<unsigned>(coming.size()));
     for (index = 0; index < coming.size(); ++index)
         loading.set(index, coming[index].str());
-    const auto& broken = suspects_.known();
-    auto suspects = state.initSuspects(static_cast<unsigned>(broken.size()));
-    index = 0;
-    for (const auto& [digest, breaks] : broken) {
-        suspects[index].setDigest(digest);
-        suspects[index++].setBreaks(breaks);
+    const auto now = loop_.timers().now();
+    const auto crashes = crashes_.reports(now);
+    detail::fill(state.initCrashes(static_cast<unsigned>(crashes.size())), crashes, now);
+    if (const auto& lost = agent_.lostStart()) {
+        state.setLostInstance(lost->start.instance.str());
+        state.setLostBirth(lost->start.startTime.value());
+        state.setLostIsOver(lost->over);
     }
     state.setConfigVersion(configVersion_.value());
     state.setConfigHolder(configHolder_);
--- a/packages/serving/AgentRole.h
+++ b/packages/serving/AgentRole.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decisions/Quarantine.h"
+#include "decisions/CrashLedger.h"
 #include "decisions/RetryReserve.h"
 #include "router/Metrics.h"
 #include "serving/AttachedEntries.h"
@@ -74,7 +74,8 @@
     bool limitsKnown_ = false;
     kj::Maybe<kj::Promise<void>> limitsWork_;
     Timer limitsTimer_;
-    decisions::Quarantine suspects_;
+    Timer expiryTimer_;
+    decisions::CrashLedger crashes_;
     /// Of streams that ran at the replica.
     StreamOrigins origins_;
     AttachedEntries attachedEntries_;
--- a/packages/serving/DirectorySessions.cpp
+++ b/packages/serving/DirectorySessions.cpp
@@ -30,6 +30,11 @@
                 if (const auto held = weak.lock())
                     held->agentReported();
             },
+        .onNames =
+            [this, weak] {
+                if (const auto held = weak.lock(); held && hooks_.onNames)
+                    hooks_.onNames(*held);
+            },
         .onRateLimits =
             [this, weak](const std::vector<ReplicaRateLimit>& limits) {
                 if (const auto held = weak.lock(); held && hooks_.onRateLimits)
--- a/packages/serving/GatewayRole.cpp
+++ b/packages/serving/GatewayRole.cpp
@@ -81,6 +81,9 @@
               .readerWeight = settings_.processorShare },
           { .onState = [this](Replica& replica) { onState(replica); },
               .onLeaving = [this](Duration age) { observeInForce("leaving", age); },
+              .onListed = [this](const Replica& replica) { suspects_.startListed(replica); },
+              .onGone = [this](const Replica& replica, bool over) { suspects_.startGone(replica, over); },
+              .onNames = [this](const Replica& replica) { suspects_.applyPublished(*replica.agent()); },
               .onRateLimits = [this](const std::vector<ReplicaRateLimit>& limits,
                                   const Endpoint& agent) { rateLimits_.applyPublished(limits, agent); },
               .knownOrigin = [this](const StreamId& stream) { return origins_.known(stream); } })
@@ -179,7 +182,6 @@
 auto GatewayRole::onState(Replica& replica) -> void
 {
     availability_.applyPublished(replica);
-    suspects_.applyState(replica);
     const auto& state = replica.agent()->state();
     const auto& configuration = configuration_.configuration();
     if (state.configVersion <= (configuration ? configuration->version : ConfigVersion()))
--- a/packages/serving/Replica.h
+++ b/packages/serving/Replica.h
@@ -48,11 +48,18 @@
     /// there and no new ones are sent. This is final; the next start under the same name is a separate `Replica`.
     [[nodiscard]] auto leaving() const noexcept -> bool { return leaving_; }
     auto setLeaving() -> void;
+    /// The replica is draining, or has said that it leaves: what its end cuts off is cut by plan.
+    [[nodiscard]] auto leavesByPlan() const noexcept -> bool { return leavesByPlan_; }
+    auto setLeavesByPlan() -> void
+    {
+        leavesByPlan_ = true;
+        setLeaving();
+    }
     /// Applies that the replica has said itself that it leaves.
     auto noteLeaving() -> void
     {
         announced_.leaving = true;
-        setLeaving();
+        setLeavesByPlan();
     }
     /// The replica's record in the list cannot be parsed, for example because another writer has overwritten it. No new
     /// requests are sent until it can be parsed again.
@@ -76,8 +83,14 @@
     auto requestSent(Tokens tokens, Moment now) -> void;
     auto requestEnded() -> void;
     [[nodiscard]] auto inFlight() const noexcept -> std::size_t { return inFlight_; }
-    /// Notes that the replica has sent part of an answer.
-    auto heard(Moment now) -> void { heardAt_ = now; }
+    /// Notes that the replica has sent part of the answer to a request that was sent at `sentAt`.
+    auto heard(Moment now, Moment sentAt) -> void
+    {
+        heardAt_ = now;
+        provenAliveAt_ = std::max(provenAliveAt_, sentAt);
+    }
+    /// A moment after which the replica has answered a request that was sent then.
+    [[nodiscard]] auto provenAliveAt() const noexcept -> Moment { return provenAliveAt_; }
     /// For how long the replica has sent nothing to this entry although a request of this entry is there.
     [[nodiscard]] auto silence(Moment now) const noexcept -> Duration
     {
@@ -165,6 +178,7 @@
     ConnectionPool pool_;
     std::unique_ptr<AgentLink> agent_;
     bool leaving_ = false;
+    bool leavesByPlan_ = false;
     bool unreadable_ = false;
     bool superseded_ = false;
     std::uint64_t listVersion_ = 0;
@@ -175,6 +189,7 @@
     std::size_t inFlight_ = 0;
     /// When the replica was last heard of, or sent a request while it had none.
     Moment heardAt_ {};
+    Moment provenAliveAt_ {};
     Tokens tokensSent_ = 0;
     /// Adapters that were not loaded when this entry requested them, since the agent's last report.
     std::set<AdapterName> loadsRequested_;
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -75,6 +75,8 @@
         { { "replica", instance_.str() }, { "birth", std::to_string(startTime().value()) },
             { "reason", std::string(reason) } });
     ++replicaLosses_;
+    if (!instance_.empty() && !leaving_)
+        lostStart_ = LostStart { .start = { instance_, startTime() } };
     report_.reset();
     instance_ = {};
     nameUncertain_ = false;
--- a/packages/serving/ReplicaAgent.h
+++ b/packages/serving/ReplicaAgent.h
@@ -96,6 +96,14 @@
     /// Share of the recent requests that failed or broke off, from 0 to 1.
     [[nodiscard]] auto failureShare() const -> double { return breaker_.failureShare(loop_.timers().now()); }
     [[nodiscard]] auto instance() const noexcept -> const InstanceId& { return instance_; }
+    /// An earlier start of the replica.
+    struct LostStart {
+        ReplicaStart start;
+        /// Whether another start has been seen since. Otherwise it could not be reached any more, and may go on.
+        bool over = false;
+    };
+    /// The start that was there last before this one; empty if this agent has seen none, or if it left by plan.
+    [[nodiscard]] auto lostStart() const noexcept -> const std::optional<LostStart>& { return lostStart_; }
     /// When the replica started, according to its last report.
     [[nodiscard]] auto startTime() const noexcept -> StartTime { return report_ ? report_->startTime : StartTime(); }
     [[nodiscard]] auto queue() const noexcept -> const decisions::AdmissionQueue& { return queue_; }
@@ -145,6 +153,8 @@
     auto identified(const std::string& failure) -> void;
     auto applyName(const InstanceId& name) -> void;
     auto resetReplicaState(std::string_view reason) -> void;
+    /// Notes that the lost start is over if this is another one, and that it is not lost if it is the same.
+    auto compareWithLostStart() -> void;
     auto synchronizeSlots() -> void;
 
     // Admission and orders.
@@ -233,6 +243,7 @@
     /// Number of times that this process has seen a start of the replica end.
     std::uint64_t replicaLosses_ = 0;
     InstanceId instance_;
+    std::optional<LostStart> lostStart_;
     /// The replica may have ended in a silence, and another instance may answer.
     bool nameUncertain_ = false;
     /// The start whose rate limit is in the queue.
--- a/packages/serving/ReplicaDirectory.cpp
+++ b/packages/serving/ReplicaDirectory.cpp
@@ -289,6 +289,7 @@
     holders_.note(replica, replica->record().adapters, {});
     agentsChanged_ = true;
     departed_.remember(*replica, loop_.timers().now());
+    reportGone(*replica, false);
     replica->setLeaving();
     replica->pool().clear();
     rows_.erase(replica->id());
@@ -301,6 +302,7 @@
     if (found == replicas_.end())
         return;
     const auto replica = found->second;
+    reportGone(*replica, true);
     replica->setLeaving();
     log::info("replica removed", { { "replica", instance.str() }, { "reason", std::string(why) } });
 }
@@ -309,7 +311,7 @@
 {
     if (replica.leaving())
         return;
-    replica.setLeaving();
+    replica.setLeavesByPlan();
     agentsChanged_ = true;
     const auto ageMs = std::chrono::duration_cast<milliseconds>(age).count();
     log::info("replica leaving",
@@ -335,8 +337,17 @@
         auto& version = newest[replica->record().endpoint.str()];
         version = std::max(version, replica->listVersion());
     }
-    for (const auto& [instance, replica] : replicas_)
+    for (const auto& [instance, replica] : replicas_) {
         replica->setSuperseded(replica->listVersion() < newest[replica->record().endpoint.str()]);
+        if (!replica->superseded() && hooks_.onListed)
+            hooks_.onListed(*replica);
+    }
+}
+
+auto ReplicaDirectory::reportGone(const Replica& replica, bool over) -> void
+{
+    if (!replica.leavesByPlan() && hooks_.onGone)
+        hooks_.onGone(replica, over);
 }
 
 auto ReplicaDirectory::replicasOf(const ServiceName& service) const -> const std::vector<ReplicaPtr>&
--- a/packages/serving/ReplicaDirectory.h
+++ b/packages/serving/ReplicaDirectory.h
@@ -29,6 +29,12 @@
         std::function<void(Replica&)> onState;
         /// A replica is leaving and gets no new requests. `age` is the time since the list that showed it was read.
         std::function<void(Duration age)> onLeaving {};
+        /// A start is the one that the list names last at its address.
+        std::function<void(const Replica&)> onListed {};
+        /// A start is not listed any more, or another one has its address; it has not left by plan.
+        std::function<void(const Replica&, bool over)> onGone {};
+        /// An agent has published names, which have changed.
+        std::function<void(const Replica&)> onNames {};
         /// An agent published rate limits, of its own replica or of others.
         std::function<void(const std::vector<ReplicaRateLimit>&, const Endpoint& agent)> onRateLimits {};
         /// Returns where a stream began, if this entry knows.
@@ -124,6 +130,7 @@
     auto remove(const ReplicaPtr& replica, std::string_view why) -> void;
     auto rebuildIndex() -> void;
     auto findSuperseded() -> void;
+    auto reportGone(const Replica& replica, bool over) -> void;
     auto linkAgent(const ReplicaPtr& replica) -> void;
     /// Reassigns the session policy of every agent.
     auto planSessions() -> void;
--- a/packages/serving/ReplicaRun.h
+++ b/packages/serving/ReplicaRun.h
@@ -33,8 +33,9 @@
     EventSplitter events;
     /// The answer is a stream that is forwarded event by event.
     bool streaming = false;
-    /// An event of this run has been forwarded.
+    /// An event of this run has been forwarded, the first one at `firstEventAt`.
     bool hasEvents = false;
+    Moment firstEventAt {};
     /// The replica has been silent for so long that another one was searched, and nothing has come since.
     bool silent = false;
     /// Reading is paused, because the client does not take the answer fast enough.
--- a/packages/serving/RequestAnswer.cpp
+++ b/packages/serving/RequestAnswer.cpp
@@ -20,7 +20,7 @@
 auto RequestRun::noteHeard() -> void
 {
     run_->heardAt = gateway_.now();
-    run_->replica->heard(run_->heardAt);
+    run_->replica->heard(run_->heardAt, run_->sentAt);
     if (!std::exchange(run_->silent, false))
         return;
     noteSilentRun("silent run went on", "eelgrass_silent_runs_gone_on_total", "heard of");
@@ -100,8 +100,10 @@
     }
     if (event.id)
         lastEventId_ = event.id;
-    if (!std::exchange(run_->hasEvents, true))
+    if (!std::exchange(run_->hasEvents, true)) {
+        run_->firstEventAt = gateway_.now();
         onFirstEventOfRun();
+    }
     if (!std::exchange(firstEventSeen_, true)) {
         firstEventAt_ = gateway_.now();
         startDeadlineTimer();
@@ -125,20 +127,21 @@
     silenceTimer_.cancel();
     if (run_->silent)
         withdrawSearch();
+    const auto failed = run_->head.status >= firstServerError;
+    const auto whole = run_->answer.sealed && (!run_->streaming || run_->events.incomplete().empty());
+    gateway_.suspects.runAnswered(digest_, *run_, !run_->answer.notRun && !failed && whole);
     if (run_->answer.notRun)
         return onAnsweredNotRun();
-    gateway_.suspects.recordSuccess(digest_);
     if (run_->streaming)
         return onStreamDone();
     const auto now = gateway_.now();
     const auto status = run_->head.status;
-    if (status >= firstServerError)
+    if (failed)
         run_->replica->failed(now);
     else
         run_->replica->succeeded(now - run_->sentAt);
-    const auto failed = status >= firstServerError && status != gatewayTimeout;
-    releaseRun(true, failed ? RunEnd::Failed : RunEnd::Plain);
-    if (status >= firstServerError && mayRunAgain())
+    releaseRun(true, failed && status != gatewayTimeout ? RunEnd::Failed : RunEnd::Plain);
+    if (failed && mayRunAgain())
         return retryAfterRun("replica failed", "replica failed");
     if (delivered_ == Delivered::Part)
         return giveUp("stream not resumed");
@@ -188,6 +191,8 @@
     logDecision("send withheld", withheldReason().text);
     returnPermit();
     dropPrepared(RunEnd::Unsent);
+    if (gateway_.suspects.isRefused(digest_))
+        return refuseAsCrashing();
     waitTimer_ = gateway_.loop.timers().after(Duration(0), guarded(&RequestRun::place));
 }
 
@@ -208,8 +213,10 @@
     const auto replica = run_->replica;
     replica->failed(gateway_.now());
     noteUnanswered(toString(fault));
+    // Bytes that are no answer come from a replica that goes on.
+    if (fault == ReplicaFault::Broken)
+        gateway_.suspects.runBroke(*run_, run_->hasEvents || origin_);
     releaseRun(false, RunEnd::Broke);
-    gateway_.suspects.recordBreak(digest_, *replica, run_->hasEvents || origin_);
     logDecision("replica connection failed", toString(fault), replica);
     retryAfterRun(toString(fault), "the replica broke off");
 }
--- a/packages/serving/RequestEnd.cpp
+++ b/packages/serving/RequestEnd.cpp
@@ -71,6 +71,13 @@
     finish(0, "caller_gone", {});
 }
 
+auto RequestRun::refuseAsCrashing() -> void
+{
+    if (runs_ > 0 || delivered_ != Delivered::Nothing)
+        return giveUp(crashingReason);
+    fail(badGateway, crashingReason);
+}
+
 auto RequestRun::refuse(std::string_view why, milliseconds retryAfter) -> void
 {
     const auto self = shared_from_this();
--- a/packages/serving/RequestLog.cpp
+++ b/packages/serving/RequestLog.cpp
@@ -8,11 +8,14 @@
 auto RequestRun::logSend() const -> void
 {
     const auto now = gateway_.now();
-    const auto breaks = std::to_string(gateway_.suspects.breaks(digest_));
+    const auto verdict = gateway_.suspects.verdict(digest_);
+    const auto digest = std::to_string(digest_.value());
+    const auto crashes = std::to_string(verdict.crashes);
+    const auto crashAge = verdict.crashes > 0 ? millisecondsText(now - verdict.last) : "";
     if (metadata_.adapter.empty()) {
         log::info("sent",
-            { { "request", metadata_.attempt.str() }, { "replica", replica_->id().str() }, { "digest", digest_ },
-                { "breaks", breaks }, { "left_ms", millisecondsText(timeLeft()) } });
+            { { "request", metadata_.attempt.str() }, { "replica", replica_->id().str() }, { "digest", digest },
+                { "crashes", crashes }, { "crash_age_ms", crashAge }, { "left_ms", millisecondsText(timeLeft()) } });
         return;
     }
     const auto& known = knownVersion();
@@ -29,7 +32,8 @@
             { "known_ms", known.learnedAt ? millisecondsText(now - *known.learnedAt) : "" },
             { "known_from", known.source }, { "confirmed_ms", millisecondsText(gateway_.configuration.age()) },
             { "state_age_ms", stateKnown ? millisecondsText(now - agent->state().receivedAt) : "" },
-            { "digest", digest_ }, { "breaks", breaks }, { "left_ms", millisecondsText(timeLeft()) } });
+            { "digest", digest }, { "crashes", crashes }, { "crash_age_ms", crashAge },
+            { "left_ms", millisecondsText(timeLeft()) } });
 }
 
 auto RequestRun::noteUnanswered(std::string_view how) const -> void
@@ -39,10 +43,11 @@
     const auto had = std::string(run_->progress());
     gateway_.metrics.count("eelgrass_unanswered_runs_total", { { "how", std::string(how) }, { "had", had } });
     log::info("run not answered",
-        { { "request", metadata_.attempt.str() }, { "digest", digest_ }, { "replica", start.instance.str() },
-            { "birth", std::to_string(start.startTime.value()) }, { "how", std::string(how) }, { "had", had },
-            { "ran_ms", millisecondsText(now - run_->sentAt) }, { "silent_ms", millisecondsText(now - run_->heardAt) },
-            { "breaks", std::to_string(gateway_.suspects.breaks(digest_)) } });
+        { { "request", metadata_.attempt.str() }, { "digest", std::to_string(digest_.value()) },
+            { "replica", start.instance.str() }, { "birth", std::to_string(start.startTime.value()) },
+            { "how", std::string(how) }, { "had", had }, { "ran_ms", millisecondsText(now - run_->sentAt) },
+            { "silent_ms", millisecondsText(now - run_->heardAt) },
+            { "crashes", std::to_string(gateway_.suspects.verdict(digest_).crashes) } });
 }
 
 auto RequestRun::noteCutOff() const -> void
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -90,8 +90,8 @@
     if (!authenticate())
         return false;
     digest_ = digestOf(request_, metadata_, member_ ? member_->name : MemberId());
-    if (gateway_.suspects.isBlocked(digest_)) {
-        fail(badGateway, "breaks off wherever it runs");
+    if (gateway_.suspects.isRefused(digest_)) {
+        refuseAsCrashing();
         return false;
     }
     service_ = pickService(*route_, metadata_.attempt);
@@ -285,6 +285,10 @@
         countWithheld();
         return onReplicaClosed();
     }
+    if (gateway_.suspects.isRefused(digest_)) {
+        countWithheld();
+        return refuseAsCrashing();
+    }
     if (!mayRunOn(runVersion_) || !mayContinueAt(*replica_)) {
         countWithheld();
         return abandonAdmission(withheldReason().text);
@@ -358,7 +362,7 @@
 
 auto RequestRun::mayRunAgain() const -> bool
 {
-    return route_->repeatable() && runs_ < route_->maxRuns && sends_ < maxSends && !gateway_.suspects.isBlocked(digest_)
+    return route_->repeatable() && runs_ < route_->maxRuns && sends_ < maxSends && !gateway_.suspects.isRefused(digest_)
         && (delivered_ == Delivered::Nothing || (route_->resumable && lastEventId_));
 }
 
@@ -395,6 +399,7 @@
     silenceTimer_.cancel();
     if (!running())
         return;
+    gateway_.suspects.runLeft(*run_);
     if (run_->agent)
         run_->agent->release(metadata_.attempt, firstEventSeen_ ? RunEnd::Plain : end);
     run_->agent = nullptr;
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -148,6 +148,8 @@
     auto onNotRun(const ReplicaPtr& replica, std::string_view why) -> void;
     auto onNotReached() -> void;
     auto onWithheld() -> void;
+    /// Ends the request, which crashes the replicas that run it.
+    auto refuseAsCrashing() -> void;
     /// A reason as metrics and as log lines name it.
     struct WithheldReason {
         const char* label;
@@ -268,7 +270,7 @@
     /// that has received no event of its stream is assumed to disconnect.
     Moment firstEventBy_ {};
     /// Hash of the request's content and member (see `digestOf`); the same at every entry.
-    std::string digest_;
+    RequestDigest digest_;
     /// Prefixes of the prompt that other requests may share, each ending with one more part.
     std::vector<decisions::SharedPrefix> sharedPrefixes_;
 
--- a/packages/serving/RequestVersion.cpp
+++ b/packages/serving/RequestVersion.cpp
@@ -25,11 +25,14 @@
 auto RequestRun::mayWrite() const -> bool
 {
     return !replica_->leaving() && !replica_->rest().resting(gateway_.now()) && mayRunOn(runVersion_)
-        && mayContinueAt(*replica_) && (!sendGrantedAt_ || grantUsable(sendGrantedAt_));
+        && mayContinueAt(*replica_) && !gateway_.suspects.isRefused(digest_)
+        && (!sendGrantedAt_ || grantUsable(sendGrantedAt_));
 }
 
 auto RequestRun::withheldReason() const -> WithheldReason
 {
+    if (gateway_.suspects.isRefused(digest_))
+        return { "crashes", crashingReason };
     if (replica_->leaving())
         return { "leaving", leavingReason };
     if (!mayContinueAt(*replica_))
--- a/packages/serving/SuspectRequests.cpp
+++ b/packages/serving/SuspectRequests.cpp
@@ -1,116 +1,380 @@
 #include "serving/SuspectRequests.h"
 
+#include "base/DurationText.h"
 #include "base/Log.h"
 #include "decisions/FirstByRendezvous.h"
 
 #include <xxhash.h>
 
+#include <algorithm>
+#include <set>
+#include <tuple>
+#include <utility>
+
 namespace eelgrass::serving {
 
+using decisions::CrashEvidence;
+using decisions::StartHash;
+
 namespace {
 
-auto hashed(std::uint64_t seed, const std::string& text) -> std::uint64_t
+auto hashed(std::uint64_t seed, std::string_view text) -> std::uint64_t
 {
     return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
 
+auto keyOf(const CrashReport& report) { return std::tuple(report.request, report.start, report.breaksBefore); }
+
 } // namespace
 
+auto hashOf(const ReplicaStart& start) -> StartHash
+{
+    return StartHash(hashed(start.startTime.value(), start.instance.str()));
+}
+
 auto digestOf(const wire::HttpRequestMessage& request, const RequestMetadata& metadata, const MemberId& member)
-    -> std::string
+    -> RequestDigest
 {
+    const auto what = request.body.empty() ? std::string_view(request.target) : request.path();
     auto hash = hashed(0, request.method);
-    for (const auto* text :
-        { &request.target, &metadata.model.str(), &metadata.adapter.str(), &request.body, &member.str() })
-        hash = hashed(hash, *text);
-    return std::to_string(hash);
+    for (const auto text :
+        { what, metadata.model.view(), metadata.adapter.view(), std::string_view(request.body), member.view() })
+        hash = hashed(hash, text);
+    return RequestDigest(hash);
+}
+
+auto SuspectRequests::findRun(const ReplicaRun& run) -> OpenRun*
+{
+    const auto found = runs_.find(hashOf(run.replica->record().start));
+    if (found == runs_.end())
+        return nullptr;
+    const auto open = std::find_if(found->second.begin(), found->second.end(),
+        [&](const OpenRun& candidate) { return candidate.run == &run && !candidate.endedAt; });
+    return open == found->second.end() ? nullptr : &*open;
+}
+
+auto SuspectRequests::removeRun(const ReplicaRun& run) -> void
+{
+    const auto found = runs_.find(hashOf(run.replica->record().start));
+    if (found == runs_.end())
+        return;
+    runCount_ -= std::erase_if(
+        found->second, [&](const OpenRun& candidate) { return candidate.run == &run && !candidate.endedAt; });
+    if (found->second.empty())
+        runs_.erase(found);
+}
+
+auto SuspectRequests::streamedFor(const ReplicaRun& run) -> Duration
+{
+    return run.hasEvents ? run.heardAt - run.firstEventAt : Duration(0);
+}
+
+auto SuspectRequests::runBegan(RequestDigest request, const std::shared_ptr<ReplicaRun>& run) -> void
+{
+    if (runCount_ >= maxOpenRuns)
+        return;
+    ++runCount_;
+    runs_[hashOf(run->replica->record().start)].push_back(
+        { .request = request, .run = run.get(), .progress = run, .replica = run->replica, .begunAt = now() });
+}
+
+auto SuspectRequests::runAnswered(RequestDigest request, const ReplicaRun& run, bool clears) -> void
+{
+    removeRun(run);
+    if (!clears || ledger_.empty())
+        return;
+    const auto cleared = ledger_.clear(request, now());
+    if (cleared.empty())
+        return;
+    metrics_.count("eelgrass_request_crashes_total", { { "outcome", "cleared" } });
+    log::info("request cleared of crashes",
+        { { "digest", std::to_string(request.value()) }, { "reports", std::to_string(cleared.size()) },
+            { "replica", run.replica->id().str() } });
+    report(cleared);
+    noteVerdict(request, "answered");
+}
+
+auto SuspectRequests::runBroke(const ReplicaRun& run, bool begun) -> void
+{
+    auto* open = findRun(run);
+    if (!open)
+        return;
+    // Streams that have begun also break off because connections are reset, and their clients take them up and lose
+    // them again.
+    const auto waits = begun && run.replica->agent();
+    const auto over = open->unlistedAt || over_.contains(hashOf(run.replica->record().start));
+    if (waits || over || !excuse(*open).empty())
+        return runLeft(run);
+    const auto broken = *open;
+    removeRun(run);
+    count(broken, CrashEvidence::Broke, "broken off");
+}
+
+auto SuspectRequests::runLeft(const ReplicaRun& run) -> void
+{
+    auto* open = findRun(run);
+    if (!open)
+        return;
+    open->heardAt = run.heardAt;
+    open->streamedFor = streamedFor(run);
+    open->endedAt = now();
+    const auto why = excuse(*open);
+    const auto over = open->unlistedAt || over_.contains(hashOf(run.replica->record().start));
+    if (!over && why.empty()) {
+        metrics_.count("eelgrass_request_crashes_total", { { "outcome", "waits" } });
+        return startRepeating();
+    }
+    const auto ended = *open;
+    open->endedAt.reset();
+    removeRun(run);
+    if (why.empty())
+        count(ended, CrashEvidence::Crashed, "replica over");
+    else
+        note("run not ended by a crash", "not counted", ended, why);
+}
+
+auto SuspectRequests::excuse(const OpenRun& run) const -> std::string_view
+{
+    const auto progress = run.endedAt ? nullptr : run.progress.lock();
+    const auto heardAt = progress ? progress->heardAt : run.heardAt;
+    if (run.replica->leavesByPlan())
+        return "the replica left by plan";
+    if (run.unlistedAt && heardAt > *run.unlistedAt)
+        return "the replica served after it had left the list";
+    if (run.endedAt && run.replica->provenAliveAt() > *run.endedAt)
+        return "the replica outlived the run";
+    if ((progress ? streamedFor(*progress) : run.streamedFor) >= provenStreamTime)
+        return "the stream had gone on for long";
+    return {};
 }
 
-auto SuspectRequests::countingAgentFor(const std::string& digest) const -> AgentLink*
+auto SuspectRequests::count(const OpenRun& run, CrashEvidence evidence, std::string_view source) -> void
 {
-    auto first = decisions::FirstByRendezvous<AgentLink*>(hashed(0, digest), 1);
+    const auto start = hashOf(run.replica->record().start);
+    const auto report = CrashReport { .request = run.request,
+        .start = start,
+        .breaksBefore = ledger_.breaksAt(run.request, start, run.begunAt),
+        .evidence = evidence,
+        .at = run.endedAt.value_or(now()) };
+    const auto fresh = ledger_.apply(report, now());
+    note(evidence == CrashEvidence::Crashed ? "crash counted" : "break counted",
+        evidence == CrashEvidence::Crashed ? "crashed" : "broke", run, source);
+    if (!fresh)
+        return;
+    this->report({ report });
+    noteVerdict(run.request, "this entry");
+}
+
+auto SuspectRequests::startEnded(const ReplicaStart& start, StartEnd end, std::string_view source) -> void
+{
+    const auto hash = hashOf(start);
+    if (end == StartEnd::Over && !over_.emplace(hash, now()).second)
+        return;
+    if (const auto found = runs_.find(hash); found != runs_.end()) {
+        auto ended = OpenRuns();
+        for (auto& run : found->second) {
+            if (end == StartEnd::Over || run.endedAt)
+                ended.push_back(run);
+            else if (end == StartEnd::Unlisted)
+                run.unlistedAt = now();
+        }
+        runCount_
+            -= std::erase_if(found->second, [&](const OpenRun& run) { return end == StartEnd::Over || run.endedAt; });
+        if (found->second.empty())
+            runs_.erase(found);
+        for (const auto& run : ended) {
+            if (const auto why = excuse(run); why.empty())
+                count(run, CrashEvidence::Crashed, source);
+            else
+                note("run not ended by a crash", "not counted", run, why);
+        }
+    }
+    if (end == StartEnd::Unreachable)
+        return;
+    const auto confirmed = ledger_.confirm(hash, now());
+    for (const auto& one : confirmed) {
+        metrics_.count("eelgrass_request_crashes_total", { { "outcome", "confirmed" } });
+        log::info("crash confirmed",
+            { { "digest", std::to_string(one.request.value()) }, { "replica", start.instance.str() },
+                { "birth", std::to_string(start.startTime.value()) }, { "source", std::string(source) } });
+    }
+    report(confirmed);
+}
+
+auto SuspectRequests::startListed(const Replica& replica) -> void
+{
+    const auto& start = replica.record().start;
+    // A late heartbeat of a start that is over lists it again.
+    if (over_.contains(hashOf(start)))
+        return;
+    auto [last, added] = listedAt_.try_emplace(replica.record().endpoint.str(), start);
+    if (added || hashOf(last->second) == hashOf(start))
+        return;
+    const auto before = std::exchange(last->second, start);
+    startEnded(before, StartEnd::Over, "list");
+}
+
+auto SuspectRequests::applyPublished(const AgentLink& agent) -> void
+{
+    const auto& state = agent.state();
+    if (!state.lostStart.instance.empty())
+        startEnded(state.lostStart, state.lostIsOver ? StartEnd::Over : StartEnd::Unreachable, agent.endpoint().str());
+    auto changed = std::set<RequestDigest>();
+    for (const auto& report : state.crashes) {
+        if (ledger_.apply(report, now()))
+            changed.insert(report.request);
+    }
+    for (const auto& request : changed)
+        noteVerdict(request, agent.endpoint().str());
+    if (!changed.empty())
+        startRepeating();
+}
+
+auto SuspectRequests::verdict(RequestDigest request) const -> decisions::CrashLedger::Verdict
+{
+    return ledger_.verdict(request, now());
+}
+
+auto SuspectRequests::hubs() const -> Hubs
+{
+    // By endpoint, since an agent has two links while two starts of its replica are listed.
+    auto hubs = Hubs();
     for (const auto& [instance, replica] : directory_.all()) {
         auto* agent = replica->agent();
         if (agent && agent->isHub() && agent->alive())
-            first.offer(agent, agent->endpointHash());
+            hubs[agent->endpointHash()] = agent;
     }
-    const auto agents = first.nodes();
-    return agents.empty() ? nullptr : agents.front();
+    return hubs;
 }
 
-auto SuspectRequests::note(std::string_view event, std::string_view outcome, const std::string& digest,
-    const ReplicaStart& start, std::string_view why) const -> void
+auto SuspectRequests::keepersOf(RequestDigest request, const Hubs& hubs) -> std::vector<AgentLink*>
 {
-    const auto* agent = countingAgentFor(digest);
-    metrics_.count("eelgrass_request_crashes_total", { { "outcome", std::string(outcome) } });
-    log::info(event,
-        { { "digest", digest }, { "replica", start.instance.str() },
-            { "birth", std::to_string(start.startTime.value()) }, { "reason", std::string(why) },
-            { "breaks", std::to_string(breaks(digest)) }, { "counted_by", agent ? agent->endpoint().str() : "" } });
+    auto first = decisions::FirstByRendezvous<AgentLink*>(request.value(), keepersPerRequest);
+    for (const auto& [hash, agent] : hubs)
+        first.offer(agent, hash);
+    return first.nodes();
 }
 
-auto SuspectRequests::count(const std::string& digest, const ReplicaStart& start) -> void
+auto SuspectRequests::report(const std::vector<CrashReport>& reports) -> void
 {
-    ownCounts_.crashed(digest, ownCounts_.crashes(digest));
-    if (auto* agent = countingAgentFor(digest))
-        agent->reportSuspect(digest, true);
-    note("break counted", "counted", digest, start, {});
+    if (reports.empty())
+        return;
+    const auto hubs = this->hubs();
+    for (const auto& report : reports) {
+        for (auto* agent : keepersOf(report.request, hubs))
+            agent->noteCrashes({ report });
+    }
+    startRepeating();
 }
 
-auto SuspectRequests::recordBreak(const std::string& digest, const Replica& replica, bool begun) -> void
+auto SuspectRequests::startRepeating() -> void
 {
-    const auto& start = replica.record().start;
-    if (!begun || !replica.agent())
-        return count(digest, start);
-    // A replica that leaves ends by plan.
-    if (replica.leaving())
-        return note("break not counted", "not counted", digest, start, "the replica leaves");
-    note("break not confirmed yet", "waits", digest, start, "the stream had begun");
-    unconfirmed_.push_back({ digest, start, loop_.timers().now() });
-    if (unconfirmed_.size() > maxUnconfirmed)
-        unconfirmed_.pop_front();
+    if (!repeatTimer_.active())
+        repeatTimer_ = loop_.timers().every(repeatInterval, [this] { repeat(); });
 }
 
-auto SuspectRequests::applyState(const Replica& replica) -> void
+auto SuspectRequests::repeat() -> void
 {
-    if (unconfirmed_.empty())
-        return;
-    const auto now = loop_.timers().now();
-    const auto& reported = replica.agent()->state().start;
-    for (const auto& broken : unconfirmed_) {
-        if (broken.start.instance == replica.id() && !sameStart(broken.start, reported))
-            count(broken.digest, broken.start);
+    forget();
+    const auto now = this->now();
+    const auto hubs = this->hubs();
+    using Stated = std::map<decltype(keyOf(CrashReport())), CrashEvidence>;
+    auto stated = std::map<AgentLink*, Stated>();
+    auto missing = std::map<AgentLink*, std::vector<CrashReport>>();
+    for (const auto& report : ledger_.reports(now)) {
+        // What was told just now has not been published yet.
+        if (now - report.at < repeatInterval)
+            continue;
+        for (auto* agent : keepersOf(report.request, hubs)) {
+            const auto [states, added] = stated.try_emplace(agent);
+            for (const auto& one : added ? agent->state().crashes : std::vector<CrashReport>())
+                states->second[keyOf(one)] = one.evidence;
+            const auto found = states->second.find(keyOf(report));
+            if (found == states->second.end() || found->second < report.evidence)
+                missing[agent].push_back(report);
+        }
     }
-    std::erase_if(unconfirmed_, [&](const Unconfirmed& broken) {
-        const auto crashed = broken.start.instance == replica.id() && !sameStart(broken.start, reported);
-        const auto forgotten = !crashed && now - broken.at > crashNoticeTime;
-        if (forgotten)
-            note("break not counted", "forgotten", broken.digest, broken.start, "no crash was reported");
-        return crashed || forgotten;
+    for (const auto& [agent, reports] : missing)
+        agent->noteCrashes(reports);
+    for (const auto& [request, until] : std::map(refused_))
+        noteVerdict(request, "time");
+    if (ledger_.empty() && !waitsForNews())
+        repeatTimer_.cancel();
+}
+
+auto SuspectRequests::forget() -> void
+{
+    const auto now = this->now();
+    (void)ledger_.expire(now);
+    for (auto& [start, runs] : runs_) {
+        runCount_ -= std::erase_if(runs, [&](const OpenRun& run) {
+            if (!run.endedAt)
+                return false;
+            const auto why = excuse(run);
+            const auto old = now - *run.endedAt > openRunTime;
+            if (!why.empty())
+                note("run not ended by a crash", "not counted", run, why);
+            else if (old)
+                note("run not ended by a crash", "forgotten", run, "nothing was heard of an end of its replica");
+            return old || !why.empty();
+        });
+    }
+    std::erase_if(runs_, [](const auto& entry) { return entry.second.empty(); });
+    std::erase_if(over_, [&](const auto& entry) { return now - entry.second > startMemory; });
+}
+
+auto SuspectRequests::waitsForNews() const -> bool
+{
+    return std::any_of(runs_.begin(), runs_.end(), [](const auto& entry) {
+        return std::any_of(
+            entry.second.begin(), entry.second.end(), [](const OpenRun& run) { return run.endedAt.has_value(); });
     });
 }
 
-auto SuspectRequests::recordSuccess(const std::string& digest) -> void
+auto SuspectRequests::noteVerdict(RequestDigest request, std::string_view source) -> void
 {
-    if (ownCounts_.crashes(digest) == 0)
+    changed_.insert_or_assign(request, std::string(source));
+    if (changeTimer_.active())
         return;
-    ownCounts_.succeeded(digest);
-    if (auto* agent = countingAgentFor(digest))
-        agent->reportSuspect(digest, false);
-    note("breaks cleared", "cleared", digest, {}, "answered");
+    changeTimer_ = loop_.timers().after(Duration(0), [this] {
+        for (const auto& [changed, from] : std::exchange(changed_, {}))
+            logVerdict(changed, from);
+    });
 }
 
-auto SuspectRequests::breaks(const std::string& digest) const -> std::uint32_t
+auto SuspectRequests::logVerdict(RequestDigest request, std::string_view source) -> void
 {
-    auto breaks = std::uint32_t(0);
-    for (const auto& [instance, replica] : directory_.all()) {
-        if (!replica->agent())
-            continue;
-        const auto& suspects = replica->agent()->state().suspects;
-        const auto found = suspects.find(digest);
-        breaks += found == suspects.end() ? 0 : found->second;
-    }
-    return std::max(breaks, ownCounts_.crashes(digest));
+    const auto verdict = this->verdict(request);
+    const auto known = refused_.contains(request);
+    if (verdict.refused == known)
+        return;
+    metrics_.count("eelgrass_request_refusals_total", { { "change", verdict.refused ? "begins" : "ends" } });
+    log::warn(verdict.refused ? "request crashes replicas" : "request may run again",
+        { { "digest", std::to_string(request.value()) }, { "crashes", std::to_string(verdict.crashes) },
+            { "unexplained", std::to_string(verdict.unexplained) }, { "source", std::string(source) },
+            { "age_ms", millisecondsText(now() - verdict.last) },
+            { "refused_ms", verdict.refused ? millisecondsText(verdict.until - now()) : "" } });
+    if (verdict.refused)
+        refused_.emplace(request, verdict.until);
+    else
+        refused_.erase(request);
+}
+
+auto SuspectRequests::note(
+    std::string_view event, std::string_view outcome, const OpenRun& run, std::string_view why) const -> void
+{
+    const auto verdict = this->verdict(run.request);
+    const auto& start = run.replica->record().start;
+    auto keepers = std::string();
+    for (const auto* agent : keepersOf(run.request, hubs()))
+        keepers += (keepers.empty() ? "" : " ") + agent->endpoint().str();
+    metrics_.count("eelgrass_request_crashes_total", { { "outcome", std::string(outcome) } });
+    log::info(event,
+        { { "digest", std::to_string(run.request.value()) }, { "replica", start.instance.str() },
+            { "birth", std::to_string(start.startTime.value()) }, { "reason", std::string(why) },
+            { "ended_ms", run.endedAt ? millisecondsText(now() - *run.endedAt) : "" },
+            { "crashes", std::to_string(verdict.crashes) }, { "unexplained", std::to_string(verdict.unexplained) },
+            { "kept_by", keepers } });
 }
 
 } // namespace eelgrass::serving
--- a/packages/serving/SuspectRequests.h
+++ b/packages/serving/SuspectRequests.h
@@ -1,30 +1,35 @@
 #pragma once
 
-#include "decisions/Quarantine.h"
+#include "decisions/CrashLedger.h"
 #include "router/Metrics.h"
 #include "serving/ReplicaDirectory.h"
+#include "serving/ReplicaRun.h"
 
 #include <cstdint>
-#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace eelgrass::serving {
 
-/// Detects requests whose runs repeatedly break off at replicas, counted over all entries.
+using decisions::CrashReport;
+using decisions::RequestDigest;
+
+/// Finds the requests that crash the replicas that run them, together with all other entries.
 ///
-/// A request may crash every replica that runs it, and its client may send it again at any entry. Every entry
-/// reports a break of the request to the same agent and gets the count back in that agent's state, so that the entries
-/// share the count. A successful run resets the count. After three breaks without a success in between, the request
-/// itself is taken to be the cause.
+/// The end of a run and the end of its replica's start are two facts, which come in any order and by different ways:
+/// this entry follows its runs until they are answered, and the starts of replicas by the platform's list and by their
+/// agents. A run that got no answer, whoever ended it and why, at a start that ended without a plan while it ran, is a
+/// crash. A run that breaks off before its first event counts at once, until it is clear whether its replica has
+/// crashed: a request comes again sooner than that.
 ///
-/// A break of a stream that has brought an event counts only once its replica is seen to have crashed: streams also
-/// break off because connections are reset or replicas are replaced, and their clients take them up and lose them
-/// again.
+/// Reports are told to agents, which publish them to all entries. Every process keeps what it hears, and every entry
+/// tells again what an agent does not state, so that no report is lost with those who had it first.
 class SuspectRequests {
 public:
-    /// Number of breaks after which a request is blocked.
-    static constexpr auto limit = std::uint32_t(3);
-
     SuspectRequests(wire::MainLoop& loop, const ReplicaDirectory& directory, router::Metrics& metrics)
         : loop_(loop)
         , directory_(directory)
@@ -32,40 +37,115 @@
     {
     }
 
-    /// Records that a run broke off at the replica. `begun`: its stream had brought an event.
-    auto recordBreak(const std::string& digest, const Replica& replica, bool begun) -> void;
-    /// Applies what the replica's agent has reported: whether the replica has survived the runs that broke off there.
-    auto applyState(const Replica& replica) -> void;
-    auto recordSuccess(const std::string& digest) -> void;
-    [[nodiscard]] auto isBlocked(const std::string& digest) const -> bool { return breaks(digest) >= limit; }
-    /// Number of breaks that this entry knows of.
-    [[nodiscard]] auto breaks(const std::string& digest) const -> std::uint32_t;
+    /// The request is about to be written to the replica of `run`.
+    auto runBegan(RequestDigest request, const std::shared_ptr<ReplicaRun>& run) -> void;
+    /// The replica has given its whole answer, so that the request did not crash it. Only the answer to a request that
+    /// has run to its end clears it of earlier crashes.
+    auto runAnswered(RequestDigest request, const ReplicaRun& run, bool clears) -> void;
+    /// The replica's connection broke off. `begun`: the client had a part of the stream before.
+    auto runBroke(const ReplicaRun& run, bool begun) -> void;
+    /// The run ended for any other reason; nothing if it has ended already.
+    auto runLeft(const ReplicaRun& run) -> void;
+
+    /// A start is listed; the one before it at this address is over.
+    auto startListed(const Replica& replica) -> void;
+    /// A start is not listed any more, or known to be over, and has not left by plan.
+    auto startGone(const Replica& replica, bool over) -> void
+    {
+        startEnded(replica.record().start, over ? StartEnd::Over : StartEnd::Unlisted, "list");
+    }
+    /// Applies what an agent has published of crashes and of the earlier start of its replica.
+    auto applyPublished(const AgentLink& agent) -> void;
+
+    [[nodiscard]] auto isRefused(RequestDigest request) const -> bool { return verdict(request).refused; }
+    [[nodiscard]] auto verdict(RequestDigest request) const -> decisions::CrashLedger::Verdict;
 
 private:
-    /// A run of a stream that had brought an event; its replica may have crashed.
-    struct Unconfirmed {
-        std::string digest;
-        ReplicaStart start;
-        Moment at {};
+    enum class StartEnd {
+        /// Another start has its address.
+        Over,
+        /// It is not listed any more. It may still serve what it has.
+        Unlisted,
+        /// Its agent gets no answer. It may only pause for long.
+        Unreachable,
+    };
+    /// A run whose replica may turn out to have crashed under it.
+    struct OpenRun {
+        RequestDigest request;
+        /// Identifies the run; it may be gone once `endedAt` is set.
+        const ReplicaRun* run = nullptr;
+        std::weak_ptr<const ReplicaRun> progress;
+        ReplicaPtr replica;
+        Moment begunAt {};
+        std::optional<Moment> endedAt {};
+        /// When its start left the list while it ran.
+        std::optional<Moment> unlistedAt {};
+        /// When the replica was last heard of for this run, and for how long the stream had brought events then.
+        Moment heardAt {};
+        Duration streamedFor {};
     };
-    // An agent notices within this time that its replica has crashed; one whose host goes dark is silent at first.
-    static constexpr auto crashNoticeTime = Duration(4s);
-    static constexpr auto maxUnconfirmed = std::size_t(1000);
+    /// Agents that keep what all entries share, by their endpoints' hashes.
+    using Hubs = std::map<std::uint64_t, AgentLink*>;
+    using OpenRuns = std::vector<OpenRun>;
 
-    auto count(const std::string& digest, const ReplicaStart& start) -> void;
-    auto note(std::string_view event, std::string_view outcome, const std::string& digest, const ReplicaStart& start,
-        std::string_view why) const -> void;
-    [[nodiscard]] auto countingAgentFor(const std::string& digest) const -> AgentLink*;
+    // By then the end of the run's start is known: hosts that go dark are not listed any more after some seconds.
+    static constexpr auto openRunTime = Duration(30s);
+    static constexpr auto startMemory = Duration(120s);
+    static constexpr auto maxOpenRuns = std::size_t(4000);
+    /// A request crashes replicas as they begin to run it; a stream that has brought events for this long does not.
+    static constexpr auto provenStreamTime = Duration(2s);
+    static constexpr auto repeatInterval = Duration(1s);
+    /// Agents that are told of a request: one is left when the other one goes.
+    static constexpr auto keepersPerRequest = std::size_t(2);
+
+    [[nodiscard]] auto now() const -> Moment { return loop_.timers().now(); }
+    auto startEnded(const ReplicaStart& start, StartEnd end, std::string_view source) -> void;
+    [[nodiscard]] auto findRun(const ReplicaRun& run) -> OpenRun*;
+    auto removeRun(const ReplicaRun& run) -> void;
+    [[nodiscard]] static auto streamedFor(const ReplicaRun& run) -> Duration;
+    /// Counts the run as ended by a crash, or as broken off if that is not clear.
+    auto count(const OpenRun& run, decisions::CrashEvidence evidence, std::string_view source) -> void;
+    /// Why the end of its start is no crash under the run; empty if it is.
+    [[nodiscard]] auto excuse(const OpenRun& run) const -> std::string_view;
+    auto report(const std::vector<CrashReport>& reports) -> void;
+    [[nodiscard]] auto hubs() const -> Hubs;
+    [[nodiscard]] static auto keepersOf(RequestDigest request, const Hubs& hubs) -> std::vector<AgentLink*>;
+    /// Tells agents what they should state and do not.
+    auto repeat() -> void;
+    /// Drops what is too old, and runs whose replicas have outlived them.
+    auto forget() -> void;
+    [[nodiscard]] auto waitsForNews() const -> bool;
+    auto startRepeating() -> void;
+    /// Logs that the request is refused from now on, or not any more, once all that is known now has been applied.
+    auto noteVerdict(RequestDigest request, std::string_view source) -> void;
+    auto logVerdict(RequestDigest request, std::string_view source) -> void;
+    auto note(std::string_view event, std::string_view outcome, const OpenRun& run, std::string_view why) const -> void;
 
     wire::MainLoop& loop_;
     const ReplicaDirectory& directory_;
     router::Metrics& metrics_;
-    decisions::Quarantine ownCounts_;
-    std::deque<Unconfirmed> unconfirmed_;
+    decisions::CrashLedger ledger_;
+    std::map<decisions::StartHash, OpenRuns> runs_;
+    std::size_t runCount_ = 0;
+    /// Starts that are over, and since when that is known.
+    std::map<decisions::StartHash, Moment> over_;
+    /// The start that was last listed at each address.
+    std::map<std::string, ReplicaStart> listedAt_;
+    /// Requests that this entry has logged as refused.
+    std::map<RequestDigest, Moment> refused_;
+    /// Requests whose verdict may have changed, and from whom the news came.
+    std::map<RequestDigest, std::string> changed_;
+    Timer changeTimer_;
+    Timer repeatTimer_;
 };
 
-/// Hash of what a replica would run and for which member: method, target, model, adapter, body and member.
+/// Hash of one start, the same at every process.
+[[nodiscard]] auto hashOf(const ReplicaStart& start) -> decisions::StartHash;
+
+/// Hash of a request's content and caller: what a replica would run, and for which member. The query is a part of the
+/// content only of requests without a body, since clients vary it without changing what a body asks for. Another
+/// adapter is another computation.
 [[nodiscard]] auto digestOf(
-    const wire::HttpRequestMessage& request, const RequestMetadata& metadata, const MemberId& member) -> std::string;
+    const wire::HttpRequestMessage& request, const RequestMetadata& metadata, const MemberId& member) -> RequestDigest;
 
 } // namespace eelgrass::serving
--- a/packages/serving/detail/RunLimits.h
+++ b/packages/serving/detail/RunLimits.h
@@ -59,6 +59,8 @@
 // Retry-After for requests that no replica can serve before an agent returns; about as often is a lost agent tried
 // again.
 inline constexpr auto agentReturnInterval = std::chrono::milliseconds(500);
+// Reason for ending a request that crashes the replicas that run it.
+inline constexpr auto crashingReason = "breaks off wherever it runs";
 // Reason in log lines for requests that are not sent because the replica leaves.
 inline constexpr auto leavingReason = "replica leaving";
 // Reason in log lines for requests that are not sent because a newer version of their adapter has been named.
--- a/packages/wire/Agent.capnp
+++ b/packages/wire/Agent.capnp
@@ -31,13 +31,13 @@
   loadsWaiting @11 :UInt32;
   # Entries that are attached; they share budgets.
   entries @12 :UInt32;
-  # Requests that broke off at replicas, as entries told this agent.
+  # Not told any more: `crashes` names the starts of replicas. Kept so that the fields behind it keep their numbers.
   suspects @13 :List(SuspectRequest);
   # Not told any more: entries count the loads that wait. Kept so that the fields behind it keep their numbers.
   loadMs @14 :UInt32;
   # Prompt tokens of requests that wait for an adapter.
   tokensWaiting @15 :UInt64;
-  # Only the numbers were filled in: instance, adapters, configuration and suspects are as this session was last told.
+  # Only the numbers were filled in: instance, adapters, configuration and crashes are as this session was last told.
   numbersOnly @16 :Bool;
   # Prompt tokens that the replica reads in a second, as measured.
   readRate @17 :UInt32;
@@ -55,6 +55,34 @@
   leaving @23 :Bool;
   # How much longer the replica wants nothing from the agent's host, for an entry on that host; 0 if it has not asked.
   hostRestMs @24 :UInt32;
+  # Runs that ended without their answers, as entries told this agent.
+  crashes @25 :List(RequestCrash);
+  # The replica's last start before this one that this agent has seen, and how it ended; empty if it has seen none.
+  lostInstance @26 :Text;
+  lostBirth @27 :UInt64;
+  # Whether that start is over. Otherwise it could not be reached any more.
+  lostIsOver @28 :Bool;
+}
+
+enum CrashEvidence {
+  # The run broke off; its replica may have crashed.
+  broke @0;
+  crashed @1;
+  # The request has run to its end elsewhere since.
+  cleared @2;
+}
+
+# A run that ended without its answer.
+struct RequestCrash {
+  # Hash of the request's content and caller.
+  request @0 :UInt64;
+  # Hash of the start of the replica.
+  start @1 :UInt64;
+  # Breaks of the request at this start before.
+  breaksBefore @2 :UInt8;
+  evidence @3 :CrashEvidence;
+  # How long ago the run ended, or the request was cleared.
+  ageMs @4 :UInt32;
 }
 
 # What an answer of a replica says about its rate limit.
@@ -199,7 +227,7 @@
   # preference as the zone's reader: the entry with the greatest reads the store; 0 while the store does not serve it.
   # `retryShares`: how many shares of each service's retry reserve the entry takes this agent to keep.
   configured @3 (version :UInt64, holder :Text, limits :List(EngineLimits), readerWeight :Float64, retryShares :UInt8);
-  # A request of this digest broke off at a replica, or ran to its end after it had.
+  # Obsolete, no longer implemented; replaced by `noteCrashes`. Kept to preserve method ordinals.
   suspect @4 (digest :Text, broke :Bool);
   # Counts a request against its member's quota, if there is credit. `level` is what is left.
   takeQuota @5 (charge :QuotaCharge) -> (granted :Bool, retryAfterMs :UInt32, level :Float64);
@@ -225,6 +253,8 @@
   # window and `allowed` in all; if this one is not, another can be after `spentForMs`.
   takeRetry @13 (service :Text, perShare :Float64, windowMs :UInt32, handoverMs :UInt32)
       -> (granted :Bool, retries :UInt32, allowed :Float64, spentForMs :UInt32);
+  # Runs that ended without their answers, to be kept and published.
+  noteCrashes @14 (crashes :List(RequestCrash));
 }
 
 # The bootstrap of the process beside a replica.
--- a/standins/ReplicaStandin.cpp
+++ b/standins/ReplicaStandin.cpp
@@ -129,8 +129,10 @@
     over_ = true;
     timersOfRuns_.clear();
     heldSteps_.clear();
-    for (auto& run : runs_)
+    for (auto& run : runs_) {
+        run.crashed = run.crashed || !run.endedAt;
         run.endedAt = run.endedAt.value_or(timers_.now());
+    }
     silent ? server_.fallSilent() : server_.close();
 }
 
--- a/standins/ReplicaStandin.h
+++ b/standins/ReplicaStandin.h
@@ -86,6 +86,8 @@
         std::string body;
         /// When it was over or its connection was closed; empty while it goes on.
         std::optional<Moment> endedAt {};
+        /// Whether the replica's end cut it off.
+        bool crashed = false;
     };
 
     /// A request that reached the replica, whether it ran or was refused, and what its answer asked for.
--- a/tests/harness/CrashWorld.cpp
+++ b/tests/harness/CrashWorld.cpp
@@ -21,6 +21,13 @@
     }
     for (auto count = world().gateways(); count < options_.gateways; ++count)
         world().startGateway();
+    (void)world().until([this] {
+        for (auto index = std::size_t(0); index < world().gateways(); ++index) {
+            if (world().gateway(index).configuration().configuration()->version != ConfigVersion(2))
+                return false;
+        }
+        return true;
+    });
 }
 
 auto CrashWorld::replica(std::size_t index) -> standins::ReplicaStandin&
@@ -54,6 +61,12 @@
     publish(index);
 }
 
+auto CrashWorld::agent(std::size_t engine) -> serving::AgentLink&
+{
+    const auto instance = serving::InstanceId(world().engine(engine).instance());
+    return *world().gateway().directory().all().at(instance)->agent();
+}
+
 auto CrashWorld::restartAgent(std::size_t engine) -> void
 {
     processes_.agents.at(engine)->end(SIGKILL);
--- a/tests/harness/CrashWorld.h
+++ b/tests/harness/CrashWorld.h
@@ -37,6 +37,8 @@
     explicit CrashWorld(Options options);
 
     auto world() noexcept -> ServingWorld& { return processes_.world; }
+    /// The session of the first gateway with the agent of an engine.
+    auto agent(std::size_t engine) -> serving::AgentLink&;
     /// Kills the agent of an engine and starts another one.
     auto restartAgent(std::size_t engine) -> void;
     /// Ends a replica as a crash does; its next start follows.
--- a/tests/integration/AgentSilence.cpp
+++ b/tests/integration/AgentSilence.cpp
@@ -232,7 +232,7 @@
     pauseOf(world, 0, 2s, [] {});
     BOOST_REQUIRE(world.until(usable(world, 0)));
     world.wait(100ms);
-    BOOST_TEST(stateOf(world, 0).suspects.empty());
+    BOOST_TEST(stateOf(world, 0).crashes.empty());
 }
 
 // Guards against missing the crash of a replica whose host then answers nothing.
@@ -244,5 +244,5 @@
     world.engine(0).behave({ .sent = 1, .then = standins::ReplicaStandin::Behaviour::Then::Reset });
     (void)world.receive({ .path = "/whole/x", .attempt = "broken" });
     world.engine(0).pauseFor(60s);
-    BOOST_TEST(world.until([&] { return !stateOf(world, 0).suspects.empty(); }));
+    BOOST_TEST(world.until([&] { return !stateOf(world, 0).crashes.empty(); }));
 }
--- a/tests/integration/CrashingRequests.cpp
+++ b/tests/integration/CrashingRequests.cpp
@@ -79,25 +79,23 @@
 // Guards against sending a request that waited for a place while it became known that it crashes replicas.
 BOOST_AUTO_TEST_CASE(request_that_waits_while_it_becomes_known_is_not_sent)
 {
-    auto crashing = CrashWorld({ .crash = { .body = content, .after = 300ms }, .downFor = 5s, .slots = 1 });
+    auto crashing = CrashWorld({ .engines = 1, .gateways = 1, .crash = { .body = content }, .slots = 1 });
     auto& world = crashing.world();
-    constexpr auto last = std::size_t(3);
-    // The one place of the last engine is taken for longer than the crashes of the others need.
-    world.engine(last).behave({ .runsFor = 2500ms });
-    auto taking = std::vector<kj::Promise<wire::HttpAnswer>>();
-    for (auto count = 0; world.engine(last).runs().empty() && count < 12; ++count) {
-        taking.push_back(world.begin({ .attempt = "taking-" + std::to_string(count), .body = "harmless" }));
-        world.wait(50ms);
-    }
-    BOOST_REQUIRE(world.engine(last).runs().size() == 1U);
-    (void)world.ask({ .attempt = "twice", .body = content });
-    BOOST_REQUIRE(crashing.crashes() == 2U);
-    auto third = world.begin({ .attempt = "third", .body = content });
-    world.wait(100ms);
-    auto waiting = world.begin({ .attempt = "waiting", .body = content, .gateway = 1 });
-    (void)world.loop().wait(kj::mv(third));
-    (void)world.loop().wait(kj::mv(waiting));
-    BOOST_TEST(crashing.crashes() == 3U);
+    world.engine(0).behave({ .runsFor = 1500ms });
+    auto taking = world.begin({ .attempt = "taking", .body = "harmless" });
+    BOOST_REQUIRE(world.until([&] { return world.engine(0).runs().size() == 1; }));
+    auto waiting = world.begin({ .attempt = "waiting", .body = content });
+    world.wait(300ms);
+    // Another entry has seen three replicas crash under it.
+    const auto digest = serving::digestOf({ .method = "POST", .target = "/resumable/x", .body = content },
+        { .model = serving::BaseModel("base"), .adapter = AdapterId("a1") }, MemberId());
+    auto reports = std::vector<decisions::CrashReport>();
+    for (auto start = std::uint64_t(1); start <= decisions::CrashLedger::limit; ++start)
+        reports.push_back({ digest, decisions::StartHash(start), 0, decisions::CrashEvidence::Crashed, now() });
+    crashing.agent(0).noteCrashes(reports);
+    BOOST_TEST(world.loop().wait(kj::mv(waiting)).status == 502);
+    BOOST_TEST(world.loop().wait(kj::mv(taking)).status == 200);
+    BOOST_TEST(crashing.crashes() == 0U);
 }
 
 // Guards against forgetting what an entry has told to agents that have all been restarted since.
@@ -195,8 +193,17 @@
 {
     auto crashing = CrashWorld({ .gateways = 2, .crash = { .body = content }, .downFor = 300ms });
     auto& world = crashing.world();
-    for (auto index = std::size_t(0); index < 4; ++index)
-        world.engine(index).behave({ .sent = 0, .then = standins::ReplicaStandin::Behaviour::Then::Silence });
+    const auto behave = [&](const standins::ReplicaStandin::Behaviour& behaviour) {
+        for (auto index = std::size_t(0); index < 4; ++index)
+            world.engine(index).behave(behaviour);
+    };
+    const auto served = [&](const std::string& attempt) {
+        return world.until([&, tries = 0]() mutable {
+            return world.ask({ .path = "/whole/x", .attempt = attempt + std::to_string(++tries), .body = "probe" })
+                       .status
+                == 200;
+        });
+    };
     const auto runs = [&] {
         auto count = std::size_t(0);
         for (auto index = std::size_t(0); index < 4; ++index)
@@ -204,6 +211,8 @@
         return count;
     };
     for (auto round = 0; round < 4; ++round) {
+        BOOST_REQUIRE(served("round-" + std::to_string(round) + "-"));
+        behave({ .sent = 0, .then = standins::ReplicaStandin::Behaviour::Then::Silence });
         auto running = std::vector<kj::Promise<wire::HttpAnswer>>();
         const auto before = runs();
         for (auto number = std::size_t(0); number < 8; ++number)
@@ -211,15 +220,16 @@
                 .attempt = std::to_string(round) + "-" + std::to_string(number),
                 .body = "harmless " + std::to_string(number),
                 .gateway = number % 2 }));
-        BOOST_REQUIRE(world.until([&] { return runs() >= before + 8; }));
+        (void)world.until([&] { return runs() >= before + 8; });
+        BOOST_REQUIRE(runs() >= before + 8);
         for (auto index = std::size_t(0); index < 4; ++index)
             crashing.crash(index);
         for (auto& answer : running)
             BOOST_TEST(world.loop().wait(kj::mv(answer)).status == 502);
+        behave({});
         world.wait(1500ms);
     }
-    for (auto index = std::size_t(0); index < 4; ++index)
-        world.engine(index).behave({});
+    BOOST_REQUIRE(served("after-"));
     for (auto number = 0; number < 8; ++number) {
         const auto body = "harmless " + std::to_string(number);
         BOOST_TEST(world.ask({ .path = "/whole/x", .attempt = "after-" + std::to_string(number), .body = body }).status
