The soak sends a request that crashes the replicas that run it

Beside the faults of every mode but keys (--crashes), silently or with a reset, before or after events; judged by the rule: at most three late runs by gateways in touch. Innocents beside it have to be served again at every gateway.

--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -53,6 +53,7 @@
     , versionRandom_(~seed * 5)
     , streamRandom_(~seed * 7)
     , keyRandom_(~seed * 11)
+    , crashRandom_(~seed * 13)
     , size_(size)
     , folder_(std::move(folder))
     , store_(loop_.timers())
@@ -87,6 +88,8 @@
     agents_.resize(size_.engines);
     for (auto index = std::size_t(0); index < size_.engines; ++index)
         startEngine(index);
+    if (size_.crashes)
+        prepareCrashes();
     publish();
     gateways_.resize(size_.gateways);
     for (auto index = std::size_t(0); index < size_.gateways; ++index) {
@@ -350,8 +353,10 @@
         : size_.pauses                      ? changeConfiguration()
         : size_.retries                     ? kj::Promise<void>(kj::READY_NOW)
                                             : announceAvailability();
+    auto crashing = size_.crashes ? sendCrashing() : kj::Promise<void>(kj::READY_NOW);
     loop_.wait(loop_.sleep(size_.time));
     over_ = true;
+    loop_.wait(kj::mv(crashing));
     loop_.wait(kj::mv(faults));
     loop_.wait(kj::mv(limits));
     loop_.wait(kj::mv(availability));
@@ -379,6 +384,7 @@
     judgeKeys(broken);
     judgeLost(broken);
     judgeLivingKeys(broken);
+    judgeCrashes(broken);
     return broken;
 }
 
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -49,6 +49,9 @@
     /// Sound replicas that fall silent and go on, changes of the configuration all along and, in every second seed,
     /// planned stops and reloads of gateways.
     bool pauses = false;
+    /// A request that crashes the replicas that run it comes again and again, beside the faults of any kind of run but
+    /// those with keys.
+    bool crashes = false;
     /// The processor cores that the processes of the system share; 0 for all.
     std::size_t cores = 0;
 };
@@ -231,6 +234,10 @@
     /// Nothing reaches or leaves the replica for this long, then everything does.
     auto pause(std::size_t replica, Duration time) -> void;
     auto changeConfiguration() -> kj::Promise<void>;
+    auto prepareCrashes() -> void;
+    /// How long a replica is away after a crash.
+    [[nodiscard]] auto drawCrash() -> std::chrono::milliseconds;
+    auto sendCrashing() -> kj::Promise<void>;
     auto vary(nlohmann::json& configuration) -> void;
     [[nodiscard]] auto drawDeadline(const std::string& path) -> std::chrono::milliseconds;
     [[nodiscard]] auto leg(std::size_t replica) const -> standins::FaultProxy&;
@@ -309,6 +316,8 @@
     [[nodiscard]] auto storyOf(const Call& call, const std::vector<LostRun>& runs) const -> std::string;
     /// What a process has logged about a request.
     [[nodiscard]] static auto linesOf(const std::string& log, const std::string& attempt) -> std::string;
+    /// A request under which three replicas have crashed reaches few more.
+    auto judgeCrashes(std::vector<std::string>& broken) -> void;
     /// Every gateway serves a living key of each member, every adapter and every kind of request again.
     auto judgeLivingKeys(std::vector<std::string>& broken) -> void;
     /// Whether a gateway may have missed what a replica told it, or may have forgotten it.
@@ -335,6 +344,7 @@
     std::mt19937_64 versionRandom_;
     std::mt19937_64 streamRandom_;
     std::mt19937_64 keyRandom_;
+    std::mt19937_64 crashRandom_;
     Size size_;
     std::string folder_;
     /// Plays the store in this process, unless it has a process of its own.
@@ -363,6 +373,9 @@
     /// When clients sent requests, by service.
     std::map<std::string, std::vector<Moment>> requestsSent_;
     std::vector<std::shared_ptr<Stream>> streams_;
+    /// When a replica crashed under the request that crashes them, and which gateway got each of its attempts.
+    std::vector<Moment> crashes_;
+    std::map<std::string, std::size_t> crashSenders_;
     /// What an engine does while nothing is wrong with it.
     standins::ReplicaStandin::Behaviour usual_;
     std::map<std::string, int> faults_;
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -381,7 +381,7 @@
         replica->askForRest({});
     }
     for (auto& engine : engines_) {
-        if (engine.replica->leaving())
+        if (engine.replica->leaving() || engine.replica->ended())
             restartEngine(engine);
     }
     for (const auto& replica : plain_)
--- a/tests/soak/SoakMain.cpp
+++ b/tests/soak/SoakMain.cpp
@@ -23,6 +23,8 @@
 ABSL_FLAG(bool, retries, false, "light traffic, failing replicas, gateways and agents killed in series");
 ABSL_FLAG(bool, keys, false, "members whose keys come and go, a store process, suspended processes");
 ABSL_FLAG(bool, pauses, false, "sound replicas that fall silent and go on, changes of the configuration all along");
+ABSL_FLAG(
+    bool, crashes, false, "a request that crashes the replicas that run it, beside the faults of any kind of run");
 ABSL_FLAG(std::size_t, cores, 0, "processor cores that the processes of the system share; 0 for all");
 // NOLINTEND
 
@@ -40,6 +42,7 @@
     size.retries = absl::GetFlag(FLAGS_retries);
     size.keys = absl::GetFlag(FLAGS_keys);
     size.pauses = absl::GetFlag(FLAGS_pauses);
+    size.crashes = absl::GetFlag(FLAGS_crashes);
     size.cores = absl::GetFlag(FLAGS_cores);
     size.time = std::chrono::milliseconds(absl::GetFlag(FLAGS_ms));
     const auto folder = std::filesystem::temp_directory_path() / ("eelgrass-soak-" + std::to_string(getpid()));
--- a/tests/soak/SoakPauses.cpp
+++ b/tests/soak/SoakPauses.cpp
@@ -128,6 +128,8 @@
     const auto all = replicas();
     for (auto index = std::size_t(0); index < all.size(); ++index) {
         for (const auto& run : all[index]->runs()) {
+            if (run.crashed)
+                continue;
             const auto stream = index < engines_.size();
             const auto events = stream ? static_cast<int>(usual_.events - run.from) : 0;
             runs[run.attempt].push_back(
