An entry that asks its reader anew while the last session is being dropped does not end

What callers saw: every open request of an entry ended, by SIGSEGV.

Cause: a failed query leaves the drop of its session to a timer. If the next query's timer is due at once with it and comes first, it finds the session, waits for the loop, and the session is gone by then. Change: a query drops the failed session itself first.

--- a/packages/serving/ReaderLink.cpp
+++ b/packages/serving/ReaderLink.cpp
@@ -48,6 +48,9 @@
 
 auto ReaderLink::ask() -> void
 {
+    // The session of the query before has failed; if it were dropped while this one waits, there would be none to ask.
+    if (dropTimer_.active())
+        drop();
     const auto now = loop_.timers().now();
     if (queryPending_) {
         // A query without an answer shows that the connection is dead; the next query uses a new one.
