--- a/standins/StoreStandin.cpp
+++ b/standins/StoreStandin.cpp
@@ -1,5 +1,10 @@
 #include "standins/StoreStandin.h"
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <glib.h>
 #include <nlohmann/json.hpp>
 
@@ -51,6 +56,26 @@
 
 } // namespace
 
+/// A socket that is bound and does not listen, so that connections are refused.
+class LoopServer::PortHolder {
+public:
+    PortHolder(const std::string& address, std::uint16_t port)
+        : socket_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        const auto reuse = 1;
+        auto at = sockaddr_in { .sin_family = AF_INET, .sin_port = htons(port) };
+        ::inet_pton(AF_INET, address.c_str(), &at.sin_addr);
+        ::setsockopt(socket_, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
+        (void)::bind(socket_, reinterpret_cast<const sockaddr*>(&at), sizeof at);
+    }
+    ~PortHolder() { ::close(socket_); }
+    PortHolder(const PortHolder&) = delete;
+    auto operator=(const PortHolder&) -> PortHolder& = delete;
+
+private:
+    int socket_;
+};
+
 LoopServer::LoopServer(TimerService& timers, const std::string& address, std::uint16_t port, Handler handler)
     : timers_(timers)
     , address_(address)
@@ -65,6 +90,7 @@
 {
     if (listener_)
         return;
+    holder_.reset();
     listener_ = std::make_unique<wire::TcpListener>(address_, port_, [this](auto socket) {
         auto handle = [this, silences = silences_](auto caller, auto request) {
             if (silences == silences_)
@@ -79,15 +105,21 @@
     });
 }
 
-auto LoopServer::close() -> void
+auto LoopServer::stopListening() -> void
 {
     listener_.reset();
+    holder_ = std::make_shared<PortHolder>(address_, port_);
+}
+
+auto LoopServer::close() -> void
+{
+    stopListening();
     resetAll();
 }
 
 auto LoopServer::fallSilent() -> void
 {
-    listener_.reset();
+    stopListening();
     ++silences_;
 }
 
--- a/standins/StoreStandin.h
+++ b/standins/StoreStandin.h
@@ -32,12 +32,17 @@
     auto fallSilent() -> void;
 
 private:
+    auto stopListening() -> void;
+
     TimerService& timers_;
     std::string address_;
     std::uint16_t port_;
     Handler handler_;
     std::map<serving::CallerConnection*, std::shared_ptr<serving::CallerConnection>> connections_;
     std::unique_ptr<wire::TcpListener> listener_;
+    /// Keeps the port from other processes while nothing listens there.
+    class PortHolder;
+    std::shared_ptr<PortHolder> holder_;
     /// How often it fell silent. Requests on connections from before are not handled.
     std::uint64_t silences_ = 0;
 };
--- a/tests/integration/CrashingRequests.cpp
+++ b/tests/integration/CrashingRequests.cpp
@@ -19,6 +19,18 @@
     BOOST_TEST(crashing.lateRuns() <= CrashWorld::maxLateRuns);
 }
 
+/// What another entry tells of crashes under a request with this body.
+auto seenElsewhere(const std::string& body, std::uint64_t firstStart, std::uint64_t count)
+    -> std::vector<decisions::CrashReport>
+{
+    const auto digest = serving::digestOf({ .method = "POST", .target = "/resumable/x", .body = body },
+        { .model = serving::BaseModel("base"), .adapter = AdapterId("a1") }, MemberId());
+    auto reports = std::vector<decisions::CrashReport>();
+    for (auto start = firstStart; start < firstStart + count; ++start)
+        reports.push_back({ digest, decisions::StartHash(start), 0, decisions::CrashEvidence::Crashed, now() });
+    return reports;
+}
+
 } // namespace
 
 // Guards against a request that goes on to the next replica because its connections are not closed by the crash.
@@ -52,6 +64,13 @@
         { .path = "/safe/x", .deadlineMs = 1000 });
 }
 
+// Guards against entries that each count for themselves while nearly every replica, and the agent beside it that
+// counts, is away for seconds.
+BOOST_AUTO_TEST_CASE(request_that_crashes_nearly_all_replicas_of_a_site_is_refused)
+{
+    judge({ .engines = 9, .gateways = 5, .crash = { .body = content }, .downFor = 3200ms, .withAgents = true }, {});
+}
+
 // Guards against forgetting a break of a stream whose replica has left the list at once.
 BOOST_AUTO_TEST_CASE(stream_that_crashes_replicas_which_leave_the_list_is_refused)
 {
@@ -86,18 +105,30 @@
     BOOST_REQUIRE(world.until([&] { return world.engine(0).runs().size() == 1; }));
     auto waiting = world.begin({ .attempt = "waiting", .body = content });
     world.wait(300ms);
-    // Another entry has seen three replicas crash under it.
-    const auto digest = serving::digestOf({ .method = "POST", .target = "/resumable/x", .body = content },
-        { .model = serving::BaseModel("base"), .adapter = AdapterId("a1") }, MemberId());
-    auto reports = std::vector<decisions::CrashReport>();
-    for (auto start = std::uint64_t(1); start <= decisions::CrashLedger::limit; ++start)
-        reports.push_back({ digest, decisions::StartHash(start), 0, decisions::CrashEvidence::Crashed, now() });
-    crashing.agent(0).noteCrashes(reports);
+    crashing.agent(0).noteCrashes(seenElsewhere(content, 1, decisions::CrashLedger::limit));
     BOOST_TEST(world.loop().wait(kj::mv(waiting)).status == 502);
     BOOST_TEST(world.loop().wait(kj::mv(taking)).status == 200);
     BOOST_TEST(crashing.crashes() == 0U);
 }
 
+// Guards against an answer of a replica that failed, or did not finish in time, which clears the request of crashes.
+BOOST_AUTO_TEST_CASE(failed_answer_does_not_clear_a_request)
+{
+    for (const auto status : { 500, 504 }) {
+        auto crashing = CrashWorld({ .engines = 2, .gateways = 1, .crash = { .body = content } });
+        auto& world = crashing.world();
+        crashing.agent(0).noteCrashes(seenElsewhere("failing", 1, 2));
+        world.wait(1500ms);
+        for (auto index = std::size_t(0); index < 2; ++index)
+            world.engine(index).behave({ .status = status });
+        BOOST_TEST(world.ask({ .attempt = "failing", .body = "failing" }).status == status);
+        crashing.agent(0).noteCrashes(seenElsewhere("failing", 3, 1));
+        world.wait(1500ms);
+        BOOST_TEST(world.ask({ .attempt = "again", .body = "failing" }).status == 502);
+        BOOST_TEST(world.engine(0).runs().size() + world.engine(1).runs().size() <= 2U);
+    }
+}
+
 // Guards against forgetting what an entry has told to agents that have all been restarted since.
 BOOST_AUTO_TEST_CASE(request_is_refused_elsewhere_after_all_agents_were_restarted)
 {
