--- a/tests/integration/CrashingRequests.cpp
+++ b/tests/integration/CrashingRequests.cpp
@@ -161,11 +161,12 @@
     const auto before = crashing.crashes();
     for (auto gateway = std::size_t(1); gateway < 4; ++gateway) {
         world.startGateway();
-        for (auto count = 0; count < 2; ++count)
+        for (auto count = 0; count < 2; ++count) {
             (void)world.ask({ .attempt = std::to_string(gateway) + "-" + std::to_string(count),
                 .body = content,
                 .deadlineMs = 1000,
                 .gateway = gateway });
+        }
     }
     BOOST_TEST(crashing.crashes() <= before + CrashWorld::maxLateRuns);
 }
@@ -246,11 +247,12 @@
         behave({ .sent = 0, .then = standins::ReplicaStandin::Behaviour::Then::Silence });
         auto running = std::vector<kj::Promise<wire::HttpAnswer>>();
         const auto before = runs();
-        for (auto number = std::size_t(0); number < 8; ++number)
+        for (auto number = std::size_t(0); number < 8; ++number) {
             running.push_back(world.begin({ .path = "/whole/x",
                 .attempt = std::to_string(round) + "-" + std::to_string(number),
                 .body = "harmless " + std::to_string(number),
                 .gateway = number % 2 }));
+        }
         (void)world.until([&] { return runs() >= before + 8; });
         BOOST_REQUIRE(runs() >= before + 8);
         for (auto index = std::size_t(0); index < 4; ++index)
