A run whose end was not found is neither counted nor kept

Read in the review of the mend, not seen in a play: a row of the list that gains or loses its time of birth names another start here, so that a run's end isn't found under it. The run stayed among the open ones, up to their bound, and counted as ended by a crash when its start was over.

--- a/packages/serving/SuspectRequests.cpp
+++ b/packages/serving/SuspectRequests.cpp
@@ -71,6 +71,11 @@
 
 auto SuspectRequests::runBegan(RequestDigest request, const std::shared_ptr<ReplicaRun>& run) -> void
 {
+    if (runCount_ >= maxOpenRuns) {
+        for (auto& [start, runs] : runs_)
+            runCount_
+                -= std::erase_if(runs, [](const OpenRun& open) { return !open.endedAt && open.progress.expired(); });
+    }
     if (runCount_ >= maxOpenRuns)
         return;
     ++runCount_;
@@ -173,6 +178,9 @@
     if (const auto found = runs_.find(hash); found != runs_.end()) {
         auto ended = OpenRuns();
         for (auto& run : found->second) {
+            // A row that has gained or lost its time of birth is another start here: the end of this run was not found.
+            if (!run.endedAt && run.progress.expired())
+                continue;
             if (end == StartEnd::Over || run.endedAt)
                 ended.push_back(run);
             else if (end == StartEnd::Unlisted)
