--- a/tests/integration/RateLimits.cpp
+++ b/tests/integration/RateLimits.cpp
@@ -308,6 +308,7 @@
         { .entry = "entry", .zone = AvailabilityZone("zone-1") },
         { .onState = [] {},
             .onFigures = [] {},
+            .onNames = [] {},
             .onRateLimits = [](const auto&) {},
             .knownRateLimit = [] { return std::optional<serving::ReplicaRateLimit>(); } });
     link.setSessionPolicy(decisions::SessionPolicy::Hub);
