Lines and metrics name whom nobody serves, and why a slot is not emptied

No line or metric told which adapters, shared prefixes or kinds of request nobody serves: the end of a request named neither adapter nor prefix, a refusal neither slots nor the wait assumed. No decision changes.

--- a/packages/decisions/AdmissionQueue.cpp
+++ b/packages/decisions/AdmissionQueue.cpp
@@ -120,20 +120,20 @@
     const auto firstEventAt = now + wait + prefillTime(request.unreadTokens);
     // A request that is already late loses nothing by waiting in this queue.
     if (request.elsewhere && now < request.firstEventDeadline && firstEventAt > request.firstEventDeadline)
-        return AdmissionRefusal { request.attempt, wait, true, permitWait > work };
+        return AdmissionRefusal { request.attempt, request.adapter, wait, true, permitWait > work };
     recordInflow(request, now);
     if (firstEventAt >= request.callerDeadline)
-        return refuse(request.attempt, work, permitWait, now);
+        return refuse(request, work, permitWait, now);
     waiting_.push_back(std::move(request));
     return std::nullopt;
 }
 
-auto AdmissionQueue::refuse(const AttemptId& attempt, Duration work, Duration permitWait, Moment now)
+auto AdmissionQueue::refuse(const AdmissionRequest& request, Duration work, Duration permitWait, Moment now)
     -> AdmissionRefusal
 {
     const auto rateLimited = permitWait > work;
     const auto retry = rateLimited ? permitWait + arrivals_.permits().refuse(now) : work;
-    return { attempt, std::max(retry, minRetry), false, rateLimited };
+    return { request.attempt, request.adapter, std::max(retry, minRetry), false, rateLimited };
 }
 
 auto AdmissionQueue::fits(const AdmissionRequest& request) const -> bool
@@ -193,7 +193,7 @@
             requestsAhead += isReady ? 1 : 0;
             return false;
         }
-        refused.push_back(refuse(request.attempt, work, permitWait, now));
+        refused.push_back(refuse(request, work, permitWait, now));
         return true;
     });
     return refused;
@@ -205,7 +205,7 @@
     std::erase_if(waiting_, [&](const AdmissionRequest& request) {
         if (!request.elsewhere || now >= request.firstEventDeadline)
             return false;
-        refused.push_back({ request.attempt, retryAfter, true });
+        refused.push_back({ request.attempt, request.adapter, retryAfter, true });
         return true;
     });
     return refused;
@@ -215,7 +215,7 @@
 {
     auto refused = std::vector<AdmissionRefusal>();
     for (const auto& request : waiting_)
-        refused.push_back({ request.attempt, retryAfter });
+        refused.push_back({ request.attempt, request.adapter, retryAfter });
     waiting_.clear();
     return refused;
 }
--- a/packages/decisions/AdmissionQueue.h
+++ b/packages/decisions/AdmissionQueue.h
@@ -50,6 +50,7 @@
 /// Describes a request that was not queued or was removed from the queue. The request was not sent to the replica.
 struct AdmissionRefusal {
     AttemptId attempt;
+    AdapterId adapter;
     /// Time until the work ahead of the request is done.
     Duration retryAfter {};
     /// Whether the replica would serve the request, but late; another replica may be on time.
@@ -199,7 +200,7 @@
     auto sortWaiting(Moment now) -> void;
     auto recordInflow(const AdmissionRequest& request, Moment now) -> void;
     /// Refuses a request that would wait for `work` ahead of it and `permitWait` for its permit, whichever is longer.
-    [[nodiscard]] auto refuse(const AttemptId& attempt, Duration work, Duration permitWait, Moment now)
+    [[nodiscard]] auto refuse(const AdmissionRequest& request, Duration work, Duration permitWait, Moment now)
         -> AdmissionRefusal;
     [[nodiscard]] auto fits(const AdmissionRequest& request) const -> bool;
     auto run(const AdmissionRequest& request) -> bool;
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -372,14 +372,20 @@
 auto AgentRole::handleDecision(const AttemptId& attempt, const ReplicaAgent::Decision& decision) -> void
 {
     const auto found = pendingAdmissions_.find(attempt);
+    const auto slots = agent_.slotUse();
     log::info(decision.granted ? "granted" : "not granted",
         { { "request", attempt.str() }, { "replica", agent_.instance().str() }, { "reason", decision.reason },
+            { "adapter", decision.adapter.str() },
+            { "held", !decision.adapter.empty() && agent_.holds(decision.adapter) ? "yes" : "no" },
             { "version", decision.granted ? std::to_string(decision.version.value()) : "" },
             { "waited_ms", millisecondsText(decision.waited) },
             { "adapter_ms", millisecondsText(decision.waitedForAdapter) },
             { "tokens_ahead", std::to_string(agent_.tokensAhead()) },
             { "tokens_per_s",
                 std::to_string(static_cast<std::uint64_t>(agent_.queue().readRate() * millisecondsPerSecond)) },
+            { "load_ms", millisecondsText(decision.assumedLoad) }, { "slots", std::to_string(slots.slots) },
+            { "slots_pinned", std::to_string(slots.pinned) }, { "slots_spare", std::to_string(agent_.spareSlots()) },
+            { "loading", std::to_string(slots.loading) }, { "loads_allowed", std::to_string(slots.loadLimit) },
             { "loads_waiting", std::to_string(agent_.loadsWaiting()) },
             { "running", std::to_string(agent_.queue().running()) },
             { "queued", std::to_string(agent_.queue().queued()) } });
--- a/packages/serving/GatewayContext.h
+++ b/packages/serving/GatewayContext.h
@@ -10,6 +10,7 @@
 #include "serving/ReplicaAvailability.h"
 #include "serving/ReplicaDirectory.h"
 #include "serving/RetryBudgets.h"
+#include "serving/ServedDemand.h"
 #include "serving/Settings.h"
 #include "serving/StreamOriginLookup.h"
 #include "serving/SuspectRequests.h"
@@ -32,6 +33,7 @@
     UnknownFields& unknownFields;
     StreamOriginLookup& origins;
     RetryBudgets& retryBudgets;
+    ServedDemand& servedDemand;
     /// Estimated number of entries that share quotas, rate limits and connections.
     std::size_t entries = 6;
     /// Empty until the entry is told to stop.
--- a/packages/serving/GatewayRole.cpp
+++ b/packages/serving/GatewayRole.cpp
@@ -94,8 +94,9 @@
     , unknownFields_(metrics_)
     , origins_(loop, directory_)
     , retryBudgets_(loop, directory_, settings_)
+    , servedDemand_(metrics_)
     , gateway_ { loop, settings_, configuration_, directory_, metrics_, deferred_, suspects_, quotas_, rateLimits_,
-        availability_, unknownFields_, origins_, retryBudgets_ }
+        availability_, unknownFields_, origins_, retryBudgets_, servedDemand_ }
     , keyOutage_(metrics_)
     , peerSessions_(loop.timers())
     , peerQueries_(loop,
@@ -137,6 +138,7 @@
         countEntries();
         rateLimits_.forgetRemoved();
         availability_.forgetEnded();
+        servedDemand_.expire(loop_.timers().now());
         chooseReader();
         askPeers();
         keyOutage_.update(!needsKeys() || configuration_.keysUsable(), configuration_, loop_.timers().now());
--- a/packages/serving/GatewayRole.h
+++ b/packages/serving/GatewayRole.h
@@ -80,6 +80,7 @@
     UnknownFields unknownFields_;
     StreamOriginLookup origins_;
     RetryBudgets retryBudgets_;
+    ServedDemand servedDemand_;
     GatewayContext gateway_;
     KeyOutage keyOutage_;
     GatewayStop::Connections connections_;
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -50,7 +50,9 @@
     expiryTimer_ = loop_.timers().every(expiryInterval, [this] {
         for (const auto& refusal : queue_.expire(readinessPredicate(), loop_.timers().now()))
             reportDecision(refusal.attempt,
-                { .retryAfter = refusal.retryAfter, .reason = refusal.rateLimited ? rateLimitReason : "not in time" });
+                { .adapter = refusal.adapter,
+                    .retryAfter = refusal.retryAfter,
+                    .reason = refusal.rateLimited ? rateLimitReason : "not in time" });
     });
 }
 
@@ -137,7 +139,8 @@
 auto ReplicaAgent::refuseQueued(const std::string& reason) -> void
 {
     for (const auto& refusal : queue_.drain(retryDelay))
-        reportDecision(refusal.attempt, { .retryAfter = refusal.retryAfter, .reason = reason });
+        reportDecision(
+            refusal.attempt, { .adapter = refusal.adapter, .retryAfter = refusal.retryAfter, .reason = reason });
 }
 
 auto ReplicaAgent::divertQueued() -> void
@@ -145,7 +148,11 @@
     const auto diverted
         = silence_.lasting() ? queue_.drain(retryDelay) : queue_.divert(retryDelay, loop_.timers().now());
     for (const auto& refusal : diverted)
-        reportDecision(refusal.attempt, { .retryAfter = refusal.retryAfter, .reason = silentReason, .late = true });
+        reportDecision(refusal.attempt,
+            { .adapter = refusal.adapter,
+                .retryAfter = refusal.retryAfter,
+                .reason = silentReason,
+                .late = true });
 }
 
 /// Sets the state of the slots from the replica's report.
@@ -264,7 +271,12 @@
     if (const auto refusal = queue_.offer(std::move(request), readinessPredicate(), load, now)) {
         const auto* otherReason = refusal->late ? "late here" : "hopeless here";
         const auto* reason = refusal->rateLimited ? rateLimitReason : otherReason;
-        return reportDecision(attempt, { .retryAfter = refusal->retryAfter, .reason = reason, .late = refusal->late });
+        return reportDecision(attempt,
+            { .adapter = adapter,
+                .retryAfter = refusal->retryAfter,
+                .reason = reason,
+                .late = refusal->late,
+                .assumedLoad = load });
     }
     if (!adapter.empty())
         slots_->asked(modelName(adapter), now);
@@ -359,6 +371,7 @@
             slots_->pin(modelName(request.adapter), now);
         reportDecision(request.attempt,
             { .granted = true,
+                .adapter = request.adapter,
                 .version = residentVersion(request.adapter),
                 .waited = now - request.arrivedAt,
                 .waitedForAdapter = request.readyAt - request.arrivedAt });
@@ -392,4 +405,16 @@
     return spare;
 }
 
+auto ReplicaAgent::slotUse() const -> SlotUse
+{
+    if (!slots_ || !report_)
+        return {};
+    const auto pinned = std::count_if(report_->resident.begin(), report_->resident.end(),
+        [this](const auto& held) { return slots_->pinned(modelName(held.first)); });
+    return { .slots = slotCount_,
+        .pinned = static_cast<std::size_t>(pinned),
+        .loading = report_->loading.size(),
+        .loadLimit = loadConcurrency_.limit() };
+}
+
 } // namespace eelgrass::serving
--- a/packages/serving/ReplicaAgent.h
+++ b/packages/serving/ReplicaAgent.h
@@ -44,6 +44,7 @@
     /// The decision on a request: granted with the adapter version that the replica holds, or refused.
     struct Decision {
         bool granted = false;
+        AdapterName adapter {};
         AdapterVersion version;
         Duration retryAfter {};
         std::string reason;
@@ -53,6 +54,8 @@
         Duration waited {};
         /// The part of `waited` that passed before the request's adapter was loaded.
         Duration waitedForAdapter {};
+        /// The wait for the adapter that a refusal on arrival assumed.
+        Duration assumedLoad {};
     };
     struct Hooks {
         std::function<void(const AttemptId&, const Decision&)> onDecision;
@@ -116,6 +119,17 @@
     /// Adapters that queued requests need and that are not loaded, sorted by name.
     [[nodiscard]] auto loading() const -> std::vector<AdapterName>;
     [[nodiscard]] auto spareSlots() const -> std::size_t;
+    /// The use of the replica's adapter slots.
+    struct SlotUse {
+        std::size_t slots = 0;
+        /// Slots with adapters that requests run on.
+        std::size_t pinned = 0;
+        std::size_t loading = 0;
+        /// Loads that may be in progress at a time.
+        std::size_t loadLimit = 0;
+    };
+    [[nodiscard]] auto slotUse() const -> SlotUse;
+    [[nodiscard]] auto holds(const AdapterName& adapter) const -> bool { return isReady(adapter); }
     [[nodiscard]] auto loadsWaiting() const noexcept -> std::size_t { return wantedAdapters_.size(); }
     /// Prompt tokens that the replica has to read before those of a request that arrives now.
     [[nodiscard]] auto tokensAhead() const -> Tokens;
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -206,6 +206,10 @@
     auto giveUp(std::string_view why) -> void;
     /// Releases what the request holds, and logs and counts its outcome. `status` is 0 if the client got none.
     auto finish(int status, std::string_view outcome, std::string_view why) -> void;
+    /// Identifies the last shared prefix of the prompt together with the adapter; empty if there is none.
+    [[nodiscard]] auto prefixText() const -> std::string;
+    /// Records whether the request's adapter, shared prefix and route were served.
+    auto recordServedDemand(std::string_view outcome, int status) const -> void;
     /// Logs a decision on the request and `replica_`.
     auto logDecision(std::string_view event, std::string_view why) const -> void;
     auto logDecision(std::string_view event, std::string_view why, const ReplicaPtr& replica) const -> void;
