--- a/tests/harness/ServingWorld.cpp
+++ b/tests/harness/ServingWorld.cpp
@@ -191,7 +191,7 @@
     if (model) {
         call.fields.add(names::model, "base/" + request.adapter);
         call.fields.add(names::tokenCount, "100,20");
-        call.fields.add(names::promptPrefix, "aa:60,bb:40");
+        call.fields.add(names::promptPrefix, request.prefix);
     }
     return call;
 }
--- a/tests/harness/ServingWorld.h
+++ b/tests/harness/ServingWorld.h
@@ -59,6 +59,8 @@
         std::string adapter = "a1";
         std::string body = "prompt";
         std::uint64_t deadlineMs = 4000;
+        /// Shared parts of the prompt.
+        std::string prefix = "aa:60,bb:40";
         wire::HeaderFields more {};
         /// The first one that was started, if not named.
         std::optional<std::size_t> gateway {};
