An adapter that requests wait for in vain gets a turn on one of the replica's slots

Callers saw: the same adapters refused for as long as others were popular, with no fault at all. Cause: an adapter in use is never evicted, and requests for resident adapters are granted while others wait, so a slot whose adapter always has a run never passes on; and nobody remembers who was refused, or waited until its client or entry gave up, so the next request begins at nothing. Evidence: integration-StarvedAdapters, four forms: 0 or 1 of 8 or 9 served, no answer for 15 s. Change: agents remember requests that were refused or left while they waited. The adapter that is unserved for the longest, two seconds at least, has the turn at its replica: if all slots are in use, the loaded adapter with the lowest demand is closed to new requests until its runs have ended and its slot has passed on. One turn at a time, ten seconds at most, so one adapter that cannot be loaded does not keep the others out, and the other slots go on as before.

--- a/packages/decisions/AdapterSlots.cpp
+++ b/packages/decisions/AdapterSlots.cpp
@@ -59,6 +59,18 @@
     return best == slots_.end() ? std::nullopt : std::optional(best->first);
 }
 
+auto AdapterSlots::leastWanted(Moment now, const MayClose& mayClose) const -> std::optional<ModelName>
+{
+    auto best = slots_.end();
+    for (auto slot = slots_.begin(); slot != slots_.end(); ++slot) {
+        if (slot->second.state != State::Ready || !mayClose(slot->first))
+            continue;
+        if (best == slots_.end() || demand_.of(slot->first, now) < demand_.of(best->first, now))
+            best = slot;
+    }
+    return best == slots_.end() ? std::nullopt : std::optional(best->first);
+}
+
 auto AdapterSlots::mayEvict(const Slot& slot, Moment now, const MemberId& member, bool onlyOwn) const -> bool
 {
     // An adapter that a running request uses is never evicted, or the answer would be generated with other weights.
--- a/packages/decisions/AdapterSlots.h
+++ b/packages/decisions/AdapterSlots.h
@@ -68,6 +68,8 @@
     /// batch with it.
     using MustKeep = std::function<bool(const ModelName&)>;
 
+    using MayClose = std::function<bool(const ModelName&)>;
+
     explicit AdapterSlots(std::size_t count, EvictionRule rule = EvictionRule::LeastDemand)
         : AdapterSlots(count, SlotPolicy { .rule = rule })
     {
@@ -77,6 +79,8 @@
     /// Returns what to do next so that a request for `model` can run, without changing any state.
     [[nodiscard]] auto request(const ModelName& model, Moment now, const MemberId& member = {},
         const MustKeep& mustKeep = {}) const -> SlotDecision;
+    /// The loaded adapter with the lowest demand, in use or not, among those that `mayClose` allows.
+    [[nodiscard]] auto leastWanted(Moment now, const MayClose& mayClose) const -> std::optional<ModelName>;
     /// Adds one request to the demand for `model`; to be called once for each accepted request.
     auto asked(const ModelName& model, Moment now) -> void { demand_.add(model, now); }
     /// Demand for the adapter that the next load would evict; 0 if a slot is free, infinite if none may be evicted.
--- a/packages/decisions/AdmissionQueue.cpp
+++ b/packages/decisions/AdmissionQueue.cpp
@@ -120,7 +120,7 @@
     const auto firstEventAt = now + wait + prefillTime(request.unreadTokens);
     // A request that is already late loses nothing by waiting in this queue.
     if (request.elsewhere && now < request.firstEventDeadline && firstEventAt > request.firstEventDeadline)
-        return AdmissionRefusal { request.attempt, request.adapter, wait, true, permitWait > work };
+        return AdmissionRefusal { request.attempt, request.adapter, request.arrivedAt, wait, true, permitWait > work };
     recordInflow(request, now);
     if (firstEventAt >= request.callerDeadline)
         return refuse(request, work, permitWait, now);
@@ -133,7 +133,7 @@
 {
     const auto rateLimited = permitWait > work;
     const auto retry = rateLimited ? permitWait + arrivals_.permits().refuse(now) : work;
-    return { request.attempt, request.adapter, std::max(retry, minRetry), false, rateLimited };
+    return { request.attempt, request.adapter, request.arrivedAt, std::max(retry, minRetry), false, rateLimited };
 }
 
 auto AdmissionQueue::fits(const AdmissionRequest& request) const -> bool
@@ -205,7 +205,7 @@
     std::erase_if(waiting_, [&](const AdmissionRequest& request) {
         if (!request.elsewhere || now >= request.firstEventDeadline)
             return false;
-        refused.push_back({ request.attempt, request.adapter, retryAfter, true });
+        refused.push_back({ request.attempt, request.adapter, request.arrivedAt, retryAfter, true });
         return true;
     });
     return refused;
@@ -215,7 +215,7 @@
 {
     auto refused = std::vector<AdmissionRefusal>();
     for (const auto& request : waiting_)
-        refused.push_back({ request.attempt, request.adapter, retryAfter });
+        refused.push_back({ request.attempt, request.adapter, request.arrivedAt, retryAfter });
     waiting_.clear();
     return refused;
 }
@@ -293,6 +293,25 @@
     return adapters;
 }
 
+auto AdmissionQueue::findQueued(const AttemptId& attempt) const -> const AdmissionRequest*
+{
+    const auto found = std::find_if(
+        waiting_.begin(), waiting_.end(), [&](const AdmissionRequest& request) { return request.attempt == attempt; });
+    return found == waiting_.end() ? nullptr : &*found;
+}
+
+auto AdmissionQueue::waitingAdapters() const -> std::map<AdapterId, Moment>
+{
+    auto adapters = std::map<AdapterId, Moment>();
+    for (const auto& request : waiting_) {
+        if (request.adapter.empty())
+            continue;
+        auto& oldest = adapters.try_emplace(request.adapter, request.arrivedAt).first->second;
+        oldest = std::min(oldest, request.arrivedAt);
+    }
+    return adapters;
+}
+
 auto AdmissionQueue::waits(const AdapterId& adapter) const -> bool
 {
     return std::any_of(
--- a/packages/decisions/AdmissionQueue.h
+++ b/packages/decisions/AdmissionQueue.h
@@ -51,6 +51,7 @@
 struct AdmissionRefusal {
     AttemptId attempt;
     AdapterId adapter;
+    Moment arrivedAt {};
     /// Time until the work ahead of the request is done.
     Duration retryAfter {};
     /// Whether the replica would serve the request, but late; another replica may be on time.
@@ -159,6 +160,10 @@
     /// slots.
     [[nodiscard]] auto wanted(const Ready& ready, Duration loadTime, Moment now) const -> std::vector<WantedAdapter>;
     /// Whether a queued request uses the adapter.
+    /// The queued request of this attempt; null if it is not queued.
+    [[nodiscard]] auto findQueued(const AttemptId& attempt) const -> const AdmissionRequest*;
+    /// The adapters that queued requests are for, with the arrival of the oldest of these.
+    [[nodiscard]] auto waitingAdapters() const -> std::map<AdapterId, Moment>;
     [[nodiscard]] auto waits(const AdapterId& adapter) const -> bool;
     [[nodiscard]] auto running() const noexcept -> std::size_t { return running_.size(); }
     [[nodiscard]] auto queued() const noexcept -> std::size_t { return waiting_.size(); }
--- a/packages/decisions/UnservedDemand.h
+++ b/packages/decisions/UnservedDemand.h
@@ -37,11 +37,12 @@
     {
     }
 
-    /// Counts a request that was not served, and returns all of the key.
-    auto refused(const Key& key, Moment now) -> const UnservedRequests&
+    /// Counts a request made at that moment that was not served, and returns all of the key.
+    auto refused(const Key& key, Moment madeAt) -> const UnservedRequests&
     {
-        const auto [found, added] = requests_.try_emplace(key, UnservedRequests { now, now, 0 });
-        found->second.lastAt = now;
+        const auto [found, added] = requests_.try_emplace(key, UnservedRequests { madeAt, madeAt, 0 });
+        found->second.firstAt = std::min(found->second.firstAt, madeAt);
+        found->second.lastAt = std::max(found->second.lastAt, madeAt);
         ++found->second.count;
         if (requests_.size() > capacity_)
             requests_.erase(std::min_element(requests_.begin(), requests_.end(),
--- a/packages/serving/AgentOrders.cpp
+++ b/packages/serving/AgentOrders.cpp
@@ -1,4 +1,5 @@
 // The part of ReplicaAgent that sends orders to the replica and tracks their outcome.
+#include "base/DurationText.h"
 #include "base/Log.h"
 #include "serving/ReplicaAgent.h"
 #include "serving/detail/SlotNames.h"
@@ -74,7 +75,8 @@
         return std::nullopt;
     if (!report_->hasModel)
         return baseModelOrder();
-    const auto now = loop_.timers().now();
+    if (auto order = turnOrder())
+        return order;
     const auto spare = spareSlots();
     for (const auto& candidate : wantedAdapters_) {
         if (!decisions::mayTakeSlot(candidate, spare))
@@ -90,23 +92,105 @@
         // A slot is not emptied for a load that may not start yet.
         if (report_->loading.size() >= loadConcurrency_.limit(candidate.late))
             continue;
-        const auto answer = slots_->request(name, now, {}, [this](const ModelName& model) {
-            const auto held = AdapterName(model.str());
-            return queue_.waits(held) || pendingReplacements_.contains(held);
-        });
-        if (std::holds_alternative<decisions::LoadNow>(answer)) {
-            return loadOrder(adapter);
-        }
-        if (const auto* evict = std::get_if<decisions::EvictFirst>(&answer)) {
-            const auto victim = AdapterName(evict->victim.str());
-            return hosting::ReplicaOrder {
-                .kind = hosting::ReplicaOrder::Kind::Unload, .model = base_, .adapter = victim
-            };
-        }
+        if (auto order = orderFor(adapter, slotDecision(adapter)))
+            return order;
     }
     return std::nullopt;
 }
 
+auto ReplicaAgent::slotDecision(const AdapterName& adapter) const -> decisions::SlotDecision
+{
+    return slots_->request(modelName(adapter), loop_.timers().now(), {},
+        [this](const ModelName& model) { return mustKeep(AdapterName(model.str())); });
+}
+
+auto ReplicaAgent::orderFor(const AdapterName& adapter, const decisions::SlotDecision& decision) const
+    -> std::optional<hosting::ReplicaOrder>
+{
+    if (std::holds_alternative<decisions::LoadNow>(decision))
+        return loadOrder(adapter);
+    if (const auto* evict = std::get_if<decisions::EvictFirst>(&decision))
+        return hosting::ReplicaOrder {
+            .kind = hosting::ReplicaOrder::Kind::Unload, .model = base_, .adapter = AdapterName(evict->victim.str())
+        };
+    return std::nullopt;
+}
+
+auto ReplicaAgent::mustKeep(const AdapterName& adapter) const -> bool
+{
+    if (turns_.isClosed(adapter))
+        return false;
+    return queue_.waits(adapter) || pendingReplacements_.contains(adapter) || turns_.holds(adapter);
+}
+
+auto ReplicaAgent::turnOrder() -> std::optional<hosting::ReplicaOrder>
+{
+    const auto& adapter = turns_.holder();
+    if (!queue_.waits(adapter) || isLoaded(adapter) || pendingUnloads_.contains(adapter)
+        || pendingReplacements_.contains(adapter) || slots_->ready(modelName(adapter)))
+        return std::nullopt;
+    const auto decision = slotDecision(adapter);
+    if (std::holds_alternative<decisions::NoSlot>(decision) && turns_.closed().empty())
+        closeForTurn();
+    return orderFor(adapter, decision);
+}
+
+auto ReplicaAgent::closeForTurn() -> void
+{
+    const auto now = loop_.timers().now();
+    const auto chosen = slots_->leastWanted(
+        now, [this](const ModelName& model) { return !pendingReplacements_.contains(AdapterName(model.str())); });
+    if (!chosen)
+        return;
+    turns_.close(AdapterName(chosen->str()));
+    log::info("adapter closed", { { "adapter", chosen->str() }, { "turn_of", turns_.holder().str() } });
+    hooks_.onChange();
+}
+
+auto ReplicaAgent::updateTurns() -> void
+{
+    if (!isUsable())
+        return;
+    const auto hadTurn = turns_.holder();
+    const auto ended = turns_.update(
+        queue_.waitingAdapters(), [this](const AdapterName& adapter) { return isLoaded(adapter); },
+        loop_.timers().now());
+    if (ended)
+        noteTurnEnd(ended->adapter, ended->end);
+    if (turns_.holder().empty() || turns_.holder() == hadTurn)
+        return;
+    noteTurnBegin();
+}
+
+auto ReplicaAgent::noteTurnBegin() -> void
+{
+    const auto& holder = turns_.holder();
+    const auto* refused = turns_.unserved().find(holder);
+    log::info("turn begun",
+        { { "adapter", holder.str() }, { "refused", std::to_string(refused ? refused->count : 0) },
+            { "unserved_ms", millisecondsText(loop_.timers().now() - turns_.holderSince()) } });
+    hooks_.onChange();
+}
+
+auto ReplicaAgent::noteUnserved(const decisions::AdmissionRefusal& refusal) -> void
+{
+    // A slot or a place in the queue would not have helped it.
+    if (!refusal.rateLimited)
+        noteUnserved(refusal.adapter, refusal.arrivedAt);
+}
+
+auto ReplicaAgent::noteUnserved(const AdapterName& adapter, Moment arrivedAt) -> void
+{
+    if (!adapter.empty() && isUsable())
+        turns_.refused(adapter, arrivedAt);
+}
+
+auto ReplicaAgent::noteTurnEnd(const AdapterName& adapter, decisions::AdapterTurns::End end) -> void
+{
+    log::info("turn ended", { { "adapter", adapter.str() }, { "how", decisions::toString(end) } });
+    hooks_.onTurnEnd(decisions::toString(end));
+}
+
 /// Returns the fencing token for orders: the agent's token from the store in the upper bits, and in the lower bits the
 /// number of replica starts that this process has seen end. An order whose answer was lost may be carried out seconds
 /// later, when the replica has restarted under the same name and has by chance accepted as many orders as the
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -325,6 +325,10 @@
               .onVersionInForce =
                   [this](const char* where, Duration age) {
                       metrics_.observe("eelgrass_in_force_seconds", { { "what", where } }, age);
+                  },
+              .onTurnEnd =
+                  [this](const char* how) {
+                      metrics_.count("eelgrass_adapter_turns_total", { { "end", how } });
                   } })
     , publisher_(loop,
           { .figures = [this] { return figures(); },
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -48,11 +48,16 @@
         acquireFencingToken();
     requestReport();
     expiryTimer_ = loop_.timers().every(expiryInterval, [this] {
-        for (const auto& refusal : queue_.expire(readinessPredicate(), loop_.timers().now()))
+        for (const auto& refusal : queue_.expire(readinessPredicate(), loop_.timers().now())) {
+            noteUnserved(refusal);
             reportDecision(refusal.attempt,
                 { .adapter = refusal.adapter,
                     .retryAfter = refusal.retryAfter,
                     .reason = refusal.rateLimited ? rateLimitReason : "not in time" });
+        }
+        // Adapters become entitled to a turn with time.
+        if (!turns_.holder().empty() || queue_.queued() > 0)
+            runPendingWork();
     });
 }
 
@@ -88,6 +93,7 @@
     pendingLoads_.clear();
     recentAdapters_.clear();
     loadConcurrency_ = {};
+    turns_.clear();
     if (slots_)
         slots_->reset({}, loop_.timers().now());
     breaker_ = {};
@@ -149,10 +155,7 @@
         = silence_.lasting() ? queue_.drain(retryDelay) : queue_.divert(retryDelay, loop_.timers().now());
     for (const auto& refusal : diverted)
         reportDecision(refusal.attempt,
-            { .adapter = refusal.adapter,
-                .retryAfter = refusal.retryAfter,
-                .reason = silentReason,
-                .late = true });
+            { .adapter = refusal.adapter, .retryAfter = refusal.retryAfter, .reason = silentReason, .late = true });
 }
 
 /// Sets the state of the slots from the replica's report.
@@ -182,11 +185,12 @@
 {
     if (!isUsable())
         return false;
-    if (adapter.empty())
-        return true;
-    if (!slots_->ready(modelName(adapter)))
-        return false;
-    return residentVersion(adapter) >= knownVersion(adapter).version;
+    return adapter.empty() || (!turns_.isClosed(adapter) && isLoaded(adapter));
+}
+
+auto ReplicaAgent::isLoaded(const AdapterName& adapter) const -> bool
+{
+    return slots_->ready(modelName(adapter)) && residentVersion(adapter) >= knownVersion(adapter).version;
 }
 
 auto ReplicaAgent::readinessPredicate() const -> decisions::AdmissionQueue::Ready
@@ -197,6 +201,8 @@
 auto ReplicaAgent::updateWantedAdapters() -> void
 {
     wantedAdapters_ = queue_.wanted(readinessPredicate(), defaultLoadTime, loop_.timers().now());
+    // It is loaded still; its slot is to come free.
+    std::erase_if(wantedAdapters_, [this](const auto& wanted) { return turns_.isClosed(wanted.adapter); });
 }
 
 auto ReplicaAgent::tokensAhead() const -> Tokens { return queue_.tokensAhead(readinessPredicate()); }
@@ -267,10 +273,16 @@
     request.unreadTokens = request.promptTokens - std::min(prompts_.tokens(shared), request.promptTokens);
     const auto now = loop_.timers().now();
     const auto adapter = request.adapter;
-    const auto load = isReady(adapter) ? Duration(0) : loadTime();
+    if (!isLoaded(adapter) && turns_.arriving(adapter, now))
+        noteTurnBegin();
+    // A slot is being emptied for the holder of the turn.
+    const auto missingTime = turns_.holds(adapter) ? defaultLoadTime : loadTime();
+    const auto load = isReady(adapter) ? Duration(0) : missingTime;
     if (const auto refusal = queue_.offer(std::move(request), readinessPredicate(), load, now)) {
         const auto* otherReason = refusal->late ? "late here" : "hopeless here";
         const auto* reason = refusal->rateLimited ? rateLimitReason : otherReason;
+        if (!refusal->late)
+            noteUnserved(*refusal);
         return reportDecision(attempt,
             { .adapter = adapter,
                 .retryAfter = refusal->retryAfter,
@@ -325,6 +337,9 @@
 auto ReplicaAgent::release(const AttemptId& attempt, RunEnd end) -> void
 {
     recordRunEnd(attempt, end);
+    // Its entry or its client has stopped waiting.
+    if (const auto* queued = queue_.findQueued(attempt))
+        noteUnserved(queued->adapter, queued->arrivedAt);
     if (const auto adapter = queue_.adapterOf(attempt); adapter && slots_)
         slots_->unpin(modelName(*adapter));
     if (end == RunEnd::Unsent)
@@ -345,6 +360,7 @@
     // it.
     if (std::exchange(runningPendingWork_, true))
         return;
+    updateTurns();
     grantRequests();
     scheduleNextPermit();
     updateWantedAdapters();
@@ -367,8 +383,11 @@
     const auto maxGrants = breaker_.open() ? std::size_t(1) : queue_.limits().batch;
     for (const auto& request : queue_.grant(readinessPredicate(), now, maxGrants)) {
         breaker_.requestSent();
-        if (!request.adapter.empty())
+        if (!request.adapter.empty()) {
             slots_->pin(modelName(request.adapter), now);
+            if (turns_.granted(request.adapter))
+                noteTurnEnd(request.adapter, decisions::AdapterTurns::End::Served);
+        }
         reportDecision(request.attempt,
             { .granted = true,
                 .adapter = request.adapter,
@@ -380,7 +399,10 @@
 
 auto ReplicaAgent::resident() const -> std::map<AdapterName, AdapterVersion>
 {
-    return report_ ? report_->resident : std::map<AdapterName, AdapterVersion>();
+    auto resident = report_ ? report_->resident : std::map<AdapterName, AdapterVersion>();
+    // Entries send no more requests for an adapter whose slot is to come free.
+    resident.erase(turns_.closed());
+    return resident;
 }
 
 auto ReplicaAgent::loading() const -> std::vector<AdapterName>
@@ -388,6 +410,10 @@
     auto adapters = std::vector<AdapterName>();
     for (const auto& wanted : wantedAdapters_)
         adapters.push_back(wanted.adapter);
+    // The next request for it is to come here.
+    const auto& holder = turns_.holder();
+    if (!holder.empty() && !isReady(holder) && std::find(adapters.begin(), adapters.end(), holder) == adapters.end())
+        adapters.push_back(holder);
     std::sort(adapters.begin(), adapters.end());
     return adapters;
 }
@@ -399,7 +425,7 @@
     const auto taken = report_->resident.size() + report_->loading.size();
     auto spare = slotCount_ > taken ? slotCount_ - taken : 0;
     for (const auto& [adapter, version] : report_->resident) {
-        if (!slots_->pinned(modelName(adapter)) && !queue_.waits(adapter))
+        if (!slots_->pinned(modelName(adapter)) && !mustKeep(adapter))
             ++spare;
     }
     return spare;
--- a/packages/serving/ReplicaAgent.h
+++ b/packages/serving/ReplicaAgent.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decisions/AdapterSlots.h"
+#include "decisions/AdapterTurns.h"
 #include "decisions/AdmissionQueue.h"
 #include "decisions/CircuitBreaker.h"
 #include "decisions/KnownPrefixes.h"
@@ -62,6 +63,8 @@
         std::function<void()> onChange;
         /// Called when a named version is in force at the place, with how long ago it was named at the most.
         std::function<void(const char* place, Duration age)> onVersionInForce;
+        /// Called when the turn of an adapter ends.
+        std::function<void(const char* how)> onTurnEnd;
     };
 
     ReplicaAgent(wire::MainLoop& loop, const AgentSettings& settings, hosting::Store& store, Hooks hooks);
@@ -187,6 +190,23 @@
     /// Grants the next request when it gets its permit.
     auto scheduleNextPermit() -> void;
     auto nextOrder() -> std::optional<hosting::ReplicaOrder>;
+    /// The next step of the turn of an adapter that requests waited for in vain, if one has the turn.
+    auto turnOrder() -> std::optional<hosting::ReplicaOrder>;
+    /// What to do next so that a request for the adapter can run.
+    [[nodiscard]] auto slotDecision(const AdapterName& adapter) const -> decisions::SlotDecision;
+    /// The order that carries out the decision, if it takes one.
+    [[nodiscard]] auto orderFor(const AdapterName& adapter, const decisions::SlotDecision& decision) const
+        -> std::optional<hosting::ReplicaOrder>;
+    /// Whether a loaded adapter may not be unloaded for another one, although no request runs on it.
+    [[nodiscard]] auto mustKeep(const AdapterName& adapter) const -> bool;
+    /// Closes the loaded adapter with the lowest demand, so that its slot comes free for the holder of the turn.
+    auto closeForTurn() -> void;
+    auto updateTurns() -> void;
+    /// Records that a request was refused for want of a slot or of time, or waited in vain.
+    auto noteUnserved(const decisions::AdmissionRefusal& refusal) -> void;
+    auto noteUnserved(const AdapterName& adapter, Moment arrivedAt) -> void;
+    auto noteTurnBegin() -> void;
+    auto noteTurnEnd(const AdapterName& adapter, decisions::AdapterTurns::End end) -> void;
     [[nodiscard]] auto loadOrder(const AdapterName& adapter) const -> hosting::ReplicaOrder;
     auto baseModelOrder() -> std::optional<hosting::ReplicaOrder>;
     auto sendOrder(hosting::ReplicaOrder order) -> void;
@@ -202,6 +222,8 @@
     [[nodiscard]] auto reportInterval() const -> Duration;
     [[nodiscard]] auto readinessPredicate() const -> decisions::AdmissionQueue::Ready;
     [[nodiscard]] auto isReady(const AdapterName& adapter) const -> bool;
+    /// Whether the adapter is loaded, in the version that requests need.
+    [[nodiscard]] auto isLoaded(const AdapterName& adapter) const -> bool;
     [[nodiscard]] auto residentVersion(const AdapterName& adapter) const -> AdapterVersion;
     auto noteRequiredVersion(const AdapterName& adapter, const RequiredVersion& required) -> void;
     /// Records which named versions the replica holds now.
@@ -238,6 +260,7 @@
     std::map<AdapterName, Load> pendingLoads_;
     decisions::RecentAdapters recentAdapters_;
     decisions::LoadConcurrency loadConcurrency_;
+    decisions::AdapterTurns turns_;
     decisions::CircuitBreaker breaker_;
     Timer pauseTimer_;
     Timer permitTimer_;
