The soak asks for popular and rare adapters and prefixes on slow replicas, judged by the rule

--demand beside any kind of run: popular adapters that hold all slots of all replicas or all but one, rare ones with prefixes of their own, replicas three times as slow at times; the judge has the three parts of the users' rule with chance reckoned. The judge of lost answers counts how long a run goes on after its last event.

--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -7,6 +7,7 @@
 #include "tests/harness/MemberKeys.h"
 #include "tests/harness/Process.h"
 #include "tests/harness/RetryBudgetRule.h"
+#include "tests/harness/StarvationRule.h"
 #include "tests/harness/StoreProcess.h"
 #include "tests/harness/StreamCaller.h"
 #include "wire/HttpCaller.h"
@@ -25,6 +26,9 @@
 /// Most clients wait this long; an undisturbed gateway has answered by then and a little more.
 inline constexpr auto clientDeadline = std::chrono::milliseconds(2500);
 
+/// A slow replica takes so many times as long.
+inline constexpr auto slowFactor = 3;
+
 /// Versions of the replicas' software; only the first one serves in runs without releases.
 inline constexpr auto softwareVersions = std::array { "v1", "v1.1", "v1.2" };
 
@@ -52,6 +56,9 @@
     /// A request that crashes the replicas that run it comes again and again, beside the faults of any kind of run but
     /// those with keys.
     bool crashes = false;
+    /// Popular adapters that hold all slots or all but one, beside rare adapters and shared prefixes, on replicas that
+    /// are slow at times; beside the faults of any kind of run.
+    bool demand = false;
     /// The processor cores that the processes of the system share; 0 for all.
     std::size_t cores = 0;
 };
@@ -196,6 +203,19 @@
     /// Of an adapter drawn here, if none is named, and with a key drawn here, if keys are needed and none is named.
     auto ask(wire::HttpCaller& caller, std::size_t gateway, const std::string& path, const std::string& adapter = {},
         const std::string& key = {}) -> kj::Promise<Call>;
+    /// What one client asks for, again and again.
+    struct Demand {
+        std::string adapter;
+        std::string prefix;
+        Duration interval {};
+    };
+    auto askForDemand(wire::HttpCaller& caller, std::size_t gateway, const Demand& demand, const std::string& path)
+        -> kj::Promise<Call>;
+    /// Sends the request of a call, and completes the call with the answer.
+    auto send(wire::HttpCaller& caller, const Call& sent, wire::HttpCall request) -> kj::Promise<Call>;
+    auto prepareDemand() -> void;
+    auto sendDemand(const Demand& demand) -> kj::Promise<void>;
+    auto slowReplicas() -> kj::Promise<void>;
 
     // Faults.
     auto disturb() -> kj::Promise<void>;
@@ -247,6 +267,8 @@
     auto faultBesideVersions() -> void;
     auto faultOnStoreLeg(Node& node) -> void;
     auto behaveFor(Engine& engine, const standins::ReplicaStandin::Behaviour& behaviour, Duration time) -> void;
+    /// The index of the path of a client's next request.
+    [[nodiscard]] auto drawPath() -> int;
     /// The adapter of the next request of a client.
     [[nodiscard]] auto drawAdapter() -> std::string;
     [[nodiscard]] auto replicas() const -> std::vector<standins::ReplicaStandin*>;
@@ -301,6 +323,7 @@
         Moment first {};
         Moment whole {};
     };
+    [[nodiscard]] auto longestRunTime(bool stream) const -> Duration;
     [[nodiscard]] auto runsOfAll() const -> std::map<std::string, std::vector<LostRun>>;
     /// When what a replica writes at this moment leaves it.
     [[nodiscard]] auto leaves(std::size_t replica, Moment at) const -> Moment;
@@ -316,6 +339,10 @@
     [[nodiscard]] auto storyOf(const Call& call, const std::vector<LostRun>& runs) const -> std::string;
     /// What a process has logged about a request.
     [[nodiscard]] static auto linesOf(const std::string& log, const std::string& attempt) -> std::string;
+    /// Why gateways did not serve requests for the adapter, as they have logged it.
+    [[nodiscard]] auto refusalsOf(const std::string& adapter) const -> std::string;
+    /// No more adapters, shared prefixes and kinds of request go without service than the users' rule allows.
+    auto judgeDemand(std::vector<std::string>& broken) -> void;
     /// A request under which three replicas have crashed reaches few more.
     auto judgeCrashes(std::vector<std::string>& broken) -> void;
     /// Every gateway serves a living key of each member, every adapter and every kind of request again.
@@ -345,6 +372,7 @@
     std::mt19937_64 streamRandom_;
     std::mt19937_64 keyRandom_;
     std::mt19937_64 crashRandom_;
+    std::mt19937_64 demandRandom_;
     Size size_;
     std::string folder_;
     /// Plays the store in this process, unless it has a process of its own.
@@ -376,6 +404,10 @@
     /// When a replica crashed under the request that crashes them, and which gateway got each of its attempts.
     std::vector<Moment> crashes_;
     std::map<std::string, std::size_t> crashSenders_;
+    std::vector<Demand> demand_;
+    std::vector<kj::Promise<void>> demandCalls_;
+    std::map<std::string, tests::StarvationRule> demandRules_ { { "adapters", {} }, { "subjects", {} },
+        { "kinds", {} } };
     /// What an engine does while nothing is wrong with it.
     standins::ReplicaStandin::Behaviour usual_;
     std::map<std::string, int> faults_;
