--- a/packages/serving/AgentOrders.cpp
+++ b/packages/serving/AgentOrders.cpp
@@ -1,5 +1,4 @@
 // The part of ReplicaAgent that sends orders to the replica and tracks their outcome.
-#include "base/DurationText.h"
 #include "base/Log.h"
 #include "serving/ReplicaAgent.h"
 #include "serving/detail/SlotNames.h"
@@ -109,11 +108,12 @@
 {
     if (std::holds_alternative<decisions::LoadNow>(decision))
         return loadOrder(adapter);
-    if (const auto* evict = std::get_if<decisions::EvictFirst>(&decision))
-        return hosting::ReplicaOrder {
-            .kind = hosting::ReplicaOrder::Kind::Unload, .model = base_, .adapter = AdapterName(evict->victim.str())
-        };
-    return std::nullopt;
+    const auto* evict = std::get_if<decisions::EvictFirst>(&decision);
+    if (!evict)
+        return std::nullopt;
+    return hosting::ReplicaOrder {
+        .kind = hosting::ReplicaOrder::Kind::Unload, .model = base_, .adapter = AdapterName(evict->victim.str())
+    };
 }
 
 auto ReplicaAgent::mustKeep(const AdapterName& adapter) const -> bool
@@ -123,74 +123,6 @@
     return queue_.waits(adapter) || pendingReplacements_.contains(adapter) || turns_.holds(adapter);
 }
 
-auto ReplicaAgent::turnOrder() -> std::optional<hosting::ReplicaOrder>
-{
-    const auto& adapter = turns_.holder();
-    if (!queue_.waits(adapter) || isLoaded(adapter) || pendingUnloads_.contains(adapter)
-        || pendingReplacements_.contains(adapter) || slots_->ready(modelName(adapter)))
-        return std::nullopt;
-    const auto decision = slotDecision(adapter);
-    if (std::holds_alternative<decisions::NoSlot>(decision) && turns_.closed().empty())
-        closeForTurn();
-    return orderFor(adapter, decision);
-}
-
-auto ReplicaAgent::closeForTurn() -> void
-{
-    const auto now = loop_.timers().now();
-    const auto chosen = slots_->leastWanted(
-        now, [this](const ModelName& model) { return !pendingReplacements_.contains(AdapterName(model.str())); });
-    if (!chosen)
-        return;
-    turns_.close(AdapterName(chosen->str()));
-    log::info("adapter closed", { { "adapter", chosen->str() }, { "turn_of", turns_.holder().str() } });
-    hooks_.onChange();
-}
-
-auto ReplicaAgent::updateTurns() -> void
-{
-    if (!isUsable())
-        return;
-    const auto hadTurn = turns_.holder();
-    const auto ended = turns_.update(
-        queue_.waitingAdapters(), [this](const AdapterName& adapter) { return isLoaded(adapter); },
-        loop_.timers().now());
-    if (ended)
-        noteTurnEnd(ended->adapter, ended->end);
-    if (turns_.holder().empty() || turns_.holder() == hadTurn)
-        return;
-    noteTurnBegin();
-}
-
-auto ReplicaAgent::noteTurnBegin() -> void
-{
-    const auto& holder = turns_.holder();
-    const auto* refused = turns_.unserved().find(holder);
-    log::info("turn begun",
-        { { "adapter", holder.str() }, { "refused", std::to_string(refused ? refused->count : 0) },
-            { "unserved_ms", millisecondsText(loop_.timers().now() - turns_.holderSince()) } });
-    hooks_.onChange();
-}
-
-auto ReplicaAgent::noteUnserved(const decisions::AdmissionRefusal& refusal) -> void
-{
-    // A slot or a place in the queue would not have helped it.
-    if (!refusal.rateLimited)
-        noteUnserved(refusal.adapter, refusal.arrivedAt);
-}
-
-auto ReplicaAgent::noteUnserved(const AdapterName& adapter, Moment arrivedAt) -> void
-{
-    if (!adapter.empty() && isUsable())
-        turns_.refused(adapter, arrivedAt);
-}
-
-auto ReplicaAgent::noteTurnEnd(const AdapterName& adapter, decisions::AdapterTurns::End end) -> void
-{
-    log::info("turn ended", { { "adapter", adapter.str() }, { "how", decisions::toString(end) } });
-    hooks_.onTurnEnd(decisions::toString(end));
-}
-
 /// Returns the fencing token for orders: the agent's token from the store in the upper bits, and in the lower bits the
 /// number of replica starts that this process has seen end. An order whose answer was lost may be carried out seconds
 /// later, when the replica has restarted under the same name and has by chance accepted as many orders as the
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -201,7 +201,7 @@
 auto ReplicaAgent::updateWantedAdapters() -> void
 {
     wantedAdapters_ = queue_.wanted(readinessPredicate(), defaultLoadTime, loop_.timers().now());
-    // It is loaded still; its slot is to come free.
+    // A closed adapter is still loaded; its slot is to come free.
     std::erase_if(wantedAdapters_, [this](const auto& wanted) { return turns_.isClosed(wanted.adapter); });
 }
 
@@ -337,7 +337,7 @@
 auto ReplicaAgent::release(const AttemptId& attempt, RunEnd end) -> void
 {
     recordRunEnd(attempt, end);
-    // Its entry or its client has stopped waiting.
+    // A queued request is released when its entry or its client has stopped waiting.
     if (const auto* queued = queue_.findQueued(attempt))
         noteUnserved(queued->adapter, queued->arrivedAt);
     if (const auto adapter = queue_.adapterOf(attempt); adapter && slots_)
@@ -410,7 +410,7 @@
     auto adapters = std::vector<AdapterName>();
     for (const auto& wanted : wantedAdapters_)
         adapters.push_back(wanted.adapter);
-    // The next request for it is to come here.
+    // Entries send the next request for the holder of the turn here.
     const auto& holder = turns_.holder();
     if (!holder.empty() && !isReady(holder) && std::find(adapters.begin(), adapters.end(), holder) == adapters.end())
         adapters.push_back(holder);
--- a/packages/serving/ServedDemand.cpp
+++ b/packages/serving/ServedDemand.cpp
@@ -49,11 +49,11 @@
         return;
     hideUnserved(subject);
     metrics_.observe("eelgrass_unserved_seconds", { { "what", std::string(subject.what) } }, requests->age(now));
-    if (isStarved(*requests))
-        log::info("served again",
-            { { "what", std::string(subject.what) }, { "name", subject.name },
-                { "requests", std::to_string(requests->count) },
-                { "unserved_ms", millisecondsText(requests->age(now)) } });
+    if (!isStarved(*requests))
+        return;
+    log::info("served again",
+        { { "what", std::string(subject.what) }, { "name", subject.name },
+            { "requests", std::to_string(requests->count) }, { "unserved_ms", millisecondsText(requests->age(now)) } });
 }
 
 auto ServedDemand::noteUnserved(const Subject& subject, Moment now) -> void
--- a/packages/serving/ServedDemand.h
+++ b/packages/serving/ServedDemand.h
@@ -6,6 +6,7 @@
 
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace eelgrass::serving {
 
@@ -26,7 +27,10 @@
         std::string_view what;
         std::string name;
 
-        [[nodiscard]] auto operator<=>(const Subject&) const = default;
+        [[nodiscard]] auto operator<(const Subject& other) const -> bool
+        {
+            return std::tie(what, name) < std::tie(other.what, other.name);
+        }
     };
 
     explicit ServedDemand(router::Metrics& metrics);
--- a/tests/soak/SoakDemand.cpp
+++ b/tests/soak/SoakDemand.cpp
@@ -24,14 +24,16 @@
     const auto between = [this](unsigned least, unsigned most) {
         return std::chrono::milliseconds(least + demandRandom_() % (most - least));
     };
-    for (auto index = std::size_t(0); index < popular; ++index)
-        demand_.push_back({ .adapter = "popular" + std::to_string(index),
-            .prefix = "ee:60,f" + std::to_string(index % 2) + ":40",
-            .interval = between(250, 400) });
-    for (auto index = std::size_t(0); index < slots / 2; ++index)
-        demand_.push_back({ .adapter = "rare" + std::to_string(index),
-            .prefix = "ee:60,a" + std::to_string(index) + ":40",
-            .interval = between(1500, 2500) });
+    for (auto index = std::size_t(0); index < popular; ++index) {
+        const auto name = std::to_string(index);
+        const auto prefix = "ee:60,f" + std::to_string(index % 2) + ":40";
+        demand_.push_back({ .adapter = "popular" + name, .prefix = prefix, .interval = between(250, 400) });
+    }
+    for (auto index = std::size_t(0); index < slots / 2; ++index) {
+        const auto name = std::to_string(index);
+        const auto prefix = "ee:60,a" + name + ":40";
+        demand_.push_back({ .adapter = "rare" + name, .prefix = prefix, .interval = between(1500, 2500) });
+    }
     usual_.runsFor = between(400, 800);
     for (auto& engine : engines_)
         engine.replica->behave(usual_);
