--- a/packages/decisions/AdapterSlots.cpp
+++ b/packages/decisions/AdapterSlots.cpp
@@ -49,23 +49,25 @@
     // other half of the slots to the other members.
     const auto onlyOwn
         = policy_.rule == EvictionRule::LeastDemand && !member.empty() && 2 * slotsHeldBy(member) >= count_;
-    auto best = slots_.end();
-    for (auto slot = slots_.begin(); slot != slots_.end(); ++slot) {
-        if (!mayEvict(slot->second, now, member, onlyOwn) || (mustKeep && mustKeep(slot->first)))
-            continue;
-        if (best == slots_.end() || value(slot->first, slot->second, now) < value(best->first, best->second, now))
-            best = slot;
-    }
-    return best == slots_.end() ? std::nullopt : std::optional(best->first);
+    return lowestValue(now, [&](const ModelName& model, const Slot& slot) {
+        return mayEvict(slot, now, member, onlyOwn) && !(mustKeep && mustKeep(model));
+    });
 }
 
-auto AdapterSlots::leastWanted(Moment now, const MayClose& mayClose) const -> std::optional<ModelName>
+auto AdapterSlots::leastWanted(Moment now, const MustKeep& mustKeep) const -> std::optional<ModelName>
+{
+    return lowestValue(
+        now, [&](const ModelName& model, const Slot& slot) { return slot.state == State::Ready && !mustKeep(model); });
+}
+
+template <typename Allowed>
+auto AdapterSlots::lowestValue(Moment now, const Allowed& allowed) const -> std::optional<ModelName>
 {
     auto best = slots_.end();
     for (auto slot = slots_.begin(); slot != slots_.end(); ++slot) {
-        if (slot->second.state != State::Ready || !mayClose(slot->first))
+        if (!allowed(slot->first, slot->second))
             continue;
-        if (best == slots_.end() || demand_.of(slot->first, now) < demand_.of(best->first, now))
+        if (best == slots_.end() || value(slot->first, slot->second, now) < value(best->first, best->second, now))
             best = slot;
     }
     return best == slots_.end() ? std::nullopt : std::optional(best->first);
--- a/packages/decisions/AdapterSlots.h
+++ b/packages/decisions/AdapterSlots.h
@@ -68,8 +68,6 @@
     /// batch with it.
     using MustKeep = std::function<bool(const ModelName&)>;
 
-    using MayClose = std::function<bool(const ModelName&)>;
-
     explicit AdapterSlots(std::size_t count, EvictionRule rule = EvictionRule::LeastDemand)
         : AdapterSlots(count, SlotPolicy { .rule = rule })
     {
@@ -79,8 +77,8 @@
     /// Returns what to do next so that a request for `model` can run, without changing any state.
     [[nodiscard]] auto request(const ModelName& model, Moment now, const MemberId& member = {},
         const MustKeep& mustKeep = {}) const -> SlotDecision;
-    /// The loaded adapter with the lowest demand, in use or not, among those that `mayClose` allows.
-    [[nodiscard]] auto leastWanted(Moment now, const MayClose& mayClose) const -> std::optional<ModelName>;
+    /// The loaded adapter that would be evicted first if those in use could be; empty if all must be kept.
+    [[nodiscard]] auto leastWanted(Moment now, const MustKeep& mustKeep) const -> std::optional<ModelName>;
     /// Adds one request to the demand for `model`; to be called once for each accepted request.
     auto asked(const ModelName& model, Moment now) -> void { demand_.add(model, now); }
     /// Demand for the adapter that the next load would evict; 0 if a slot is free, infinite if none may be evicted.
@@ -116,6 +114,8 @@
     };
     [[nodiscard]] auto victim(Moment now, const MemberId& member, const MustKeep& mustKeep) const
         -> std::optional<ModelName>;
+    template <typename Allowed>
+    [[nodiscard]] auto lowestValue(Moment now, const Allowed& allowed) const -> std::optional<ModelName>;
     [[nodiscard]] auto mayEvict(const Slot&, Moment now, const MemberId& member, bool onlyOwn) const -> bool;
     [[nodiscard]] auto value(const ModelName&, const Slot&, Moment now) const -> double;
     [[nodiscard]] auto slotsHeldBy(const MemberId&) const -> std::size_t;
--- a/packages/decisions/UnservedDemand.h
+++ b/packages/decisions/UnservedDemand.h
@@ -37,17 +37,26 @@
     {
     }
 
-    /// Counts a request made at that moment that was not served, and returns all of the key.
-    auto refused(const Key& key, Moment madeAt) -> const UnservedRequests&
+    /// Counts a request made at that moment that was not served, and returns all of the key. A key that is forgotten
+    /// for it is passed to `onForgotten`.
+    template <typename OnForgotten>
+    auto refused(const Key& key, Moment madeAt, const OnForgotten& onForgotten) -> const UnservedRequests&
     {
+        if (!requests_.contains(key) && requests_.size() >= capacity_) {
+            const auto oldest = std::min_element(requests_.begin(), requests_.end(),
+                [](const auto& left, const auto& right) { return left.second.lastAt < right.second.lastAt; });
+            onForgotten(oldest->first);
+            requests_.erase(oldest);
+        }
         const auto [found, added] = requests_.try_emplace(key, UnservedRequests { madeAt, madeAt, 0 });
         found->second.firstAt = std::min(found->second.firstAt, madeAt);
         found->second.lastAt = std::max(found->second.lastAt, madeAt);
         ++found->second.count;
-        if (requests_.size() > capacity_)
-            requests_.erase(std::min_element(requests_.begin(), requests_.end(),
-                [](const auto& left, const auto& right) { return left.second.lastAt < right.second.lastAt; }));
-        return requests_.at(key);
+        return found->second;
+    }
+    auto refused(const Key& key, Moment madeAt) -> const UnservedRequests&
+    {
+        return refused(key, madeAt, [](const Key&) {});
     }
     /// Forgets the key, and returns what was remembered of it.
     auto served(const Key& key) -> std::optional<UnservedRequests>
--- a/packages/serving/AgentTurns.cpp
+++ b/packages/serving/AgentTurns.cpp
@@ -28,7 +28,7 @@
 {
     const auto now = loop_.timers().now();
     const auto chosen = slots_->leastWanted(
-        now, [this](const ModelName& model) { return !pendingReplacements_.contains(AdapterName(model.str())); });
+        now, [this](const ModelName& model) { return pendingReplacements_.contains(AdapterName(model.str())); });
     if (!chosen)
         return;
     turns_.close(AdapterName(chosen->str()));
--- a/packages/serving/ServedDemand.h
+++ b/packages/serving/ServedDemand.h
@@ -23,11 +23,11 @@
     static constexpr auto route = std::string_view("route");
 
     /// What a request asked for: one adapter, the last shared prefix of its prompt, or a route.
-    struct Subject {
+    struct Item {
         std::string_view what;
         std::string name;
 
-        [[nodiscard]] auto operator<(const Subject& other) const -> bool
+        [[nodiscard]] auto operator<(const Item& other) const -> bool
         {
             return std::tie(what, name) < std::tie(other.what, other.name);
         }
@@ -35,19 +35,19 @@
 
     explicit ServedDemand(router::Metrics& metrics);
 
-    /// Records that a request for the subject ended, served or not.
-    auto note(const Subject& subject, bool served, Moment now) -> void;
-    /// To be called at an interval: forgets the subjects that are no longer requested.
+    /// Records that a request for the item ended, served or not.
+    auto note(const Item& item, bool served, Moment now) -> void;
+    /// To be called at an interval: forgets the items that are no longer requested.
     auto expire(Moment now) -> void;
 
 private:
-    auto noteServed(const Subject& subject, Moment now) -> void;
-    auto noteUnserved(const Subject& subject, Moment now) -> void;
-    auto showUnserved(const Subject& subject, const decisions::UnservedRequests& requests) -> void;
-    auto hideUnserved(const Subject& subject) -> void;
+    auto noteServed(const Item& item, Moment now) -> void;
+    auto noteUnserved(const Item& item, Moment now) -> void;
+    auto showUnserved(const Item& item, const decisions::UnservedRequests& requests) -> void;
+    auto hideUnserved(const Item& item) -> void;
 
     router::Metrics& metrics_;
-    decisions::UnservedDemand<Subject> unserved_;
+    decisions::UnservedDemand<Item> unserved_;
 };
 
 } // namespace eelgrass::serving
--- a/tests/harness/StarvationRule.h
+++ b/tests/harness/StarvationRule.h
@@ -18,7 +18,7 @@
         double base = 0;
         double share = 0;
     };
-    static constexpr auto subjects = Allowance { 2, 0.04 };
+    static constexpr auto prefixes = Allowance { 2, 0.04 };
     static constexpr auto adapters = Allowance { 1, 0.1 };
 
     /// Records a request for the name, made at that moment, and whether it was served.
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -406,7 +406,7 @@
     std::map<std::string, std::size_t> crashSenders_;
     std::vector<Demand> demand_;
     std::vector<kj::Promise<void>> demandCalls_;
-    std::map<std::string, tests::StarvationRule> demandRules_ { { "adapters", {} }, { "subjects", {} },
+    std::map<std::string, tests::StarvationRule> demandRules_ { { "adapters", {} }, { "prefixes", {} },
         { "kinds", {} } };
     /// What an engine does while nothing is wrong with it.
     standins::ReplicaStandin::Behaviour usual_;
--- a/tests/soak/SoakDemand.cpp
+++ b/tests/soak/SoakDemand.cpp
@@ -50,7 +50,7 @@
                                .then([this, &demand](Call&& call) {
                                    const auto served = call.status == 200;
                                    demandRules_.at("adapters").note(demand.adapter, call.began, served);
-                                   demandRules_.at("subjects").note(demand.prefix, call.began, served);
+                                   demandRules_.at("prefixes").note(demand.prefix, call.began, served);
                                    demandRules_.at("kinds").note(call.path, call.began, served);
                                    calls_.push_back(std::move(call));
                                })
@@ -102,15 +102,16 @@
     const auto judge = [&](const std::string& what, const Rule::Allowance& allowance) {
         const auto& rule = demandRules_.at(what);
         faults_["never served, " + what] += static_cast<int>(rule.neverServed().size());
-        if (const auto found = rule.violation(allowance); !found.empty())
-            broken.push_back("starved " + what + ": " + found);
+        const auto found = rule.violation(allowance);
+        return found.empty() ? std::string() : "starved " + what + ": " + found;
     };
-    judge("adapters", Rule::adapters);
-    if (!broken.empty() && broken.back().starts_with("starved adapters")) {
+    if (auto found = judge("adapters", Rule::adapters); !found.empty()) {
         for (const auto& demand : demand_)
-            broken.back() += "\n " + demand.adapter + refusalsOf(demand.adapter);
+            found += "\n " + demand.adapter + refusalsOf(demand.adapter);
+        broken.push_back(std::move(found));
     }
-    judge("subjects", Rule::subjects);
+    if (auto found = judge("prefixes", Rule::prefixes); !found.empty())
+        broken.push_back(std::move(found));
     for (const auto& kind : demandRules_.at("kinds").rarelyServed())
         broken.push_back("starved kind of request: " + kind);
 }
