A waiting request of the base model closes no adapter

Callers saw, since the turns: an adapter that is loaded answered nobody any more (503), until some other adapter's turn ended. Cause: with no turn the holder is empty, and a queued request without an adapter was taken for one that waits for the holder; with all slots in use the agent closed an adapter that no turn would open again, or unloaded one for nothing.

--- a/packages/serving/AgentTurns.cpp
+++ b/packages/serving/AgentTurns.cpp
@@ -15,7 +15,8 @@
 auto ReplicaAgent::turnOrder() -> std::optional<hosting::ReplicaOrder>
 {
     const auto& adapter = turns_.holder();
-    if (!queue_.waits(adapter) || isLoaded(adapter) || pendingUnloads_.contains(adapter)
+    // A request of the base model waits for no adapter.
+    if (adapter.empty() || !queue_.waits(adapter) || isLoaded(adapter) || pendingUnloads_.contains(adapter)
         || pendingReplacements_.contains(adapter) || slots_->ready(modelName(adapter)))
         return std::nullopt;
     const auto decision = slotDecision(adapter);
--- a/tests/integration/StarvedAdapters.cpp
+++ b/tests/integration/StarvedAdapters.cpp
@@ -86,3 +86,22 @@
         joined(adapterSources("popular", 2, popularPause), adapterSources("rare", 6, busyRareInterval)),
         trafficLength));
 }
+
+// Guards against an adapter that gets no more requests because one without an adapter waits for a place in the batch.
+BOOST_AUTO_TEST_CASE(a_request_of_the_base_model_that_waits_changes_no_slot)
+{
+    constexpr auto batch = 8;
+    auto busy = BusyWorld(1);
+    auto& world = busy.world;
+    auto answers = std::vector<kj::Promise<wire::HttpAnswer>>();
+    for (auto index = 0; index < batch; ++index)
+        answers.push_back(
+            world.begin({ .attempt = "running-" + std::to_string(index), .adapter = index % 2 == 0 ? "a1" : "a2" }));
+    BOOST_REQUIRE(world.until([&] { return world.engine(0).runs().size() == batch; }));
+    const auto orders = world.engine(0).orders().size();
+    BOOST_TEST(world.ask({ .attempt = "base", .adapter = "" }).status == 200);
+    BOOST_TEST(world.engine(0).orders().size() == orders);
+    BOOST_TEST(world.ask({ .attempt = "again-1", .adapter = "a1" }).status == 200);
+    BOOST_TEST(world.ask({ .attempt = "again-2", .adapter = "a2" }).status == 200);
+    BOOST_TEST(world.engine(0).orders().size() == orders);
+}
