--- a/packages/decisions/CrashLedger.cpp
+++ b/packages/decisions/CrashLedger.cpp
@@ -35,6 +35,13 @@
     const auto key = RunKey(report.start, report.breaksBefore);
     const auto [found, added] = facts.try_emplace(key, Fact { report.evidence, report.at });
     auto& fact = found->second;
+    // Processes of an older version do not tell it.
+    const auto shared = fact.shared.empty() && !report.shared.empty();
+    if (shared) {
+        fact.shared = report.shared;
+        for (const auto& held : fact.shared)
+            shared_[held].emplace(report.request, key);
+    }
     // The moment of a whole run says how long the report is kept; that of a crash is the earliest known.
     const auto stronger = report.evidence > fact.evidence;
     if (stronger && report.evidence == CrashEvidence::Cleared)
@@ -46,12 +53,82 @@
     if (report.evidence != CrashEvidence::Cleared)
         start.endedAt = start.endedAt == Moment() ? report.at : std::min(start.endedAt, report.at);
     start.requests.insert(report.request);
-    if (!added && !stronger)
+    if (!added && !stronger && !shared)
         return false;
     ++version_;
     return true;
 }
 
+auto CrashLedger::apply(const WholeRun& run, Moment now) -> bool
+{
+    if (now - run.begunAt >= soundMemory)
+        return false;
+    const auto known = wholeRuns_.find(run.held);
+    const auto before = known == wholeRuns_.end() ? std::nullopt : std::optional(known->second.begunAt);
+    const auto news = isNews(run, before, now) || (known != wholeRuns_.end() && !known->second.told);
+    noteWholeRun(run.held, run.begunAt, true);
+    if (news)
+        ++version_;
+    return news;
+}
+
+auto CrashLedger::ranWhole(const std::vector<SharedHash>& shared, Moment begunAt, Moment now) -> std::vector<WholeRun>
+{
+    auto news = std::vector<WholeRun>();
+    for (const auto& held : shared) {
+        const auto known = wholeRuns_.find(held);
+        const auto before = known == wholeRuns_.end() ? std::nullopt : std::optional(known->second.begunAt);
+        if (shared_.contains(held) && isNews({ held, begunAt }, before, now))
+            news.push_back({ held, begunAt });
+        noteWholeRun(held, begunAt, false);
+    }
+    if (!news.empty())
+        ++version_;
+    return news;
+}
+
+auto CrashLedger::noteWholeRun(SharedHash held, Moment begunAt, bool told) -> void
+{
+    auto& known = wholeRuns_[held];
+    known.begunAt = std::max(known.begunAt, begunAt);
+    known.told = known.told || told;
+    if (wholeRuns_.size() <= wholeRunCapacity)
+        return;
+    const auto oldest = std::min_element(wholeRuns_.begin(), wholeRuns_.end(),
+        [](const auto& left, const auto& right) { return left.second.begunAt < right.second.begunAt; });
+    wholeRuns_.erase(oldest);
+}
+
+auto CrashLedger::isNews(const WholeRun& run, std::optional<Moment> known, Moment now) const -> bool
+{
+    if (now - run.begunAt >= soundMemory)
+        return false;
+    if (!known || run.begunAt - *known >= wholeRunNews)
+        return true;
+    return run.begunAt > *known && crashedBetween(run.held, *known, run.begunAt);
+}
+
+auto CrashLedger::crashedBetween(SharedHash held, Moment from, Moment to) const -> bool
+{
+    const auto found = shared_.find(held);
+    if (found == shared_.end())
+        return false;
+    return std::any_of(found->second.begin(), found->second.end(), [&](const auto& run) {
+        const auto& fact = requests_.at(run.first).at(run.second);
+        return fact.evidence != CrashEvidence::Cleared && fact.at > from && fact.at <= to;
+    });
+}
+
+auto CrashLedger::wholeRuns(Moment now) const -> std::vector<WholeRun>
+{
+    auto runs = std::vector<WholeRun>();
+    for (const auto& [held, known] : wholeRuns_) {
+        if ((known.told || shared_.contains(held)) && now - known.begunAt < soundMemory)
+            runs.push_back({ held, known.begunAt });
+    }
+    return runs;
+}
+
 auto CrashLedger::confirm(StartHash start, Moment now) -> std::vector<CrashReport>
 {
     auto confirmed = std::vector<CrashReport>();
@@ -67,7 +144,8 @@
         if (fact == found->second.begin() || (--fact)->first.first != start)
             continue;
         if (fact->second.evidence == CrashEvidence::Broke && !expired(fact->second, now))
-            confirmed.push_back({ request, start, fact->first.second, CrashEvidence::Crashed, fact->second.at });
+            confirmed.push_back({ request, start, fact->first.second, CrashEvidence::Crashed, fact->second.at,
+                fact->second.shared });
     }
     for (const auto& report : confirmed)
         (void)apply(report, now);
@@ -82,7 +160,7 @@
         return cleared;
     for (const auto& [key, fact] : found->second) {
         if (fact.evidence != CrashEvidence::Cleared)
-            cleared.push_back({ request, key.first, key.second, CrashEvidence::Cleared, now });
+            cleared.push_back({ request, key.first, key.second, CrashEvidence::Cleared, now, fact.shared });
     }
     for (const auto& report : cleared)
         (void)apply(report, now);
@@ -159,11 +237,65 @@
     // Beyond this number of doublings the refusal lasts for as long as the reports.
     constexpr auto maxDoublings = std::size_t(4);
     const auto doublings = std::min(verdict.crashes - limit, maxDoublings);
-    verdict.until = verdict.last + refusalTime * (1U << doublings);
-    verdict.refused = (verdict.unexplained >= limit || verdict.crashes >= certainLimit) && now < verdict.until;
+    verdict.probeFrom = verdict.last + refusalTime * (1U << doublings);
+    verdict.refused = (verdict.unexplained >= limit || verdict.crashes >= certainLimit) && now < verdict.probeFrom;
     return verdict;
 }
 
+auto CrashLedger::verdict(const RunContent& content, Moment now) const -> Verdict
+{
+    return verdict(content.request, now);
+}
+
+auto CrashLedger::sharedCrashes(SharedHash held, Moment now) const -> std::vector<SharedCrash>
+{
+    auto crashes = std::vector<SharedCrash>();
+    const auto found = shared_.find(held);
+    if (found == shared_.end())
+        return crashes;
+    const auto whole = wholeRuns_.find(held);
+    const auto wholeRunAt = whole == wholeRuns_.end() ? Moment::min() : whole->second.begunAt;
+    for (const auto& [request, key] : found->second) {
+        const auto& fact = requests_.at(request).at(key);
+        if (counts(fact, now) && fact.at > wholeRunAt)
+            crashes.push_back({ fact.at, key.first, request });
+    }
+    return crashes;
+}
+
+auto CrashLedger::sharedRecords(Moment now) const -> std::vector<SharedRecord>
+{
+    auto records = std::vector<SharedRecord>();
+    for (const auto& [held, runs] : shared_) {
+        auto crashes = sharedCrashes(held, now);
+        if (crashes.empty())
+            continue;
+        const auto first = std::min_element(
+            crashes.begin(), crashes.end(), [](const auto& left, const auto& right) { return left.at < right.at; });
+        const auto whole = wholeRuns_.find(held);
+        const auto sound = whole != wholeRuns_.end() && first->at - whole->second.begunAt < soundMemory;
+        records.push_back({ held, std::move(crashes), sound });
+    }
+    return records;
+}
+
+auto CrashLedger::culprits(Moment now) const -> const std::vector<Culprit>&
+{
+    // Breaks that cease to count change the result without a report.
+    constexpr auto cacheTime = Duration(200ms);
+    if (cache_.version != version_ || now < cache_.from || now >= cache_.until)
+        cache_ = { version_, now, now + cacheTime, findCulprits(sharedRecords(now)) };
+    return cache_.culprits;
+}
+
+auto CrashLedger::standing(SharedHash held, Moment now) const -> Standing
+{
+    auto standing = Standing { .crashes = sharedCrashes(held, now).size() };
+    if (const auto whole = wholeRuns_.find(held); whole != wholeRuns_.end())
+        standing.wholeRunAt = whole->second.begunAt;
+    return standing;
+}
+
 auto CrashLedger::breaksAt(RequestDigest request, StartHash start, Moment before) const -> std::uint8_t
 {
     const auto found = requests_.find(request);
@@ -182,7 +314,7 @@
         for (const auto& [key, fact] : facts) {
             const auto old = fact.evidence == CrashEvidence::Cleared && now - fact.at >= clearedNewsTime;
             if (!old && !expired(fact, now))
-                reports.push_back({ request, key.first, key.second, fact.evidence, fact.at });
+                reports.push_back({ request, key.first, key.second, fact.evidence, fact.at, fact.shared });
         }
     }
     return reports;
@@ -198,22 +330,43 @@
         return std::none_of(entry.second.requests.begin(), entry.second.requests.end(),
             [&](RequestDigest request) { return requests_.contains(request); });
     });
-    if (dropped > 0)
+    std::erase_if(wholeRuns_, [&](const auto& entry) { return now - entry.second.begunAt >= wholeRunRetention; });
+    if (dropped > 0) {
+        indexShared();
         ++version_;
+    }
     return dropped > 0;
 }
 
+auto CrashLedger::indexShared() -> void
+{
+    shared_.clear();
+    for (const auto& [request, facts] : requests_) {
+        for (const auto& [key, fact] : facts) {
+            for (const auto& held : fact.shared)
+                shared_[held].emplace(request, key);
+        }
+    }
+}
+
 auto CrashLedger::makeRoom(Moment now) -> void
 {
+    const auto& known = culprits(now);
     const auto rank = [&](const auto& entry) {
         auto last = Moment();
-        for (const auto& [key, fact] : entry.second)
+        auto crashes = crashesOf(entry.first, now);
+        for (const auto& [key, fact] : entry.second) {
             last = std::max(last, fact.at);
-        return std::tuple(crashesOf(entry.first, now), last);
+            for (const auto& culprit : known)
+                crashes = std::max(crashes, culprit.isHeldBy(fact.shared) ? culprit.weight : 0);
+        }
+        return std::tuple(crashes, last);
     };
     const auto first = std::min_element(requests_.begin(), requests_.end(),
         [&](const auto& left, const auto& right) { return rank(left) < rank(right); });
     requests_.erase(first);
+    indexShared();
+    ++version_;
 }
 
 } // namespace eelgrass::decisions
--- a/packages/decisions/CrashLedger.h
+++ b/packages/decisions/CrashLedger.h
@@ -1,57 +1,40 @@
 #pragma once
 
-#include "base/Clock.h"
-#include "base/Ids.h"
+#include "decisions/CrashReport.h"
+#include "decisions/SharedCulprits.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
 
 namespace eelgrass::decisions {
 
-/// Hash of a request's content and caller, the same at every process.
-using RequestDigest = StrongNumber<struct RequestDigestTag>;
-/// Hash of one start of a replica.
-using StartHash = StrongNumber<struct StartHashTag>;
-
-/// What is known of a run that ended without its answer. Of two reports on one run the later kind holds.
-enum class CrashEvidence : std::uint8_t {
-    /// The run broke off; its replica may have crashed.
-    Broke,
-    /// The replica's start ended while the request ran there.
-    Crashed,
-    /// The request has run to its end elsewhere since.
-    Cleared,
-};
-
-/// A request's run that ended without its answer, as processes tell each other.
-struct CrashReport {
-    RequestDigest request;
-    StartHash start;
-    /// Breaks of this request at this start before; such a start outlived them.
-    std::uint8_t breaksBefore = 0;
-    CrashEvidence evidence = CrashEvidence::Broke;
-    Moment at {};
-};
-
-/// Which requests were running when replicas crashed, and which of them is the cause and refused.
+/// What was running when replicas crashed, and which request, or which thing that requests share, is the cause and
+/// refused.
+///
+/// Designed for a request that crashes each replica that runs it and comes again at any entry, and for a part of prompts
+/// that does the same in requests of which no two are alike, while entries, replicas and agents come and go; and for the
+/// requests that run beside them or at replicas that are killed.
 ///
-/// Designed for a request that crashes each replica that runs it and comes again at any entry, while entries, replicas
-/// and agents come and go, and for the requests that run beside it or at replicas that are killed.
+/// Reports are facts about one run at one start of one replica, so that every process can keep and repeat them: a report
+/// that comes twice, late or from many counts once. Each is booked for the request and for all that it shares with
+/// others.
 ///
-/// Reports are facts about one start of one replica, so that every process can keep and repeat them: a report that
-/// comes twice, late or from many counts once. A request with `limit` crashes since its last whole run is the cause of
-/// those that nothing else explains. A crash is explained by a request that ran there too and had as many since its
-/// last whole run, also if it has been cleared since; or by replicas that ended at the same moment and had no request
-/// in common with this one. A request with `certainLimit` crashes is refused whatever explains them, so that two that
-/// always run together do not go on for ever.
+/// A request with `limit` crashes since its last whole run is the cause of those that nothing else explains. A crash is
+/// explained by a request that ran there too and had as many since its last whole run, also if it has been cleared
+/// since; by something shared that is a culprit, ran there, and is not held by this request; or by replicas that ended
+/// at the same moment and had no request in common with this one. A request with `certainLimit` crashes that no culprit
+/// explains is refused whatever else does, so that two that always run together do not go on for ever.
+///
+/// Something shared is the cause of what `findCulprits` says.
 ///
 /// ```cpp
 /// if (ledger.apply(report, now)) publish();
-/// if (ledger.verdict(request, now).refused) refuse();
+/// if (ledger.verdict(content, now).refused) refuse();
 /// ```
 class CrashLedger {
 public:
@@ -64,30 +47,63 @@
     static constexpr auto refusalTime = Duration(std::chrono::minutes(10));
     static constexpr auto retention = Duration(std::chrono::hours(2));
     static constexpr auto capacity = std::size_t(1000);
+    /// Something shared is refused until one run that holds it has been whole. It is tried once after this time, and
+    /// after longer the more replicas it has crashed.
+    static constexpr auto firstSharedProbe = Duration(20s);
+    static constexpr auto longestSharedProbe = Duration(std::chrono::hours(1));
+    /// What ran whole within this time before its first crash was sound.
+    static constexpr auto soundMemory = Duration(60s);
+    static constexpr auto wholeRunCapacity = std::size_t(4096);
+    /// Whole runs are told again when the one that others know of is older by this.
+    static constexpr auto wholeRunNews = Duration(5s);
 
     struct Verdict {
-        /// Crashes and recent breaks since the request's last whole run, and those that nothing else explains.
+        /// Crashes and recent breaks since the last whole run of what is refused, or of the request if nothing is; and
+        /// those that nothing else explains.
         std::size_t crashes = 0;
         std::size_t unexplained = 0;
         /// When the last of them happened.
         Moment last {};
         bool refused = false;
         /// Until when, if it is refused.
-        Moment until {};
+        Moment probeFrom {};
+    };
+    /// What is known of something shared.
+    struct Standing {
+        std::size_t crashes = 0;
+        std::optional<Moment> wholeRunAt {};
+    };
+    /// What a whole run has changed, to be told to others.
+    struct News {
+        std::vector<CrashReport> reports;
+        std::vector<WholeRun> wholeRuns;
     };
 
     /// Returns whether the report says something new.
     auto apply(const CrashReport& report, Moment now) -> bool;
+    /// The same for what another process knows of whole runs.
+    auto apply(const WholeRun& run, Moment now) -> bool;
     /// The start has ended without a plan: runs that broke off there last were ended by a crash. Returns the reports
     /// that say so.
     auto confirm(StartHash start, Moment now) -> std::vector<CrashReport>;
     /// The request has run to its end. Returns the reports that say so.
     auto clear(RequestDigest request, Moment now) -> std::vector<CrashReport>;
+    /// A run with this has begun to write and crashed nothing, whether or not it has ended. Returns what others need to
+    /// know of it.
+    auto ranWhole(const std::vector<SharedHash>& shared, Moment begunAt, Moment now) -> std::vector<WholeRun>;
+    [[nodiscard]] auto verdict(const RunContent& content, Moment now) const -> Verdict;
+    /// Of the request alone.
     [[nodiscard]] auto verdict(RequestDigest request, Moment now) const -> Verdict;
+    [[nodiscard]] auto standing(SharedHash held, Moment now) const -> Standing;
+    [[nodiscard]] auto culprits(Moment now) const -> const std::vector<Culprit>&;
     /// Number of breaks of the request at the start up to `before`.
     [[nodiscard]] auto breaksAt(RequestDigest request, StartHash start, Moment before) const -> std::uint8_t;
     /// All that is to be told to others.
     [[nodiscard]] auto reports(Moment now) const -> std::vector<CrashReport>;
+    /// The same for whole runs: those that others have told, and those of what the reports name.
+    [[nodiscard]] auto wholeRuns(Moment now) const -> std::vector<WholeRun>;
+    /// Whether a process that knows of the whole run at `known`, or of none, judges differently with this one.
+    [[nodiscard]] auto isNews(const WholeRun& run, std::optional<Moment> known, Moment now) const -> bool;
     /// Drops what has expired. Returns whether something was dropped.
     auto expire(Moment now) -> bool;
     [[nodiscard]] auto empty() const noexcept -> bool { return requests_.empty(); }
@@ -102,6 +118,8 @@
     static constexpr auto clearedNewsTime = Duration(15s);
     /// What one whole run has cleared carries the same moment, but for the time that messages take.
     static constexpr auto sameClearing = Duration(500ms);
+    /// A whole run says for as long that what it held was sound before a later crash.
+    static constexpr auto wholeRunRetention = 2 * soundMemory;
     /// Kept beyond the time that it counts, for the news that its replica has crashed.
     static constexpr auto breakRetention = 3 * breakLifetime;
 
@@ -109,6 +127,7 @@
     struct Fact {
         CrashEvidence evidence = CrashEvidence::Broke;
         Moment at {};
+        std::vector<SharedHash> shared {};
     };
     using Facts = std::map<RunKey, Fact>;
     struct Start {
@@ -117,19 +136,45 @@
         std::set<RequestDigest> requests;
     };
 
+    struct KnownWholeRun {
+        Moment begunAt {};
+        /// Another process has told of it.
+        bool told = false;
+    };
+    /// Found from the reports and whole runs up to `version`; breaks that count at `from` still do at `until`.
+    struct CulpritCache {
+        std::uint64_t version = 0;
+        Moment from {};
+        Moment until {};
+        std::vector<Culprit> culprits;
+    };
+
     [[nodiscard]] static auto counts(const Fact& fact, Moment now) noexcept -> bool;
     [[nodiscard]] static auto expired(const Fact& fact, Moment now) noexcept -> bool;
     [[nodiscard]] auto crashesOf(RequestDigest request, Moment now) const -> std::size_t;
     /// How many crashes the request has had in a row at the most, of those that it shares with the start.
     [[nodiscard]] auto crashesInARow(RequestDigest request, StartHash start, Moment now) const -> std::size_t;
+    /// Crashes of runs that held this, since its last whole run.
+    [[nodiscard]] auto sharedCrashes(SharedHash held, Moment now) const -> std::vector<SharedCrash>;
+    [[nodiscard]] auto sharedRecords(Moment now) const -> std::vector<SharedRecord>;
+    /// Whether a crash of a run with this lies between the moments.
+    [[nodiscard]] auto crashedBetween(SharedHash held, Moment from, Moment to) const -> bool;
+    auto noteWholeRun(SharedHash held, Moment begunAt, bool told) -> void;
+    /// Makes `shared_` follow the reports that are left.
+    auto indexShared() -> void;
     /// Whether something else than the request explains the end of the start.
     [[nodiscard]] auto explained(RequestDigest request, StartHash start, std::size_t crashes, Moment now) const -> bool;
     [[nodiscard]] auto endedTogether(const Start& start) const -> bool;
-    /// Drops the request with the fewest crashes, of these the one that was heard of first.
+    /// Drops the request whose crashes matter least: those of the request, or of a culprit that it holds. Of these the
+    /// one that was heard of first.
     auto makeRoom(Moment now) -> void;
 
     std::map<RequestDigest, Facts> requests_;
     std::map<StartHash, Start> starts_;
+    /// The runs that held this.
+    std::map<SharedHash, std::set<std::pair<RequestDigest, RunKey>>> shared_;
+    std::map<SharedHash, KnownWholeRun> wholeRuns_;
+    mutable CulpritCache cache_;
     std::uint64_t version_ = 0;
 };
 
--- a/packages/serving/AgentCalls.cpp
+++ b/packages/serving/AgentCalls.cpp
@@ -120,11 +120,14 @@
     });
 }
 
-auto AgentLink::noteCrashes(const std::vector<decisions::CrashReport>& crashes) -> void
+auto AgentLink::noteCrashes(
+    const std::vector<decisions::CrashReport>& crashes, const std::vector<decisions::WholeRun>& wholeRuns) -> void
 {
     withClient([&](wire::schema::AgentSession::Client& client) {
         auto call = client.noteCrashesRequest();
-        detail::fill(call.initCrashes(static_cast<unsigned>(crashes.size())), crashes, loop_.timers().now());
+        const auto now = loop_.timers().now();
+        detail::fill(call.initCrashes(static_cast<unsigned>(crashes.size())), crashes, now);
+        detail::fill(call.initWholeRuns(static_cast<unsigned>(wholeRuns.size())), wholeRuns, now);
         detail::sendOneWay(loop_, call);
     });
 }
--- a/packages/serving/AgentLink.cpp
+++ b/packages/serving/AgentLink.cpp
@@ -289,6 +289,7 @@
     state_.leaving = state.getLeaving();
     state_.hostRestUntil = loop_.timers().now() + milliseconds(state.getHostRestMs());
     state_.crashes = detail::readCrashes(state.getCrashes(), loop_.timers().now());
+    state_.wholeRuns = detail::readWholeRuns(state.getWholeRuns(), loop_.timers().now());
     state_.lostStart = { InstanceId(state.getLostInstance().cStr()), StartTime(state.getLostBirth()) };
     state_.lostIsOver = state.getLostIsOver();
     hooks_.onNames();
--- a/packages/serving/AgentLink.h
+++ b/packages/serving/AgentLink.h
@@ -52,6 +52,8 @@
     std::size_t entries = 0;
     /// Runs that ended without their answers, as this agent keeps them for all entries.
     std::vector<decisions::CrashReport> crashes;
+    /// Whole runs of what crashed runs held, as this agent keeps them.
+    std::vector<decisions::WholeRun> wholeRuns;
     /// The replica's last start before this one that the agent has seen; empty for none. It is over, or could not be
     /// reached any more.
     ReplicaStart lostStart;
@@ -211,8 +213,9 @@
     [[nodiscard]] auto findStreamOrigin(const StreamId& stream, bool askEntries)
         -> kj::Promise<std::optional<StreamOrigins::Known>>;
     auto release(const AttemptId& attempt, RunEnd end = RunEnd::Plain) -> void;
-    /// Tells the agent of runs that ended without their answers.
-    auto noteCrashes(const std::vector<decisions::CrashReport>& crashes) -> void;
+    /// Tells the agent of runs that ended without their answers, and of whole runs of what those held.
+    auto noteCrashes(const std::vector<decisions::CrashReport>& crashes,
+        const std::vector<decisions::WholeRun>& wholeRuns = {}) -> void;
     /// Counts a request against its member's quota if there is credit. The promise is rejected when the session is
     /// lost.
     [[nodiscard]] auto takeQuota(const QuotaCharge& charge) -> kj::Promise<QuotaDecision>;
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -150,6 +150,8 @@
         auto fresh = std::size_t(0);
         for (const auto& crash : detail::readCrashes(context.getParams().getCrashes(), now))
             fresh += role().crashes_.apply(crash, now) ? 1 : 0;
+        for (const auto& run : detail::readWholeRuns(context.getParams().getWholeRuns(), now))
+            fresh += role().crashes_.apply(run, now) ? 1 : 0;
         if (fresh > 0) {
             log::info("crashes noted", { { "peer", entry_ }, { "reports", std::to_string(fresh) } });
             role().publisher_.changed();
@@ -548,6 +550,8 @@
     const auto now = loop_.timers().now();
     const auto crashes = crashes_.reports(now);
     detail::fill(state.initCrashes(static_cast<unsigned>(crashes.size())), crashes, now);
+    const auto wholeRuns = crashes_.wholeRuns(now);
+    detail::fill(state.initWholeRuns(static_cast<unsigned>(wholeRuns.size())), wholeRuns, now);
     if (const auto& lost = agent_.lostStart()) {
         state.setLostInstance(lost->start.instance.str());
         state.setLostBirth(lost->start.startTime.value());
--- a/packages/serving/ReplicaRun.h
+++ b/packages/serving/ReplicaRun.h
@@ -36,6 +36,8 @@
     /// An event of this run has been forwarded, the first one at `firstEventAt`.
     bool hasEvents = false;
     Moment firstEventAt {};
+    /// What it holds is known to be sound, since its stream has gone on for long.
+    bool proven = false;
     /// The replica has been silent for so long that another one was searched, and nothing has come since.
     bool silent = false;
     /// Reading is paused, because the client does not take the answer fast enough.
--- a/packages/serving/RequestAnswer.cpp
+++ b/packages/serving/RequestAnswer.cpp
@@ -118,6 +118,7 @@
     lastForwardedAt_ = now;
     ++forwarded_;
     caller_->writeChunk(event.text);
+    gateway_.suspects.runWentOn(*content_, *run_);
     return true;
 }
 
@@ -129,7 +130,7 @@
         withdrawSearch();
     const auto failed = run_->head.status >= firstServerError;
     const auto whole = run_->answer.sealed && (!run_->streaming || run_->events.incomplete().empty());
-    gateway_.suspects.runAnswered(digest_, *run_, !run_->answer.notRun && !failed && whole);
+    gateway_.suspects.runAnswered(*content_, *run_, !run_->answer.notRun && !failed && whole);
     if (run_->answer.notRun)
         return onAnsweredNotRun();
     if (run_->streaming)
@@ -191,7 +192,7 @@
     logDecision("send withheld", withheldReason().text);
     returnPermit();
     dropPrepared(RunEnd::Unsent);
-    if (gateway_.suspects.isRefused(digest_))
+    if (gateway_.suspects.isRefused(*content_))
         return refuseAsCrashing();
     waitTimer_ = gateway_.loop.timers().after(Duration(0), guarded(&RequestRun::place));
 }
--- a/packages/serving/RequestLog.cpp
+++ b/packages/serving/RequestLog.cpp
@@ -8,14 +8,17 @@
 auto RequestRun::logSend() const -> void
 {
     const auto now = gateway_.now();
-    const auto verdict = gateway_.suspects.verdict(digest_);
-    const auto digest = std::to_string(digest_.value());
+    const auto verdict = gateway_.suspects.verdict(*content_);
+    const auto parts = gateway_.suspects.partsKnown(*content_);
+    const auto digest = std::to_string(content_->run.request.value());
     const auto crashes = std::to_string(verdict.crashes);
     const auto crashAge = verdict.crashes > 0 ? millisecondsText(now - verdict.last) : "";
     if (metadata_.adapter.empty()) {
         log::info("sent",
             { { "request", metadata_.attempt.str() }, { "replica", replica_->id().str() }, { "digest", digest },
-                { "crashes", crashes }, { "crash_age_ms", crashAge }, { "left_ms", millisecondsText(timeLeft()) } });
+                { "crashes", crashes }, { "crash_age_ms", crashAge }, { "parts", parts.parts },
+                { "part_crashes", parts.crashes }, { "part_whole_run_ms", parts.wholeRunMs },
+                { "left_ms", millisecondsText(timeLeft()) } });
         return;
     }
     const auto& known = knownVersion();
@@ -32,7 +35,8 @@
             { "known_ms", known.learnedAt ? millisecondsText(now - *known.learnedAt) : "" },
             { "known_from", known.source }, { "confirmed_ms", millisecondsText(gateway_.configuration.age()) },
             { "state_age_ms", stateKnown ? millisecondsText(now - agent->state().receivedAt) : "" },
-            { "digest", digest }, { "crashes", crashes }, { "crash_age_ms", crashAge },
+            { "digest", digest }, { "crashes", crashes }, { "crash_age_ms", crashAge }, { "parts", parts.parts },
+            { "part_crashes", parts.crashes }, { "part_whole_run_ms", parts.wholeRunMs },
             { "left_ms", millisecondsText(timeLeft()) } });
 }
 
@@ -41,13 +45,15 @@
     const auto now = gateway_.now();
     const auto& start = run_->replica->record().start;
     const auto had = std::string(run_->progress());
+    const auto parts = gateway_.suspects.partsKnown(*content_);
     gateway_.metrics.count("eelgrass_unanswered_runs_total", { { "how", std::string(how) }, { "had", had } });
     log::info("run not answered",
-        { { "request", metadata_.attempt.str() }, { "digest", std::to_string(digest_.value()) },
+        { { "request", metadata_.attempt.str() }, { "digest", std::to_string(content_->run.request.value()) },
+            { "parts", parts.parts }, { "part_crashes", parts.crashes }, { "part_whole_run_ms", parts.wholeRunMs },
             { "replica", start.instance.str() }, { "birth", std::to_string(start.startTime.value()) },
             { "how", std::string(how) }, { "had", had }, { "ran_ms", millisecondsText(now - run_->sentAt) },
             { "silent_ms", millisecondsText(now - run_->heardAt) },
-            { "crashes", std::to_string(gateway_.suspects.verdict(digest_).crashes) } });
+            { "crashes", std::to_string(gateway_.suspects.verdict(*content_).crashes) } });
 }
 
 auto RequestRun::noteCutOff() const -> void
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -89,16 +89,16 @@
     }
     if (!authenticate())
         return false;
-    digest_ = digestOf(request_, metadata_, member_ ? member_->name : MemberId());
-    if (gateway_.suspects.isRefused(digest_)) {
-        refuseAsCrashing();
-        return false;
-    }
     service_ = pickService(*route_, metadata_.attempt);
     // Adapters belong to engines: a replica without one holds none, and would never be found to hold this one.
     const auto service = configuration_->services.find(service_);
     if (service == configuration_->services.end() || !service->second.engine)
         metadata_.adapter = AdapterId();
+    setContent(knownVersion().version);
+    if (gateway_.suspects.isRefused(*content_)) {
+        refuseAsCrashing();
+        return false;
+    }
     gateway_.retryBudgets.received(service_);
     gateway_.metrics.count("eelgrass_service_requests_total", { { "service", service_.str() } });
     setTimes();
@@ -281,11 +281,12 @@
     const auto now = gateway_.now();
     const auto grantedVersion = std::exchange(grantedVersion_, std::nullopt);
     runVersion_ = grantedVersion.value_or(replica_->heldVersion(metadata_.adapter));
+    setContent(runVersion_);
     if (!replica_->accepts(now)) {
         countWithheld();
         return onReplicaClosed();
     }
-    if (gateway_.suspects.isRefused(digest_)) {
+    if (gateway_.suspects.isRefused(*content_)) {
         countWithheld();
         return refuseAsCrashing();
     }
@@ -362,7 +363,7 @@
 
 auto RequestRun::mayRunAgain() const -> bool
 {
-    return route_->repeatable() && runs_ < route_->maxRuns && sends_ < maxSends && !gateway_.suspects.isRefused(digest_)
+    return route_->repeatable() && runs_ < route_->maxRuns && sends_ < maxSends && !gateway_.suspects.isRefused(*content_)
         && (delivered_ == Delivered::Nothing || (route_->resumable && lastEventId_));
 }
 
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -121,6 +121,8 @@
     /// Whether a request may run on this version of its adapter, 0 if the replica does not hold it. Every way to a
     /// replica ends in this question: when it is chosen, when the request is sent, and when a connection to it stands.
     [[nodiscard]] auto mayRunOn(AdapterVersion version) const -> bool;
+    /// Sets what a run on this version of the adapter would hold.
+    auto setContent(AdapterVersion version) -> void;
     /// Whether a request that was given to a connection may be written now that the connection stands.
     [[nodiscard]] auto mayWrite() const -> bool;
     [[nodiscard]] auto noAgentCanLoad() const -> bool;
@@ -273,8 +275,10 @@
     /// When a request without a part of its answer ends: in time for a failure to reach the client, and before a client
     /// that has received no event of its stream is assumed to disconnect.
     Moment firstEventBy_ {};
-    /// Hash of the request's content and member (see `digestOf`); the same at every entry.
-    RequestDigest digest_;
+    /// What a run of this request holds; the same at every entry.
+    ContentPtr content_;
+    /// The version of the adapter that `content_` names.
+    AdapterVersion contentVersion_;
     /// Prefixes of the prompt that other requests may share, each ending with one more part.
     std::vector<decisions::SharedPrefix> sharedPrefixes_;
 
--- a/packages/serving/RequestVersion.cpp
+++ b/packages/serving/RequestVersion.cpp
@@ -17,6 +17,16 @@
     return gateway_.configuration.versions().of(metadata_.model, metadata_.adapter);
 }
 
+auto RequestRun::setContent(AdapterVersion version) -> void
+{
+    if (content_ && (metadata_.adapter.empty() || contentVersion_ == version))
+        return;
+    contentVersion_ = version;
+    const auto content = contentOf(request_, metadata_, member_ ? member_->name : MemberId(), version);
+    content_ = std::make_shared<const RequestContent>(content);
+    gateway_.suspects.learnNames(content);
+}
+
 auto RequestRun::mayRunOn(AdapterVersion version) const -> bool
 {
     return metadata_.adapter.empty() || version >= knownVersion().version;
@@ -25,13 +35,13 @@
 auto RequestRun::mayWrite() const -> bool
 {
     return !replica_->leaving() && !replica_->rest().resting(gateway_.now()) && mayRunOn(runVersion_)
-        && mayContinueAt(*replica_) && !gateway_.suspects.isRefused(digest_)
+        && mayContinueAt(*replica_) && !gateway_.suspects.isRefused(*content_)
         && (!sendGrantedAt_ || grantUsable(sendGrantedAt_));
 }
 
 auto RequestRun::withheldReason() const -> WithheldReason
 {
-    if (gateway_.suspects.isRefused(digest_))
+    if (gateway_.suspects.isRefused(*content_))
         return { "crashes", crashingReason };
     if (replica_->leaving())
         return { "leaving", leavingReason };
--- a/packages/serving/SuspectRequests.cpp
+++ b/packages/serving/SuspectRequests.cpp
@@ -32,17 +32,6 @@
     return StartHash(hashed(start.startTime.value(), start.instance.str()));
 }
 
-auto digestOf(const wire::HttpRequestMessage& request, const RequestMetadata& metadata, const MemberId& member)
-    -> RequestDigest
-{
-    const auto what = request.body.empty() ? std::string_view(request.target) : request.path();
-    auto hash = hashed(0, request.method);
-    for (const auto text :
-        { what, metadata.model.view(), metadata.adapter.view(), std::string_view(request.body), member.view() })
-        hash = hashed(hash, text);
-    return RequestDigest(hash);
-}
-
 auto SuspectRequests::findRun(const ReplicaRun& run) -> OpenRun*
 {
     const auto found = runs_.find(hashOf(run.replica->record().start));
@@ -69,7 +58,7 @@
     return run.hasEvents ? run.heardAt - run.firstEventAt : Duration(0);
 }
 
-auto SuspectRequests::runBegan(RequestDigest request, const std::shared_ptr<ReplicaRun>& run) -> void
+auto SuspectRequests::runBegan(const ContentPtr& content, const std::shared_ptr<ReplicaRun>& run) -> void
 {
     if (runCount_ >= maxOpenRuns) {
         for (auto& [start, runs] : runs_)
@@ -80,23 +69,32 @@
         return;
     ++runCount_;
     runs_[hashOf(run->replica->record().start)].push_back(
-        { .request = request, .run = run.get(), .progress = run, .replica = run->replica, .begunAt = now() });
+        { .content = content, .run = run.get(), .progress = run, .replica = run->replica, .begunAt = now() });
 }
 
-auto SuspectRequests::runAnswered(RequestDigest request, const ReplicaRun& run, bool clears) -> void
+auto SuspectRequests::runAnswered(const RequestContent& content, const ReplicaRun& run, bool clears) -> void
 {
     removeRun(run);
-    if (!clears || ledger_.empty())
+    if (!clears)
         return;
-    const auto cleared = ledger_.clear(request, now());
+    report(ledger_.ranWhole(content.run.shared, run.hasEvents ? run.firstEventAt : run.heardAt, now()));
+    const auto cleared = ledger_.clear(content.run.request, now());
     if (cleared.empty())
         return;
     metrics_.count("eelgrass_request_crashes_total", { { "outcome", "cleared" } });
     log::info("request cleared of crashes",
-        { { "digest", std::to_string(request.value()) }, { "reports", std::to_string(cleared.size()) },
-            { "replica", run.replica->id().str() } });
+        { { "digest", std::to_string(content.run.request.value()) }, { "parts", content.partsText() },
+            { "reports", std::to_string(cleared.size()) }, { "replica", run.replica->id().str() } });
     report(cleared);
-    noteVerdict(request, "answered");
+    noteVerdict(content.run.request, "answered");
+}
+
+auto SuspectRequests::runWentOn(const RequestContent& content, ReplicaRun& run) -> void
+{
+    if (run.proven || streamedFor(run) < provenStreamTime)
+        return;
+    run.proven = true;
+    report(ledger_.ranWhole(content.run.shared, run.firstEventAt, now()));
 }
 
 auto SuspectRequests::runBroke(const ReplicaRun& run, bool begun) -> void
@@ -156,18 +154,20 @@
 auto SuspectRequests::count(const OpenRun& run, CrashEvidence evidence, std::string_view source) -> void
 {
     const auto start = hashOf(run.replica->record().start);
-    const auto report = CrashReport { .request = run.request,
+    const auto& content = run.content->run;
+    const auto report = CrashReport { .request = content.request,
         .start = start,
-        .breaksBefore = ledger_.breaksAt(run.request, start, run.begunAt),
+        .breaksBefore = ledger_.breaksAt(content.request, start, run.begunAt),
         .evidence = evidence,
-        .at = run.endedAt.value_or(now()) };
+        .at = run.endedAt.value_or(now()),
+        .shared = content.shared };
     const auto fresh = ledger_.apply(report, now());
     note(evidence == CrashEvidence::Crashed ? "crash counted" : "break counted",
         evidence == CrashEvidence::Crashed ? "crashed" : "broke", run, source);
     if (!fresh)
         return;
     this->report({ report });
-    noteVerdict(run.request, "this entry");
+    noteVerdict(content.request, "this entry");
 }
 
 auto SuspectRequests::startEnded(const ReplicaStart& start, StartEnd end, std::string_view source) -> void
@@ -232,15 +232,54 @@
         if (ledger_.apply(report, now()))
             changed.insert(report.request);
     }
+    auto wholeRuns = false;
+    for (const auto& run : state.wholeRuns)
+        wholeRuns = ledger_.apply(run, now()) || wholeRuns;
     for (const auto& request : changed)
         noteVerdict(request, agent.endpoint().str());
+    if (wholeRuns)
+        noteVerdicts(agent.endpoint().str());
     if (!changed.empty())
         startRepeating();
 }
 
-auto SuspectRequests::verdict(RequestDigest request) const -> decisions::CrashLedger::Verdict
+auto SuspectRequests::verdict(const RequestContent& content) const -> decisions::CrashLedger::Verdict
+{
+    return ledger_.verdict(content.run, now());
+}
+
+auto SuspectRequests::partsKnown(const RequestContent& content) const -> PartsKnown
 {
-    return ledger_.verdict(request, now());
+    auto known = PartsKnown { .parts = content.partsText() };
+    for (const auto& one : content.shared) {
+        if (one.what != RequestContent::partKind)
+            continue;
+        const auto standing = ledger_.standing(one.hash, now());
+        const auto* separator = known.crashes.empty() ? "" : " ";
+        known.crashes += separator + std::to_string(standing.crashes);
+        known.wholeRunMs
+            += separator + (standing.wholeRunAt ? millisecondsText(now() - *standing.wholeRunAt) : std::string("-"));
+    }
+    return known;
+}
+
+auto SuspectRequests::learnNames(const RequestContent& content) -> void
+{
+    for (const auto& one : content.shared) {
+        if (!names_.try_emplace(one.hash, ContentName { std::string(one.what), one.name }).second)
+            continue;
+        namesOrder_.push_back(one.hash);
+        if (namesOrder_.size() <= maxNames)
+            continue;
+        names_.erase(namesOrder_.front());
+        namesOrder_.pop_front();
+    }
+}
+
+auto SuspectRequests::nameOf(decisions::SharedHash hash) const -> ContentName
+{
+    const auto known = names_.find(hash);
+    return known == names_.end() ? ContentName { "unknown", std::to_string(hash.value()) } : known->second;
 }
 
 auto SuspectRequests::hubs() const -> Hubs
@@ -255,11 +294,11 @@
     return hubs;
 }
 
-auto SuspectRequests::keepersOf(RequestDigest request, const Hubs& hubs) -> std::vector<AgentLink*>
+template <typename Hash> auto SuspectRequests::keepersOf(Hash hash, const Hubs& hubs) -> std::vector<AgentLink*>
 {
-    auto first = decisions::FirstByRendezvous<AgentLink*>(request.value(), keepersPerRequest);
-    for (const auto& [hash, agent] : hubs)
-        first.offer(agent, hash);
+    auto first = decisions::FirstByRendezvous<AgentLink*>(hash.value(), keepersPerRequest);
+    for (const auto& [hubHash, agent] : hubs)
+        first.offer(agent, hubHash);
     return first.nodes();
 }
 
@@ -275,6 +314,18 @@
     startRepeating();
 }
 
+auto SuspectRequests::report(const std::vector<decisions::WholeRun>& runs) -> void
+{
+    if (runs.empty())
+        return;
+    const auto hubs = this->hubs();
+    for (const auto& run : runs) {
+        for (auto* agent : keepersOf(run.held, hubs))
+            agent->noteCrashes({}, { run });
+    }
+    noteVerdicts("answered");
+}
+
 auto SuspectRequests::startRepeating() -> void
 {
     if (!repeatTimer_.active())
@@ -288,7 +339,7 @@
     const auto hubs = this->hubs();
     using Stated = std::map<decltype(keyOf(CrashReport())), CrashEvidence>;
     auto stated = std::map<AgentLink*, Stated>();
-    auto missing = std::map<AgentLink*, std::vector<CrashReport>>();
+    auto missing = std::map<AgentLink*, News>();
     for (const auto& report : ledger_.reports(now)) {
         // What was told just now has not been published yet.
         if (now - report.at < repeatInterval)
@@ -299,17 +350,36 @@
                 states->second[keyOf(one)] = one.evidence;
             const auto found = states->second.find(keyOf(report));
             if (found == states->second.end() || found->second < report.evidence)
-                missing[agent].push_back(report);
+                missing[agent].reports.push_back(report);
         }
     }
-    for (const auto& [agent, reports] : missing)
-        agent->noteCrashes(reports);
-    for (const auto& [request, until] : std::map(refused_))
+    addMissingWholeRuns(missing, hubs);
+    for (const auto& [agent, news] : missing)
+        agent->noteCrashes(news.reports, news.wholeRuns);
+    for (const auto& request : std::set(refused_))
         noteVerdict(request, "time");
+    if (!culprits_.empty())
+        noteVerdicts("time");
     if (ledger_.empty() && !waitsForNews())
         repeatTimer_.cancel();
 }
 
+auto SuspectRequests::addMissingWholeRuns(std::map<AgentLink*, News>& missing, const Hubs& hubs) const -> void
+{
+    auto stated = std::map<std::pair<AgentLink*, decisions::SharedHash>, Moment>();
+    for (const auto& [hash, agent] : hubs) {
+        for (const auto& run : agent->state().wholeRuns)
+            stated[{ agent, run.held }] = run.begunAt;
+    }
+    for (const auto& run : ledger_.wholeRuns(now())) {
+        for (auto* agent : keepersOf(run.held, hubs)) {
+            const auto known = stated.find({ agent, run.held });
+            if (ledger_.isNews(run, known == stated.end() ? std::nullopt : std::optional(known->second), now()))
+                missing[agent].wholeRuns.push_back(run);
+        }
+    }
+}
+
 auto SuspectRequests::forget() -> void
 {
     const auto now = this->now();
@@ -342,17 +412,23 @@
 auto SuspectRequests::noteVerdict(RequestDigest request, std::string_view source) -> void
 {
     changed_.insert_or_assign(request, std::string(source));
+    noteVerdicts(source);
+}
+
+auto SuspectRequests::noteVerdicts(std::string_view source) -> void
+{
     if (changeTimer_.active())
         return;
-    changeTimer_ = loop_.timers().after(Duration(0), [this] {
+    changeTimer_ = loop_.timers().after(Duration(0), [this, source = std::string(source)] {
         for (const auto& [changed, from] : std::exchange(changed_, {}))
             logVerdict(changed, from);
+        logCulprits(source);
     });
 }
 
 auto SuspectRequests::logVerdict(RequestDigest request, std::string_view source) -> void
 {
-    const auto verdict = this->verdict(request);
+    const auto verdict = ledger_.verdict(request, now());
     const auto known = refused_.contains(request);
     if (verdict.refused == known)
         return;
@@ -361,25 +437,66 @@
         { { "digest", std::to_string(request.value()) }, { "crashes", std::to_string(verdict.crashes) },
             { "unexplained", std::to_string(verdict.unexplained) }, { "source", std::string(source) },
             { "age_ms", millisecondsText(now() - verdict.last) },
-            { "refused_ms", verdict.refused ? millisecondsText(verdict.until - now()) : "" } });
+            { "probe_ms", verdict.refused ? millisecondsText(verdict.probeFrom - now()) : "" } });
     if (verdict.refused)
-        refused_.emplace(request, verdict.until);
+        refused_.insert(request);
     else
         refused_.erase(request);
 }
 
+auto SuspectRequests::logCulprits(std::string_view source) -> void
+{
+    auto before = std::exchange(culprits_, {});
+    for (const auto& culprit : ledger_.culprits(now())) {
+        culprits_.insert(culprit.together);
+        if (before.erase(culprit.together) == 0)
+            logCulprit(culprit, source);
+    }
+    for (const auto& together : before) {
+        metrics_.count("eelgrass_request_refusals_total", { { "change", "ends" } });
+        for (const auto& hash : together) {
+            const auto [what, name] = nameOf(hash);
+            metrics_.unset("eelgrass_crashing_contents", { { "what", what }, { "name", name } });
+            log::warn("content may run again",
+                { { "what", what }, { "name", name }, { "hash", std::to_string(hash.value()) },
+                    { "source", std::string(source) } });
+        }
+    }
+}
+
+auto SuspectRequests::logCulprit(const decisions::Culprit& culprit, std::string_view source) -> void
+{
+    metrics_.count("eelgrass_request_refusals_total", { { "change", "begins" } });
+    for (const auto& hash : culprit.together) {
+        const auto [what, name] = nameOf(hash);
+        const auto standing = ledger_.standing(hash, now());
+        const auto wholeRunMs = standing.wholeRunAt ? millisecondsText(now() - *standing.wholeRunAt) : "-";
+        metrics_.set("eelgrass_crashing_contents", { { "what", what }, { "name", name } },
+            static_cast<double>(culprit.together.size()));
+        log::warn("content crashes replicas",
+            { { "what", what }, { "name", name }, { "hash", std::to_string(hash.value()) },
+                { "together", std::to_string(culprit.together.size()) },
+                { "starts", std::to_string(culprit.starts.size()) }, { "weight", std::to_string(culprit.weight) },
+                { "limit", std::to_string(culprit.limit) }, { "whole_run_ms", wholeRunMs },
+                { "age_ms", millisecondsText(now() - culprit.last) }, { "source", std::string(source) } });
+    }
+}
+
 auto SuspectRequests::note(
     std::string_view event, std::string_view outcome, const OpenRun& run, std::string_view why) const -> void
 {
-    const auto verdict = this->verdict(run.request);
+    const auto verdict = this->verdict(*run.content);
+    const auto known = partsKnown(*run.content);
     const auto& start = run.replica->record().start;
     auto keepers = std::string();
-    for (const auto* agent : keepersOf(run.request, hubs()))
+    for (const auto* agent : keepersOf(run.content->run.request, hubs()))
         keepers += (keepers.empty() ? "" : " ") + agent->endpoint().str();
     metrics_.count("eelgrass_request_crashes_total", { { "outcome", std::string(outcome) } });
     log::info(event,
-        { { "digest", std::to_string(run.request.value()) }, { "replica", start.instance.str() },
-            { "birth", std::to_string(start.startTime.value()) }, { "reason", std::string(why) },
+        { { "digest", std::to_string(run.content->run.request.value()) }, { "parts", known.parts },
+            { "part_crashes", known.crashes }, { "part_whole_run_ms", known.wholeRunMs },
+            { "replica", start.instance.str() }, { "birth", std::to_string(start.startTime.value()) },
+            { "reason", std::string(why) },
             { "ended_ms", run.endedAt ? millisecondsText(now() - *run.endedAt) : "" },
             { "crashes", std::to_string(verdict.crashes) }, { "unexplained", std::to_string(verdict.unexplained) },
             { "kept_by", keepers } });
--- a/packages/serving/SuspectRequests.h
+++ b/packages/serving/SuspectRequests.h
@@ -4,11 +4,14 @@
 #include "router/Metrics.h"
 #include "serving/ReplicaDirectory.h"
 #include "serving/ReplicaRun.h"
+#include "serving/RequestContent.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,8 +20,10 @@
 
 using decisions::CrashReport;
 using decisions::RequestDigest;
+using ContentPtr = std::shared_ptr<const RequestContent>;
 
-/// Finds the requests that crash the replicas that run them, together with all other entries.
+/// Finds the requests that crash the replicas that run them, and the parts of prompts and versions of adapters that do
+/// so in any request, together with all other entries.
 ///
 /// The end of a run and the end of its replica's start are two facts, which come in any order and by different ways:
 /// this entry follows its runs until they are answered, and the starts of replicas by the platform's list and by their
@@ -38,10 +43,12 @@
     }
 
     /// The request is about to be written to the replica of `run`.
-    auto runBegan(RequestDigest request, const std::shared_ptr<ReplicaRun>& run) -> void;
+    auto runBegan(const ContentPtr& content, const std::shared_ptr<ReplicaRun>& run) -> void;
     /// The replica has given its whole answer, so that the request did not crash it. Only the answer to a request that
     /// has run to its end clears it of earlier crashes.
-    auto runAnswered(RequestDigest request, const ReplicaRun& run, bool clears) -> void;
+    auto runAnswered(const RequestContent& content, const ReplicaRun& run, bool clears) -> void;
+    /// The replica has sent an event. A stream that has gone on for long shows that what it holds crashes no replica.
+    auto runWentOn(const RequestContent& content, ReplicaRun& run) -> void;
     /// The replica's connection broke off. `begun`: the client had a part of the stream before.
     auto runBroke(const ReplicaRun& run, bool begun) -> void;
     /// The run ended for any other reason; nothing if it has ended already.
@@ -57,8 +64,19 @@
     /// Applies what an agent has published of crashes and of the earlier start of its replica.
     auto applyPublished(const AgentLink& agent) -> void;
 
-    [[nodiscard]] auto isRefused(RequestDigest request) const -> bool { return verdict(request).refused; }
-    [[nodiscard]] auto verdict(RequestDigest request) const -> decisions::CrashLedger::Verdict;
+    [[nodiscard]] auto isRefused(const RequestContent& content) const -> bool { return verdict(content).refused; }
+    [[nodiscard]] auto verdict(const RequestContent& content) const -> decisions::CrashLedger::Verdict;
+    /// What is known of the parts of a request, in the order of the prompt, as log lines say it.
+    struct PartsKnown {
+        std::string parts;
+        /// Crashes since the last whole run of a request with the part.
+        std::string crashes;
+        /// How long ago that run began; `-` if none is known.
+        std::string wholeRunMs;
+    };
+    [[nodiscard]] auto partsKnown(const RequestContent& content) const -> PartsKnown;
+    /// Remembers what the hashes stand for, for logs and metrics.
+    auto learnNames(const RequestContent& content) -> void;
 
 private:
     enum class StartEnd {
@@ -71,7 +89,7 @@
     };
     /// A run whose replica may turn out to have crashed under it.
     struct OpenRun {
-        RequestDigest request;
+        ContentPtr content;
         /// Identifies the run; it may be gone once `endedAt` is set.
         const ReplicaRun* run = nullptr;
         std::weak_ptr<const ReplicaRun> progress;
@@ -92,6 +110,7 @@
     static constexpr auto openRunTime = Duration(30s);
     static constexpr auto startMemory = Duration(120s);
     static constexpr auto maxOpenRuns = std::size_t(4000);
+    static constexpr auto maxNames = std::size_t(4096);
     /// A request crashes replicas as they begin to run it; a stream that has brought events for this long does not.
     static constexpr auto provenStreamTime = Duration(2s);
     static constexpr auto repeatInterval = Duration(1s);
@@ -108,17 +127,35 @@
     /// Why the end of its start is no crash under the run; empty if it is.
     [[nodiscard]] auto excuse(const OpenRun& run) const -> std::string_view;
     auto report(const std::vector<CrashReport>& reports) -> void;
+    auto report(const std::vector<decisions::WholeRun>& runs) -> void;
     [[nodiscard]] auto hubs() const -> Hubs;
-    [[nodiscard]] static auto keepersOf(RequestDigest request, const Hubs& hubs) -> std::vector<AgentLink*>;
+    template <typename Hash>
+    [[nodiscard]] static auto keepersOf(Hash hash, const Hubs& hubs) -> std::vector<AgentLink*>;
+    /// What is to be told to an agent.
+    struct News {
+        std::vector<CrashReport> reports;
+        std::vector<decisions::WholeRun> wholeRuns;
+    };
     /// Tells agents what they should state and do not.
     auto repeat() -> void;
+    /// The same for whole runs.
+    auto addMissingWholeRuns(std::map<AgentLink*, News>& missing, const Hubs& hubs) const -> void;
     /// Drops what is too old, and runs whose replicas have outlived them.
     auto forget() -> void;
     [[nodiscard]] auto waitsForNews() const -> bool;
     auto startRepeating() -> void;
     /// Logs that the request is refused from now on, or not any more, once all that is known now has been applied.
     auto noteVerdict(RequestDigest request, std::string_view source) -> void;
+    auto noteVerdicts(std::string_view source) -> void;
     auto logVerdict(RequestDigest request, std::string_view source) -> void;
+    /// The same for what requests share.
+    auto logCulprits(std::string_view source) -> void;
+    auto logCulprit(const decisions::Culprit& culprit, std::string_view source) -> void;
+    struct ContentName {
+        std::string what;
+        std::string name;
+    };
+    [[nodiscard]] auto nameOf(decisions::SharedHash hash) const -> ContentName;
     auto note(std::string_view event, std::string_view outcome, const OpenRun& run, std::string_view why) const -> void;
 
     wire::MainLoop& loop_;
@@ -132,7 +169,12 @@
     /// The start that was last listed at each address.
     std::map<std::string, ReplicaStart> listedAt_;
     /// Requests that this entry has logged as refused.
-    std::map<RequestDigest, Moment> refused_;
+    std::set<RequestDigest> refused_;
+    /// The same for what requests share: each is refused together with the others of its set.
+    std::set<std::vector<decisions::SharedHash>> culprits_;
+    std::map<decisions::SharedHash, ContentName> names_;
+    /// The hashes of `names_`, the one that was learnt first in front.
+    std::deque<decisions::SharedHash> namesOrder_;
     /// Requests whose verdict may have changed, and from whom the news came.
     std::map<RequestDigest, std::string> changed_;
     Timer changeTimer_;
@@ -142,10 +184,4 @@
 /// Hash of one start, the same at every process.
 [[nodiscard]] auto hashOf(const ReplicaStart& start) -> decisions::StartHash;
 
-/// Hash of a request's content and caller: what a replica would run, and for which member. The query is a part of the
-/// content only of requests without a body, since clients vary it without changing what a body asks for. Another
-/// adapter is another computation.
-[[nodiscard]] auto digestOf(
-    const wire::HttpRequestMessage& request, const RequestMetadata& metadata, const MemberId& member) -> RequestDigest;
-
 } // namespace eelgrass::serving
--- a/packages/wire/Agent.capnp
+++ b/packages/wire/Agent.capnp
@@ -62,6 +62,8 @@
   lostBirth @27 :UInt64;
   # Whether that start is over. Otherwise it could not be reached any more.
   lostIsOver @28 :Bool;
+  # Whole runs of what crashed runs held, as entries told this agent.
+  wholeRuns @29 :List(WholeRun);
 }
 
 enum CrashEvidence {
@@ -83,6 +85,15 @@
   evidence @3 :CrashEvidence;
   # How long ago the run ended, or the request was cleared.
   ageMs @4 :UInt32;
+  # Hashes of what the run held that other requests hold too.
+  shared @5 :List(UInt64);
+}
+
+# The latest run of a request that held this, which crashed nothing.
+struct WholeRun {
+  held @0 :UInt64;
+  # How long ago its answer began.
+  ageMs @1 :UInt32;
 }
 
 # What an answer of a replica says about its rate limit.
@@ -253,8 +264,8 @@
   # window and `allowed` in all; if this one is not, another can be after `spentForMs`.
   takeRetry @13 (service :Text, perShare :Float64, windowMs :UInt32, handoverMs :UInt32)
       -> (granted :Bool, retries :UInt32, allowed :Float64, spentForMs :UInt32);
-  # Runs that ended without their answers, to be kept and published.
-  noteCrashes @14 (crashes :List(RequestCrash));
+  # Runs that ended without their answers, and whole runs of what those held, to be kept and published.
+  noteCrashes @14 (crashes :List(RequestCrash), wholeRuns :List(WholeRun));
 }
 
 # The bootstrap of the process beside a replica.
