--- a/standins/ReplicaStandin.cpp
+++ b/standins/ReplicaStandin.cpp
@@ -118,6 +118,16 @@
     server_.open();
 }
 
+auto ReplicaStandin::Crash::isUnder(const wire::HttpRequestMessage& request) const -> bool
+{
+    if (!body.empty() && request.body == body)
+        return true;
+    const auto prompt = "," + std::string(request.fields.get(names::promptPrefix));
+    const auto last = prompt.rfind(',');
+    const auto found = prompt.find("," + part + ":");
+    return !part.empty() && found != std::string::npos && found < last;
+}
+
 auto ReplicaStandin::crashUnder(Crash crash, std::function<void()> onCrash) -> void
 {
     crash_ = std::move(crash);
@@ -361,7 +371,7 @@
     auto output = Output { .caller = caller, .adapter = adapter, .next = from + 1, .run = runs_.size() - 1 };
     output.silence = nextSilence();
     caller->watch({ .onGone = [this, run = output.run] { runs_.at(run).endedAt = timers_.now(); } });
-    if (crash_ && request.body == crash_->body)
+    if (crash_ && crash_->isUnder(request))
         return beginCrash(caller, std::move(head));
     const auto streamed = !request.fields.get(names::model).empty();
     if (streamed)
--- a/standins/ReplicaStandin.h
+++ b/standins/ReplicaStandin.h
@@ -61,15 +61,19 @@
         bool runsWhileReplacing = false;
         Silence silence {};
     };
-    /// How requests with this body crash the replica that runs them.
+    /// How requests with this body, or with this part of their prompts, crash the replica that runs them.
     struct Crash {
         std::string body;
+        /// The id of a part that is not the last one; none if empty.
+        std::string part {};
         /// Events of the stream that are sent before.
         std::uint64_t events = 0;
         /// From the begin of the run until the crash.
         Duration after { 50ms };
         /// Whether its callers see nothing of the crash: their connections stay as they are.
         bool silent = false;
+
+        [[nodiscard]] auto isUnder(const wire::HttpRequestMessage& request) const -> bool;
     };
     /// A request that began to run: that produced its first token.
     struct Run {
--- a/tests/harness/CrashWorld.cpp
+++ b/tests/harness/CrashWorld.cpp
@@ -13,7 +13,7 @@
     auto configuration = nlohmann::json::parse(servingConfiguration(2));
     configuration["services"][0]["engine"]["slots"] = options_.slots;
     world().store().put("op", "config", configuration.dump());
-    for (auto index = std::size_t(0); index < options_.engines + options_.plain; ++index) {
+    for (auto index = std::size_t(0); index < replicas(); ++index) {
         replica(index).crashUnder(options_.crash, [this, index] {
             crashes_.push_back(world().loop().timers().now());
             crash(index);
@@ -104,7 +104,7 @@
     if (crashes_.size() <= third)
         return 0;
     auto late = std::size_t(0);
-    for (auto index = std::size_t(0); index < options_.engines + options_.plain; ++index) {
+    for (auto index = std::size_t(0); index < replicas(); ++index) {
         for (const auto& run : replica(index).runs())
             late += run.body == options_.crash.body && run.at > crashes_[third] + noticeTime ? 1 : 0;
     }
--- a/tests/harness/CrashWorld.h
+++ b/tests/harness/CrashWorld.h
@@ -43,6 +43,10 @@
     auto restartAgent(std::size_t engine) -> void;
     /// Ends a replica as a crash does; its next start follows.
     auto crash(std::size_t replica) -> void;
+    [[nodiscard]] auto replica(std::size_t index) -> standins::ReplicaStandin&;
+    [[nodiscard]] auto replicas() const noexcept -> std::size_t { return options_.engines + options_.plain; }
+    /// When each crash happened.
+    [[nodiscard]] auto crashMoments() const noexcept -> const std::vector<Moment>& { return crashes_; }
     /// Sends the request for so long, to each gateway in turn.
     auto sendFor(Duration time, const ServingWorld::Request& request) -> void;
     /// Sends the request until three replicas have crashed under it, and on until more runs than allowed could be seen.
@@ -55,7 +59,6 @@
     [[nodiscard]] auto statuses() const noexcept -> const std::vector<int>& { return statuses_; }
 
 private:
-    [[nodiscard]] auto replica(std::size_t index) -> standins::ReplicaStandin&;
     auto startAgain(std::size_t index) -> void;
     auto publish(std::size_t index) -> void;
 
