What a run shares with others is blamed for crashes too: parts of prompts and versions of adapters

What callers saw: requests with one part in their prompts, no two of them alike, were sent to replicas 34 to 36 times more after five had ended under them, and sound requests of the same route were hardly served meanwhile.

Fix: a report names all that its run shared with others, the ledger books it under each, and the fewest things that explain the crashes are refused: whatever was sound a moment ago, ran beside, or was killed together is not. A run is refused if it holds all that nothing tells apart, so that sound requests run and clear what they hold. One gate asks before each send, and what waits is refused at once when it becomes known. Refusals end with one probe over all entries.

--- a/packages/decisions/CrashLedger.cpp
+++ b/packages/decisions/CrashLedger.cpp
@@ -52,6 +52,7 @@
     auto& start = starts_[report.start];
     if (report.evidence != CrashEvidence::Cleared)
         start.endedAt = start.endedAt == Moment() ? report.at : std::min(start.endedAt, report.at);
+    start.crashed = start.crashed || report.evidence == CrashEvidence::Crashed;
     start.requests.insert(report.request);
     if (!added && !stronger && !shared)
         return false;
@@ -144,8 +145,8 @@
         if (fact == found->second.begin() || (--fact)->first.first != start)
             continue;
         if (fact->second.evidence == CrashEvidence::Broke && !expired(fact->second, now))
-            confirmed.push_back({ request, start, fact->first.second, CrashEvidence::Crashed, fact->second.at,
-                fact->second.shared });
+            confirmed.push_back(
+                { request, start, fact->first.second, CrashEvidence::Crashed, fact->second.at, fact->second.shared });
     }
     for (const auto& report : confirmed)
         (void)apply(report, now);
@@ -219,6 +220,13 @@
     return suspected || endedTogether(found->second);
 }
 
+auto CrashLedger::endedByCulprit(StartHash start, const Fact& fact, Moment now) const -> bool
+{
+    const auto& known = culprits(now);
+    return std::any_of(known.begin(), known.end(),
+        [&](const Culprit& culprit) { return culprit.starts.contains(start) && !culprit.isHeldBy(fact.shared); });
+}
+
 auto CrashLedger::verdict(RequestDigest request, Moment now) const -> Verdict
 {
     auto verdict = Verdict { .crashes = crashesOf(request, now) };
@@ -230,24 +238,70 @@
     }
     if (verdict.crashes < limit)
         return verdict;
+    auto ownCrashes = std::size_t(0);
     for (const auto& [key, fact] : requests_.at(request)) {
-        if (counts(fact, now) && !explained(request, key.first, verdict.crashes, now))
+        if (!counts(fact, now) || endedByCulprit(key.first, fact, now))
+            continue;
+        ++ownCrashes;
+        if (!explained(request, key.first, verdict.crashes, now))
             ++verdict.unexplained;
     }
     // Beyond this number of doublings the refusal lasts for as long as the reports.
     constexpr auto maxDoublings = std::size_t(4);
     const auto doublings = std::min(verdict.crashes - limit, maxDoublings);
     verdict.probeFrom = verdict.last + refusalTime * (1U << doublings);
-    verdict.refused = (verdict.unexplained >= limit || verdict.crashes >= certainLimit) && now < verdict.probeFrom;
+    verdict.key = request.value();
+    verdict.refused = verdict.unexplained >= limit || ownCrashes >= certainLimit;
     return verdict;
 }
 
+auto CrashLedger::refusals(const RunContent& content, Moment now) const -> std::vector<Verdict>
+{
+    auto refusals = std::vector<Verdict>();
+    if (auto own = verdict(content.request, now); own.refused)
+        refusals.push_back(std::move(own));
+    for (const auto& culprit : culprits(now)) {
+        if (culprit.isHeldBy(content.shared))
+            refusals.push_back(verdictOn(culprit));
+    }
+    return refusals;
+}
+
+auto CrashLedger::verdictOn(const Culprit& culprit) -> Verdict
+{
+    // Beyond this many the time is the longest one anyway.
+    constexpr auto maxSteps = std::size_t(4);
+    constexpr auto growth = 6;
+    auto wait = Duration(firstSharedProbe);
+    for (auto step = std::size_t(0); step < std::min(culprit.weight.moments - culprit.limit.moments, maxSteps); ++step)
+        wait *= growth;
+    return { .crashes = culprit.starts.size(),
+        .unexplained = culprit.weight.crashes,
+        .last = culprit.last,
+        .refused = true,
+        .shared = culprit.together,
+        .probeFrom = culprit.last + std::min(wait, longestSharedProbe),
+        .key = culprit.together.front().value() };
+}
+
 auto CrashLedger::verdict(const RunContent& content, Moment now) const -> Verdict
 {
-    return verdict(content.request, now);
+    const auto refusals = this->refusals(content, now);
+    return refusals.empty() ? verdict(content.request, now) : refusals.front();
 }
 
-auto CrashLedger::sharedCrashes(SharedHash held, Moment now) const -> std::vector<SharedCrash>
+auto CrashLedger::ends() const -> Ends
+{
+    auto ends = Ends();
+    for (const auto& [start, known] : starts_) {
+        if (known.crashed)
+            ends.emplace_back(known.endedAt, start);
+    }
+    std::sort(ends.begin(), ends.end());
+    return ends;
+}
+
+auto CrashLedger::sharedCrashes(SharedHash held, const Ends& ends, Moment now) const -> std::vector<SharedCrash>
 {
     auto crashes = std::vector<SharedCrash>();
     const auto found = shared_.find(held);
@@ -255,9 +309,20 @@
         return crashes;
     const auto whole = wholeRuns_.find(held);
     const auto wholeRunAt = whole == wholeRuns_.end() ? Moment::min() : whole->second.begunAt;
+    auto startsWithIt = std::set<StartHash>();
+    for (const auto& [request, key] : found->second)
+        startsWithIt.insert(key.first);
+    const auto killed = [&](Moment at) {
+        auto end = std::lower_bound(ends.begin(), ends.end(), std::pair(at - sameMoment, StartHash()));
+        for (; end != ends.end() && end->first <= at + sameMoment; ++end) {
+            if (!startsWithIt.contains(end->second))
+                return true;
+        }
+        return false;
+    };
     for (const auto& [request, key] : found->second) {
         const auto& fact = requests_.at(request).at(key);
-        if (counts(fact, now) && fact.at > wholeRunAt)
+        if (counts(fact, now) && fact.at > wholeRunAt && !killed(fact.at))
             crashes.push_back({ fact.at, key.first, request });
     }
     return crashes;
@@ -266,8 +331,9 @@
 auto CrashLedger::sharedRecords(Moment now) const -> std::vector<SharedRecord>
 {
     auto records = std::vector<SharedRecord>();
+    const auto ends = this->ends();
     for (const auto& [held, runs] : shared_) {
-        auto crashes = sharedCrashes(held, now);
+        auto crashes = sharedCrashes(held, ends, now);
         if (crashes.empty())
             continue;
         const auto first = std::min_element(
@@ -290,7 +356,7 @@
 
 auto CrashLedger::standing(SharedHash held, Moment now) const -> Standing
 {
-    auto standing = Standing { .crashes = sharedCrashes(held, now).size() };
+    auto standing = Standing { .crashes = sharedCrashes(held, ends(), now).size() };
     if (const auto whole = wholeRuns_.find(held); whole != wholeRuns_.end())
         standing.wholeRunAt = whole->second.begunAt;
     return standing;
@@ -358,7 +424,7 @@
         for (const auto& [key, fact] : entry.second) {
             last = std::max(last, fact.at);
             for (const auto& culprit : known)
-                crashes = std::max(crashes, culprit.isHeldBy(fact.shared) ? culprit.weight : 0);
+                crashes = std::max(crashes, culprit.isHeldBy(fact.shared) ? culprit.weight.crashes : 0);
         }
         return std::tuple(crashes, last);
     };
--- a/packages/decisions/CrashLedger.h
+++ b/packages/decisions/CrashLedger.h
@@ -16,13 +16,13 @@
 /// What was running when replicas crashed, and which request, or which thing that requests share, is the cause and
 /// refused.
 ///
-/// Designed for a request that crashes each replica that runs it and comes again at any entry, and for a part of prompts
-/// that does the same in requests of which no two are alike, while entries, replicas and agents come and go; and for the
-/// requests that run beside them or at replicas that are killed.
+/// Designed for a request that crashes each replica that runs it and comes again at any entry, and for a part of
+/// prompts that does the same in requests of which no two are alike, while entries, replicas and agents come and go;
+/// and for the requests that run beside them or at replicas that are killed.
 ///
-/// Reports are facts about one run at one start of one replica, so that every process can keep and repeat them: a report
-/// that comes twice, late or from many counts once. Each is booked for the request and for all that it shares with
-/// others.
+/// Reports are facts about one run at one start of one replica, so that every process can keep and repeat them: a
+/// report that comes twice, late or from many counts once. Each is booked for the request and for all that it shares
+/// with others.
 ///
 /// A request with `limit` crashes since its last whole run is the cause of those that nothing else explains. A crash is
 /// explained by a request that ran there too and had as many since its last whole run, also if it has been cleared
@@ -42,8 +42,8 @@
     static constexpr auto certainLimit = std::size_t(5);
     /// A break counts for this long unless its replica is known to have crashed, which is known by then.
     static constexpr auto breakLifetime = Duration(10s);
-    /// A request is refused for this long after its last crash; twice as long with each further one. A replica may have
-    /// been mended meanwhile.
+    /// A request is refused for this long after its last crash; twice as long with each further one. Then one run of it
+    /// may show whether its replicas have been mended meanwhile.
     static constexpr auto refusalTime = Duration(std::chrono::minutes(10));
     static constexpr auto retention = Duration(std::chrono::hours(2));
     static constexpr auto capacity = std::size_t(1000);
@@ -65,8 +65,12 @@
         /// When the last of them happened.
         Moment last {};
         bool refused = false;
-        /// Until when, if it is refused.
+        /// What is to blame, if it is not the request itself.
+        std::vector<SharedHash> shared {};
+        /// From when on one run may show whether it still crashes replicas, if it is refused.
         Moment probeFrom {};
+        /// Identifies what is to blame.
+        std::uint64_t key = 0;
     };
     /// What is known of something shared.
     struct Standing {
@@ -94,6 +98,8 @@
     [[nodiscard]] auto verdict(const RunContent& content, Moment now) const -> Verdict;
     /// Of the request alone.
     [[nodiscard]] auto verdict(RequestDigest request, Moment now) const -> Verdict;
+    /// Everything for which a run with this is refused: the request itself, and each culprit that it holds.
+    [[nodiscard]] auto refusals(const RunContent& content, Moment now) const -> std::vector<Verdict>;
     [[nodiscard]] auto standing(SharedHash held, Moment now) const -> Standing;
     [[nodiscard]] auto culprits(Moment now) const -> const std::vector<Culprit>&;
     /// Number of breaks of the request at the start up to `before`.
@@ -132,6 +138,8 @@
     using Facts = std::map<RunKey, Fact>;
     struct Start {
         Moment endedAt {};
+        /// Whether the start is known to have ended; it may only have lost connections if not.
+        bool crashed = false;
         /// All that ran there at its end, also those that were cleared since.
         std::set<RequestDigest> requests;
     };
@@ -149,14 +157,21 @@
         std::vector<Culprit> culprits;
     };
 
+    [[nodiscard]] static auto verdictOn(const Culprit& culprit) -> Verdict;
     [[nodiscard]] static auto counts(const Fact& fact, Moment now) noexcept -> bool;
     [[nodiscard]] static auto expired(const Fact& fact, Moment now) noexcept -> bool;
     [[nodiscard]] auto crashesOf(RequestDigest request, Moment now) const -> std::size_t;
     /// How many crashes the request has had in a row at the most, of those that it shares with the start.
     [[nodiscard]] auto crashesInARow(RequestDigest request, StartHash start, Moment now) const -> std::size_t;
-    /// Crashes of runs that held this, since its last whole run.
-    [[nodiscard]] auto sharedCrashes(SharedHash held, Moment now) const -> std::vector<SharedCrash>;
+    /// Starts by the moment of their end.
+    using Ends = std::vector<std::pair<Moment, StartHash>>;
+    [[nodiscard]] auto ends() const -> Ends;
+    /// Crashes of runs that held this, since its last whole run. A start that ended together with one where nothing
+    /// held it was killed with that one.
+    [[nodiscard]] auto sharedCrashes(SharedHash held, const Ends& ends, Moment now) const -> std::vector<SharedCrash>;
     [[nodiscard]] auto sharedRecords(Moment now) const -> std::vector<SharedRecord>;
+    /// Whether a culprit that this run did not hold ended the start.
+    [[nodiscard]] auto endedByCulprit(StartHash start, const Fact& fact, Moment now) const -> bool;
     /// Whether a crash of a run with this lies between the moments.
     [[nodiscard]] auto crashedBetween(SharedHash held, Moment from, Moment to) const -> bool;
     auto noteWholeRun(SharedHash held, Moment begunAt, bool told) -> void;
--- a/packages/decisions/SharedCulprits.cpp
+++ b/packages/decisions/SharedCulprits.cpp
@@ -3,24 +3,32 @@
 #include <algorithm>
 #include <set>
 #include <tuple>
+#include <utility>
 
 namespace eelgrass::decisions {
 
 namespace {
 
+using RunId = std::pair<StartHash, RequestDigest>;
+
 struct Candidate {
     SharedRecord record;
     std::set<StartHash> starts;
-    std::size_t weight = 0;
-    std::size_t limit = 0;
+    std::set<RunId> runs;
+    CrashWeight weight;
+    CrashWeight limit;
+
+    [[nodiscard]] auto reachesLimit() const noexcept -> bool { return weight.reaches(limit); }
 };
 
 auto toCandidate(SharedRecord record) -> Candidate
 {
     auto candidate = Candidate { .weight = weightOf(record.crashes),
         .limit = record.soundBefore ? soundCrashLimit : sharedCrashLimit };
-    for (const auto& crash : record.crashes)
+    for (const auto& crash : record.crashes) {
         candidate.starts.insert(crash.start);
+        candidate.runs.emplace(crash.start, crash.request);
+    }
     candidate.record = std::move(record);
     return candidate;
 }
@@ -33,13 +41,41 @@
     return crashes;
 }
 
+/// Whether the other one explains all crashes of the candidate, and was not sound while the candidate was not.
+auto explains(const Candidate& other, const Candidate& candidate) -> bool
+{
+    return other.record.soundBefore <= candidate.record.soundBefore
+        && std::includes(other.starts.begin(), other.starts.end(), candidate.starts.begin(), candidate.starts.end());
+}
+
+/// Whether some run held both, at each start that ended under the candidate.
+auto heldTogether(const Candidate& candidate, const Candidate& other) -> bool
+{
+    auto starts = std::set<StartHash>();
+    for (const auto& run : candidate.runs) {
+        if (other.runs.contains(run))
+            starts.insert(run.first);
+    }
+    return starts.size() == candidate.starts.size();
+}
+
+/// Whether something that other runs held explains the crashes as well, so that the next ones have to tell.
+auto isAmbiguous(const Candidate& candidate, const std::vector<Candidate>& candidates) -> bool
+{
+    if (candidate.weight.crashes >= certainCrashes)
+        return false;
+    return std::any_of(candidates.begin(), candidates.end(), [&](const Candidate& other) {
+        return other.reachesLimit() && explains(other, candidate) && !heldTogether(candidate, other);
+    });
+}
+
 auto toCulprit(const Candidate& candidate, const std::vector<Candidate>& candidates) -> Culprit
 {
     auto culprit = Culprit { .weight = candidate.weight, .limit = candidate.limit, .starts = candidate.starts };
     for (const auto& crash : candidate.record.crashes)
         culprit.last = std::max(culprit.last, crash.at);
     for (const auto& other : candidates) {
-        if (other.starts == candidate.starts && other.record.soundBefore == candidate.record.soundBefore)
+        if (explains(other, candidate) && heldTogether(candidate, other))
             culprit.together.push_back(other.record.held);
     }
     return culprit;
@@ -47,40 +83,39 @@
 
 } // namespace
 
-auto weightOf(std::vector<SharedCrash> crashes) -> std::size_t
+auto weightOf(std::vector<SharedCrash> crashes) -> CrashWeight
 {
     std::sort(crashes.begin(), crashes.end(), [](const auto& left, const auto& right) { return left.at < right.at; });
-    auto events = std::size_t(0);
-    auto eventBegan = Moment();
+    auto moments = std::size_t(0);
+    auto momentBegan = Moment();
     auto starts = std::set<StartHash>();
     auto requests = std::set<RequestDigest>();
     for (const auto& crash : crashes) {
-        if (events == 0 || crash.at - eventBegan >= crashMomentSpan) {
-            ++events;
-            eventBegan = crash.at;
+        if (moments == 0 || crash.at - momentBegan >= crashMomentSpan) {
+            ++moments;
+            momentBegan = crash.at;
         }
         starts.insert(crash.start);
         requests.insert(crash.request);
     }
-    return std::min({ events, starts.size(), requests.size() });
+    return { std::min(starts.size(), requests.size()), moments };
 }
 
 auto findCulprits(std::vector<SharedRecord> records) -> std::vector<Culprit>
 {
     auto candidates = std::vector<Candidate>();
-    for (auto& record : records) {
-        auto candidate = toCandidate(std::move(record));
-        if (candidate.weight >= candidate.limit)
-            candidates.push_back(std::move(candidate));
-    }
+    candidates.reserve(records.size());
+    for (auto& record : records)
+        candidates.push_back(toCandidate(std::move(record)));
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& left, const Candidate& right) {
-        return std::tuple(left.record.soundBefore, right.weight, right.starts.size(), left.record.held)
-            < std::tuple(right.record.soundBefore, left.weight, left.starts.size(), right.record.held);
+        return std::tuple(left.record.soundBefore, right.weight.crashes, right.starts.size(), left.record.held)
+            < std::tuple(right.record.soundBefore, left.weight.crashes, left.starts.size(), right.record.held);
     });
     auto culprits = std::vector<Culprit>();
     auto explained = std::set<StartHash>();
     for (const auto& candidate : candidates) {
-        if (weightOf(unexplained(candidate, explained)) < candidate.limit)
+        const auto own = weightOf(unexplained(candidate, explained));
+        if (!own.reaches(candidate.limit) || isAmbiguous(candidate, candidates))
             continue;
         culprits.push_back(toCulprit(candidate, candidates));
         explained.insert(candidate.starts.begin(), candidate.starts.end());
--- a/packages/decisions/SharedCulprits.h
+++ b/packages/decisions/SharedCulprits.h
@@ -24,39 +24,51 @@
     bool soundBefore = false;
 };
 
+/// What the crashes under something shared have in common.
+struct CrashWeight {
+    /// The number of replicas' starts, or of different requests, whichever is less. A request that crashes replicas
+    /// again and again is to blame by itself, not what it shares with others.
+    std::size_t crashes = 0;
+    /// Moments at which they happened. Replicas that end within `crashMomentSpan` of each other are one event: a rack
+    /// loses power, or all are killed at once, and each of them was running some request with what is popular.
+    std::size_t moments = 0;
+
+    [[nodiscard]] auto reaches(const CrashWeight& limit) const noexcept -> bool
+    {
+        return crashes >= limit.crashes && moments >= limit.moments;
+    }
+};
+
 /// What makes replicas crash: everything that nothing tells apart so far. A run that holds all of it crashes its
 /// replica; one that holds less may be sound, and its whole run clears what it holds.
 struct Culprit {
     std::vector<SharedHash> together;
-    /// Crashes that count (see `weightOf`), and how many were needed.
-    std::size_t weight = 0;
-    std::size_t limit = 0;
+    CrashWeight weight;
+    CrashWeight limit;
     Moment last {};
     /// Starts that ended under it.
     std::set<StartHash> starts {};
 
     [[nodiscard]] auto isHeldBy(const std::vector<SharedHash>& shared) const -> bool
     {
-        return std::all_of(together.begin(), together.end(), [&](SharedHash one) {
-            return std::find(shared.begin(), shared.end(), one) != shared.end();
-        });
+        return std::all_of(together.begin(), together.end(),
+            [&](SharedHash one) { return std::find(shared.begin(), shared.end(), one) != shared.end(); });
     }
 };
 
-/// Crashes under different requests that count, for something that was sound before and for something that was not:
-/// it takes more to believe that weights or a prompt that served a moment ago crash replicas now.
-inline constexpr auto sharedCrashLimit = std::size_t(3);
-inline constexpr auto soundCrashLimit = std::size_t(4);
-/// Replicas that end within this time of each other are one event: a rack loses power, or all are killed at once, and
-/// each of them was running some request with what is popular.
+/// What it takes to be a culprit, for something that was not known to be sound before and for something that was: it
+/// takes more to believe that weights or a prompt that served a moment ago crash replicas now.
+inline constexpr auto sharedCrashLimit = CrashWeight { .crashes = 3, .moments = 2 };
+inline constexpr auto soundCrashLimit = CrashWeight { .crashes = 4, .moments = 3 };
+/// With so many crashes something is a culprit although other runs beside it always held something else.
+inline constexpr auto certainCrashes = std::size_t(5);
 inline constexpr auto crashMomentSpan = Duration(1s);
 
-/// The number of events, replicas and requests that the crashes have in common: the least of the three. A request that
-/// crashes replicas again and again is to blame by itself, not what it shares with others.
-[[nodiscard]] auto weightOf(std::vector<SharedCrash> crashes) -> std::size_t;
+[[nodiscard]] auto weightOf(std::vector<SharedCrash> crashes) -> CrashWeight;
 
 /// Finds the fewest culprits that explain the crashes: what was never sound goes before what was, and the one with the
-/// most crashes before others. What only ran beside a culprit has no crash left of its own.
+/// most crashes before others. What only ran beside a culprit has no crash left of its own. What the culprit's requests
+/// hold and others too, so that it reaches its limit first, is a culprit only together with it.
 [[nodiscard]] auto findCulprits(std::vector<SharedRecord> records) -> std::vector<Culprit>;
 
 } // namespace eelgrass::decisions
--- a/packages/serving/AgentCalls.cpp
+++ b/packages/serving/AgentCalls.cpp
@@ -132,6 +132,18 @@
     });
 }
 
+auto AgentLink::takeProbe(std::uint64_t key) -> kj::Promise<bool>
+{
+    if (session_) {
+        KJ_IF_MAYBE (client, session_->client) {
+            auto call = client->takeProbeRequest();
+            call.setKey(key);
+            return call.send().then([](auto&& answer) { return answer.getGranted(); });
+        }
+    }
+    return KJ_EXCEPTION(DISCONNECTED, "no session with the agent");
+}
+
 auto AgentLink::takeQuota(const QuotaCharge& charge) -> kj::Promise<QuotaDecision>
 {
     if (!alive() && mayOpen()) {
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -159,6 +159,16 @@
         return kj::READY_NOW;
     }
 
+    auto takeProbe(TakeProbeContext context) -> kj::Promise<void> override
+    {
+        const auto key = context.getParams().getKey();
+        const auto granted = role().probes_.take(key, role().loop_.timers().now());
+        if (granted)
+            log::info("probe granted", { { "peer", entry_ }, { "key", std::to_string(key) } });
+        context.getResults().setGranted(granted);
+        return kj::READY_NOW;
+    }
+
     auto takeQuota(TakeQuotaContext context) -> kj::Promise<void> override
     {
         const auto charge = context.getParams().getCharge();
--- a/packages/serving/AgentRole.h
+++ b/packages/serving/AgentRole.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decisions/CrashLedger.h"
+#include "decisions/ProbeLeases.h"
 #include "decisions/RetryReserve.h"
 #include "router/Metrics.h"
 #include "serving/AttachedEntries.h"
@@ -76,6 +77,7 @@
     Timer limitsTimer_;
     Timer expiryTimer_;
     decisions::CrashLedger crashes_;
+    decisions::ProbeLeases probes_;
     /// Of streams that ran at the replica.
     StreamOrigins origins_;
     AttachedEntries attachedEntries_;
--- a/packages/serving/RequestAnswer.cpp
+++ b/packages/serving/RequestAnswer.cpp
@@ -188,11 +188,13 @@
 /// The request goes elsewhere as if it had not been sent: the replica got nothing and did not fail.
 auto RequestRun::onWithheld() -> void
 {
-    countWithheld();
-    logDecision("send withheld", withheldReason().text);
+    if (const auto reason = withheldFromWrite()) {
+        countWithheld(*reason);
+        logDecision("send withheld", reason->text);
+    }
     returnPermit();
     dropPrepared(RunEnd::Unsent);
-    if (gateway_.suspects.isRefused(*content_))
+    if (isCrashing())
         return refuseAsCrashing();
     waitTimer_ = gateway_.loop.timers().after(Duration(0), guarded(&RequestRun::place));
 }
--- a/packages/serving/RequestContent.h
+++ b/packages/serving/RequestContent.h
@@ -20,8 +20,9 @@
 
 /// What a run of a request holds that may crash its replica.
 ///
-/// Every part of the prompt but the last can be in other requests too. A part counts for all members, and for its member
-/// alone: as long as one member's requests are all that crash, others' requests with the part are not refused for it.
+/// Every part of the prompt but the last can be in other requests too. A part counts for all members, and for its
+/// member alone: as long as one member's requests are all that crash, others' requests with the part are not refused
+/// for it.
 struct RequestContent {
     decisions::RunContent run;
     std::vector<SharedContent> shared;
--- a/packages/serving/RequestReplace.cpp
+++ b/packages/serving/RequestReplace.cpp
@@ -135,7 +135,7 @@
     run_ = std::exchange(prepared_, nullptr);
     run_->agent = std::exchange(admittingAgent_, nullptr);
     run_->heardAt = gateway_.now();
-    gateway_.suspects.runBegan(content_, run_);
+    gateway_.suspects.runBegan(content_, metadata_.attempt, run_);
     permit_.reset();
     searching_ = false;
     ++runs_;
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -95,10 +95,11 @@
     if (service == configuration_->services.end() || !service->second.engine)
         metadata_.adapter = AdapterId();
     setContent(knownVersion().version);
-    if (gateway_.suspects.isRefused(*content_)) {
+    if (gateway_.suspects.refusesNew(*content_, metadata_.attempt)) {
         refuseAsCrashing();
         return false;
     }
+    watchRefusals();
     gateway_.retryBudgets.received(service_);
     gateway_.metrics.count("eelgrass_service_requests_total", { { "service", service_.str() } });
     setTimes();
@@ -278,21 +279,14 @@
 
 auto RequestRun::send() -> void
 {
-    const auto now = gateway_.now();
     const auto grantedVersion = std::exchange(grantedVersion_, std::nullopt);
     runVersion_ = grantedVersion.value_or(replica_->heldVersion(metadata_.adapter));
     setContent(runVersion_);
-    if (!replica_->accepts(now)) {
-        countWithheld();
-        return onReplicaClosed();
-    }
-    if (gateway_.suspects.isRefused(*content_)) {
-        countWithheld();
-        return refuseAsCrashing();
-    }
-    if (!mayRunOn(runVersion_) || !mayContinueAt(*replica_)) {
-        countWithheld();
-        return abandonAdmission(withheldReason().text);
+    // That of an earlier send.
+    sendGrantedAt_.reset();
+    if (const auto reason = withheldReason(!replica_->rest().allows(gateway_.now()))) {
+        countWithheld(*reason);
+        return isCrashing() ? refuseAsCrashing() : abandonAdmission(reason->text);
     }
     replicaClosed_.reset();
     // With less time left the request would be cut off at once, and the client could not be told that it has not run.
@@ -338,7 +332,7 @@
             .onFault = [this](ReplicaFault fault) { onFault(fault); },
             .mayWrite =
                 [this] {
-                    if (!mayWrite())
+                    if (withheldFromWrite())
                         return false;
                     startRun();
                     return true;
@@ -363,7 +357,7 @@
 
 auto RequestRun::mayRunAgain() const -> bool
 {
-    return route_->repeatable() && runs_ < route_->maxRuns && sends_ < maxSends && !gateway_.suspects.isRefused(*content_)
+    return route_->repeatable() && runs_ < route_->maxRuns && sends_ < maxSends && !isCrashing()
         && (delivered_ == Delivered::Nothing || (route_->resumable && lastEventId_));
 }
 
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -123,8 +123,6 @@
     [[nodiscard]] auto mayRunOn(AdapterVersion version) const -> bool;
     /// Sets what a run on this version of the adapter would hold.
     auto setContent(AdapterVersion version) -> void;
-    /// Whether a request that was given to a connection may be written now that the connection stands.
-    [[nodiscard]] auto mayWrite() const -> bool;
     [[nodiscard]] auto noAgentCanLoad() const -> bool;
     /// Whether the next send may go out now; counts it if it is a retry. If not, the reserve has been asked, and the
     /// send goes on with the answer.
@@ -157,9 +155,17 @@
         const char* label;
         std::string_view text;
     };
-    /// Why nothing is written to `replica_`.
-    [[nodiscard]] auto withheldReason() const -> WithheldReason;
-    auto countWithheld() -> void;
+    /// Why the request is not sent to `replica_`, if it is not: the one gate before every send. `rests` is whether the
+    /// replica's rest keeps it away.
+    [[nodiscard]] auto withheldReason(bool rests) const -> std::optional<WithheldReason>;
+    /// The same for a request that was given to a connection, now that the connection stands.
+    [[nodiscard]] auto withheldFromWrite() const -> std::optional<WithheldReason>;
+    auto countWithheld(const WithheldReason& reason) -> void;
+    /// Whether the request, or something that it holds, crashes the replicas that run it.
+    [[nodiscard]] auto isCrashing() const -> bool;
+    /// Refuses the request while it waits, as soon as it is known to crash replicas.
+    auto watchRefusals() -> void;
+    auto onRefusal() -> void;
     auto startSilenceTimer() -> void;
 
     // Replacing a silent run. It goes on while a replica is searched that takes the request from it, and ends when the
@@ -307,6 +313,7 @@
     std::optional<PermitDecision> permit_;
     /// While the request waits at `replica_`: told when that wants no more requests.
     Subscribers::Subscription replicaClosed_;
+    Subscribers::Subscription refusals_;
     /// When the pending admission was requested.
     Moment admissionAskedAt_ {};
     /// The version of its adapter that the agent of `replica_` has granted the request.
--- a/packages/serving/RequestVersion.cpp
+++ b/packages/serving/RequestVersion.cpp
@@ -32,30 +32,55 @@
     return metadata_.adapter.empty() || version >= knownVersion().version;
 }
 
-auto RequestRun::mayWrite() const -> bool
-{
-    return !replica_->leaving() && !replica_->rest().resting(gateway_.now()) && mayRunOn(runVersion_)
-        && mayContinueAt(*replica_) && !gateway_.suspects.isRefused(*content_)
-        && (!sendGrantedAt_ || grantUsable(sendGrantedAt_));
-}
+auto RequestRun::isCrashing() const -> bool { return gateway_.suspects.isRefused(*content_, metadata_.attempt); }
 
-auto RequestRun::withheldReason() const -> WithheldReason
+auto RequestRun::withheldReason(bool rests) const -> std::optional<WithheldReason>
 {
-    if (gateway_.suspects.isRefused(*content_))
-        return { "crashes", crashingReason };
+    if (isCrashing())
+        return WithheldReason { "crashes", crashingReason };
     if (replica_->leaving())
-        return { "leaving", leavingReason };
+        return WithheldReason { "leaving", leavingReason };
     if (!mayContinueAt(*replica_))
-        return { "software", otherSoftwareReason };
+        return WithheldReason { "software", otherSoftwareReason };
     if (!mayRunOn(runVersion_))
-        return { "version", outdatedReason };
-    return replica_->rest().resting(gateway_.now()) ? WithheldReason { "rest", restReason }
-                                                    : WithheldReason { "retry grant", staleGrantReason };
+        return WithheldReason { "version", outdatedReason };
+    if (rests)
+        return WithheldReason { "rest", restReason };
+    if (sendGrantedAt_ && !grantUsable(sendGrantedAt_))
+        return WithheldReason { "retry grant", staleGrantReason };
+    return std::nullopt;
 }
 
-auto RequestRun::countWithheld() -> void
+auto RequestRun::withheldFromWrite() const -> std::optional<WithheldReason>
 {
-    gateway_.metrics.count("eelgrass_sends_withheld_total", { { "reason", withheldReason().label } });
+    // Its own send counts among those after which the next ones wait.
+    return withheldReason(replica_->rest().resting(gateway_.now()));
+}
+
+auto RequestRun::countWithheld(const WithheldReason& reason) -> void
+{
+    gateway_.metrics.count("eelgrass_sends_withheld_total", { { "reason", reason.label } });
+}
+
+auto RequestRun::watchRefusals() -> void
+{
+    refusals_ = gateway_.suspects.onRefusal().add([this, weak = weak_from_this()] {
+        gateway_.deferred.add([weak] {
+            if (const auto self = weak.lock())
+                self->onRefusal();
+        });
+    });
+}
+
+/// What is running may still end whole, which would show that it is refused in vain.
+auto RequestRun::onRefusal() -> void
+{
+    if (finished_ || !isCrashing())
+        return;
+    if (!running())
+        return refuseAsCrashing();
+    if (searching_)
+        withdrawSearch();
 }
 
 /// Whether no replica can get the named version of the adapter before the agents return, which have been away for so
--- a/packages/serving/SuspectRequests.cpp
+++ b/packages/serving/SuspectRequests.cpp
@@ -58,8 +58,10 @@
     return run.hasEvents ? run.heardAt - run.firstEventAt : Duration(0);
 }
 
-auto SuspectRequests::runBegan(const ContentPtr& content, const std::shared_ptr<ReplicaRun>& run) -> void
+auto SuspectRequests::runBegan(
+    const ContentPtr& content, const AttemptId& attempt, const std::shared_ptr<ReplicaRun>& run) -> void
 {
+    probes_.runBegan(attempt);
     if (runCount_ >= maxOpenRuns) {
         for (auto& [start, runs] : runs_)
             runCount_
@@ -248,6 +250,22 @@
     return ledger_.verdict(content.run, now());
 }
 
+auto SuspectRequests::refusesNew(const RequestContent& content, const AttemptId& attempt) -> bool
+{
+    for (const auto& refusal : ledger_.refusals(content.run, now())) {
+        if (now() < refusal.probeFrom || !probes_.claim(refusal.key, attempt))
+            return true;
+    }
+    return false;
+}
+
+auto SuspectRequests::isRefused(const RequestContent& content, const AttemptId& attempt) const -> bool
+{
+    const auto refusals = ledger_.refusals(content.run, now());
+    return std::any_of(
+        refusals.begin(), refusals.end(), [&](const auto& refusal) { return !probes_.isProbe(refusal.key, attempt); });
+}
+
 auto SuspectRequests::partsKnown(const RequestContent& content) const -> PartsKnown
 {
     auto known = PartsKnown { .parts = content.partsText() };
@@ -438,20 +456,27 @@
             { "unexplained", std::to_string(verdict.unexplained) }, { "source", std::string(source) },
             { "age_ms", millisecondsText(now() - verdict.last) },
             { "probe_ms", verdict.refused ? millisecondsText(verdict.probeFrom - now()) : "" } });
-    if (verdict.refused)
-        refused_.insert(request);
-    else
+    if (!verdict.refused) {
         refused_.erase(request);
+        return;
+    }
+    refused_.insert(request);
+    onRefusal_.notify();
 }
 
 auto SuspectRequests::logCulprits(std::string_view source) -> void
 {
     auto before = std::exchange(culprits_, {});
+    auto begins = false;
     for (const auto& culprit : ledger_.culprits(now())) {
         culprits_.insert(culprit.together);
-        if (before.erase(culprit.together) == 0)
-            logCulprit(culprit, source);
+        if (before.erase(culprit.together) > 0)
+            continue;
+        logCulprit(culprit, source);
+        begins = true;
     }
+    if (begins)
+        onRefusal_.notify();
     for (const auto& together : before) {
         metrics_.count("eelgrass_request_refusals_total", { { "change", "ends" } });
         for (const auto& hash : together) {
@@ -476,8 +501,9 @@
         log::warn("content crashes replicas",
             { { "what", what }, { "name", name }, { "hash", std::to_string(hash.value()) },
                 { "together", std::to_string(culprit.together.size()) },
-                { "starts", std::to_string(culprit.starts.size()) }, { "weight", std::to_string(culprit.weight) },
-                { "limit", std::to_string(culprit.limit) }, { "whole_run_ms", wholeRunMs },
+                { "starts", std::to_string(culprit.starts.size()) },
+                { "crashes", std::to_string(culprit.weight.crashes) },
+                { "moments", std::to_string(culprit.weight.moments) }, { "whole_run_ms", wholeRunMs },
                 { "age_ms", millisecondsText(now() - culprit.last) }, { "source", std::string(source) } });
     }
 }
@@ -496,8 +522,7 @@
         { { "digest", std::to_string(run.content->run.request.value()) }, { "parts", known.parts },
             { "part_crashes", known.crashes }, { "part_whole_run_ms", known.wholeRunMs },
             { "replica", start.instance.str() }, { "birth", std::to_string(start.startTime.value()) },
-            { "reason", std::string(why) },
-            { "ended_ms", run.endedAt ? millisecondsText(now() - *run.endedAt) : "" },
+            { "reason", std::string(why) }, { "ended_ms", run.endedAt ? millisecondsText(now() - *run.endedAt) : "" },
             { "crashes", std::to_string(verdict.crashes) }, { "unexplained", std::to_string(verdict.unexplained) },
             { "kept_by", keepers } });
 }
--- a/packages/serving/SuspectRequests.h
+++ b/packages/serving/SuspectRequests.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "base/Subscribers.h"
 #include "decisions/CrashLedger.h"
 #include "router/Metrics.h"
+#include "serving/CrashProbes.h"
 #include "serving/ReplicaDirectory.h"
 #include "serving/ReplicaRun.h"
 #include "serving/RequestContent.h"
@@ -39,11 +41,12 @@
         : loop_(loop)
         , directory_(directory)
         , metrics_(metrics)
+        , probes_(loop, directory)
     {
     }
 
     /// The request is about to be written to the replica of `run`.
-    auto runBegan(const ContentPtr& content, const std::shared_ptr<ReplicaRun>& run) -> void;
+    auto runBegan(const ContentPtr& content, const AttemptId& attempt, const std::shared_ptr<ReplicaRun>& run) -> void;
     /// The replica has given its whole answer, so that the request did not crash it. Only the answer to a request that
     /// has run to its end clears it of earlier crashes.
     auto runAnswered(const RequestContent& content, const ReplicaRun& run, bool clears) -> void;
@@ -64,7 +67,13 @@
     /// Applies what an agent has published of crashes and of the earlier start of its replica.
     auto applyPublished(const AgentLink& agent) -> void;
 
-    [[nodiscard]] auto isRefused(const RequestContent& content) const -> bool { return verdict(content).refused; }
+    /// Whether the request is refused when it comes. Once the refusal has lasted, it may be the probe that is sent all
+    /// the same.
+    [[nodiscard]] auto refusesNew(const RequestContent& content, const AttemptId& attempt) -> bool;
+    /// Whether the request is refused at any later step.
+    [[nodiscard]] auto isRefused(const RequestContent& content, const AttemptId& attempt) const -> bool;
+    /// Told when something is refused from now on, for requests that wait.
+    auto onRefusal() noexcept -> Subscribers& { return onRefusal_; }
     [[nodiscard]] auto verdict(const RequestContent& content) const -> decisions::CrashLedger::Verdict;
     /// What is known of the parts of a request, in the order of the prompt, as log lines say it.
     struct PartsKnown {
@@ -162,6 +171,8 @@
     const ReplicaDirectory& directory_;
     router::Metrics& metrics_;
     decisions::CrashLedger ledger_;
+    CrashProbes probes_;
+    Subscribers onRefusal_;
     std::map<decisions::StartHash, OpenRuns> runs_;
     std::size_t runCount_ = 0;
     /// Starts that are over, and since when that is known.
--- a/packages/serving/detail/CrashMessages.h
+++ b/packages/serving/detail/CrashMessages.h
@@ -26,8 +26,8 @@
     }
 }
 
-inline auto fill(capnp::List<wire::schema::WholeRun>::Builder into, const std::vector<decisions::WholeRun>& runs,
-    Moment now) -> void
+inline auto fill(
+    capnp::List<wire::schema::WholeRun>::Builder into, const std::vector<decisions::WholeRun>& runs, Moment now) -> void
 {
     for (auto index = 0U; index < into.size(); ++index) {
         into[index].setHeld(runs[index].held.value());
@@ -61,8 +61,8 @@
     auto runs = std::vector<decisions::WholeRun>();
     runs.reserve(list.size());
     for (auto run : list)
-        runs.push_back({ decisions::SharedHash(run.getHeld()),
-            now - Duration(std::chrono::milliseconds(run.getAgeMs())) });
+        runs.push_back(
+            { decisions::SharedHash(run.getHeld()), now - Duration(std::chrono::milliseconds(run.getAgeMs())) });
     return runs;
 }
 
--- a/packages/wire/Agent.capnp
+++ b/packages/wire/Agent.capnp
@@ -266,6 +266,8 @@
       -> (granted :Bool, retries :UInt32, allowed :Float64, spentForMs :UInt32);
   # Runs that ended without their answers, and whole runs of what those held, to be kept and published.
   noteCrashes @14 (crashes :List(RequestCrash), wholeRuns :List(WholeRun));
+  # Asks to send one run of what all entries refuse, to learn whether it still crashes replicas.
+  takeProbe @15 (key :UInt64) -> (granted :Bool);
 }
 
 # The bootstrap of the process beside a replica.
--- a/tests/harness/PartCrashes.h
+++ b/tests/harness/PartCrashes.h
@@ -13,8 +13,8 @@
 /// alike, and sound requests beside each. They come at every gateway in turn.
 ///
 /// Its judge is the users' rule: of the requests with the part at most three reach replicas later than three seconds
-/// after its fifth crash, and from six seconds after it on sound ones are served at least half of the time. That none of
-/// them is refused for the crashes is checked too.
+/// after its fifth crash, and from six seconds after it on sound ones are served at least half of the time. That none
+/// of them is refused for the crashes is checked too.
 class PartCrashes {
 public:
     static constexpr auto part = "dead";
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -56,6 +56,8 @@
     /// A request that crashes the replicas that run it comes again and again, beside the faults of any kind of run but
     /// those with keys.
     bool crashes = false;
+    /// Not one request crashes them but one part of prompts, in requests of which no two are alike.
+    bool crashingParts = false;
     /// Popular adapters that hold all slots or all but one, beside rare adapters and shared prefixes, on replicas that
     /// are slow at times; beside the faults of any kind of run.
     bool demand = false;
@@ -254,6 +256,11 @@
     /// Nothing reaches or leaves the replica for this long, then everything does.
     auto pause(std::size_t replica, Duration time) -> void;
     auto changeConfiguration() -> kj::Promise<void>;
+    /// After so many crashes, requests that cause them reach replicas only a few times more.
+    struct CrashRule {
+        std::size_t crashesBefore = 0;
+        std::string_view of;
+    };
     auto prepareCrashes() -> void;
     /// How long a replica is away after a crash.
     [[nodiscard]] auto drawCrash() -> std::chrono::milliseconds;
@@ -343,8 +350,14 @@
     [[nodiscard]] auto refusalsOf(const std::string& adapter) const -> std::string;
     /// No more adapters, shared prefixes and kinds of request go without service than the users' rule allows.
     auto judgeDemand(std::vector<std::string>& broken) -> void;
-    /// A request under which three replicas have crashed reaches few more.
+    /// A request under which three replicas have crashed reaches few more, and so do requests with a part under which
+    /// five have.
     auto judgeCrashes(std::vector<std::string>& broken) -> void;
+    /// Requests that share other parts with those are not refused.
+    auto judgeBesideCrashes(std::vector<std::string>& broken) -> void;
+    /// Sends a request that shares its caller and other parts with a crashing one.
+    auto sendBesideCrashing(std::size_t gateway) -> void;
+    [[nodiscard]] auto crashRule() const -> CrashRule;
     /// Every gateway serves a living key of each member, every adapter and every kind of request again.
     auto judgeLivingKeys(std::vector<std::string>& broken) -> void;
     /// Whether a gateway may have missed what a replica told it, or may have forgotten it.
@@ -404,6 +417,8 @@
     /// When a replica crashed under the request that crashes them, and which gateway got each of its attempts.
     std::vector<Moment> crashes_;
     std::map<std::string, std::size_t> crashSenders_;
+    /// Status of the answers to requests beside those.
+    std::map<std::string, int> besideCrashes_;
     std::vector<Demand> demand_;
     std::vector<kj::Promise<void>> demandCalls_;
     std::map<std::string, tests::StarvationRule> demandRules_ { { "adapters", {} }, { "prefixes", {} },
--- a/tests/soak/SoakMain.cpp
+++ b/tests/soak/SoakMain.cpp
@@ -25,6 +25,7 @@
 ABSL_FLAG(bool, pauses, false, "sound replicas that fall silent and go on, changes of the configuration all along");
 ABSL_FLAG(
     bool, crashes, false, "a request that crashes the replicas that run it, beside the faults of any kind of run");
+ABSL_FLAG(bool, parts, false, "with --crashes: one part of prompts crashes them, in requests that are all different");
 ABSL_FLAG(bool, demand, false, "popular and rare adapters and prefixes on slow replicas, beside the faults of any run");
 ABSL_FLAG(std::size_t, cores, 0, "processor cores that the processes of the system share; 0 for all");
 // NOLINTEND
@@ -44,6 +45,7 @@
     size.keys = absl::GetFlag(FLAGS_keys);
     size.pauses = absl::GetFlag(FLAGS_pauses);
     size.crashes = absl::GetFlag(FLAGS_crashes);
+    size.crashingParts = absl::GetFlag(FLAGS_parts);
     size.demand = absl::GetFlag(FLAGS_demand);
     size.cores = absl::GetFlag(FLAGS_cores);
     size.time = std::chrono::milliseconds(absl::GetFlag(FLAGS_ms));
