Answers that end with their connection: a crash is not taken for their end, and inside an event they go on elsewhere

What callers saw: a stream with neither a length nor chunks whose replica closed in order inside an event was broken off, though it may be resumed and another replica was free; and the replica's crash was taken for the end of its answer, so that it cleared the part that had crashed it (four of four requests sent, three are enough).

Cause: the end of the connection completes such an answer by its framing, and the entry looked at the last event only after it had booked a whole run.

Fix: an answer that ends inside an event is a broken one, for the retry as for the count of crashes. One that ends with its connection counts as whole only when its replica is heard of again; if its start ends first, it was a crash.

--- a/packages/serving/ReplicaLeg.cpp
+++ b/packages/serving/ReplicaLeg.cpp
@@ -193,8 +193,10 @@
         if (!*alive || !busy_)
             return;
         reader_->finish();
-        if (reader_->complete() && headReported_ && !skippingAnswer_)
+        if (reader_->complete() && headReported_ && !skippingAnswer_) {
+            answerEndedWithConnection_ = true;
             return finish();
+        }
     }
     fail(connection_->connected() ? ReplicaFault::Broken : ReplicaFault::NotSent);
 }
--- a/packages/serving/ReplicaLeg.h
+++ b/packages/serving/ReplicaLeg.h
@@ -59,6 +59,9 @@
     /// Whether another request can be sent: the answer is complete, no other bytes arrived, and the replica keeps the
     /// connection open.
     [[nodiscard]] auto reusable() const noexcept -> bool { return reusable_; }
+    /// Whether the answer had neither a length nor chunks: the end of the connection completed it, as the end of its
+    /// replica may.
+    [[nodiscard]] auto answerEndedWithConnection() const noexcept -> bool { return answerEndedWithConnection_; }
     /// How long the replica keeps an idle connection open, from its Keep-Alive header; empty if it did not send one.
     [[nodiscard]] auto idleTimeout() const noexcept -> std::optional<std::chrono::seconds> { return idleTimeout_; }
     /// Reads what waits on an idle connection: the replica may have closed it, or sent bytes that nobody asked for.
@@ -96,6 +99,7 @@
     bool headReported_ = false;
     bool sawForeignAnswer_ = false;
     bool reusable_ = false;
+    bool answerEndedWithConnection_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/packages/serving/RequestAnswer.cpp
+++ b/packages/serving/RequestAnswer.cpp
@@ -128,9 +128,11 @@
     silenceTimer_.cancel();
     if (run_->silent)
         withdrawSearch();
+    // Complete by its framing only: the replica closed its connection in the middle of an event.
+    if (run_->streaming && !run_->events.incomplete().empty())
+        return onFault(ReplicaFault::Broken);
     const auto failed = run_->head.status >= firstServerError;
-    const auto whole = run_->answer.sealed && (!run_->streaming || run_->events.incomplete().empty());
-    gateway_.suspects.runAnswered(*content_, *run_, !run_->answer.notRun && !failed && whole);
+    gateway_.suspects.runAnswered(*run_, !run_->answer.notRun && !failed && run_->answer.sealed);
     if (run_->answer.notRun)
         return onAnsweredNotRun();
     if (run_->streaming)
@@ -157,10 +159,6 @@
 
 auto RequestRun::onStreamDone() -> void
 {
-    if (!run_->events.incomplete().empty()) {
-        releaseRun(false);
-        return giveUp("stream ended within an event");
-    }
     run_->replica->succeeded(gateway_.now() - run_->sentAt);
     releaseRun(true);
     if (delivered_ == Delivered::Nothing)
--- a/packages/serving/SuspectRequests.cpp
+++ b/packages/serving/SuspectRequests.cpp
@@ -74,19 +74,32 @@
         { .content = content, .run = run.get(), .progress = run, .replica = run->replica, .begunAt = now() });
 }
 
-auto SuspectRequests::runAnswered(const RequestContent& content, const ReplicaRun& run, bool clears) -> void
+auto SuspectRequests::runAnswered(const ReplicaRun& run, bool clears) -> void
 {
-    removeRun(run);
-    if (!clears)
+    auto* open = findRun(run);
+    if (!open)
         return;
-    report(ledger_.ranWhole(content.run.shared, run.hasEvents ? run.firstEventAt : run.heardAt, now()));
+    open->answerBegunAt = run.hasEvents ? run.firstEventAt : run.heardAt;
+    if (clears && run.connection->answerEndedWithConnection()) {
+        open->answered = true;
+        return runLeft(run);
+    }
+    const auto answered = *open;
+    removeRun(run);
+    if (clears)
+        clear(*answered.content, answered.replica, answered.answerBegunAt);
+}
+
+auto SuspectRequests::clear(const RequestContent& content, const ReplicaPtr& replica, Moment answerBegunAt) -> void
+{
+    report(ledger_.ranWhole(content.run.shared, answerBegunAt, now()));
     const auto cleared = ledger_.clear(content.run.request, now());
     if (cleared.empty())
         return;
     metrics_.count("eelgrass_request_crashes_total", { { "outcome", "cleared" } });
     log::info("request cleared of crashes",
         { { "digest", std::to_string(content.run.request.value()) }, { "parts", content.partsText() },
-            { "reports", std::to_string(cleared.size()) }, { "replica", run.replica->id().str() } });
+            { "reports", std::to_string(cleared.size()) }, { "replica", replica->id().str() } });
     report(cleared);
     noteVerdict(content.run.request, "answered");
 }
@@ -398,23 +411,29 @@
     }
 }
 
+auto SuspectRequests::settled(const OpenRun& run) -> bool
+{
+    if (!run.endedAt)
+        return false;
+    const auto why = excuse(run);
+    const auto old = now() - *run.endedAt > openRunTime;
+    if (why.empty() && !old)
+        return false;
+    if (run.answered)
+        clear(*run.content, run.replica, run.answerBegunAt);
+    else if (!why.empty())
+        note("run not ended by a crash", "not counted", run, why);
+    else
+        note("run not ended by a crash", "forgotten", run, "nothing was heard of an end of its replica");
+    return true;
+}
+
 auto SuspectRequests::forget() -> void
 {
     const auto now = this->now();
     (void)ledger_.expire(now);
-    for (auto& [start, runs] : runs_) {
-        runCount_ -= std::erase_if(runs, [&](const OpenRun& run) {
-            if (!run.endedAt)
-                return false;
-            const auto why = excuse(run);
-            const auto old = now - *run.endedAt > openRunTime;
-            if (!why.empty())
-                note("run not ended by a crash", "not counted", run, why);
-            else if (old)
-                note("run not ended by a crash", "forgotten", run, "nothing was heard of an end of its replica");
-            return old || !why.empty();
-        });
-    }
+    for (auto& [start, runs] : runs_)
+        runCount_ -= std::erase_if(runs, [this](const OpenRun& run) { return settled(run); });
     std::erase_if(runs_, [](const auto& entry) { return entry.second.empty(); });
     std::erase_if(over_, [&](const auto& entry) { return now - entry.second > startMemory; });
 }
--- a/packages/serving/SuspectRequests.h
+++ b/packages/serving/SuspectRequests.h
@@ -48,8 +48,9 @@
     /// The request is about to be written to the replica of `run`.
     auto runBegan(const ContentPtr& content, const AttemptId& attempt, const std::shared_ptr<ReplicaRun>& run) -> void;
     /// The replica has given its whole answer, so that the request did not crash it. Only the answer to a request that
-    /// has run to its end clears it of earlier crashes.
-    auto runAnswered(const RequestContent& content, const ReplicaRun& run, bool clears) -> void;
+    /// has run to its end clears it, and what it shares with others, of earlier crashes. An answer that ended with its
+    /// connection does so once the replica has been heard of again.
+    auto runAnswered(const ReplicaRun& run, bool clears) -> void;
     /// The replica has sent an event. A stream that has gone on for long shows that what it holds crashes no replica.
     auto runWentOn(const RequestContent& content, ReplicaRun& run) -> void;
     /// The replica's connection broke off. `begun`: the client had a part of the stream before.
@@ -110,6 +111,10 @@
         /// When the replica was last heard of for this run, and for how long the stream had brought events then.
         Moment heardAt {};
         Duration streamedFor {};
+        /// Whether the answer is whole unless the replica crashed: it ended with its connection.
+        bool answered = false;
+        /// When the answer began.
+        Moment answerBegunAt {};
     };
     /// Agents that keep what all entries share, by their endpoints' hashes.
     using Hubs = std::map<std::uint64_t, AgentLink*>;
@@ -129,6 +134,10 @@
     [[nodiscard]] auto now() const -> Moment { return loop_.timers().now(); }
     auto startEnded(const ReplicaStart& start, StartEnd end, std::string_view source) -> void;
     [[nodiscard]] auto findRun(const ReplicaRun& run) -> OpenRun*;
+    /// The run was whole.
+    auto clear(const RequestContent& content, const ReplicaPtr& replica, Moment answerBegunAt) -> void;
+    /// Whether nothing more is to be learnt of the run; tells what has been.
+    [[nodiscard]] auto settled(const OpenRun& run) -> bool;
     auto removeRun(const ReplicaRun& run) -> void;
     [[nodiscard]] static auto streamedFor(const ReplicaRun& run) -> Duration;
     /// Counts the run as ended by a crash, or as broken off if that is not clear.
