Streams after all entries were killed: tests that none is joined from two versions; their world moves to the harness

A report from a system like ours: take-ups answered with text of two versions after all entries were killed while two versions served, or the old one had just left. None is joined: agents know, or the take-up is refused. It cannot happen for a new entry by the proof of a single version, since it counts only the time in which it has followed the list itself, which nothing hands on.

--- a/tests/integration/StreamVersions.cpp
+++ b/tests/integration/StreamVersions.cpp
@@ -1,6 +1,5 @@
-#include "platform/Names.h"
 #include "standins/FaultProxy.h"
-#include "tests/harness/ServingWorld.h"
+#include "tests/harness/StreamRelease.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -10,7 +9,8 @@
 using namespace eelgrass;
 using eelgrass::standins::ReplicaStandin;
 using eelgrass::standins::streamEvents;
-using eelgrass::tests::ReceivedAnswer;
+using eelgrass::tests::isRest;
+using Release = eelgrass::tests::StreamRelease;
 using eelgrass::tests::ServingWorld;
 namespace names = eelgrass::hosting::names;
 
@@ -20,109 +20,8 @@
 
 constexpr auto streams = 20;
 constexpr auto worlds = 6;
-constexpr auto sent = std::uint64_t(3);
-constexpr auto whole = std::uint64_t(5);
-
-/// Engines of the software versions given, which stop streams after three events until they recover.
-struct Release {
-    explicit Release(std::vector<std::string> versions, Then then = Then::Silence)
-        : world(versions.size(), 0)
-        , engines(versions.size())
-    {
-        for (auto index = std::size_t(0); index < engines; ++index)
-            world.engine(index).setSoftware(versions[index]);
-        world.publishReplicas();
-        stopStreams(then);
-    }
-    /// `times` is how many streams, if not all.
-    auto stopStreams(Then then = Then::Silence, const std::shared_ptr<int>& times = {}) -> void
-    {
-        for (auto index = std::size_t(0); index < engines; ++index)
-            world.engine(index).behave({ .sent = sent, .then = then, .times = times });
-    }
-    auto recover() -> void
-    {
-        for (auto index = std::size_t(0); index < engines; ++index)
-            world.engine(index).behave({});
-    }
-    auto runsOf(const std::string& attempt) -> std::size_t
-    {
-        auto count = std::size_t(0);
-        for (auto index = std::size_t(0); index < engines; ++index) {
-            const auto& runs = world.engine(index).runs();
-            count += static_cast<std::size_t>(
-                std::count_if(runs.begin(), runs.end(), [&](const auto& run) { return run.attempt == attempt; }));
-        }
-        return count;
-    }
-    auto runsOfAll() -> std::size_t
-    {
-        auto count = std::size_t(0);
-        for (auto index = std::size_t(0); index < engines; ++index)
-            count += world.engine(index).runs().size();
-        return count;
-    }
-    /// Begins a stream that its client leaves after three events; the version of these.
-    auto begin(const std::string& stream, std::size_t gateway = 0) -> std::string
-    {
-        const auto third = "id: " + std::to_string(sent) + "\n";
-        const auto answer = world.receive({ .attempt = stream, .body = stream, .gateway = gateway }, third);
-        const auto software = answer.body == streamEvents(1, sent, "v1") ? "v1" : "v1.1";
-        BOOST_REQUIRE(answer.body == streamEvents(1, sent, software));
-        return software;
-    }
-    /// The engine that ran the attempt; it is full from now on, so that the stream has to go on elsewhere.
-    auto fillEngineOf(const std::string& attempt) -> std::size_t
-    {
-        const auto ran = [&](std::size_t index) {
-            const auto& runs = world.engine(index).runs();
-            return std::any_of(runs.begin(), runs.end(), [&](const auto& run) { return run.attempt == attempt; });
-        };
-        auto index = std::size_t(0);
-        while (!ran(index))
-            ++index;
-        world.engine(index).behave({ .status = 503, .notRun = true });
-        return index;
-    }
-    /// The client takes the stream up with a new attempt; it names the attempts `resumes`.
-    auto takeUpAs(const std::vector<std::string>& resumes, const std::string& stream, const std::string& attempt,
-        std::size_t gateway = 0) -> ReceivedAnswer
-    {
-        auto request = ServingWorld::Request { .attempt = attempt, .body = stream, .gateway = gateway };
-        for (const auto& named : resumes)
-            request.more.add(names::resumes, named);
-        request.more.add(names::lastEventId, std::to_string(sent));
-        return world.receive(request);
-    }
-    auto takeUp(const std::string& stream, const std::string& attempt, std::size_t gateway = 0) -> ReceivedAnswer
-    {
-        return takeUpAs({ stream }, stream, attempt, gateway);
-    }
-    /// The host of this engine is gone, and the list shows it.
-    auto removeHost(std::size_t index, std::size_t gateway) -> void
-    {
-        world.stopAgent(index);
-        world.store().remove("servers", world.engine(index).instance());
-        const auto before = world.gateway(gateway).directory().all().size();
-        BOOST_REQUIRE(world.until([&] { return world.gateway(gateway).directory().all().size() == before - 1; }));
-    }
-    /// The entry ends, as a kill does, once it has noticed that its clients have left: it cannot be destroyed in the
-    /// middle of a request.
-    auto killEntry(std::size_t gateway) -> void
-    {
-        world.wait(200ms);
-        world.stopGateway(gateway);
-    }
-
-    ServingWorld world;
-    std::size_t engines;
-};
-
-/// Whether the answer is the rest of a stream that `software` began.
-auto isRest(const ReceivedAnswer& answer, const std::string& software) -> bool
-{
-    return answer.whole && answer.status == 200 && answer.body == streamEvents(sent + 1, whole, software);
-}
+constexpr auto sent = tests::eventsBeforeBreak;
+constexpr auto whole = tests::eventsOfStream;
 
 auto name(int number) -> std::string { return "stream-" + std::to_string(number); }
 
