Own interface: crashes of engines in the same ledger, by starts and for the weights too; the count by digest goes

What callers saw (forced, not reported): weights that crash each engine which runs them took two engines for each request, as only the digest of a request was counted; all that stood beside was blamed with it.

Change: entries and targets keep the ledger of the users' side (router/EngineCrashes) in place of decisions/Quarantine; a crash is booked by the start of the engine, as it names itself, for the request and for its weights, and told to entries so. A suspect still runs alone, and its second crash refuses it: a crash alone counts twice.

--- a/packages/decisions/Decisions.h
+++ b/packages/decisions/Decisions.h
@@ -19,7 +19,6 @@
 #include "decisions/PollSchedule.h"
 #include "decisions/PrefillRate.h"
 #include "decisions/PublishPolicy.h"
-#include "decisions/Quarantine.h"
 #include "decisions/RecentAdapters.h"
 #include "decisions/Rendezvous.h"
 #include "decisions/ReplicaChoice.h"
--- a/packages/router/TargetRole.cpp
+++ b/packages/router/TargetRole.cpp
@@ -207,6 +207,7 @@
         [this](const targets::EngineState& state) -> kj::Promise<void> {
             incarnation_ = state.incarnation;
             attempts_->setEngineSoftware(state.software);
+            attempts_->setEngineStart(EngineCrashes::numberOf(incarnation_));
             slots_->applyEngineState(state);
             for (const auto& stream : state.streams)
                 attempts_->adopt(stream.attempt, stream.model);
@@ -232,6 +233,7 @@
             log::warn("engine restarted", { { "step", "engine" } });
             incarnation_ = state.incarnation;
             attempts_->setEngineSoftware(state.software);
+            attempts_->setEngineStart(EngineCrashes::numberOf(incarnation_));
             slots_->applyEngineState(state);
             scheduleStatePush();
         },
@@ -304,6 +306,23 @@
     }));
 }
 
+auto TargetRole::writeEngineCrashes(wire::schema::TargetState::Builder into) const -> void
+{
+    const auto now = loop_.timers().now();
+    auto reports = attempts_->engineCrashes().reports(now);
+    std::erase_if(reports, [](const auto& report) { return report.evidence != decisions::CrashEvidence::Crashed; });
+    auto crashes = into.initEngineCrashes(static_cast<unsigned>(reports.size()));
+    for (auto index = 0U; index < crashes.size(); ++index) {
+        const auto& report = reports[index];
+        crashes[index].setRequest(report.request.value());
+        crashes[index].setWeights(report.shared.empty() ? 0 : report.shared.front().value());
+        crashes[index].setEngineStart(report.start.value());
+        crashes[index].setBefore(report.breaksBefore);
+        crashes[index].setAgeMs(
+            static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - report.at).count()));
+    }
+}
+
 auto TargetRole::writeState(wire::schema::TargetState::Builder into) const -> void
 {
     into.setTarget(settings_.common.name);
@@ -315,14 +334,7 @@
     into.setBatchLimit(settings_.batch);
     into.setEngineAlive(attempts_->engineAlive());
     into.setEngineSoftware(attempts_->engineSoftware().str());
-    const auto& known = attempts_->suspects().known();
-    auto suspects = into.initSuspects(static_cast<unsigned>(known.size()));
-    auto place = 0U;
-    for (const auto& [digest, crashes] : known) {
-        suspects[place].setDigest(digest);
-        suspects[place].setCrashes(crashes);
-        ++place;
-    }
+    writeEngineCrashes(into);
     into.setPlaceTimeUs(static_cast<std::uint32_t>(attempts_->requests().placeTime().count()));
     if (!slots_)
         return;
--- a/packages/router/TargetRole.h
+++ b/packages/router/TargetRole.h
@@ -63,6 +63,7 @@
     auto dropSilentConnections() -> void;
     auto openSession(std::string name, wire::schema::EntryListener::Client listener,
         std::shared_ptr<EntryActivity> activity) -> wire::schema::TargetSession::Client;
+    auto writeEngineCrashes(wire::schema::TargetState::Builder into) const -> void;
     auto writeState(wire::schema::TargetState::Builder into) const -> void;
     auto loadQueueHolder() -> std::optional<LoadTurns::Listener>;
     auto unsubscribe(std::uint64_t session) -> void;
--- a/packages/router/WireTypes.cpp
+++ b/packages/router/WireTypes.cpp
@@ -135,6 +135,7 @@
     into.setCompletionTokens(end.completionTokens);
     into.setLoadStallUs(static_cast<std::uint64_t>(end.loadStall.count()));
     into.setQueueWaitUs(static_cast<std::uint64_t>(end.queueWait.count()));
+    into.setEngineStart(end.engineStart);
     into.setFailed(end.error.has_value());
     if (end.error)
         write(*end.error, into.initRefusal());
@@ -149,6 +150,7 @@
     };
     end.loadStall = Duration(from.getLoadStallUs());
     end.queueWait = Duration(from.getQueueWaitUs());
+    end.engineStart = from.getEngineStart();
     if (from.getFailed())
         end.error = read(from.getRefusal());
     return end;
--- a/packages/router/WireTypes.h
+++ b/packages/router/WireTypes.h
@@ -58,6 +58,8 @@
     /// Time that the request waited for its adapter to load.
     Duration loadStall {};
     Duration queueWait {};
+    /// The start of the engine that ran the request, by its number at the target.
+    std::uint64_t engineStart = 0;
 };
 
 /// Conversions between bytes on the wire and text. dataOf() does not copy: `text` must outlive the result.
--- a/packages/router/controllers/AttemptsController.cpp
+++ b/packages/router/controllers/AttemptsController.cpp
@@ -316,6 +316,8 @@
     metrics_.observeRatio("eelgrass_batch_fill", static_cast<double>(running_) / static_cast<double>(limits_.batch));
     attempt->started = true;
     attempt->pinned = slots_;
+    attempt->engineStart = engineStart_;
+    attempt->startedAt = now();
     suspectRunning_ = attempt->request.crashes > 0;
     if (attempt->request.neverRepeat)
         rememberStarted(attempt->request.attempt);
@@ -349,10 +351,7 @@
     if (!attempt->cancelled)
         requests_.recordRunTime(attempt->request.requestClass, now() - attempt->acceptedAt - attempt->queueWait);
     suspectRunning_ = suspectRunning_ && running_ > 0;
-    if (const auto* error = attempt->output.error(); error && error->type() == "engine_lost")
-        suspects_.crashed(attempt->request.digest, attempt->request.crashes);
-    else if (!error)
-        suspects_.succeeded(attempt->request.digest);
+    recordCrash(*attempt);
     metrics_.count("eelgrass_attempts_total", { { "outcome", attempt->cancelled ? "cancelled" : "ended" } });
     scheduleRemoval(attempt);
     if (slots_ && std::exchange(attempt->pinned, false))
@@ -360,6 +359,18 @@
     dispatch();
 }
 
+auto AttemptsController::recordCrash(const Attempt& attempt) -> void
+{
+    const auto content = EngineCrashes::contentOf(attempt.request.digest, attempt.request.model);
+    const auto* error = attempt.output.error();
+    if (!error)
+        return engineCrashes_.succeeded(content, attempt.startedAt, now());
+    if (error->type() != "engine_lost")
+        return;
+    const auto alone = attempt.request.crashes > 0;
+    engineCrashes_.record(content, decisions::StartHash(attempt.engineStart), alone, now());
+}
+
 auto AttemptsController::reject(const AttemptPtr& attempt, Error error) -> void
 {
     std::erase(queue_, attempt);
--- a/packages/router/controllers/AttemptsController.h
+++ b/packages/router/controllers/AttemptsController.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "decisions/Quarantine.h"
 #include "decisions/RequestQueue.h"
+#include "router/EngineCrashes.h"
 #include "router/Metrics.h"
 #include "router/controllers/SlotsController.h"
 #include "router/target/Runner.h"
@@ -37,6 +37,9 @@
     auto setEngineSoftware(SoftwareVersion software) -> void { engineSoftware_ = std::move(software); }
     [[nodiscard]] auto engineSoftware() const noexcept -> const SoftwareVersion& { return engineSoftware_; }
     [[nodiscard]] auto engineAlive() const noexcept -> bool { return engineAlive_; }
+    /// Sets which start of the engine runs the attempts from now on. One that is sent to an engine that has died counts
+    /// as run by the start that is known.
+    auto setEngineStart(std::uint64_t start) -> void { engineStart_ = start; }
     /// Refuses new attempts from now on; accepted attempts continue.
     auto setLeaving() -> void { leaving_ = true; }
     auto onChange(std::function<void()> callback) -> void { onChange_ = std::move(callback); }
@@ -67,8 +70,8 @@
     /// Called when the ledger has stored the answer, so that the attempt's output need not be retained any longer.
     auto release(const AttemptId& id) -> void;
 
-    /// Requests that were running here when the engine died, with their crash counts.
-    [[nodiscard]] auto suspects() const noexcept -> const decisions::Quarantine& { return suspects_; }
+    /// Requests that were running here when the engine died. Starts are the engine's numbers.
+    [[nodiscard]] auto engineCrashes() const noexcept -> const EngineCrashes& { return engineCrashes_; }
 
     [[nodiscard]] auto queued() const noexcept -> std::size_t { return queue_.size(); }
     /// The request queue, from which the state reports to entries are built.
@@ -89,6 +92,8 @@
     [[nodiscard]] auto resident() const -> decisions::RequestQueue::IsResident;
     auto removeUnqueued() -> void;
     auto recordLoadStalls() -> void;
+    /// Records whether the engine died under the attempt, or ran it to its end.
+    auto recordCrash(const Attempt& attempt) -> void;
     auto run(const AttemptPtr& attempt) -> void;
     auto runTask(const AttemptPtr& attempt, kj::Promise<void> task) -> void;
     auto streamAdopted(const AttemptPtr& attempt, const ResumeRequest& request, wire::schema::ChunkSink::Client sink)
@@ -124,7 +129,8 @@
     bool engineAlive_ = true;
     SoftwareVersion engineSoftware_;
     bool suspectRunning_ = false;
-    decisions::Quarantine suspects_;
+    EngineCrashes engineCrashes_;
+    std::uint64_t engineStart_ = 0;
     std::function<void()> onChange_;
     Timer expiry_;
     bool dispatching_ = false;
--- a/packages/router/entry/Relay.cpp
+++ b/packages/router/entry/Relay.cpp
@@ -91,7 +91,7 @@
     , quarantine_(controllers.quarantine)
     , metrics_(controllers.metrics)
     , call_(std::move(call))
-    , digest_(digestOf(*call_))
+    , suspect_(QuarantineController::requestOf(digestOf(*call_), call_->model.name))
     , writer_(loop, call_)
 {
     if (call_->neverRepeat)
@@ -171,14 +171,14 @@
 {
     if (done_)
         return kj::READY_NOW;
-    if (quarantine_.isQuarantined(digest_)) {
-        endWithError(Error(Step::Admit, 422, "quarantined", "this request crashed two engines and is not run again"));
+    if (const auto refusal = quarantine_.refusal(suspect_)) {
+        endWithError(Error(Step::Admit, 422, "quarantined", std::string(*refusal)));
         return kj::READY_NOW;
     }
     // Each concurrent run of a request that crashes engines could bring down another engine, so such requests run one
     // at a time.
-    if (quarantine_.crashes(digest_) > 0 && !holdsSuspectTurn_) {
-        holdsSuspectTurn_ = quarantine_.tryStart(digest_);
+    if (quarantine_.crashes(suspect_) > 0 && !holdsSuspectTurn_) {
+        holdsSuspectTurn_ = quarantine_.tryStart(suspect_);
         if (!holdsSuspectTurn_)
             return loop_.sleep(suspectPollPeriod).then([self = shared_from_this()] { return self->tryNextTarget(); });
     }
@@ -261,6 +261,7 @@
 auto Relay::attemptRequest() -> AttemptRequest
 {
     const auto spent = std::chrono::duration_cast<std::chrono::milliseconds>(now() - call_->receivedAt);
+    startedAt_ = now();
     auto request = AttemptRequest {
         .attempt = attempt_,
         .requestId = call_->requestId,
@@ -274,10 +275,10 @@
         .body
         = call_->kind == AttemptRequest::Kind::Service ? std::string(call_->exchange->body()) : call_->body.dump(),
         .path = call_->servicePath,
-        .digest = digest_,
+        .digest = suspect_.digest,
         .skipTokens = writer_.tokensWritten(),
         .givenText = givenText_,
-        .crashes = crashesAtStart_ = quarantine_.crashes(digest_),
+        .crashes = crashesAtStart_ = quarantine_.crashes(suspect_),
         .software = software_,
     };
     if (call_->kind == AttemptRequest::Kind::Service) {
@@ -534,13 +535,15 @@
     metrics_.observe("eelgrass_load_stall_seconds", member, call_->requestClass, end.loadStall);
     metrics_.observe("eelgrass_queue_wait_seconds", member, call_->requestClass, end.queueWait);
     if (!end.error) {
-        quarantine_.recordSuccess(digest_);
+        quarantine_.recordSuccess(suspect_, startedAt_);
         return finishAnswer(end);
     }
     const auto target = *target_;
     const auto engineLost = end.error->type() == "engine_lost";
-    if (engineLost && quarantine_.recordCrash(digest_, crashesAtStart_)) {
-        auto error = Error(Step::Engine, 422, "quarantined", "this request crashed two engines");
+    const auto refusal
+        = engineLost ? quarantine_.recordCrash(suspect_, target, end.engineStart, crashesAtStart_ > 0) : std::nullopt;
+    if (refusal) {
+        auto error = Error(Step::Engine, 422, "quarantined", std::string(*refusal));
         return finishAnswer({ .error = std::move(error).at(target.str()).run(end.error->run()) });
     }
     releaseSuspectTurn();
@@ -606,7 +609,7 @@
 auto Relay::releaseSuspectTurn() -> void
 {
     if (std::exchange(holdsSuspectTurn_, false))
-        quarantine_.finish(digest_);
+        quarantine_.finish(suspect_);
 }
 
 template <typename MakeRequest>
--- a/packages/router/entry/Relay.h
+++ b/packages/router/entry/Relay.h
@@ -116,7 +116,9 @@
     QuarantineController& quarantine_;
     Metrics& metrics_;
     CallPtr call_;
-    std::string digest_;
+    QuarantineController::Request suspect_;
+    /// When the current attempt was sent.
+    Moment startedAt_ {};
     AnswerWriter writer_;
     /// Histogram of the time between chunks. Looked up once per answer, since every chunk is observed.
     Metrics::Series* betweenTokens_ = nullptr;
--- a/packages/router/target/Attempt.h
+++ b/packages/router/target/Attempt.h
@@ -36,6 +36,9 @@
     /// Whether an earlier process of this target started the attempt. The attempt's stream is not read until an entry
     /// resumes the attempt.
     bool adopted = false;
+    /// The start of the engine that runs the attempt; see `EngineCrashes::numberOf`.
+    std::uint64_t engineStart = 0;
+    Moment startedAt {};
     /// The finish reason that the engine reports; "stop" if the engine reports none.
     std::string finishReason = "stop";
     AttemptOutput output;
--- a/packages/router/target/Runner.cpp
+++ b/packages/router/target/Runner.cpp
@@ -57,6 +57,7 @@
     auto end = AnswerEnd { .completionTokens = attempt->output.tokens(), .error = std::move(error) };
     end.loadStall = attempt->loadStall;
     end.queueWait = attempt->queueWait;
+    end.engineStart = attempt->engineStart;
     attempt->output.end(std::move(end));
 }
 
@@ -65,6 +66,7 @@
     auto end = AnswerEnd { .finishReason = std::move(finishReason), .completionTokens = attempt->output.tokens() };
     end.loadStall = attempt->loadStall;
     end.queueWait = attempt->queueWait;
+    end.engineStart = attempt->engineStart;
     attempt->output.end(std::move(end));
 }
 
--- a/packages/wire/Peer.capnp
+++ b/packages/wire/Peer.capnp
@@ -34,7 +34,8 @@
   slots @7 :UInt32;
   batchLimit @8 :UInt32;
   engineAlive @9 :Bool;
-  # Requests that were running when an engine died.
+  # Not told any more: `engineCrashes` has the same by starts of the engine. Kept so that the fields behind it keep their
+  # numbers.
   suspects @10 :List(Suspect);
   # Requests that wait for a load, and the adapters that they wait for.
   awaitingLoad @11 :UInt32;
@@ -45,6 +46,19 @@
   placeTimeUs @14 :UInt32;
   # Version of the engine's software; empty if it names none.
   engineSoftware @15 :Text;
+  # Requests that were running when the engine died.
+  engineCrashes @16 :List(EngineCrash);
+}
+
+# The end of one start of an engine while it ran a request.
+struct EngineCrash {
+  # Hashes of the request's digest and of the name of its weights; 0 for a request without any.
+  request @0 :UInt64;
+  weights @1 :UInt64;
+  engineStart @2 :UInt64;
+  # Crashes that were counted for the request at this start before.
+  before @3 :UInt8;
+  ageMs @4 :UInt32;
 }
 
 struct Suspect {
@@ -113,6 +127,8 @@
   # Time the request waited for its adapter, in microseconds.
   loadStallUs @5 :UInt64;
   queueWaitUs @6 :UInt64;
+  # The start of the engine that ran the request.
+  engineStart @7 :UInt64;
 }
 
 # Where a target process sends the answer of one attempt. The return of `chunk` is its acknowledgement.
--- a/standins/EngineStandin.cpp
+++ b/standins/EngineStandin.cpp
@@ -154,7 +154,8 @@
 
 auto EngineStandin::advance(Sequence& sequence) -> void
 {
-    if (sequence.prompt.find(crashWord) != std::string::npos)
+    const auto& model = options_.crashModel;
+    if (sequence.prompt.find(crashWord) != std::string::npos || (!model.empty() && sequence.model.starts_with(model)))
         std::_Exit(EXIT_FAILURE);
     if (sequence.cancelled || sequence.produced >= sequence.limit)
         return;
--- a/standins/EngineStandin.h
+++ b/standins/EngineStandin.h
@@ -34,6 +34,8 @@
         bool honoursFence = true;
         /// Version of its software; empty if it names none.
         std::string software = "1.0";
+        /// Ends the process when it runs a model whose name begins so; none if empty.
+        std::string crashModel {};
     };
 
     EngineStandin(wire::MainLoop& loop, Options options);
--- a/standins/StandinMain.cpp
+++ b/standins/StandinMain.cpp
@@ -20,6 +20,7 @@
 ABSL_FLAG(int, step_us, 5000, "time of one engine step, in microseconds");
 ABSL_FLAG(int, load_ms, 500, "time of one load from the weight store, in milliseconds");
 ABSL_FLAG(bool, fence, true, "whether the engine refuses an order with an old fencing number");
+ABSL_FLAG(std::string, crash_model, "", "an engine ends when it runs a model whose name begins so; none if empty");
 ABSL_FLAG(std::string, software, "1.0", "version of an engine's software; empty if it names none");
 ABSL_FLAG(int, upstream, 0, "port on loopback that a proxy passes connections to");
 // NOLINTEND
@@ -52,6 +53,7 @@
     options.step = std::chrono::microseconds(absl::GetFlag(FLAGS_step_us));
     options.honoursFence = absl::GetFlag(FLAGS_fence);
     options.software = absl::GetFlag(FLAGS_software);
+    options.crashModel = absl::GetFlag(FLAGS_crash_model);
     return serve(loop, standins::EngineStandin(loop, options));
 }
 
--- a/tests/integration/EngineDeath.cpp
+++ b/tests/integration/EngineDeath.cpp
@@ -184,3 +184,42 @@
         alive += deployment.engine(name).ended() ? 0 : 1;
     BOOST_TEST(alive == 1);
 }
+
+// Guards against weights that crash every engine which runs them, under requests of which no two are alike.
+BOOST_AUTO_TEST_CASE(requests_for_weights_that_crash_engines_are_refused)
+{
+    auto deployment = Deployment();
+    const auto targets = std::vector<std::string> { "t1", "t2", "t3", "t4", "t5", "t6", "t7" };
+    for (const auto& target : targets)
+        deployment.addEngineTarget(target, { "--crash_model=mode" });
+    deployment.addEntry("e1");
+    deployment.addEntry("e2");
+    deployment.configure({ "e1", "e2" });
+    const auto alive = [&] {
+        return std::count_if(targets.begin(), targets.end(),
+            [&](const std::string& target) { return !deployment.engine(target).ended(); });
+    };
+    auto number = 0;
+    const auto ask = [&](const std::string& model) {
+        const auto entry = ++number % 2 == 0 ? "e1" : "e2";
+        return deployment.complete(
+            entry, { { "model", model }, { "prompt", "prompt " + std::to_string(number) }, { "max_tokens", 5 } });
+    };
+    const auto refuses = [&](const char* entry) {
+        const auto error = errorOf(deployment.complete(
+            entry, { { "model", "mode" }, { "prompt", "prompt " + std::to_string(++number) }, { "max_tokens", 5 } }));
+        return error["message"] == "requests with these weights crash engines";
+    };
+    // Each request crashes two engines at the most before it is refused itself.
+    for (auto count = 0; count < 6 && !(refuses("e1") && refuses("e2")); ++count)
+        deployment.loop.wait(deployment.loop.sleep(1200ms));
+    const auto left = alive();
+    BOOST_TEST(left >= 1);
+    for (auto count = 0; count < 6; ++count) {
+        const auto refused = ask("mode");
+        BOOST_TEST(refused.status == 422);
+        BOOST_TEST(errorOf(refused)["type"] == "quarantined");
+        BOOST_TEST(ask("life").status == 200);
+    }
+    BOOST_TEST(alive() == left);
+}
