Breaks alone blame nothing that is shared, what ran before its first event is looked at first, cleared stays cleared

Read in review: a part that a whole run had cleared counted again once that run was forgotten, two minutes later, while reports last two hours.

Cause: a break counted like a crash for ten seconds; whole runs were kept for less time than the reports they clear.

A break still tells of a second moment. Whole runs that clear a report are kept and told as long as it.

The times of a refused request are set before it is refused, so that its line says how much was left.

--- a/packages/decisions/CrashLedger.cpp
+++ b/packages/decisions/CrashLedger.cpp
@@ -39,6 +39,7 @@
     const auto shared = fact.shared.empty() && !report.shared.empty();
     if (shared) {
         fact.shared = report.shared;
+        fact.begun = report.begun;
         for (const auto& held : fact.shared)
             shared_[held].emplace(report.request, key);
     }
@@ -62,7 +63,7 @@
 
 auto CrashLedger::apply(const WholeRun& run, Moment now) -> bool
 {
-    if (now - run.begunAt >= soundMemory)
+    if (now - run.begunAt >= retention)
         return false;
     const auto known = wholeRuns_.find(run.held);
     const auto before = known == wholeRuns_.end() ? std::nullopt : std::optional(known->second.begunAt);
@@ -95,18 +96,19 @@
     known.told = known.told || told;
     if (wholeRuns_.size() <= wholeRunCapacity)
         return;
-    const auto oldest = std::min_element(wholeRuns_.begin(), wholeRuns_.end(),
-        [](const auto& left, const auto& right) { return left.second.begunAt < right.second.begunAt; });
-    wholeRuns_.erase(oldest);
+    // Without the whole run of what a report names, its cleared crashes would count again.
+    const auto rank
+        = [this](const auto& entry) { return std::tuple(shared_.contains(entry.first), entry.second.begunAt); };
+    wholeRuns_.erase(std::min_element(wholeRuns_.begin(), wholeRuns_.end(),
+        [&](const auto& left, const auto& right) { return rank(left) < rank(right); }));
 }
 
 auto CrashLedger::isNews(const WholeRun& run, std::optional<Moment> known, Moment now) const -> bool
 {
-    if (now - run.begunAt >= soundMemory)
-        return false;
-    if (!known || run.begunAt - *known >= wholeRunNews)
+    const auto before = known.value_or(Moment::min());
+    if (run.begunAt > before && crashedBetween(run.held, before, run.begunAt))
         return true;
-    return run.begunAt > *known && crashedBetween(run.held, *known, run.begunAt);
+    return now - run.begunAt < soundMemory && (!known || run.begunAt - *known >= wholeRunNews);
 }
 
 auto CrashLedger::crashedBetween(SharedHash held, Moment from, Moment to) const -> bool
@@ -124,13 +126,15 @@
 {
     auto runs = std::vector<WholeRun>();
     for (const auto& [held, known] : wholeRuns_) {
-        if ((known.told || shared_.contains(held)) && now - known.begunAt < soundMemory)
-            runs.push_back({ held, known.begunAt });
+        const auto run = WholeRun { held, known.begunAt };
+        const auto recent = now - known.begunAt < soundMemory && shared_.contains(held);
+        if (known.told || recent || clearsCrashes(run))
+            runs.push_back(run);
     }
     return runs;
 }
 
-auto CrashLedger::confirm(StartHash start, Moment now) -> std::vector<CrashReport>
+auto CrashLedger::confirm(StartHash start, Moment since, Moment now) -> std::vector<CrashReport>
 {
     auto confirmed = std::vector<CrashReport>();
     const auto ended = starts_.find(start);
@@ -144,9 +148,10 @@
         auto fact = found->second.upper_bound({ start, UINT8_MAX });
         if (fact == found->second.begin() || (--fact)->first.first != start)
             continue;
-        if (fact->second.evidence == CrashEvidence::Broke && !expired(fact->second, now))
-            confirmed.push_back(
-                { request, start, fact->first.second, CrashEvidence::Crashed, fact->second.at, fact->second.shared });
+        const auto& broke = fact->second;
+        if (broke.evidence == CrashEvidence::Broke && broke.at >= since && !expired(broke, now))
+            confirmed.push_back({ request, start, fact->first.second, CrashEvidence::Crashed, fact->second.at,
+                fact->second.shared, fact->second.begun });
     }
     for (const auto& report : confirmed)
         (void)apply(report, now);
@@ -161,7 +166,7 @@
         return cleared;
     for (const auto& [key, fact] : found->second) {
         if (fact.evidence != CrashEvidence::Cleared)
-            cleared.push_back({ request, key.first, key.second, CrashEvidence::Cleared, now, fact.shared });
+            cleared.push_back({ request, key.first, key.second, CrashEvidence::Cleared, now, fact.shared, fact.begun });
     }
     for (const auto& report : cleared)
         (void)apply(report, now);
@@ -301,7 +306,7 @@
     return ends;
 }
 
-auto CrashLedger::sharedCrashes(SharedHash held, const Ends& ends, Moment now) const -> std::vector<SharedCrash>
+auto CrashLedger::sharedCrashes(SharedHash held, Moment now) const -> std::vector<SharedCrash>
 {
     auto crashes = std::vector<SharedCrash>();
     const auto found = shared_.find(held);
@@ -312,6 +317,7 @@
     auto startsWithIt = std::set<StartHash>();
     for (const auto& [request, key] : found->second)
         startsWithIt.insert(key.first);
+    const auto& ends = cache_.ends;
     const auto killed = [&](Moment at) {
         auto end = std::lower_bound(ends.begin(), ends.end(), std::pair(at - sameMoment, StartHash()));
         for (; end != ends.end() && end->first <= at + sameMoment; ++end) {
@@ -322,8 +328,9 @@
     };
     for (const auto& [request, key] : found->second) {
         const auto& fact = requests_.at(request).at(key);
+        const auto confirmed = fact.evidence == CrashEvidence::Crashed;
         if (counts(fact, now) && fact.at > wholeRunAt && !killed(fact.at))
-            crashes.push_back({ fact.at, key.first, request });
+            crashes.push_back({ fact.at, key.first, request, fact.begun, confirmed });
     }
     return crashes;
 }
@@ -331,9 +338,8 @@
 auto CrashLedger::sharedRecords(Moment now) const -> std::vector<SharedRecord>
 {
     auto records = std::vector<SharedRecord>();
-    const auto ends = this->ends();
     for (const auto& [held, runs] : shared_) {
-        auto crashes = sharedCrashes(held, ends, now);
+        auto crashes = sharedCrashes(held, now);
         if (crashes.empty())
             continue;
         const auto first = std::min_element(
@@ -345,18 +351,26 @@
     return records;
 }
 
-auto CrashLedger::culprits(Moment now) const -> const std::vector<Culprit>&
+auto CrashLedger::refreshCache(Moment now) const -> void
 {
     // Breaks that cease to count change the result without a report.
     constexpr auto cacheTime = Duration(200ms);
-    if (cache_.version != version_ || now < cache_.from || now >= cache_.until)
-        cache_ = { version_, now, now + cacheTime, findCulprits(sharedRecords(now)) };
+    if (cache_.version == version_ && now >= cache_.from && now < cache_.until)
+        return;
+    cache_ = { version_, now, now + cacheTime, ends(), {} };
+    cache_.culprits = findCulprits(sharedRecords(now));
+}
+
+auto CrashLedger::culprits(Moment now) const -> const std::vector<Culprit>&
+{
+    refreshCache(now);
     return cache_.culprits;
 }
 
 auto CrashLedger::standing(SharedHash held, Moment now) const -> Standing
 {
-    auto standing = Standing { .crashes = sharedCrashes(held, ends(), now).size() };
+    refreshCache(now);
+    auto standing = Standing { .crashes = sharedCrashes(held, now).size() };
     if (const auto whole = wholeRuns_.find(held); whole != wholeRuns_.end())
         standing.wholeRunAt = whole->second.begunAt;
     return standing;
@@ -380,7 +394,7 @@
         for (const auto& [key, fact] : facts) {
             const auto old = fact.evidence == CrashEvidence::Cleared && now - fact.at >= clearedNewsTime;
             if (!old && !expired(fact, now))
-                reports.push_back({ request, key.first, key.second, fact.evidence, fact.at, fact.shared });
+                reports.push_back({ request, key.first, key.second, fact.evidence, fact.at, fact.shared, fact.begun });
         }
     }
     return reports;
@@ -396,11 +410,14 @@
         return std::none_of(entry.second.requests.begin(), entry.second.requests.end(),
             [&](RequestDigest request) { return requests_.contains(request); });
     });
-    std::erase_if(wholeRuns_, [&](const auto& entry) { return now - entry.second.begunAt >= wholeRunRetention; });
     if (dropped > 0) {
         indexShared();
         ++version_;
     }
+    std::erase_if(wholeRuns_, [&](const auto& entry) {
+        const auto needed = entry.second.told || shared_.contains(entry.first);
+        return now - entry.second.begunAt >= (needed ? retention : wholeRunRetention);
+    });
     return dropped > 0;
 }
 
--- a/packages/decisions/CrashLedger.h
+++ b/packages/decisions/CrashLedger.h
@@ -77,19 +77,15 @@
         std::size_t crashes = 0;
         std::optional<Moment> wholeRunAt {};
     };
-    /// What a whole run has changed, to be told to others.
-    struct News {
-        std::vector<CrashReport> reports;
-        std::vector<WholeRun> wholeRuns;
-    };
 
     /// Returns whether the report says something new.
     auto apply(const CrashReport& report, Moment now) -> bool;
     /// The same for what another process knows of whole runs.
     auto apply(const WholeRun& run, Moment now) -> bool;
-    /// The start has ended without a plan: runs that broke off there last were ended by a crash. Returns the reports
-    /// that say so.
-    auto confirm(StartHash start, Moment now) -> std::vector<CrashReport>;
+    /// The start has ended without a plan: runs that broke off there last were ended by a crash, if they did from
+    /// `since` on. Returns the reports that say so.
+    auto confirm(StartHash start, Moment since, Moment now) -> std::vector<CrashReport>;
+    auto confirm(StartHash start, Moment now) -> std::vector<CrashReport> { return confirm(start, Moment::min(), now); }
     /// The request has run to its end. Returns the reports that say so.
     auto clear(RequestDigest request, Moment now) -> std::vector<CrashReport>;
     /// A run with this has begun to write and crashed nothing, whether or not it has ended. Returns what others need to
@@ -124,7 +120,7 @@
     static constexpr auto clearedNewsTime = Duration(15s);
     /// What one whole run has cleared carries the same moment, but for the time that messages take.
     static constexpr auto sameClearing = Duration(500ms);
-    /// A whole run says for as long that what it held was sound before a later crash.
+    /// Whole runs that nobody has told and no report needs are kept for this long.
     static constexpr auto wholeRunRetention = 2 * soundMemory;
     /// Kept beyond the time that it counts, for the news that its replica has crashed.
     static constexpr auto breakRetention = 3 * breakLifetime;
@@ -134,6 +130,7 @@
         CrashEvidence evidence = CrashEvidence::Broke;
         Moment at {};
         std::vector<SharedHash> shared {};
+        bool begun = false;
     };
     using Facts = std::map<RunKey, Fact>;
     struct Start {
@@ -149,11 +146,14 @@
         /// Another process has told of it.
         bool told = false;
     };
+    using Ends = std::vector<std::pair<Moment, StartHash>>;
     /// Found from the reports and whole runs up to `version`; breaks that count at `from` still do at `until`.
     struct CulpritCache {
         std::uint64_t version = 0;
         Moment from {};
         Moment until {};
+        /// Starts by the moment of their end.
+        Ends ends;
         std::vector<Culprit> culprits;
     };
 
@@ -163,17 +163,21 @@
     [[nodiscard]] auto crashesOf(RequestDigest request, Moment now) const -> std::size_t;
     /// How many crashes the request has had in a row at the most, of those that it shares with the start.
     [[nodiscard]] auto crashesInARow(RequestDigest request, StartHash start, Moment now) const -> std::size_t;
-    /// Starts by the moment of their end.
-    using Ends = std::vector<std::pair<Moment, StartHash>>;
     [[nodiscard]] auto ends() const -> Ends;
-    /// Crashes of runs that held this, since its last whole run. A start that ended together with one where nothing
-    /// held it was killed with that one.
-    [[nodiscard]] auto sharedCrashes(SharedHash held, const Ends& ends, Moment now) const -> std::vector<SharedCrash>;
+    auto refreshCache(Moment now) const -> void;
+    /// Crashes of runs that held this, since its last whole run; breaks are not confirmed: connections of several
+    /// replicas are reset, too. A start that ended together with one where nothing held it was killed with that one.
+    [[nodiscard]] auto sharedCrashes(SharedHash held, Moment now) const -> std::vector<SharedCrash>;
     [[nodiscard]] auto sharedRecords(Moment now) const -> std::vector<SharedRecord>;
     /// Whether a culprit that this run did not hold ended the start.
     [[nodiscard]] auto endedByCulprit(StartHash start, const Fact& fact, Moment now) const -> bool;
     /// Whether a crash of a run with this lies between the moments.
     [[nodiscard]] auto crashedBetween(SharedHash held, Moment from, Moment to) const -> bool;
+    /// Whether the whole run clears something: reports on earlier crashes outlive it.
+    [[nodiscard]] auto clearsCrashes(const WholeRun& run) const -> bool
+    {
+        return crashedBetween(run.held, Moment::min(), run.begunAt);
+    }
     auto noteWholeRun(SharedHash held, Moment begunAt, bool told) -> void;
     /// Makes `shared_` follow the reports that are left.
     auto indexShared() -> void;
--- a/packages/decisions/CrashReport.h
+++ b/packages/decisions/CrashReport.h
@@ -41,6 +41,8 @@
     CrashEvidence evidence = CrashEvidence::Broke;
     Moment at {};
     std::vector<SharedHash> shared {};
+    /// Whether the run had brought events. Most of what crashes a replica does so before.
+    bool begun = false;
 };
 
 /// The latest run, of any request that holds this, which crashed nothing.
--- a/packages/decisions/SharedCulprits.cpp
+++ b/packages/decisions/SharedCulprits.cpp
@@ -26,6 +26,8 @@
     auto candidate = Candidate { .weight = weightOf(record.crashes),
         .limit = record.soundBefore ? soundCrashLimit : sharedCrashLimit };
     for (const auto& crash : record.crashes) {
+        if (!crash.confirmed)
+            continue;
         candidate.starts.insert(crash.start);
         candidate.runs.emplace(crash.start, crash.request);
     }
@@ -81,6 +83,26 @@
     return culprit;
 }
 
+auto addCulprits(std::vector<SharedRecord> records, std::vector<Culprit>& culprits, std::set<StartHash>& explained)
+    -> void
+{
+    auto candidates = std::vector<Candidate>();
+    candidates.reserve(records.size());
+    for (auto& record : records)
+        candidates.push_back(toCandidate(std::move(record)));
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate& left, const Candidate& right) {
+        return std::tuple(left.record.soundBefore, right.weight.crashes, right.starts.size(), left.record.held)
+            < std::tuple(right.record.soundBefore, left.weight.crashes, left.starts.size(), right.record.held);
+    });
+    for (const auto& candidate : candidates) {
+        const auto own = weightOf(unexplained(candidate, explained));
+        if (!own.reaches(candidate.limit) || isAmbiguous(candidate, candidates))
+            continue;
+        culprits.push_back(toCulprit(candidate, candidates));
+        explained.insert(candidate.starts.begin(), candidate.starts.end());
+    }
+}
+
 } // namespace
 
 auto weightOf(std::vector<SharedCrash> crashes) -> CrashWeight
@@ -95,6 +117,8 @@
             ++moments;
             momentBegan = crash.at;
         }
+        if (!crash.confirmed)
+            continue;
         starts.insert(crash.start);
         requests.insert(crash.request);
     }
@@ -103,23 +127,13 @@
 
 auto findCulprits(std::vector<SharedRecord> records) -> std::vector<Culprit>
 {
-    auto candidates = std::vector<Candidate>();
-    candidates.reserve(records.size());
-    for (auto& record : records)
-        candidates.push_back(toCandidate(std::move(record)));
-    std::sort(candidates.begin(), candidates.end(), [](const Candidate& left, const Candidate& right) {
-        return std::tuple(left.record.soundBefore, right.weight.crashes, right.starts.size(), left.record.held)
-            < std::tuple(right.record.soundBefore, left.weight.crashes, left.starts.size(), right.record.held);
-    });
+    auto unbegun = records;
+    for (auto& record : unbegun)
+        std::erase_if(record.crashes, [](const SharedCrash& crash) { return crash.begun; });
     auto culprits = std::vector<Culprit>();
     auto explained = std::set<StartHash>();
-    for (const auto& candidate : candidates) {
-        const auto own = weightOf(unexplained(candidate, explained));
-        if (!own.reaches(candidate.limit) || isAmbiguous(candidate, candidates))
-            continue;
-        culprits.push_back(toCulprit(candidate, candidates));
-        explained.insert(candidate.starts.begin(), candidate.starts.end());
-    }
+    addCulprits(std::move(unbegun), culprits, explained);
+    addCulprits(std::move(records), culprits, explained);
     return culprits;
 }
 
--- a/packages/decisions/SharedCulprits.h
+++ b/packages/decisions/SharedCulprits.h
@@ -14,6 +14,10 @@
     Moment at {};
     StartHash start;
     RequestDigest request;
+    /// Whether the run had brought events.
+    bool begun = false;
+    /// Whether the start is known to have ended. If not, only the moment counts.
+    bool confirmed = true;
 };
 
 /// The crashes under requests that held this, since the last whole run of such a request.
@@ -69,6 +73,9 @@
 /// Finds the fewest culprits that explain the crashes: what was never sound goes before what was, and the one with the
 /// most crashes before others. What only ran beside a culprit has no crash left of its own. What the culprit's requests
 /// hold and others too, so that it reaches its limit first, is a culprit only together with it.
+///
+/// Runs that had brought no event are looked at first: a replica crashes as it begins to write, and those beside the
+/// culprit are mostly under way.
 [[nodiscard]] auto findCulprits(std::vector<SharedRecord> records) -> std::vector<Culprit>;
 
 } // namespace eelgrass::decisions
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -94,12 +94,6 @@
     const auto service = configuration_->services.find(service_);
     if (service == configuration_->services.end() || !service->second.engine)
         metadata_.adapter = AdapterId();
-    setContent(knownVersion().version);
-    if (gateway_.suspects.refusesNew(*content_, metadata_.attempt)) {
-        refuseAsCrashing();
-        return false;
-    }
-    watchRefusals();
     gateway_.retryBudgets.received(service_);
     gateway_.metrics.count("eelgrass_service_requests_total", { { "service", service_.str() } });
     setTimes();
@@ -109,6 +103,12 @@
     }
     limitToStop();
     sharedPrefixes_ = sharedPrefixes(metadata_);
+    setContent(knownVersion().version);
+    if (gateway_.suspects.refusesNew(*content_, metadata_.attempt)) {
+        refuseAsCrashing();
+        return false;
+    }
+    watchRefusals();
     return true;
 }
 
--- a/packages/serving/SuspectRequests.cpp
+++ b/packages/serving/SuspectRequests.cpp
@@ -135,6 +135,7 @@
         return;
     open->heardAt = run.heardAt;
     open->streamedFor = streamedFor(run);
+    open->hadEvents = run.hasEvents;
     open->endedAt = now();
     const auto why = excuse(*open);
     const auto over = open->unlistedAt || over_.contains(hashOf(run.replica->record().start));
@@ -166,6 +167,12 @@
     return {};
 }
 
+auto SuspectRequests::hadEvents(const OpenRun& run) -> bool
+{
+    const auto progress = run.endedAt ? nullptr : run.progress.lock();
+    return progress ? progress->hasEvents : run.hadEvents;
+}
+
 auto SuspectRequests::count(const OpenRun& run, CrashEvidence evidence, std::string_view source) -> void
 {
     const auto start = hashOf(run.replica->record().start);
@@ -175,7 +182,8 @@
         .breaksBefore = ledger_.breaksAt(content.request, start, run.begunAt),
         .evidence = evidence,
         .at = run.endedAt.value_or(now()),
-        .shared = content.shared };
+        .shared = content.shared,
+        .begun = hadEvents(run) };
     const auto fresh = ledger_.apply(report, now());
     note(evidence == CrashEvidence::Crashed ? "crash counted" : "break counted",
         evidence == CrashEvidence::Crashed ? "crashed" : "broke", run, source);
@@ -212,9 +220,9 @@
                 note("run not ended by a crash", "not counted", run, why);
         }
     }
-    if (end == StartEnd::Unreachable)
-        return;
-    const auto confirmed = ledger_.confirm(hash, now());
+    // A replica that cannot be reached may only pause, unless its connections broke off a moment ago.
+    const auto since = end == StartEnd::Unreachable ? now() - breakBeforeLoss : Moment::min();
+    const auto confirmed = ledger_.confirm(hash, since, now());
     for (const auto& one : confirmed) {
         metrics_.count("eelgrass_request_crashes_total", { { "outcome", "confirmed" } });
         log::info("crash confirmed",
--- a/packages/serving/SuspectRequests.h
+++ b/packages/serving/SuspectRequests.h
@@ -111,6 +111,7 @@
         /// When the replica was last heard of for this run, and for how long the stream had brought events then.
         Moment heardAt {};
         Duration streamedFor {};
+        bool hadEvents = false;
         /// Whether the answer is whole unless the replica crashed: it ended with its connection.
         bool answered = false;
         /// When the answer began.
@@ -122,6 +123,8 @@
 
     // By then the end of the run's start is known: hosts that go dark are not listed any more after some seconds.
     static constexpr auto openRunTime = Duration(30s);
+    /// An agent finds within this that its replica is gone.
+    static constexpr auto breakBeforeLoss = Duration(3s);
     static constexpr auto startMemory = Duration(120s);
     static constexpr auto maxOpenRuns = std::size_t(4000);
     static constexpr auto maxNames = std::size_t(4096);
@@ -140,6 +143,7 @@
     [[nodiscard]] auto settled(const OpenRun& run) -> bool;
     auto removeRun(const ReplicaRun& run) -> void;
     [[nodiscard]] static auto streamedFor(const ReplicaRun& run) -> Duration;
+    [[nodiscard]] static auto hadEvents(const OpenRun& run) -> bool;
     /// Counts the run as ended by a crash, or as broken off if that is not clear.
     auto count(const OpenRun& run, decisions::CrashEvidence evidence, std::string_view source) -> void;
     /// Why the end of its start is no crash under the run; empty if it is.
--- a/packages/serving/detail/CrashMessages.h
+++ b/packages/serving/detail/CrashMessages.h
@@ -20,6 +20,7 @@
         into[index].setBreaksBefore(crash.breaksBefore);
         into[index].setEvidence(static_cast<wire::schema::CrashEvidence>(crash.evidence));
         into[index].setAgeMs(millisecondsSince(crash.at, now));
+        into[index].setBegun(crash.begun);
         auto shared = into[index].initShared(static_cast<unsigned>(crash.shared.size()));
         for (auto part = 0U; part < shared.size(); ++part)
             shared.set(part, crash.shared[part].value());
@@ -50,6 +51,7 @@
             now - Duration(std::chrono::milliseconds(crash.getAgeMs())) };
         for (const auto held : crash.getShared())
             report.shared.emplace_back(held);
+        report.begun = crash.getBegun();
         crashes.push_back(std::move(report));
     }
     return crashes;
--- a/packages/wire/Agent.capnp
+++ b/packages/wire/Agent.capnp
@@ -87,6 +87,8 @@
   ageMs @4 :UInt32;
   # Hashes of what the run held that other requests hold too.
   shared @5 :List(UInt64);
+  # Whether the run had brought events.
+  begun @6 :Bool;
 }
 
 # The latest run of a request that held this, which crashed nothing.
--- a/tests/unit/SharedCulprits.cpp
+++ b/tests/unit/SharedCulprits.cpp
@@ -172,6 +172,62 @@
     BOOST_TEST(!refused(ledger, { common }, now));
 }
 
+// Guards against crashes that count again when the whole run that cleared them is forgotten before the reports on them,
+// at the process that had it and at those that are told later.
+BOOST_AUTO_TEST_CASE(cleared_part_stays_cleared_for_as_long_as_the_reports_on_its_crashes)
+{
+    auto ledger = CrashLedger();
+    auto now = crashes(ledger, 1, 4, { deadly }) + 1s;
+    (void)ledger.ranWhole({ deadly }, now, now);
+    for (auto number = std::uint64_t(0); number < 2 * CrashLedger::wholeRunCapacity; ++number)
+        (void)ledger.ranWhole({ SharedHash(100'000 + number) }, now + 1s, now + 1s);
+    for (auto count = 0; count < 20; ++count) {
+        now += std::chrono::minutes(5);
+        (void)ledger.expire(now);
+        BOOST_TEST(!refused(ledger, { deadly }, now));
+        auto later = CrashLedger();
+        for (const auto& report : ledger.reports(now))
+            (void)later.apply(report, now);
+        BOOST_TEST(refused(later, { deadly }, now));
+        for (const auto& run : ledger.wholeRuns(now))
+            BOOST_TEST(later.apply(run, now) == (run.held == deadly));
+        BOOST_TEST(!refused(later, { deadly }, now));
+    }
+}
+
+// Guards against refusing what all requests hold because connections of several replicas were reset, which went on.
+BOOST_AUTO_TEST_CASE(part_of_requests_whose_connections_broke_off_is_not_refused)
+{
+    auto ledger = CrashLedger();
+    auto now = begin;
+    for (auto number = std::uint64_t(1); number <= 6; ++number) {
+        now += 1s;
+        (void)ledger.apply({ RequestDigest(number), StartHash(number), 0, CrashEvidence::Broke, now, { common } }, now);
+    }
+    BOOST_TEST(!refused(ledger, { common }, now));
+    for (auto number = std::uint64_t(1); number <= 6; ++number)
+        BOOST_TEST(ledger.confirm(StartHash(number), now - 2s, now).size() == (number >= 4 ? 1U : 0U));
+    BOOST_TEST(refused(ledger, { common }, now));
+}
+
+// Guards against doubt between a part and what sound requests hold, when one of these runs beside each crash: they have
+// begun to answer, and the culprit has not.
+BOOST_AUTO_TEST_CASE(part_of_runs_that_had_begun_is_not_refused_for_those_that_had_not)
+{
+    constexpr auto adapter = SharedHash(20);
+    auto ledger = CrashLedger();
+    auto now = begin;
+    for (auto start = std::uint64_t(1); start <= 4; ++start) {
+        now += 1s;
+        (void)ledger.apply(crash(start, start, now, { deadly, adapter }), now);
+        auto beside = crash(100 + start, start, now, { common, adapter });
+        beside.begun = true;
+        (void)ledger.apply(beside, now);
+    }
+    BOOST_TEST(refused(ledger, { deadly, adapter }, now));
+    BOOST_TEST(!refused(ledger, { common, adapter }, now));
+}
+
 // Guards against one of two causes that hides the other one.
 BOOST_AUTO_TEST_CASE(two_parts_that_crash_replicas_at_the_same_time_are_refused)
 {
