--- a/packages/decisions/SharedCulprits.cpp
+++ b/packages/decisions/SharedCulprits.cpp
@@ -83,6 +83,7 @@
     return culprit;
 }
 
+/// Adds the culprits of these records whose crashes no earlier one explains, the most suspicious first.
 auto addCulprits(std::vector<SharedRecord> records, std::vector<Culprit>& culprits, std::set<StartHash>& explained)
     -> void
 {
--- a/tests/integration/StreamsAfterEntryLoss.cpp
+++ b/tests/integration/StreamsAfterEntryLoss.cpp
@@ -7,7 +7,6 @@
 using namespace eelgrass;
 using eelgrass::tests::isRest;
 using eelgrass::tests::StreamRelease;
-using standins::streamEvents;
 
 namespace {
 
