--- a/packages/serving/SuspectRequests.h
+++ b/packages/serving/SuspectRequests.h
@@ -30,8 +30,8 @@
 /// The end of a run and the end of its replica's start are two facts, which come in any order and by different ways:
 /// this entry follows its runs until they are answered, and the starts of replicas by the platform's list and by their
 /// agents. A run that got no answer, whoever ended it and why, at a start that ended without a plan while it ran, is a
-/// crash. A run that breaks off before its first event counts at once, until it is clear whether its replica has
-/// crashed: a request comes again sooner than that.
+/// crash. For its request, a run that breaks off before its first event counts at once, until it is clear whether its
+/// replica has crashed: a request comes again sooner than that. For what it shares with others, only a crash counts.
 ///
 /// Reports are told to agents, which publish them to all entries. Every process keeps what it hears, and every entry
 /// tells again what an agent does not state, so that no report is lost with those who had it first.
