The soak finds a port for its agents that is free on all of their addresses

Cause: gateways look for all agents at one port. The soak took the one that the kernel chose on the first address; ephemeral ports of the legs, of their control and of other runs may hold it on the next ones, and the driver ended with an exception ("Address already in use").

Change: the search that the world of the integration tests had already moves to the harness (SharedPort); the sessions come before all other ports of the run.

--- a/tests/harness/ServingWorld.cpp
+++ b/tests/harness/ServingWorld.cpp
@@ -1,7 +1,7 @@
 #include "tests/harness/ServingWorld.h"
 
 #include "platform/Names.h"
-#include "wire/TcpConnection.h"
+#include "tests/harness/SharedPort.h"
 
 #include <nlohmann/json.hpp>
 
@@ -16,25 +16,12 @@
 
 auto engineAddress(std::size_t index) -> std::string { return "127.0.1." + std::to_string(index + 1); }
 
-/// All agents share one port on different addresses, which an ephemeral port of a stand-in or of another test may
-/// occupy on one of them.
-auto findPortFreeOnAllEngines(std::size_t engines) -> std::uint16_t
-{
-    constexpr auto mostTries = 100;
-    for (auto count = 0; count < mostTries; ++count) {
-        auto probes = std::vector<std::unique_ptr<wire::TcpListener>>();
-        auto port = std::uint16_t(0);
-        try {
-            for (auto index = std::size_t(0); index < engines; ++index) {
-                probes.push_back(std::make_unique<wire::TcpListener>(engineAddress(index), port, [](auto) {}));
-                port = probes.back()->port();
-            }
-            return port;
-        } catch (const std::exception&) {
-            continue;
-        }
-    }
-    throw std::runtime_error("no port is free on all addresses");
+auto engineAddresses(std::size_t engines) -> std::vector<std::string>
+{
+    auto addresses = std::vector<std::string>();
+    for (auto index = std::size_t(0); index < engines; ++index)
+        addresses.push_back(engineAddress(index));
+    return addresses;
 }
 
 auto route(const std::string& name, const std::string& kind, const std::string& service, bool resumable, int runs)
@@ -127,7 +114,7 @@
     const auto firstStart = index >= agents_.size();
     agents_.resize(std::max(agents_.size(), index + 1));
     if (agentPort_ == 0)
-        agentPort_ = findPortFreeOnAllEngines(engines_.size());
+        agentPort_ = findSharedPort(engineAddresses(engines_.size()));
     auto host = hostSettings("agent-" + std::to_string(index), engineAddress(index));
     host.firstStart = firstStart;
     agents_[index] = std::make_unique<serving::AgentRole>(loop_,
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -3,6 +3,7 @@
 #include "platform/Names.h"
 #include "tests/harness/CoreLimit.h"
 #include "tests/harness/ServingWorld.h"
+#include "tests/harness/SharedPort.h"
 
 #include <nlohmann/json.hpp>
 
@@ -89,6 +90,7 @@
     silences_.resize(size_.engines + size_.plain);
     engines_.resize(size_.engines);
     agents_.resize(size_.engines);
+    openSessions();
     for (auto index = std::size_t(0); index < size_.engines; ++index)
         startEngine(index);
     if (size_.crashes)
@@ -109,6 +111,24 @@
 
 Soak::~Soak() { std::filesystem::remove_all(folder_); }
 
+/// Gateways look for each agent at its engine's address and at one port for all. The ports come before all others of
+/// the run, which could take it on one of the addresses.
+auto Soak::openSessions() -> void
+{
+    auto addresses = std::vector<std::string>();
+    for (auto index = std::size_t(0); index < size_.engines; ++index) {
+        addresses.push_back(engineAddress(index));
+        addresses.push_back(agentAddress(index));
+    }
+    agentPort_ = tests::findSharedPort(addresses);
+    for (auto index = std::size_t(0); index < size_.engines; ++index)
+        engines_[index].session = std::make_unique<standins::FaultProxy>(loop_,
+            standins::FaultProxy::Options { .address = engineAddress(index),
+                .port = agentPort_,
+                .upstream = agentPort_,
+                .upstreamAddress = agentAddress(index) });
+}
+
 auto Soak::startEngine(std::size_t index) -> void
 {
     auto& engine = engines_[index];
@@ -121,12 +141,6 @@
     engine.served.push_back({ engine.replica->software(), loop_.timers().now() });
     engine.leg = std::make_unique<standins::FaultProxy>(
         loop_, standins::FaultProxy::Options { .address = engineAddress(index), .upstream = engine.replica->port() });
-    // Gateways look for each agent at the engine's address and at one port for all.
-    engine.session = std::make_unique<standins::FaultProxy>(loop_,
-        standins::FaultProxy::Options {
-            .address = engineAddress(index), .port = agentPort_, .upstreamAddress = agentAddress(index) });
-    agentPort_ = engine.session->port();
-    engine.session->apply({ { "upstream", agentPort_ } });
     auto& node = agents_[index];
     node.name = "agent-" + name;
     node.role = "agent";
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -176,6 +176,7 @@
     };
 
     // Start and end.
+    auto openSessions() -> void;
     auto startEngine(std::size_t index) -> void;
     auto startNode(Node& node) -> void;
     [[nodiscard]] auto retrySettings() const -> std::string;
