The ledger of crashes bears storms: what it has dropped is not taken in again, and the drop is cheap

Replicas that end together end thousands of runs; a rack of 384 with ten runs each is 3,840 reports where 1,000 fit. Each one that did not fit ranked all requests and made the index anew, the dropped ones came back with the next publication of each agent, and each change led to a new search for culprits. Whole runs of parts that were never seen did the same in quiet times, once 4,096 were known.

Made-up parts are played to 20,000 (2,000 before).

--- a/packages/decisions/CrashLedger.cpp
+++ b/packages/decisions/CrashLedger.cpp
@@ -28,9 +28,8 @@
 {
     if (expired({ report.evidence, report.at }, now))
         return false;
-    const auto known = requests_.contains(report.request);
-    if (!known && requests_.size() >= capacity)
-        makeRoom(now);
+    if (!requests_.contains(report.request) && !hasRoomFor(report, now))
+        return false;
     auto& facts = requests_[report.request];
     const auto key = RunKey(report.start, report.breaksBefore);
     const auto [found, added] = facts.try_emplace(key, Fact { report.evidence, report.at });
@@ -41,7 +40,7 @@
         fact.shared = report.shared;
         fact.begun = report.begun;
         for (const auto& held : fact.shared)
-            shared_[held].emplace(report.request, key);
+            shared_[held][{ report.request, key }] = &fact;
     }
     // The moment of a whole run says how long the report is kept; that of a crash is the earliest known.
     const auto stronger = report.evidence > fact.evidence;
@@ -65,9 +64,9 @@
 {
     if (now - run.begunAt >= retention)
         return false;
-    const auto known = wholeRuns_.find(run.held);
-    const auto before = known == wholeRuns_.end() ? std::nullopt : std::optional(known->second.begunAt);
-    const auto news = isNews(run, before, now) || (known != wholeRuns_.end() && !known->second.told);
+    const auto* known = wholeRuns_.find(run.held);
+    const auto before = known ? std::optional(known->begunAt) : std::nullopt;
+    const auto news = isNews(run, before, now) || (known && !known->told);
     noteWholeRun(run.held, run.begunAt, true);
     if (news)
         ++version_;
@@ -78,9 +77,9 @@
 {
     auto news = std::vector<WholeRun>();
     for (const auto& held : shared) {
-        const auto known = wholeRuns_.find(held);
-        const auto before = known == wholeRuns_.end() ? std::nullopt : std::optional(known->second.begunAt);
-        if (shared_.contains(held) && isNews({ held, begunAt }, before, now))
+        const auto* known = wholeRuns_.find(held);
+        const auto before = known ? std::optional(known->begunAt) : std::nullopt;
+        if (isReported(held) && isNews({ held, begunAt }, before, now))
             news.push_back({ held, begunAt });
         noteWholeRun(held, begunAt, false);
     }
@@ -91,16 +90,8 @@
 
 auto CrashLedger::noteWholeRun(SharedHash held, Moment begunAt, bool told) -> void
 {
-    auto& known = wholeRuns_[held];
-    known.begunAt = std::max(known.begunAt, begunAt);
-    known.told = known.told || told;
-    if (wholeRuns_.size() <= wholeRunCapacity)
-        return;
-    // Without the whole run of what a report names, its cleared crashes would count again.
-    const auto rank
-        = [this](const auto& entry) { return std::tuple(shared_.contains(entry.first), entry.second.begunAt); };
-    wholeRuns_.erase(std::min_element(wholeRuns_.begin(), wholeRuns_.end(),
-        [&](const auto& left, const auto& right) { return rank(left) < rank(right); }));
+    wholeRuns_.note(held, begunAt, told);
+    wholeRuns_.makeRoom([this](SharedHash other) { return isReported(other); });
 }
 
 auto CrashLedger::isNews(const WholeRun& run, std::optional<Moment> known, Moment now) const -> bool
@@ -117,7 +108,7 @@
     if (found == shared_.end())
         return false;
     return std::any_of(found->second.begin(), found->second.end(), [&](const auto& run) {
-        const auto& fact = requests_.at(run.first).at(run.second);
+        const auto& fact = *run.second;
         return fact.evidence != CrashEvidence::Cleared && fact.at > from && fact.at <= to;
     });
 }
@@ -127,7 +118,7 @@
     auto runs = std::vector<WholeRun>();
     for (const auto& [held, known] : wholeRuns_) {
         const auto run = WholeRun { held, known.begunAt };
-        const auto recent = now - known.begunAt < soundMemory && shared_.contains(held);
+        const auto recent = now - known.begunAt < soundMemory && isReported(held);
         if (known.told || recent || clearsCrashes(run))
             runs.push_back(run);
     }
@@ -312,25 +303,26 @@
     const auto found = shared_.find(held);
     if (found == shared_.end())
         return crashes;
-    const auto whole = wholeRuns_.find(held);
-    const auto wholeRunAt = whole == wholeRuns_.end() ? Moment::min() : whole->second.begunAt;
-    auto startsWithIt = std::set<StartHash>();
-    for (const auto& [request, key] : found->second)
-        startsWithIt.insert(key.first);
+    const auto* whole = wholeRuns_.find(held);
+    const auto wholeRunAt = whole ? whole->begunAt : Moment::min();
+    auto startsWithIt = std::vector<StartHash>();
+    startsWithIt.reserve(found->second.size());
+    for (const auto& [run, fact] : found->second)
+        startsWithIt.push_back(run.second.first);
+    std::sort(startsWithIt.begin(), startsWithIt.end());
     const auto& ends = cache_.ends;
     const auto killed = [&](Moment at) {
         auto end = std::lower_bound(ends.begin(), ends.end(), std::pair(at - sameMoment, StartHash()));
         for (; end != ends.end() && end->first <= at + sameMoment; ++end) {
-            if (!startsWithIt.contains(end->second))
+            if (!std::binary_search(startsWithIt.begin(), startsWithIt.end(), end->second))
                 return true;
         }
         return false;
     };
-    for (const auto& [request, key] : found->second) {
-        const auto& fact = requests_.at(request).at(key);
-        const auto confirmed = fact.evidence == CrashEvidence::Crashed;
-        if (counts(fact, now) && fact.at > wholeRunAt && !killed(fact.at))
-            crashes.push_back({ fact.at, key.first, request, fact.begun, confirmed });
+    for (const auto& [run, fact] : found->second) {
+        const auto confirmed = fact->evidence == CrashEvidence::Crashed;
+        if (counts(*fact, now) && fact->at > wholeRunAt && !killed(fact->at))
+            crashes.push_back({ fact->at, run.second.first, run.first, fact->begun, confirmed });
     }
     return crashes;
 }
@@ -339,13 +331,15 @@
 {
     auto records = std::vector<SharedRecord>();
     for (const auto& [held, runs] : shared_) {
+        if (runs.size() < sharedCrashLimit.crashes)
+            continue;
         auto crashes = sharedCrashes(held, now);
         if (crashes.empty())
             continue;
         const auto first = std::min_element(
             crashes.begin(), crashes.end(), [](const auto& left, const auto& right) { return left.at < right.at; });
-        const auto whole = wholeRuns_.find(held);
-        const auto sound = whole != wholeRuns_.end() && first->at - whole->second.begunAt < soundMemory;
+        const auto* whole = wholeRuns_.find(held);
+        const auto sound = whole && first->at - whole->begunAt < soundMemory;
         records.push_back({ held, std::move(crashes), sound });
     }
     return records;
@@ -370,10 +364,11 @@
 auto CrashLedger::standing(SharedHash held, Moment now) const -> Standing
 {
     refreshCache(now);
-    auto standing = Standing { .crashes = sharedCrashes(held, now).size() };
-    if (const auto whole = wholeRuns_.find(held); whole != wholeRuns_.end())
-        standing.wholeRunAt = whole->second.begunAt;
-    return standing;
+    const auto [crashes, added] = cache_.crashes.try_emplace(held);
+    if (added)
+        crashes->second = sharedCrashes(held, now).size();
+    const auto* whole = wholeRuns_.find(held);
+    return { crashes->second, whole ? std::optional(whole->begunAt) : std::nullopt };
 }
 
 auto CrashLedger::breaksAt(RequestDigest request, StartHash start, Moment before) const -> std::uint8_t
@@ -403,52 +398,78 @@
 auto CrashLedger::expire(Moment now) -> bool
 {
     auto dropped = std::size_t(0);
-    for (auto& [request, facts] : requests_)
-        dropped += std::erase_if(facts, [&](const auto& entry) { return expired(entry.second, now); });
+    for (auto& [request, facts] : requests_) {
+        dropped += std::erase_if(facts, [&, request = request](const auto& entry) {
+            if (!expired(entry.second, now))
+                return false;
+            dropShared(request, entry.first, entry.second);
+            return true;
+        });
+    }
     std::erase_if(requests_, [](const auto& entry) { return entry.second.empty(); });
     std::erase_if(starts_, [&](const auto& entry) {
         return std::none_of(entry.second.requests.begin(), entry.second.requests.end(),
             [&](RequestDigest request) { return requests_.contains(request); });
     });
-    if (dropped > 0) {
-        indexShared();
+    if (dropped > 0)
         ++version_;
-    }
-    std::erase_if(wholeRuns_, [&](const auto& entry) {
-        const auto needed = entry.second.told || shared_.contains(entry.first);
-        return now - entry.second.begunAt >= (needed ? retention : wholeRunRetention);
-    });
+    wholeRuns_.expire(now, retention, [this](SharedHash held) { return isReported(held); });
     return dropped > 0;
 }
 
-auto CrashLedger::indexShared() -> void
+auto CrashLedger::dropShared(RequestDigest request, const RunKey& key, const Fact& fact) -> void
 {
-    shared_.clear();
-    for (const auto& [request, facts] : requests_) {
-        for (const auto& [key, fact] : facts) {
-            for (const auto& held : fact.shared)
-                shared_[held].emplace(request, key);
-        }
+    for (const auto& held : fact.shared) {
+        const auto found = shared_.find(held);
+        if (found == shared_.end())
+            continue;
+        found->second.erase({ request, key });
+        if (found->second.empty())
+            shared_.erase(found);
     }
 }
 
+auto CrashLedger::rankOf(const Facts& facts, const std::vector<Culprit>& known, Moment now) -> Rank
+{
+    auto rank = Rank();
+    for (const auto& [key, fact] : facts) {
+        rank.first += counts(fact, now) ? 1 : 0;
+        rank.second = std::max(rank.second, fact.at);
+    }
+    for (const auto& [key, fact] : facts) {
+        for (const auto& culprit : known)
+            rank.first = std::max(rank.first, culprit.isHeldBy(fact.shared) ? culprit.weight.crashes : 0);
+    }
+    return rank;
+}
+
+auto CrashLedger::hasRoomFor(const CrashReport& report, Moment now) -> bool
+{
+    if (requests_.size() >= capacity)
+        makeRoom(now);
+    if (!dropped_ || requests_.size() < capacity - dropCount)
+        return true;
+    const auto facts
+        = Facts { { { report.start, report.breaksBefore }, { report.evidence, report.at, report.shared } } };
+    return rankOf(facts, culprits(now), now) > *dropped_;
+}
+
 auto CrashLedger::makeRoom(Moment now) -> void
 {
     const auto& known = culprits(now);
-    const auto rank = [&](const auto& entry) {
-        auto last = Moment();
-        auto crashes = crashesOf(entry.first, now);
-        for (const auto& [key, fact] : entry.second) {
-            last = std::max(last, fact.at);
-            for (const auto& culprit : known)
-                crashes = std::max(crashes, culprit.isHeldBy(fact.shared) ? culprit.weight.crashes : 0);
-        }
-        return std::tuple(crashes, last);
-    };
-    const auto first = std::min_element(requests_.begin(), requests_.end(),
-        [&](const auto& left, const auto& right) { return rank(left) < rank(right); });
-    requests_.erase(first);
-    indexShared();
+    auto ranks = std::vector<std::pair<Rank, RequestDigest>>();
+    ranks.reserve(requests_.size());
+    for (const auto& [request, facts] : requests_)
+        ranks.emplace_back(rankOf(facts, known, now), request);
+    const auto kept = ranks.begin() + static_cast<std::ptrdiff_t>(dropCount);
+    std::nth_element(ranks.begin(), kept, ranks.end());
+    for (auto dropped = ranks.begin(); dropped != kept; ++dropped) {
+        const auto found = requests_.find(dropped->second);
+        for (const auto& [key, fact] : found->second)
+            dropShared(found->first, key, fact);
+        requests_.erase(found);
+    }
+    dropped_ = std::max_element(ranks.begin(), kept)->first;
     ++version_;
 }
 
--- a/packages/decisions/CrashLedger.h
+++ b/packages/decisions/CrashLedger.h
@@ -2,6 +2,7 @@
 
 #include "decisions/CrashReport.h"
 #include "decisions/SharedCulprits.h"
+#include "decisions/WholeRuns.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -53,7 +54,6 @@
     static constexpr auto longestSharedProbe = Duration(std::chrono::hours(1));
     /// What ran whole within this time before its first crash was sound.
     static constexpr auto soundMemory = Duration(60s);
-    static constexpr auto wholeRunCapacity = std::size_t(4096);
     /// Whole runs are told again when the one that others know of is older by this.
     static constexpr auto wholeRunNews = Duration(5s);
 
@@ -78,6 +78,13 @@
         std::optional<Moment> wholeRunAt {};
     };
 
+    CrashLedger() = default;
+    CrashLedger(const CrashLedger&) = delete;
+    CrashLedger(CrashLedger&&) = default;
+    auto operator=(const CrashLedger&) -> CrashLedger& = delete;
+    auto operator=(CrashLedger&&) -> CrashLedger& = default;
+    ~CrashLedger() = default;
+
     /// Returns whether the report says something new.
     auto apply(const CrashReport& report, Moment now) -> bool;
     /// The same for what another process knows of whole runs.
@@ -120,8 +127,8 @@
     static constexpr auto clearedNewsTime = Duration(15s);
     /// What one whole run has cleared carries the same moment, but for the time that messages take.
     static constexpr auto sameClearing = Duration(500ms);
-    /// Whole runs that nobody has told and no report needs are kept for this long.
-    static constexpr auto wholeRunRetention = 2 * soundMemory;
+    /// So many leave at once when there are too many, so that a storm of reports does not rank them all each time.
+    static constexpr auto dropCount = capacity / 10;
     /// Kept beyond the time that it counts, for the news that its replica has crashed.
     static constexpr auto breakRetention = 3 * breakLifetime;
 
@@ -141,11 +148,8 @@
         std::set<RequestDigest> requests;
     };
 
-    struct KnownWholeRun {
-        Moment begunAt {};
-        /// Another process has told of it.
-        bool told = false;
-    };
+    /// How much a request matters: its crashes or those of a culprit that it holds, and the last of its own.
+    using Rank = std::pair<std::size_t, Moment>;
     using Ends = std::vector<std::pair<Moment, StartHash>>;
     /// Found from the reports and whole runs up to `version`; breaks that count at `from` still do at `until`.
     struct CulpritCache {
@@ -155,6 +159,8 @@
         /// Starts by the moment of their end.
         Ends ends;
         std::vector<Culprit> culprits;
+        /// Of what was asked for since.
+        std::map<SharedHash, std::size_t> crashes {};
     };
 
     [[nodiscard]] static auto verdictOn(const Culprit& culprit) -> Verdict;
@@ -178,22 +184,29 @@
     {
         return crashedBetween(run.held, Moment::min(), run.begunAt);
     }
+    /// Whether a report names it.
+    [[nodiscard]] auto isReported(SharedHash held) const -> bool { return shared_.contains(held); }
     auto noteWholeRun(SharedHash held, Moment begunAt, bool told) -> void;
-    /// Makes `shared_` follow the reports that are left.
-    auto indexShared() -> void;
+    /// Takes a run that is dropped out of `shared_`.
+    auto dropShared(RequestDigest request, const RunKey& key, const Fact& fact) -> void;
     /// Whether something else than the request explains the end of the start.
     [[nodiscard]] auto explained(RequestDigest request, StartHash start, std::size_t crashes, Moment now) const -> bool;
     [[nodiscard]] auto endedTogether(const Start& start) const -> bool;
-    /// Drops the request whose crashes matter least: those of the request, or of a culprit that it holds. Of these the
-    /// one that was heard of first.
+    [[nodiscard]] static auto rankOf(const Facts& facts, const std::vector<Culprit>& known, Moment now) -> Rank;
+    /// Whether there is room for a request that is not known. One that matters no more than what was dropped is not
+    /// taken in again, each time that another process tells of it.
+    [[nodiscard]] auto hasRoomFor(const CrashReport& report, Moment now) -> bool;
+    /// Drops the requests that matter least.
     auto makeRoom(Moment now) -> void;
 
     std::map<RequestDigest, Facts> requests_;
     std::map<StartHash, Start> starts_;
-    /// The runs that held this.
-    std::map<SharedHash, std::set<std::pair<RequestDigest, RunKey>>> shared_;
-    std::map<SharedHash, KnownWholeRun> wholeRuns_;
+    /// The runs that held this; the facts are those of `requests_`.
+    std::map<SharedHash, std::map<std::pair<RequestDigest, RunKey>, const Fact*>> shared_;
+    WholeRuns wholeRuns_;
     mutable CulpritCache cache_;
+    /// The rank of the most important request that was dropped.
+    std::optional<Rank> dropped_;
     std::uint64_t version_ = 0;
 };
 
--- a/tests/unit/CrashLedger.cpp
+++ b/tests/unit/CrashLedger.cpp
@@ -160,6 +160,32 @@
     BOOST_TEST(ledger.reports(now + 4s).size() <= CrashLedger::capacity + 2);
 }
 
+// Guards against processes that spend their time on taking in again what they have dropped: others publish it each
+// time.
+BOOST_AUTO_TEST_CASE(dropped_reports_are_not_taken_in_again_when_they_are_told_again)
+{
+    constexpr auto runsAtKilledReplicas = std::uint64_t(4000);
+    auto ledger = CrashLedger();
+    auto now = begin;
+    auto published = std::vector<CrashReport>();
+    for (auto number = std::uint64_t(0); number < runsAtKilledReplicas; ++number)
+        published.push_back(crash(RequestDigest(1000 + number), number % 400, begin + Duration(1ms) * (number % 400)));
+    const auto news = [&] {
+        return std::count_if(
+            published.begin(), published.end(), [&](const CrashReport& report) { return ledger.apply(report, now); });
+    };
+    BOOST_TEST(news() > 0);
+    now += 1s;
+    (void)news();
+    now += 1s;
+    const auto version = ledger.version();
+    BOOST_TEST(news() == 0);
+    BOOST_TEST(ledger.version() == version);
+    // What happens from now on is taken in all the same.
+    now = crashes(ledger, request, 1000, 3);
+    BOOST_TEST(ledger.verdict(request, now).refused);
+}
+
 namespace {
 
 /// Entries and agents that share reports with delays, and are killed at random; replicas that crash under one request.
--- a/tests/unit/SharedCulprits.cpp
+++ b/tests/unit/SharedCulprits.cpp
@@ -179,7 +179,7 @@
     auto ledger = CrashLedger();
     auto now = crashes(ledger, 1, 4, { deadly }) + 1s;
     (void)ledger.ranWhole({ deadly }, now, now);
-    for (auto number = std::uint64_t(0); number < 2 * CrashLedger::wholeRunCapacity; ++number)
+    for (auto number = std::uint64_t(0); number < 2 * WholeRuns::capacity; ++number)
         (void)ledger.ranWhole({ SharedHash(100'000 + number) }, now + 1s, now + 1s);
     for (auto count = 0; count < 20; ++count) {
         now += std::chrono::minutes(5);
@@ -263,13 +263,13 @@
 {
     auto ledger = CrashLedger();
     auto now = crashes(ledger, 1, 4, { deadly });
-    for (auto number = std::uint64_t(0); number < 2 * CrashLedger::capacity; ++number) {
+    for (auto number = std::uint64_t(0); number < 20 * CrashLedger::capacity; ++number) {
         now += 1ms;
         (void)ledger.apply(crash(10'000 + number, 10'000 + number, now, { SharedHash(10'000 + number) }), now);
     }
     BOOST_TEST(refused(ledger, { deadly }, now));
     BOOST_TEST(ledger.reports(now).size() <= CrashLedger::capacity + 4);
-    for (auto number = std::uint64_t(0); number < 2 * CrashLedger::wholeRunCapacity; ++number)
+    for (auto number = std::uint64_t(0); number < 2 * WholeRuns::capacity; ++number)
         (void)ledger.ranWhole({ SharedHash(100'000 + number) }, now, now);
     BOOST_TEST(refused(ledger, { deadly }, now));
 }
