SuspectRequests in parts: names of contents, news to agents, the log of refusals; one hash of texts

No change of behaviour. SuspectRequests.cpp had 557 lines and held five jobs; it keeps the runs and their replicas (373). ContentNames, CrashNews and RefusalLog are the other files; hashText (base) replaces three copies of one function, and gives the same hashes as before.

--- a/packages/router/EngineCrashes.cpp
+++ b/packages/router/EngineCrashes.cpp
@@ -1,6 +1,6 @@
 #include "router/EngineCrashes.h"
 
-#include <xxhash.h>
+#include "base/TextHash.h"
 
 namespace eelgrass::router {
 
@@ -8,28 +8,19 @@
 using decisions::RunContent;
 using decisions::StartHash;
 
-namespace {
-
-auto hashed(std::uint64_t seed, std::string_view text) -> std::uint64_t
-{
-    return XXH3_64bits_withSeed(text.data(), text.size(), seed);
-}
-
-} // namespace
-
 auto EngineCrashes::contentOf(const std::string& digest, const ModelName& model) -> RunContent
 {
-    auto content = RunContent { .request = decisions::RequestDigest(hashed(0, digest)) };
+    auto content = RunContent { .request = decisions::RequestDigest(hashText(0, digest)) };
     if (!model.empty())
-        content.shared.emplace_back(hashed(0, model.view()));
+        content.shared.emplace_back(hashText(0, model.view()));
     return content;
 }
 
-auto EngineCrashes::numberOf(const std::string& incarnation) -> std::uint64_t { return hashed(0, incarnation); }
+auto EngineCrashes::numberOf(const std::string& incarnation) -> std::uint64_t { return hashText(0, incarnation); }
 
 auto EngineCrashes::startOf(const TargetId& target, std::uint64_t engineStart) -> StartHash
 {
-    return StartHash(hashed(engineStart, target.view()));
+    return StartHash(hashText(engineStart, target.view()));
 }
 
 auto EngineCrashes::record(const RunContent& content, StartHash start, bool alone, Moment now) -> void
--- a/packages/serving/RequestContent.cpp
+++ b/packages/serving/RequestContent.cpp
@@ -1,6 +1,6 @@
 #include "serving/RequestContent.h"
 
-#include <xxhash.h>
+#include "base/TextHash.h"
 
 #include <algorithm>
 
@@ -16,14 +16,9 @@
 constexpr auto memberPartKind = std::string_view("member's part");
 constexpr auto adapterKind = std::string_view("adapter");
 
-auto hashed(std::uint64_t seed, std::string_view text) -> std::uint64_t
-{
-    return XXH3_64bits_withSeed(text.data(), text.size(), seed);
-}
-
 auto sharedContent(std::string_view what, std::string name) -> SharedContent
 {
-    return { SharedHash(hashed(hashed(0, what), name)), what, std::move(name) };
+    return { SharedHash(hashText(hashText(0, what), name)), what, std::move(name) };
 }
 
 /// Ids are hexadecimal numbers, which have more than one spelling.
@@ -80,10 +75,10 @@
     -> decisions::RequestDigest
 {
     const auto what = request.body.empty() ? std::string_view(request.target) : request.path();
-    auto hash = hashed(0, request.method);
+    auto hash = hashText(0, request.method);
     for (const auto text :
         { what, metadata.model.view(), metadata.adapter.view(), std::string_view(request.body), member.view() })
-        hash = hashed(hash, text);
+        hash = hashText(hash, text);
     return decisions::RequestDigest(hash);
 }
 
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -1,10 +1,9 @@
 #include "serving/RequestRun.h"
 
 #include "base/Log.h"
+#include "base/TextHash.h"
 #include "serving/detail/RunLimits.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 
 namespace eelgrass::serving {
@@ -17,10 +16,10 @@
 auto sharedPrefixes(const RequestMetadata& metadata) -> std::vector<decisions::SharedPrefix>
 {
     auto prefixes = std::vector<decisions::SharedPrefix>();
-    auto prefix = decisions::SharedPrefix { XXH3_64bits(metadata.adapter.str().data(), metadata.adapter.str().size()) };
+    auto prefix = decisions::SharedPrefix { hashText(0, metadata.adapter.view()) };
     for (auto index = std::size_t(0); index + 1 < metadata.prompt.size(); ++index) {
         const auto& part = metadata.prompt[index];
-        prefix.id = XXH3_64bits_withSeed(part.id.data(), part.id.size(), prefix.id);
+        prefix.id = hashText(prefix.id, part.id);
         prefix.tokens += part.tokens;
         prefixes.push_back(prefix);
     }
--- a/packages/serving/SuspectRequests.cpp
+++ b/packages/serving/SuspectRequests.cpp
@@ -2,13 +2,10 @@
 
 #include "base/DurationText.h"
 #include "base/Log.h"
-#include "decisions/FirstByRendezvous.h"
-
-#include <xxhash.h>
+#include "base/TextHash.h"
 
 #include <algorithm>
 #include <set>
-#include <tuple>
 #include <utility>
 
 namespace eelgrass::serving {
@@ -16,20 +13,9 @@
 using decisions::CrashEvidence;
 using decisions::StartHash;
 
-namespace {
-
-auto hashed(std::uint64_t seed, std::string_view text) -> std::uint64_t
-{
-    return XXH3_64bits_withSeed(text.data(), text.size(), seed);
-}
-
-auto keyOf(const CrashReport& report) { return std::tuple(report.request, report.start, report.breaksBefore); }
-
-} // namespace
-
 auto hashOf(const ReplicaStart& start) -> StartHash
 {
-    return StartHash(hashed(start.startTime.value(), start.instance.str()));
+    return StartHash(hashText(start.startTime.value(), start.instance.str()));
 }
 
 auto SuspectRequests::findRun(const ReplicaRun& run) -> OpenRun*
@@ -92,7 +78,7 @@
 
 auto SuspectRequests::clear(const RequestContent& content, const ReplicaPtr& replica, Moment answerBegunAt) -> void
 {
-    report(ledger_.ranWhole(content.run.shared, answerBegunAt, now()));
+    tell(ledger_.ranWhole(content.run.shared, answerBegunAt, now()));
     const auto cleared = ledger_.clear(content.run.request, now());
     if (cleared.empty())
         return;
@@ -100,8 +86,8 @@
     log::info("request cleared of crashes",
         { { "digest", std::to_string(content.run.request.value()) }, { "parts", content.partsText() },
             { "reports", std::to_string(cleared.size()) }, { "replica", replica->id().str() } });
-    report(cleared);
-    noteVerdict(content.run.request, "answered");
+    tell(cleared);
+    refusals_.requestChanged(content.run.request, "answered");
 }
 
 auto SuspectRequests::runWentOn(const RequestContent& content, ReplicaRun& run) -> void
@@ -109,7 +95,7 @@
     if (run.proven || streamedFor(run) < provenStreamTime)
         return;
     run.proven = true;
-    report(ledger_.ranWhole(content.run.shared, run.firstEventAt, now()));
+    tell(ledger_.ranWhole(content.run.shared, run.firstEventAt, now()));
 }
 
 auto SuspectRequests::runBroke(const ReplicaRun& run, bool begun) -> void
@@ -189,8 +175,8 @@
         evidence == CrashEvidence::Crashed ? "crashed" : "broke", run, source);
     if (!fresh)
         return;
-    this->report({ report });
-    noteVerdict(content.request, "this entry");
+    tell({ report });
+    refusals_.requestChanged(content.request, "this entry");
 }
 
 auto SuspectRequests::startEnded(const ReplicaStart& start, StartEnd end, std::string_view source) -> void
@@ -229,7 +215,7 @@
             { { "digest", std::to_string(one.request.value()) }, { "replica", start.instance.str() },
                 { "birth", std::to_string(start.startTime.value()) }, { "source", std::string(source) } });
     }
-    report(confirmed);
+    tell(confirmed);
 }
 
 auto SuspectRequests::startListed(const Replica& replica) -> void
@@ -259,9 +245,9 @@
     for (const auto& run : state.wholeRuns)
         wholeRuns = ledger_.apply(run, now()) || wholeRuns;
     for (const auto& request : changed)
-        noteVerdict(request, agent.endpoint().str());
+        refusals_.requestChanged(request, agent.endpoint().str());
     if (wholeRuns)
-        noteVerdicts(agent.endpoint().str());
+        refusals_.contentsChanged(agent.endpoint().str());
     if (!changed.empty())
         startRepeating();
 }
@@ -302,67 +288,20 @@
     return known;
 }
 
-auto SuspectRequests::learnNames(const RequestContent& content) -> void
-{
-    for (const auto& one : content.shared) {
-        if (!names_.try_emplace(one.hash, ContentName { std::string(one.what), one.name }).second)
-            continue;
-        namesOrder_.push_back(one.hash);
-        if (namesOrder_.size() <= maxNames)
-            continue;
-        names_.erase(namesOrder_.front());
-        namesOrder_.pop_front();
-    }
-}
-
-auto SuspectRequests::nameOf(decisions::SharedHash hash) const -> ContentName
-{
-    const auto known = names_.find(hash);
-    return known == names_.end() ? ContentName { "unknown", std::to_string(hash.value()) } : known->second;
-}
-
-auto SuspectRequests::hubs() const -> Hubs
-{
-    // By endpoint, since an agent has two links while two starts of its replica are listed.
-    auto hubs = Hubs();
-    for (const auto& [instance, replica] : directory_.all()) {
-        auto* agent = replica->agent();
-        if (agent && agent->isHub() && agent->alive())
-            hubs[agent->endpointHash()] = agent;
-    }
-    return hubs;
-}
-
-template <typename Hash> auto SuspectRequests::keepersOf(Hash hash, const Hubs& hubs) -> std::vector<AgentLink*>
-{
-    auto first = decisions::FirstByRendezvous<AgentLink*>(hash.value(), keepersPerRequest);
-    for (const auto& [hubHash, agent] : hubs)
-        first.offer(agent, hubHash);
-    return first.nodes();
-}
-
-auto SuspectRequests::report(const std::vector<CrashReport>& reports) -> void
+auto SuspectRequests::tell(const std::vector<CrashReport>& reports) -> void
 {
     if (reports.empty())
         return;
-    const auto hubs = this->hubs();
-    for (const auto& report : reports) {
-        for (auto* agent : keepersOf(report.request, hubs))
-            agent->noteCrashes({ report });
-    }
+    news_.tell(reports);
     startRepeating();
 }
 
-auto SuspectRequests::report(const std::vector<decisions::WholeRun>& runs) -> void
+auto SuspectRequests::tell(const std::vector<decisions::WholeRun>& runs) -> void
 {
     if (runs.empty())
         return;
-    const auto hubs = this->hubs();
-    for (const auto& run : runs) {
-        for (auto* agent : keepersOf(run.held, hubs))
-            agent->noteCrashes({}, { run });
-    }
-    noteVerdicts("answered");
+    news_.tell(runs);
+    refusals_.contentsChanged("answered");
 }
 
 auto SuspectRequests::startRepeating() -> void
@@ -374,51 +313,12 @@
 auto SuspectRequests::repeat() -> void
 {
     forget();
-    const auto now = this->now();
-    const auto hubs = this->hubs();
-    using Stated = std::map<decltype(keyOf(CrashReport())), CrashEvidence>;
-    auto stated = std::map<AgentLink*, Stated>();
-    auto missing = std::map<AgentLink*, News>();
-    for (const auto& report : ledger_.reports(now)) {
-        // What was told just now has not been published yet.
-        if (now - report.at < repeatInterval)
-            continue;
-        for (auto* agent : keepersOf(report.request, hubs)) {
-            const auto [states, added] = stated.try_emplace(agent);
-            for (const auto& one : added ? agent->state().crashes : std::vector<CrashReport>())
-                states->second[keyOf(one)] = one.evidence;
-            const auto found = states->second.find(keyOf(report));
-            if (found == states->second.end() || found->second < report.evidence)
-                missing[agent].reports.push_back(report);
-        }
-    }
-    addMissingWholeRuns(missing, hubs);
-    for (const auto& [agent, news] : missing)
-        agent->noteCrashes(news.reports, news.wholeRuns);
-    for (const auto& request : std::set(refused_))
-        noteVerdict(request, "time");
-    if (!culprits_.empty())
-        noteVerdicts("time");
+    news_.tellMissing(ledger_, repeatInterval, now());
+    refusals_.timePassed();
     if (ledger_.empty() && !waitsForNews())
         repeatTimer_.cancel();
 }
 
-auto SuspectRequests::addMissingWholeRuns(std::map<AgentLink*, News>& missing, const Hubs& hubs) const -> void
-{
-    auto stated = std::map<std::pair<AgentLink*, decisions::SharedHash>, Moment>();
-    for (const auto& [hash, agent] : hubs) {
-        for (const auto& run : agent->state().wholeRuns)
-            stated[{ agent, run.held }] = run.begunAt;
-    }
-    for (const auto& run : ledger_.wholeRuns(now())) {
-        for (auto* agent : keepersOf(run.held, hubs)) {
-            const auto known = stated.find({ agent, run.held });
-            if (ledger_.isNews(run, known == stated.end() ? std::nullopt : std::optional(known->second), now()))
-                missing[agent].wholeRuns.push_back(run);
-        }
-    }
-}
-
 auto SuspectRequests::settled(const OpenRun& run) -> bool
 {
     if (!run.endedAt)
@@ -454,96 +354,12 @@
     });
 }
 
-auto SuspectRequests::noteVerdict(RequestDigest request, std::string_view source) -> void
-{
-    changed_.insert_or_assign(request, std::string(source));
-    noteVerdicts(source);
-}
-
-auto SuspectRequests::noteVerdicts(std::string_view source) -> void
-{
-    if (changeTimer_.active())
-        return;
-    changeTimer_ = loop_.timers().after(Duration(0), [this, source = std::string(source)] {
-        for (const auto& [changed, from] : std::exchange(changed_, {}))
-            logVerdict(changed, from);
-        logCulprits(source);
-    });
-}
-
-auto SuspectRequests::logVerdict(RequestDigest request, std::string_view source) -> void
-{
-    const auto verdict = ledger_.verdict(request, now());
-    const auto known = refused_.contains(request);
-    if (verdict.refused == known)
-        return;
-    metrics_.count("eelgrass_request_refusals_total", { { "change", verdict.refused ? "begins" : "ends" } });
-    log::warn(verdict.refused ? "request crashes replicas" : "request may run again",
-        { { "digest", std::to_string(request.value()) }, { "crashes", std::to_string(verdict.crashes) },
-            { "unexplained", std::to_string(verdict.unexplained) }, { "source", std::string(source) },
-            { "age_ms", millisecondsText(now() - verdict.last) },
-            { "probe_ms", verdict.refused ? millisecondsText(verdict.probeFrom - now()) : "" } });
-    if (!verdict.refused) {
-        refused_.erase(request);
-        return;
-    }
-    refused_.insert(request);
-    onRefusal_.notify();
-}
-
-auto SuspectRequests::logCulprits(std::string_view source) -> void
-{
-    auto before = std::exchange(culprits_, {});
-    auto begins = false;
-    for (const auto& culprit : ledger_.culprits(now())) {
-        culprits_.insert(culprit.together);
-        if (before.erase(culprit.together) > 0)
-            continue;
-        logCulprit(culprit, source);
-        begins = true;
-    }
-    if (begins)
-        onRefusal_.notify();
-    for (const auto& together : before) {
-        metrics_.count("eelgrass_request_refusals_total", { { "change", "ends" } });
-        for (const auto& hash : together) {
-            const auto [what, name] = nameOf(hash);
-            metrics_.unset("eelgrass_crashing_contents", { { "what", what }, { "name", name } });
-            log::warn("content may run again",
-                { { "what", what }, { "name", name }, { "hash", std::to_string(hash.value()) },
-                    { "source", std::string(source) } });
-        }
-    }
-}
-
-auto SuspectRequests::logCulprit(const decisions::Culprit& culprit, std::string_view source) -> void
-{
-    metrics_.count("eelgrass_request_refusals_total", { { "change", "begins" } });
-    for (const auto& hash : culprit.together) {
-        const auto [what, name] = nameOf(hash);
-        const auto standing = ledger_.standing(hash, now());
-        const auto wholeRunMs = standing.wholeRunAt ? millisecondsText(now() - *standing.wholeRunAt) : "-";
-        metrics_.set("eelgrass_crashing_contents", { { "what", what }, { "name", name } },
-            static_cast<double>(culprit.together.size()));
-        log::warn("content crashes replicas",
-            { { "what", what }, { "name", name }, { "hash", std::to_string(hash.value()) },
-                { "together", std::to_string(culprit.together.size()) },
-                { "starts", std::to_string(culprit.starts.size()) },
-                { "crashes", std::to_string(culprit.weight.crashes) },
-                { "moments", std::to_string(culprit.weight.moments) }, { "whole_run_ms", wholeRunMs },
-                { "age_ms", millisecondsText(now() - culprit.last) }, { "source", std::string(source) } });
-    }
-}
-
 auto SuspectRequests::note(
     std::string_view event, std::string_view outcome, const OpenRun& run, std::string_view why) const -> void
 {
     const auto verdict = this->verdict(*run.content);
     const auto known = partsKnown(*run.content);
     const auto& start = run.replica->record().start;
-    auto keepers = std::string();
-    for (const auto* agent : keepersOf(run.content->run.request, hubs()))
-        keepers += (keepers.empty() ? "" : " ") + agent->endpoint().str();
     metrics_.count("eelgrass_request_crashes_total", { { "outcome", std::string(outcome) } });
     log::info(event,
         { { "digest", std::to_string(run.content->run.request.value()) }, { "parts", known.parts },
@@ -551,7 +367,7 @@
             { "replica", start.instance.str() }, { "birth", std::to_string(start.startTime.value()) },
             { "reason", std::string(why) }, { "ended_ms", run.endedAt ? millisecondsText(now() - *run.endedAt) : "" },
             { "crashes", std::to_string(verdict.crashes) }, { "unexplained", std::to_string(verdict.unexplained) },
-            { "kept_by", keepers } });
+            { "kept_by", news_.keepersText(run.content->run.request) } });
 }
 
 } // namespace eelgrass::serving
--- a/packages/serving/SuspectRequests.h
+++ b/packages/serving/SuspectRequests.h
@@ -3,17 +3,17 @@
 #include "base/Subscribers.h"
 #include "decisions/CrashLedger.h"
 #include "router/Metrics.h"
+#include "serving/ContentNames.h"
+#include "serving/CrashNews.h"
 #include "serving/CrashProbes.h"
+#include "serving/RefusalLog.h"
 #include "serving/ReplicaDirectory.h"
 #include "serving/ReplicaRun.h"
 #include "serving/RequestContent.h"
 
-#include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -42,6 +42,8 @@
         , directory_(directory)
         , metrics_(metrics)
         , probes_(loop, directory)
+        , news_(directory)
+        , refusals_(loop, ledger_, names_, metrics)
     {
     }
 
@@ -74,7 +76,7 @@
     /// Whether the request is refused at any later step.
     [[nodiscard]] auto isRefused(const RequestContent& content, const AttemptId& attempt) const -> bool;
     /// Told when something is refused from now on, for requests that wait.
-    auto onRefusal() noexcept -> Subscribers& { return onRefusal_; }
+    auto onRefusal() noexcept -> Subscribers& { return refusals_.onRefusal(); }
     [[nodiscard]] auto verdict(const RequestContent& content) const -> decisions::CrashLedger::Verdict;
     /// What is known of the parts of a request, in the order of the prompt, as log lines say it.
     struct PartsKnown {
@@ -86,7 +88,7 @@
     };
     [[nodiscard]] auto partsKnown(const RequestContent& content) const -> PartsKnown;
     /// Remembers what the hashes stand for, for logs and metrics.
-    auto learnNames(const RequestContent& content) -> void;
+    auto learnNames(const RequestContent& content) -> void { names_.learn(content); }
 
 private:
     enum class StartEnd {
@@ -117,8 +119,6 @@
         /// When the answer began.
         Moment answerBegunAt {};
     };
-    /// Agents that keep what all entries share, by their endpoints' hashes.
-    using Hubs = std::map<std::uint64_t, AgentLink*>;
     using OpenRuns = std::vector<OpenRun>;
 
     // By then the end of the run's start is known: hosts that go dark are not listed any more after some seconds.
@@ -127,12 +127,9 @@
     static constexpr auto breakBeforeLoss = Duration(3s);
     static constexpr auto startMemory = Duration(120s);
     static constexpr auto maxOpenRuns = std::size_t(4000);
-    static constexpr auto maxNames = std::size_t(4096);
     /// A request crashes replicas as they begin to run it; a stream that has brought events for this long does not.
     static constexpr auto provenStreamTime = Duration(2s);
     static constexpr auto repeatInterval = Duration(1s);
-    /// Agents that are told of a request: one is left when the other one goes.
-    static constexpr auto keepersPerRequest = std::size_t(2);
 
     [[nodiscard]] auto now() const -> Moment { return loop_.timers().now(); }
     auto startEnded(const ReplicaStart& start, StartEnd end, std::string_view source) -> void;
@@ -148,36 +145,14 @@
     auto count(const OpenRun& run, decisions::CrashEvidence evidence, std::string_view source) -> void;
     /// Why the end of its start is no crash under the run; empty if it is.
     [[nodiscard]] auto excuse(const OpenRun& run) const -> std::string_view;
-    auto report(const std::vector<CrashReport>& reports) -> void;
-    auto report(const std::vector<decisions::WholeRun>& runs) -> void;
-    [[nodiscard]] auto hubs() const -> Hubs;
-    template <typename Hash>
-    [[nodiscard]] static auto keepersOf(Hash hash, const Hubs& hubs) -> std::vector<AgentLink*>;
-    /// What is to be told to an agent.
-    struct News {
-        std::vector<CrashReport> reports;
-        std::vector<decisions::WholeRun> wholeRuns;
-    };
-    /// Tells agents what they should state and do not.
+    auto tell(const std::vector<CrashReport>& reports) -> void;
+    auto tell(const std::vector<decisions::WholeRun>& runs) -> void;
+    /// Tells agents what they should state and do not, and looks for what has changed with time.
     auto repeat() -> void;
-    /// The same for whole runs.
-    auto addMissingWholeRuns(std::map<AgentLink*, News>& missing, const Hubs& hubs) const -> void;
     /// Drops what is too old, and runs whose replicas have outlived them.
     auto forget() -> void;
     [[nodiscard]] auto waitsForNews() const -> bool;
     auto startRepeating() -> void;
-    /// Logs that the request is refused from now on, or not any more, once all that is known now has been applied.
-    auto noteVerdict(RequestDigest request, std::string_view source) -> void;
-    auto noteVerdicts(std::string_view source) -> void;
-    auto logVerdict(RequestDigest request, std::string_view source) -> void;
-    /// The same for what requests share.
-    auto logCulprits(std::string_view source) -> void;
-    auto logCulprit(const decisions::Culprit& culprit, std::string_view source) -> void;
-    struct ContentName {
-        std::string what;
-        std::string name;
-    };
-    [[nodiscard]] auto nameOf(decisions::SharedHash hash) const -> ContentName;
     auto note(std::string_view event, std::string_view outcome, const OpenRun& run, std::string_view why) const -> void;
 
     wire::MainLoop& loop_;
@@ -185,23 +160,15 @@
     router::Metrics& metrics_;
     decisions::CrashLedger ledger_;
     CrashProbes probes_;
-    Subscribers onRefusal_;
+    CrashNews news_;
+    ContentNames names_;
+    RefusalLog refusals_;
     std::map<decisions::StartHash, OpenRuns> runs_;
     std::size_t runCount_ = 0;
     /// Starts that are over, and since when that is known.
     std::map<decisions::StartHash, Moment> over_;
     /// The start that was last listed at each address.
     std::map<std::string, ReplicaStart> listedAt_;
-    /// Requests that this entry has logged as refused.
-    std::set<RequestDigest> refused_;
-    /// The same for what requests share: each is refused together with the others of its set.
-    std::set<std::vector<decisions::SharedHash>> culprits_;
-    std::map<decisions::SharedHash, ContentName> names_;
-    /// The hashes of `names_`, the one that was learnt first in front.
-    std::deque<decisions::SharedHash> namesOrder_;
-    /// Requests whose verdict may have changed, and from whom the news came.
-    std::map<RequestDigest, std::string> changed_;
-    Timer changeTimer_;
     Timer repeatTimer_;
 };
 
