A timer that has fired is not active: refusals are told each time, lists confirmed at once each time

What callers saw (found by a unit test, not reported): a request that waited when what it holds was found to crash replicas was not refused at once but went on waiting, except for the first change in a process' life; and a stream that was taken up and needed a fresh list waited for the next regular reading, except for the first. What operators saw: `content crashes replicas`, `request crashes replicas` and eelgrass_crashing_contents only if they came with the first report of any kind.

Cause: Timer::active said whether the timer had been cancelled, not whether its callback is still to come.

Change: active asks the service whether the callback is still to come, so nobody has to reset it; the resets go. All ten places that ask were read: ReaderLink no longer drops a session that its timer has dropped already, and an entry that becomes the reader of its zone asks for a reading only where one is waited for, not where one is under way.

Evidence: unit-RefusalLog, each_change_of_what_is_refused_is_told, 1 of 3 before. Sends were gated all the same: each asks the ledger itself.

--- a/packages/base/DeferredCalls.h
+++ b/packages/base/DeferredCalls.h
@@ -24,7 +24,7 @@
     auto add(std::function<void()> call) -> void
     {
         calls_.push_back(std::move(call));
-        if (!timer_.active() || calls_.size() == 1)
+        if (!timer_.active())
             timer_ = timers_.after(Duration(0), [this] { run(); });
     }
 
--- a/packages/base/TimerService.cpp
+++ b/packages/base/TimerService.cpp
@@ -4,6 +4,8 @@
 
 namespace eelgrass {
 
+auto Timer::active() const noexcept -> bool { return service_ && service_->isPending(key_); }
+
 auto Timer::cancel() noexcept -> void
 {
     if (!service_)
--- a/packages/base/TimerService.h
+++ b/packages/base/TimerService.h
@@ -29,7 +29,8 @@
     }
     ~Timer() { cancel(); }
 
-    [[nodiscard]] auto active() const noexcept -> bool { return service_; }
+    /// Whether the callback is still to come: not any more once a timer of `after` has fired, nor within its callback.
+    [[nodiscard]] auto active() const noexcept -> bool;
     auto cancel() noexcept -> void;
 
 private:
@@ -78,6 +79,10 @@
         Duration period {};
     };
     auto add(Moment due, Entry) -> Timer::Key;
+    [[nodiscard]] auto isPending(const Timer::Key& key) const noexcept -> bool
+    {
+        return entries_.contains(key) || moved_.contains(key.second);
+    }
 
     Clock clock_;
     std::uint64_t nextId_ = 0;
--- a/packages/router/TargetRole.cpp
+++ b/packages/router/TargetRole.cpp
@@ -385,7 +385,6 @@
     if (!delay)
         return;
     pushTimer_ = loop_.timers().after(*delay, [this] {
-        pushTimer_ = {};
         if (reports_.due(summary(), now()))
             pushState();
     });
--- a/packages/serving/StatePublisher.cpp
+++ b/packages/serving/StatePublisher.cpp
@@ -78,7 +78,6 @@
     if (batchTimer.active() || entries == 0)
         return;
     batchTimer = loop_.timers().after(PublishPolicy::batchingDelay(audience, entries), [this, audience] {
-        group(audience).batchTimer = {};
         publish(audience, false);
     });
 }
--- /dev/null
+++ b/tests/unit/RefusalLog.cpp
@@ -0,0 +1,38 @@
+#include "serving/RefusalLog.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace eelgrass;
+using namespace eelgrass::decisions;
+
+namespace {
+
+/// Crashes under three requests that hold this, a second apart; the numbers of starts and requests begin at `first`.
+auto crashThree(CrashLedger& ledger, std::uint64_t first, const std::vector<SharedHash>& shared, Moment now) -> void
+{
+    for (auto number = first; number < first + 3; ++number)
+        (void)ledger.apply({ RequestDigest(number), StartHash(number), 0, CrashEvidence::Crashed,
+                               now - Duration(10s) + Duration(1s) * (number - first), shared },
+            now);
+}
+
+} // namespace
+
+// Guards against lines, metrics and waiting requests that learn of the first change alone.
+BOOST_AUTO_TEST_CASE(each_change_of_what_is_refused_is_told)
+{
+    auto loop = wire::MainLoop();
+    auto ledger = CrashLedger();
+    auto names = serving::ContentNames();
+    auto metrics = router::Metrics(10);
+    auto refusals = serving::RefusalLog(loop, ledger, names, metrics);
+    auto told = 0;
+    const auto watch = refusals.onRefusal().add([&] { ++told; });
+    const auto now = loop.timers().now();
+    for (const auto part : { 7U, 17U, 27U }) {
+        crashThree(ledger, part, { SharedHash(part) }, now);
+        refusals.requestChanged(RequestDigest(part), "test");
+        loop.wait(loop.sleep(10ms));
+    }
+    BOOST_TEST(told == 3);
+}
--- a/tests/unit/TimerService.cpp
+++ b/tests/unit/TimerService.cpp
@@ -106,3 +106,23 @@
     pass(10ms);
     expect({});
 }
+
+// Guards against work that is scheduled once and never again, as the timer that has fired is taken for one to come.
+BOOST_FIXTURE_TEST_CASE(timer_that_has_fired_is_not_active, Fixture)
+{
+    auto once = Timer();
+    auto activeWithin = true;
+    once = timers.after(10ms, [&] { activeWithin = once.active(); });
+    auto beat = timers.every(10ms, note(1));
+    BOOST_TEST(once.active());
+    pass(10ms);
+    BOOST_TEST(!activeWithin);
+    BOOST_TEST(!once.active());
+    BOOST_TEST(beat.active());
+    once = timers.after(10ms, note(2));
+    BOOST_TEST(once.active());
+    once.cancel();
+    beat.cancel();
+    BOOST_TEST(!once.active());
+    BOOST_TEST(!beat.active());
+}
