The gauge of a crashing content stays when its set of contents changes

What operators saw: eelgrass_crashing_contents without a row for a part that is refused. Cause: when a whole run tells a part apart from what crashed with it, the new set was logged first and the end of the old one removed the row of what both hold. Change: ends first.

--- a/packages/serving/RefusalLog.cpp
+++ b/packages/serving/RefusalLog.cpp
@@ -55,19 +55,20 @@
 
 auto RefusalLog::logContents(std::string_view source) -> void
 {
-    auto before = std::exchange(contents_, {});
-    auto begins = false;
+    auto ended = std::exchange(contents_, {});
+    auto begun = std::vector<const decisions::Culprit*>();
     for (const auto& culprit : ledger_.culprits(now())) {
         contents_.insert(culprit.together);
-        if (before.erase(culprit.together) > 0)
-            continue;
-        logBegin(culprit, source);
-        begins = true;
+        if (ended.erase(culprit.together) == 0)
+            begun.push_back(&culprit);
     }
-    if (begins)
-        onRefusal_.notify();
-    for (const auto& together : before)
+    // First those that have ended: another set may hold some of the same contents.
+    for (const auto& together : ended)
         logEnd(together, source);
+    for (const auto* culprit : begun)
+        logBegin(*culprit, source);
+    if (!begun.empty())
+        onRefusal_.notify();
 }
 
 auto RefusalLog::logBegin(const decisions::Culprit& culprit, std::string_view source) -> void
--- a/tests/unit/RefusalLog.cpp
+++ b/tests/unit/RefusalLog.cpp
@@ -36,3 +36,27 @@
     }
     BOOST_TEST(told == 3);
 }
+
+// Guards against a gauge that is gone while its part is still refused, with another set of contents.
+BOOST_AUTO_TEST_CASE(content_that_passes_from_one_refused_set_to_another_keeps_its_gauge)
+{
+    constexpr auto part = SharedHash(7);
+    constexpr auto beside = SharedHash(8);
+    auto loop = wire::MainLoop();
+    auto ledger = CrashLedger();
+    auto names = serving::ContentNames();
+    auto metrics = router::Metrics(10);
+    auto refusals = serving::RefusalLog(loop, ledger, names, metrics);
+    const auto gauges = [&](const std::string& name) {
+        refusals.contentsChanged("test");
+        loop.wait(loop.sleep(10ms));
+        return metrics.text().find("eelgrass_crashing_contents{name=\"" + name + "\"") != std::string::npos;
+    };
+    const auto now = loop.timers().now();
+    crashThree(ledger, 1, { part, beside }, now);
+    BOOST_TEST(gauges("7"));
+    BOOST_TEST(gauges("8"));
+    (void)ledger.ranWhole({ beside }, now, now);
+    BOOST_TEST(!gauges("8"));
+    BOOST_TEST(gauges("7"));
+}
