An entry that had to use its share of a rate limit asks for permits again after a second

Cause: without an agent an entry uses its own share of the limit, one request in a slot of entries / (limit / 2): 12 s with three entries at 0.5 a second, minutes with hundreds. When the share refused, the entry asked nobody before its next slot, although agents were back 0.3 s later.

Change: after a refusal by the share it asks again after a second; whether an agent or the share grants, the limit holds as before.

--- a/packages/serving/RateLimits.cpp
+++ b/packages/serving/RateLimits.cpp
@@ -4,8 +4,17 @@
 #include "decisions/Rendezvous.h"
 #include "serving/RateLimitRecord.h"
 
+#include <algorithm>
+
 namespace eelgrass::serving {
 
+namespace {
+
+// While no process that keeps permits can be reached, one is tried again after this.
+constexpr auto keeperRetryInterval = Duration(1s);
+
+} // namespace
+
 RateLimits::RateLimits(
     wire::MainLoop& loop, const ReplicaDirectory& directory, router::Metrics& metrics, const std::string& entry)
     : loop_(loop)
@@ -126,7 +135,9 @@
     const auto seed = decisions::rendezvousScore(entryHash_, decisions::nameHash(instance.view()));
     auto& share = shares_.try_emplace(instance, seed).first->second;
     const auto verdict = share.take(limit.statement.perSecond.value_or(0), entries, loop_.timers().now());
-    return { verdict.granted, std::chrono::ceil<milliseconds>(verdict.askAgainAfter) };
+    // The slot may be far away, and the keepers are mostly back long before it.
+    const auto askAgainAfter = std::min(verdict.askAgainAfter, keeperRetryInterval);
+    return { verdict.granted, std::chrono::ceil<milliseconds>(askAgainAfter) };
 }
 
 auto RateLimits::retryAfter(const Replica& replica) -> milliseconds
--- a/tests/integration/RateLimits.cpp
+++ b/tests/integration/RateLimits.cpp
@@ -324,3 +324,24 @@
     BOOST_TEST(granted());
     BOOST_TEST(!granted());
 }
+
+// Guards against an entry that waits for its share of the limit, which may be a minute away, although an agent that
+// keeps permits for all entries is back.
+BOOST_AUTO_TEST_CASE(an_entry_asks_for_permits_again_once_an_agent_is_back)
+{
+    auto limited = Limited(1, 1, 6);
+    limited.announce(limited.world.plain(0), "0.2", "/safe/x");
+    limited.world.stopAgent(0);
+    for (auto count = 0; count < 3; ++count)
+        (void)limited.burst("/safe/x", 4, 0);
+    limited.world.startAgent(0);
+    const auto served = [&] { return withStatus(limited.burst("/safe/x", 1, 0), 200) == 1U; };
+    // Five seconds for the first permit of an agent that has just started.
+    constexpr auto mostTries = 30;
+    auto found = false;
+    for (auto count = 0; count < mostTries && !found; ++count) {
+        limited.wait(500ms);
+        found = served();
+    }
+    BOOST_TEST(found);
+}
