An entry that becomes its zone's reader reads at once, also while a reading is under way

Before, it read at once as soon as it had read or failed to read before; this says so in place of the timer that was taken for one to come.

--- a/packages/serving/ReplicaDirectory.cpp
+++ b/packages/serving/ReplicaDirectory.cpp
@@ -82,8 +82,10 @@
 auto ReplicaDirectory::setReadingRole(decisions::SharedReading::Role role) -> void
 {
     using Role = decisions::SharedReading::Role;
-    // An entry that reads only for itself reads at longer intervals, so its list may be too old for followers.
-    if (role == Role::Reader && role_ != Role::Reader && readTimer_.active())
+    // An entry that reads only for itself reads at longer intervals, so its list may be too old for followers. A
+    // reading that is under way may hang, and is given up for a new one.
+    const auto hasRead = storeReads_ > 0 || storeLostSince_;
+    if (role == Role::Reader && role_ != Role::Reader && (hasRead || readTimer_.active()))
         readTimer_ = loop_.timers().after(Duration(0), [this] { poll(); });
     role_ = role;
 }
