Tests of the probe after a refusal, over four entries and their agents

Held already, shown by unit tests of its parts alone: when a refusal has lasted, all entries together send one request that is refused; if it crashes its replica none follows, if it is whole every entry serves the part again.

--- a/tests/integration/CrashingPartsFleet.cpp
+++ b/tests/integration/CrashingPartsFleet.cpp
@@ -13,6 +13,25 @@
 
 auto judge(PartCrashes::Options options) -> void { PartCrashes(std::move(options)).judge(); }
 
+/// What another entry tells of three requests with this part, which crashed replicas a second apart, lately or so long
+/// ago.
+auto tellOfCrashes(CrashWorld& crashing, decisions::SharedHash held, Duration ago = {}) -> void
+{
+    auto reports = std::vector<decisions::CrashReport>();
+    for (auto number = std::uint64_t(1); number <= 3; ++number) {
+        reports.push_back({ decisions::RequestDigest(number), decisions::StartHash(number), 0,
+            decisions::CrashEvidence::Crashed, now() - ago - 2s + Duration(600ms) * number, { held } });
+    }
+    crashing.agent(0).noteCrashes(reports);
+}
+
+auto hashOfPart() -> decisions::SharedHash
+{
+    const auto content
+        = serving::contentOf({}, { .prompt = { { part, 10 }, { "f1", 10 } } }, MemberId(), AdapterVersion());
+    return content.run.shared.front();
+}
+
 } // namespace
 
 // Guards against entries that each know of their own crashes alone.
@@ -117,9 +136,6 @@
     world.engine(0).behave({ .runsFor = 2300ms });
     auto taking = world.begin({ .attempt = "taking", .body = "harmless" });
     BOOST_REQUIRE(world.until([&] { return world.engine(0).runs().size() == 1; }));
-    const auto waiting = serving::contentOf({ .method = "POST", .target = "/resumable/x", .body = "waiting" },
-        { .model = serving::BaseModel("base"), .adapter = AdapterId("a1"), .prompt = { { part, 10 }, { "f1", 10 } } },
-        MemberId(), AdapterVersion(1));
     auto answered = std::optional<Moment>();
     auto answer = world.begin({ .attempt = "waiting", .body = "waiting", .prefix = "dead:10,f1:10" })
                       .then([&](wire::HttpAnswer&& received) {
@@ -129,16 +145,40 @@
                       })
                       .eagerlyEvaluate(nullptr);
     world.wait(300ms);
-    // What another entry tells of three requests with this part.
-    auto reports = std::vector<decisions::CrashReport>();
-    for (auto number = std::uint64_t(1); number <= 3; ++number) {
-        reports.push_back({ decisions::RequestDigest(number), decisions::StartHash(number), 0,
-            decisions::CrashEvidence::Crashed, now() - 2s + Duration(600ms) * number, { waiting.run.shared.front() } });
-    }
-    crashing.agent(0).noteCrashes(reports);
+    tellOfCrashes(crashing, hashOfPart());
     BOOST_TEST(world.until([&] { return answered.has_value(); }));
     // The run that holds the place goes on.
     BOOST_TEST(!world.engine(0).runs().front().endedAt.has_value());
     BOOST_TEST(world.loop().wait(kj::mv(taking)).status == 200);
     BOOST_TEST(world.engine(0).runs().size() == 1U);
 }
+
+// Guards against a probe of each entry when a refusal has lasted, each of which crashes a replica.
+BOOST_AUTO_TEST_CASE(part_that_still_crashes_replicas_is_probed_once_by_all_entries_together)
+{
+    auto crashes = PartCrashes({ .world = { .gateways = 4, .crash = { .part = part }, .downFor = 1s } });
+    tellOfCrashes(crashes.crashing(), hashOfPart(), 30s);
+    crashes.sendFor(5s);
+    BOOST_TEST(crashes.crashing().crashes() == 1U);
+}
+
+// Guards against a refusal that nothing ends, as what is refused never runs.
+BOOST_AUTO_TEST_CASE(part_whose_probe_is_whole_is_served_by_all_entries)
+{
+    auto crashing = CrashWorld({ .engines = 2 });
+    auto& world = crashing.world();
+    tellOfCrashes(crashing, hashOfPart(), 30s);
+    auto asked = std::size_t(0);
+    const auto status = [&](std::size_t gateway) {
+        ++asked;
+        const auto answer = world.ask({ .attempt = "attempt-" + std::to_string(asked),
+            .body = "prompt " + std::to_string(asked),
+            .prefix = "dead:10,f" + std::to_string(asked) + ":10",
+            .gateway = gateway });
+        world.wait(20ms);
+        return answer.status;
+    };
+    BOOST_TEST(world.until([&] { return status(0) == 502; }));
+    for (auto gateway = std::size_t(0); gateway < world.gateways(); ++gateway)
+        BOOST_TEST(world.until([&] { return status(gateway) == 200; }));
+}
