--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -347,6 +347,8 @@
     [[nodiscard]] auto storyOf(const Call& call, const std::vector<LostRun>& runs) const -> std::string;
     /// What a process has logged about a request.
     [[nodiscard]] static auto linesOf(const std::string& log, const std::string& attempt) -> std::string;
+    /// What the processes that run now have logged of the replicas' rate limits.
+    [[nodiscard]] auto rateLimitLines() -> std::string;
     /// Why gateways did not serve requests for the adapter, as they have logged it.
     [[nodiscard]] auto refusalsOf(const std::string& adapter) const -> std::string;
     /// No more adapters, shared prefixes and kinds of request go without service than the users' rule allows.
--- a/tests/soak/SoakJudge.cpp
+++ b/tests/soak/SoakJudge.cpp
@@ -53,6 +53,23 @@
     return lines;
 }
 
+auto Soak::rateLimitLines() -> std::string
+{
+    auto lines = std::string();
+    for (auto* nodes : { &gateways_, &agents_ }) {
+        for (auto& node : *nodes) {
+            const auto log = node.process->log();
+            for (auto at = log.find("\"replica rate limit"); at != std::string::npos;
+                 at = log.find("\"replica rate limit", at)) {
+                const auto begin = log.rfind('\n', at) + 1;
+                at = std::min(log.find('\n', at), log.size());
+                lines += "\n  " + node.name + " " + log.substr(begin, at - begin);
+            }
+        }
+    }
+    return lines;
+}
+
 auto Soak::longestPause(Moment from, Moment until) const -> Duration
 {
     auto longest = Duration(0);
@@ -263,6 +280,8 @@
         for (const auto& path : waiting)
             broken.push_back("not served again: " + path + " at " + gateways_[index].name + "\n"
                 + lastLogged(*gateways_[index].process, "request over"));
+        if (!waiting.empty())
+            broken.back() += rateLimitLines();
     }
 }
 
