--- a/tests/integration/CrashingPartsFleet.cpp
+++ b/tests/integration/CrashingPartsFleet.cpp
@@ -14,7 +14,7 @@
 auto judge(PartCrashes::Options options) -> void { PartCrashes(std::move(options)).judge(); }
 
 /// What another entry tells of three requests with this part, which crashed replicas a second apart, lately or so long
-/// ago.
+/// ago. Returns once all entries know.
 auto tellOfCrashes(CrashWorld& crashing, decisions::SharedHash held, Duration ago = {}) -> void
 {
     auto reports = std::vector<decisions::CrashReport>();
@@ -23,6 +23,19 @@
             decisions::CrashEvidence::Crashed, now() - ago - 2s + Duration(600ms) * number, { held } });
     }
     crashing.agent(0).noteCrashes(reports);
+    auto& world = crashing.world();
+    const auto isPublished = [&](std::size_t gateway) {
+        const auto& replicas = world.gateway(gateway).directory().replicasOf(serving::ServiceName("engine"));
+        return std::any_of(replicas.begin(), replicas.end(), [&](const serving::ReplicaPtr& replica) {
+            return replica->agent() && replica->agent()->state().crashes.size() >= reports.size();
+        });
+    };
+    BOOST_REQUIRE(world.until([&] {
+        auto known = true;
+        for (auto gateway = std::size_t(0); gateway < world.gateways(); ++gateway)
+            known = known && isPublished(gateway);
+        return known;
+    }));
 }
 
 auto hashOfPart() -> decisions::SharedHash
@@ -178,7 +191,7 @@
         world.wait(20ms);
         return answer.status;
     };
-    BOOST_TEST(world.until([&] { return status(0) == 502; }));
+    BOOST_TEST(status(0) == 502);
     for (auto gateway = std::size_t(0); gateway < world.gateways(); ++gateway)
         BOOST_TEST(world.until([&] { return status(gateway) == 200; }));
 }
