--- a/packages/serving/StatePublisher.cpp
+++ b/packages/serving/StatePublisher.cpp
@@ -77,9 +77,8 @@
     const auto entries = count(audience);
     if (batchTimer.active() || entries == 0)
         return;
-    batchTimer = loop_.timers().after(PublishPolicy::batchingDelay(audience, entries), [this, audience] {
-        publish(audience, false);
-    });
+    batchTimer = loop_.timers().after(
+        PublishPolicy::batchingDelay(audience, entries), [this, audience] { publish(audience, false); });
 }
 
 auto StatePublisher::publish(Audience audience, bool heartbeat) -> void
