--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -121,12 +121,13 @@
         addresses.push_back(agentAddress(index));
     }
     agentPort_ = tests::findSharedPort(addresses);
-    for (auto index = std::size_t(0); index < size_.engines; ++index)
+    for (auto index = std::size_t(0); index < size_.engines; ++index) {
         engines_[index].session = std::make_unique<standins::FaultProxy>(loop_,
             standins::FaultProxy::Options { .address = engineAddress(index),
                 .port = agentPort_,
                 .upstream = agentPort_,
                 .upstreamAddress = agentAddress(index) });
+    }
 }
 
 auto Soak::startEngine(std::size_t index) -> void
