--- a/tests/unit/RefusalLog.cpp
+++ b/tests/unit/RefusalLog.cpp
@@ -10,10 +10,11 @@
 /// Crashes under three requests that hold this, a second apart; their numbers begin at `first`, which says when, too.
 auto crashThree(CrashLedger& ledger, std::uint64_t first, const std::vector<SharedHash>& shared, Moment now) -> void
 {
-    for (auto number = first; number < first + 3; ++number)
+    for (auto number = first; number < first + 3; ++number) {
         (void)ledger.apply({ RequestDigest(number), StartHash(number), 0, CrashEvidence::Crashed,
                                now - Duration(60s) + Duration(1s) * number, shared },
             now);
+    }
 }
 
 } // namespace
