Broad content is not blamed alone for crashes that a narrower thing nearly explains

Cause, traced: the adapter of all requests had a crash more than the part, as a replica was restarted for another reason, as a report was lost with its entry, or as the first reports on a start had come and the others had not. The thing with the most crashes was blamed alone.

Change: something broad is no culprit alone while something narrower repeats in its crashes and leaves it too few; a bit of the hash says what is one member's, which is no narrower cause. Only the moment of a crash counts until the end of its start has been known for 0.5 s, at most 1.5 s from the end. A refusal that begins so, without a new report, is told to waiting requests.

--- a/packages/decisions/CrashLedger.cpp
+++ b/packages/decisions/CrashLedger.cpp
@@ -52,7 +52,8 @@
     auto& start = starts_[report.start];
     if (report.evidence != CrashEvidence::Cleared)
         start.endedAt = start.endedAt == Moment() ? report.at : std::min(start.endedAt, report.at);
-    start.crashed = start.crashed || report.evidence == CrashEvidence::Crashed;
+    if (report.evidence == CrashEvidence::Crashed && !start.crashKnownAt)
+        start.crashKnownAt = now;
     start.requests.insert(report.request);
     if (!added && !stronger && !shared)
         return false;
@@ -290,13 +291,35 @@
 {
     auto ends = Ends();
     for (const auto& [start, known] : starts_) {
-        if (known.crashed)
+        if (known.crashKnownAt)
             ends.emplace_back(known.endedAt, start);
     }
     std::sort(ends.begin(), ends.end());
     return ends;
 }
 
+auto CrashLedger::isSettled(StartHash start, Moment now) const -> bool
+{
+    const auto found = starts_.find(start);
+    return found == starts_.end() || settledAt(found->second) <= now;
+}
+
+auto CrashLedger::settledAt(const Start& start) const noexcept -> Moment
+{
+    return start.crashKnownAt
+        ? std::min(*start.crashKnownAt + settleTime_, start.endedAt + maxSettleTimes * settleTime_)
+        : Moment::min();
+}
+
+auto CrashLedger::nextSettled(Moment now, Moment until) const -> Moment
+{
+    for (const auto& [start, known] : starts_) {
+        if (const auto settled = settledAt(known); settled > now)
+            until = std::min(until, settled);
+    }
+    return until;
+}
+
 auto CrashLedger::sharedCrashes(SharedHash held, Moment now) const -> std::vector<SharedCrash>
 {
     auto crashes = std::vector<SharedCrash>();
@@ -320,7 +343,7 @@
         return false;
     };
     for (const auto& [run, fact] : found->second) {
-        const auto confirmed = fact->evidence == CrashEvidence::Crashed;
+        const auto confirmed = fact->evidence == CrashEvidence::Crashed && isSettled(run.second.first, now);
         if (counts(*fact, now) && fact->at > wholeRunAt && !killed(fact->at))
             crashes.push_back({ fact->at, run.second.first, run.first, fact->begun, confirmed });
     }
@@ -331,7 +354,7 @@
 {
     auto records = std::vector<SharedRecord>();
     for (const auto& [held, runs] : shared_) {
-        if (runs.size() < sharedCrashLimit.crashes)
+        if (runs.size() < repeatedCrashes)
             continue;
         auto crashes = sharedCrashes(held, now);
         if (crashes.empty())
@@ -351,7 +374,7 @@
     constexpr auto cacheTime = Duration(200ms);
     if (cache_.version == version_ && now >= cache_.from && now < cache_.until)
         return;
-    cache_ = { version_, now, now + cacheTime, ends(), {} };
+    cache_ = { version_, now, nextSettled(now, now + cacheTime), ends(), {} };
     cache_.culprits = findCulprits(sharedRecords(now));
 }
 
--- a/packages/decisions/CrashLedger.h
+++ b/packages/decisions/CrashLedger.h
@@ -79,6 +79,12 @@
     };
 
     CrashLedger() = default;
+    /// Until the end of a start has been known for `settleTime`, only the moment of its crashes counts for what is
+    /// shared. The reports on one start come from many processes, and some of them alone name the wrong cause.
+    explicit CrashLedger(Duration settleTime)
+        : settleTime_(settleTime)
+    {
+    }
     CrashLedger(const CrashLedger&) = delete;
     CrashLedger(CrashLedger&&) = default;
     auto operator=(const CrashLedger&) -> CrashLedger& = delete;
@@ -115,6 +121,7 @@
     [[nodiscard]] auto isNews(const WholeRun& run, std::optional<Moment> known, Moment now) const -> bool;
     /// Drops what has expired. Returns whether something was dropped.
     auto expire(Moment now) -> bool;
+    [[nodiscard]] auto settleTime() const noexcept -> Duration { return settleTime_; }
     [[nodiscard]] auto empty() const noexcept -> bool { return requests_.empty(); }
     /// Rises with each change.
     [[nodiscard]] auto version() const noexcept -> std::uint64_t { return version_; }
@@ -129,6 +136,8 @@
     static constexpr auto sameClearing = Duration(500ms);
     /// So many leave at once when there are too many, so that a storm of reports does not rank them all each time.
     static constexpr auto dropCount = capacity / 10;
+    /// So many settle times after the end of a start the reports on it are known, whoever hears of them only now.
+    static constexpr auto maxSettleTimes = 3;
     /// Kept beyond the time that it counts, for the news that its replica has crashed.
     static constexpr auto breakRetention = 3 * breakLifetime;
 
@@ -142,8 +151,8 @@
     using Facts = std::map<RunKey, Fact>;
     struct Start {
         Moment endedAt {};
-        /// Whether the start is known to have ended; it may only have lost connections if not.
-        bool crashed = false;
+        /// Since when the start is known here to have ended; it may only have lost connections if it is not.
+        std::optional<Moment> crashKnownAt {};
         /// All that ran there at its end, also those that were cleared since.
         std::set<RequestDigest> requests;
     };
@@ -151,7 +160,7 @@
     /// How much a request matters: its crashes or those of a culprit that it holds, and the last of its own.
     using Rank = std::pair<std::size_t, Moment>;
     using Ends = std::vector<std::pair<Moment, StartHash>>;
-    /// Found from the reports and whole runs up to `version`; breaks that count at `from` still do at `until`.
+    /// Found from the reports and whole runs up to `version`; what counts at `from` is the same until `until`.
     struct CulpritCache {
         std::uint64_t version = 0;
         Moment from {};
@@ -170,6 +179,11 @@
     /// How many crashes the request has had in a row at the most, of those that it shares with the start.
     [[nodiscard]] auto crashesInARow(RequestDigest request, StartHash start, Moment now) const -> std::size_t;
     [[nodiscard]] auto ends() const -> Ends;
+    /// Whether all reports on the start are likely to be known.
+    [[nodiscard]] auto settledAt(const Start& start) const noexcept -> Moment;
+    [[nodiscard]] auto isSettled(StartHash start, Moment now) const -> bool;
+    /// When the next start is settled, if that is before `until`.
+    [[nodiscard]] auto nextSettled(Moment now, Moment until) const -> Moment;
     auto refreshCache(Moment now) const -> void;
     /// Crashes of runs that held this, since its last whole run; breaks are not confirmed: connections of several
     /// replicas are reset, too. A start that ended together with one where nothing held it was killed with that one.
@@ -199,6 +213,7 @@
     /// Drops the requests that matter least.
     auto makeRoom(Moment now) -> void;
 
+    Duration settleTime_ {};
     std::map<RequestDigest, Facts> requests_;
     std::map<StartHash, Start> starts_;
     /// The runs that held this; the facts are those of `requests_`.
--- a/packages/decisions/CrashReport.h
+++ b/packages/decisions/CrashReport.h
@@ -13,6 +13,27 @@
 /// Hash of something that different requests hold, the same at every process: a part of their prompts, or a version of
 /// an adapter.
 using SharedHash = StrongNumber<struct SharedHashTag>;
+namespace detail {
+
+inline constexpr auto memberBit = std::uint64_t(1) << 63U;
+
+} // namespace detail
+
+/// The hash of something that any member's requests may hold.
+[[nodiscard]] constexpr auto heldByAll(std::uint64_t hash) noexcept -> SharedHash
+{
+    return SharedHash(hash & ~detail::memberBit);
+}
+/// The hash of something as one member's requests hold it. It is no narrower cause than the thing itself.
+[[nodiscard]] constexpr auto heldByMember(std::uint64_t hash) noexcept -> SharedHash
+{
+    return SharedHash(hash | detail::memberBit);
+}
+[[nodiscard]] constexpr auto isHeldByMember(SharedHash held) noexcept -> bool
+{
+    return (held.value() & detail::memberBit) != 0;
+}
+
 /// Hash of one start of a replica.
 using StartHash = StrongNumber<struct StartHashTag>;
 
--- a/packages/decisions/SharedCulprits.cpp
+++ b/packages/decisions/SharedCulprits.cpp
@@ -71,6 +71,23 @@
     });
 }
 
+/// Whether fewer requests hold the other one, and all but too few of the candidate's crashes had it in common.
+auto isNarrower(const Candidate& other, const Candidate& candidate) -> bool
+{
+    if (isHeldByMember(other.record.held) || other.weight.crashes < repeatedCrashes
+        || other.record.soundBefore > candidate.record.soundBefore || other.starts.size() >= candidate.starts.size())
+        return false;
+    return std::includes(candidate.starts.begin(), candidate.starts.end(), other.starts.begin(), other.starts.end())
+        && heldTogether(other, candidate) && !weightOf(unexplained(candidate, other.starts)).reaches(candidate.limit);
+}
+
+/// Whether something narrower is more likely to be the cause, which the next crashes will tell.
+auto hasNarrower(const Candidate& candidate, const std::vector<Candidate>& candidates) -> bool
+{
+    return std::any_of(
+        candidates.begin(), candidates.end(), [&](const Candidate& other) { return isNarrower(other, candidate); });
+}
+
 auto toCulprit(const Candidate& candidate, const std::vector<Candidate>& candidates) -> Culprit
 {
     auto culprit = Culprit { .weight = candidate.weight, .limit = candidate.limit, .starts = candidate.starts };
@@ -97,7 +114,7 @@
     });
     for (const auto& candidate : candidates) {
         const auto own = weightOf(unexplained(candidate, explained));
-        if (!own.reaches(candidate.limit) || isAmbiguous(candidate, candidates))
+        if (!own.reaches(candidate.limit) || isAmbiguous(candidate, candidates) || hasNarrower(candidate, candidates))
             continue;
         culprits.push_back(toCulprit(candidate, candidates));
         explained.insert(candidate.starts.begin(), candidate.starts.end());
--- a/packages/decisions/SharedCulprits.h
+++ b/packages/decisions/SharedCulprits.h
@@ -16,7 +16,7 @@
     RequestDigest request;
     /// Whether the run had brought events.
     bool begun = false;
-    /// Whether the start is known to have ended. If not, only the moment counts.
+    /// Whether the start is known to have ended, and what ran there is known. If not, only the moment counts.
     bool confirmed = true;
 };
 
@@ -66,13 +66,17 @@
 inline constexpr auto soundCrashLimit = CrashWeight { .crashes = 4, .moments = 3 };
 /// With so many crashes something is a culprit although other runs beside it always held something else.
 inline constexpr auto certainCrashes = std::size_t(5);
+/// So many crashes under something narrower make it a likelier cause than what all of its requests hold.
+inline constexpr auto repeatedCrashes = std::size_t(2);
 inline constexpr auto crashMomentSpan = Duration(1s);
 
 [[nodiscard]] auto weightOf(std::vector<SharedCrash> crashes) -> CrashWeight;
 
 /// Finds the fewest culprits that explain the crashes: what was never sound goes before what was, and the one with the
 /// most crashes before others. What only ran beside a culprit has no crash left of its own. What the culprit's requests
-/// hold and others too, so that it reaches its limit first, is a culprit only together with it.
+/// hold and others too, so that it reaches its limit first, is a culprit only together with it. Something broad is no
+/// culprit alone before it has crashes enough without any narrower thing that repeats in its crashes: a replica that
+/// was killed for another reason adds a crash to what all requests hold.
 ///
 /// Runs that had brought no event are looked at first: a replica crashes as it begins to write, and those beside the
 /// culprit are mostly under way.
--- a/packages/router/EngineCrashes.cpp
+++ b/packages/router/EngineCrashes.cpp
@@ -12,7 +12,7 @@
 {
     auto content = RunContent { .request = decisions::RequestDigest(hashText(0, digest)) };
     if (!model.empty())
-        content.shared.emplace_back(hashText(0, model.view()));
+        content.shared.push_back(decisions::heldByAll(hashText(0, model.view())));
     return content;
 }
 
--- a/packages/serving/RefusalLog.cpp
+++ b/packages/serving/RefusalLog.cpp
@@ -17,6 +17,9 @@
 
 auto RefusalLog::contentsChanged(std::string_view source) -> void
 {
+    changedAt_ = now();
+    if (!settledTimer_.active())
+        lookWhenSettled();
     if (changeTimer_.active())
         return;
     changeTimer_ = loop_.timers().after(Duration(0), [this, source = std::string(source)] {
@@ -26,6 +29,16 @@
     });
 }
 
+auto RefusalLog::lookWhenSettled() -> void
+{
+    const auto settledAt = changedAt_ + ledger_.settleTime();
+    settledTimer_ = loop_.timers().after(settledAt - now(), [this, settledAt] {
+        logContents("settled");
+        if (changedAt_ + ledger_.settleTime() > settledAt)
+            lookWhenSettled();
+    });
+}
+
 auto RefusalLog::timePassed() -> void
 {
     for (const auto& request : requests_)
--- a/packages/serving/RefusalLog.h
+++ b/packages/serving/RefusalLog.h
@@ -40,6 +40,8 @@
 
 private:
     [[nodiscard]] auto now() const -> Moment { return loop_.timers().now(); }
+    /// Looks again once the reports of the last change count.
+    auto lookWhenSettled() -> void;
     auto logRequest(decisions::RequestDigest request, std::string_view source) -> void;
     auto logContents(std::string_view source) -> void;
     auto logBegin(const decisions::Culprit& culprit, std::string_view source) -> void;
@@ -57,6 +59,8 @@
     /// Requests whose verdict may have changed, and from whom the news came.
     std::map<decisions::RequestDigest, std::string> changed_;
     Timer changeTimer_;
+    Moment changedAt_ {};
+    Timer settledTimer_;
 };
 
 } // namespace eelgrass::serving
--- a/packages/serving/RequestContent.cpp
+++ b/packages/serving/RequestContent.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-using decisions::SharedHash;
-
 // A request with more parts is judged by the first ones, which keeps what processes tell each other small.
 constexpr auto maxParts = std::size_t(16);
 constexpr auto partKind = RequestContent::partKind;
@@ -18,7 +16,9 @@
 
 auto sharedContent(std::string_view what, std::string name) -> SharedContent
 {
-    return { SharedHash(hashText(hashText(0, what), name)), what, std::move(name) };
+    const auto hash = hashText(hashText(0, what), name);
+    const auto held = what == memberPartKind ? decisions::heldByMember(hash) : decisions::heldByAll(hash);
+    return { held, what, std::move(name) };
 }
 
 /// Ids are hexadecimal numbers, which have more than one spelling.
--- a/packages/serving/SuspectRequests.h
+++ b/packages/serving/SuspectRequests.h
@@ -130,6 +130,8 @@
     /// A request crashes replicas as they begin to run it; a stream that has brought events for this long does not.
     static constexpr auto provenStreamTime = Duration(2s);
     static constexpr auto repeatInterval = Duration(1s);
+    /// What entries and agents need to tell each other of one crash.
+    static constexpr auto crashSettleTime = Duration(500ms);
 
     [[nodiscard]] auto now() const -> Moment { return loop_.timers().now(); }
     auto startEnded(const ReplicaStart& start, StartEnd end, std::string_view source) -> void;
@@ -158,7 +160,7 @@
     wire::MainLoop& loop_;
     const ReplicaDirectory& directory_;
     router::Metrics& metrics_;
-    decisions::CrashLedger ledger_;
+    decisions::CrashLedger ledger_ { crashSettleTime };
     CrashProbes probes_;
     CrashNews news_;
     ContentNames names_;
--- a/tests/soak/SoakCrashes.cpp
+++ b/tests/soak/SoakCrashes.cpp
@@ -106,6 +106,11 @@
         auto story = std::string();
         for (const auto& node : gateways_)
             story += linesOf(node.earlierLog + node.process->log(), attempt);
+        const auto first = broken.empty();
+        for (const auto* change : { "content crashes replicas", "content may run again", "crash counted" }) {
+            for (const auto& node : gateways_)
+                story += first ? linesOf(node.earlierLog + node.process->log(), change) : "";
+        }
         // Other reasons for a 502 are the faults of the run.
         if (story.find("breaks off wherever it runs") != std::string::npos)
             broken.push_back("refused for crashes of what it does not hold: " + attempt + story);
--- a/tests/unit/CulpritsBesideKills.cpp
+++ b/tests/unit/CulpritsBesideKills.cpp
@@ -41,3 +41,71 @@
     now = crash(ledger, 6, { common });
     BOOST_TEST(refused(ledger, { common }, now));
 }
+
+// The same before the culprit has crashes enough itself.
+BOOST_AUTO_TEST_CASE(common_content_is_not_refused_while_a_narrower_thing_repeats_in_its_crashes)
+{
+    auto ledger = CrashLedger();
+    (void)crash(ledger, 1, { common, deadly });
+    (void)crash(ledger, 2, { common });
+    auto now = crash(ledger, 3, { common, deadly });
+    BOOST_TEST(!refused(ledger, { common }, now));
+    BOOST_TEST(!refused(ledger, { common, deadly }, now));
+    now = crash(ledger, 4, { common, deadly });
+    BOOST_TEST(refused(ledger, { common, deadly }, now));
+    BOOST_TEST(!refused(ledger, { common }, now));
+}
+
+// Guards against a cause that is never refused as long as popular sound parts repeat in its crashes.
+BOOST_AUTO_TEST_CASE(content_that_crashes_replicas_with_any_popular_part_is_refused_by_the_sixth_crash)
+{
+    constexpr auto requests = std::uint64_t(6);
+    for (auto popular = std::uint64_t(1); popular <= requests; ++popular) {
+        auto ledger = CrashLedger();
+        auto now = begin;
+        for (auto number = std::uint64_t(1); number <= requests; ++number)
+            now = crash(ledger, number, { deadly, SharedHash(10 + number % popular) });
+        for (auto part = std::uint64_t(0); part < popular; ++part)
+            BOOST_TEST(refused(ledger, { deadly, SharedHash(10 + part) }, now));
+    }
+}
+
+// Guards against refusing what all requests hold for the first reports on starts of which the others are on their way.
+BOOST_AUTO_TEST_CASE(crashes_count_once_the_other_reports_on_their_starts_are_likely_to_be_known)
+{
+    constexpr auto settleTime = Duration(500ms);
+    constexpr auto reportDelay = Duration(300ms);
+    auto ledger = CrashLedger(settleTime);
+    auto now = begin;
+    for (auto start = std::uint64_t(1); start <= 3; ++start) {
+        now = begin + Duration(1s) * start;
+        (void)ledger.apply(
+            { RequestDigest(100 + start), StartHash(start), 0, CrashEvidence::Crashed, now, { common } }, now);
+        BOOST_TEST(!refused(ledger, { common }, now));
+        const auto at = now;
+        now += reportDelay;
+        BOOST_TEST(!refused(ledger, { common }, now));
+        (void)ledger.apply(
+            { RequestDigest(start), StartHash(start), 0, CrashEvidence::Crashed, at, { common, deadly } }, now);
+    }
+    BOOST_TEST(!refused(ledger, { common, deadly }, now));
+    now += settleTime - reportDelay;
+    BOOST_TEST(refused(ledger, { common, deadly }, now));
+    BOOST_TEST(!refused(ledger, { common }, now));
+}
+
+// Guards against an entry that starts now and sends what all others refuse, and against a further probe beside the one
+// that has just crashed a replica.
+BOOST_AUTO_TEST_CASE(crashes_of_some_time_ago_count_at_once_and_the_last_one_moves_the_probe)
+{
+    auto ledger = CrashLedger(Duration(500ms));
+    auto now = begin + 200s;
+    for (auto start = std::uint64_t(1); start <= 3; ++start) {
+        const auto at = begin + Duration(1s) * start;
+        (void)ledger.apply({ RequestDigest(start), StartHash(start), 0, CrashEvidence::Crashed, at, { deadly } }, now);
+    }
+    BOOST_TEST(refused(ledger, { deadly }, now));
+    BOOST_TEST((ledger.verdict({ RequestDigest(999), { deadly } }, now).probeFrom <= now));
+    (void)ledger.apply({ RequestDigest(4), StartHash(4), 0, CrashEvidence::Crashed, now, { deadly } }, now);
+    BOOST_TEST((ledger.verdict({ RequestDigest(999), { deadly } }, now).probeFrom > now + 60s));
+}
--- a/tests/unit/RefusalLog.cpp
+++ b/tests/unit/RefusalLog.cpp
@@ -61,3 +61,19 @@
     BOOST_TEST(!gauges("8"));
     BOOST_TEST(gauges("7"));
 }
+
+// Guards against waiting requests that are not told of a refusal which begins as time passes, without a new report.
+BOOST_AUTO_TEST_CASE(refusal_that_begins_once_its_reports_are_settled_is_told)
+{
+    auto loop = wire::MainLoop();
+    auto ledger = CrashLedger(Duration(20ms));
+    auto names = serving::ContentNames();
+    auto metrics = router::Metrics(10);
+    auto refusals = serving::RefusalLog(loop, ledger, names, metrics);
+    auto told = 0;
+    const auto watch = refusals.onRefusal().add([&] { ++told; });
+    crashThree(ledger, 7, { SharedHash(7) }, loop.timers().now());
+    refusals.requestChanged(RequestDigest(7), "test");
+    loop.wait(loop.sleep(100ms));
+    BOOST_TEST(told == 1);
+}
--- a/tests/unit/SharedCulprits.cpp
+++ b/tests/unit/SharedCulprits.cpp
@@ -247,8 +247,8 @@
 BOOST_AUTO_TEST_CASE(part_that_crashes_replicas_for_one_member_is_refused_to_that_member)
 {
     constexpr auto part = SharedHash(10);
-    constexpr auto ofFirst = SharedHash(11);
-    constexpr auto ofOther = SharedHash(12);
+    constexpr auto ofFirst = heldByMember(11);
+    constexpr auto ofOther = heldByMember(12);
     auto ledger = CrashLedger();
     const auto now = crashes(ledger, 1, 5, { part, ofFirst });
     BOOST_TEST(refused(ledger, { part, ofFirst }, now));
