A part that also crashed without the culprit is not taken for a narrower cause

Cause: lets something broad wait while something narrower repeats in its crashes, and looked among runs without events alone. A popular part that had crashed twice there, and once more under a run with events at a start of its own, kept the crashing part from being blamed, and was blamed itself.

Change: what is narrower is looked for in all crashes.

Evidence: unit-CulpritsBesideKills, popular_part_that_also_crashed_without_the_culprit_is_not_refused, failed before and passes; unit-SharedCulprits and unit-CrashLedger pass.

--- a/packages/decisions/SharedCulprits.cpp
+++ b/packages/decisions/SharedCulprits.cpp
@@ -100,21 +100,27 @@
     return culprit;
 }
 
-/// Adds the culprits of these records whose crashes no earlier one explains, the most suspicious first.
-auto addCulprits(std::vector<SharedRecord> records, std::vector<Culprit>& culprits, std::set<StartHash>& explained)
-    -> void
+auto toCandidates(std::vector<SharedRecord> records) -> std::vector<Candidate>
 {
     auto candidates = std::vector<Candidate>();
     candidates.reserve(records.size());
     for (auto& record : records)
         candidates.push_back(toCandidate(std::move(record)));
+    return candidates;
+}
+
+/// Adds the culprits of these candidates whose crashes no earlier one explains, the most suspicious first. What is
+/// narrower is looked for in `all` crashes: what also crashed without the candidate is not.
+auto addCulprits(std::vector<Candidate> candidates, const std::vector<Candidate>& all, std::vector<Culprit>& culprits,
+    std::set<StartHash>& explained) -> void
+{
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& left, const Candidate& right) {
         return std::tuple(left.record.soundBefore, right.weight.crashes, right.starts.size(), left.record.held)
             < std::tuple(right.record.soundBefore, left.weight.crashes, left.starts.size(), right.record.held);
     });
     for (const auto& candidate : candidates) {
         const auto own = weightOf(unexplained(candidate, explained));
-        if (!own.reaches(candidate.limit) || isAmbiguous(candidate, candidates) || hasNarrower(candidate, candidates))
+        if (!own.reaches(candidate.limit) || isAmbiguous(candidate, candidates) || hasNarrower(candidate, all))
             continue;
         culprits.push_back(toCulprit(candidate, candidates));
         explained.insert(candidate.starts.begin(), candidate.starts.end());
@@ -150,8 +156,9 @@
         std::erase_if(record.crashes, [](const SharedCrash& crash) { return crash.begun; });
     auto culprits = std::vector<Culprit>();
     auto explained = std::set<StartHash>();
-    addCulprits(std::move(unbegun), culprits, explained);
-    addCulprits(std::move(records), culprits, explained);
+    const auto all = toCandidates(std::move(records));
+    addCulprits(toCandidates(std::move(unbegun)), all, culprits, explained);
+    addCulprits(all, all, culprits, explained);
     return culprits;
 }
 
--- a/tests/unit/CulpritsBesideKills.cpp
+++ b/tests/unit/CulpritsBesideKills.cpp
@@ -56,6 +56,21 @@
     BOOST_TEST(!refused(ledger, { common }, now));
 }
 
+// Guards against refusing a popular part in place of the culprit, as one of its replicas was killed.
+BOOST_AUTO_TEST_CASE(popular_part_that_also_crashed_without_the_culprit_is_not_refused)
+{
+    constexpr auto culprit = SharedHash(8);
+    constexpr auto popular = SharedHash(7);
+    auto ledger = CrashLedger();
+    (void)crash(ledger, 1, { culprit, popular });
+    (void)crash(ledger, 2, { culprit, SharedHash(9) });
+    auto now = crash(ledger, 3, { culprit, popular });
+    now += 1s;
+    (void)ledger.apply({ RequestDigest(4), StartHash(4), 0, CrashEvidence::Crashed, now, { popular }, true }, now);
+    BOOST_TEST(refused(ledger, { culprit }, now));
+    BOOST_TEST(!refused(ledger, { popular }, now));
+}
+
 // Guards against a cause that is never refused as long as popular sound parts repeat in its crashes.
 BOOST_AUTO_TEST_CASE(content_that_crashes_replicas_with_any_popular_part_is_refused_by_the_sixth_crash)
 {
