What is too broad to blame is judged by all crashes, also among runs that had not begun

Runs that had not begun are looked at first, and there the adapter had three crashes and the part none, so that nothing narrower was found.

Change: what is narrower than a candidate is found once, from all crashes of both, and holds for either look.

Evidence: unit-CulpritsBesideKills, common_content_of_runs_that_had_not_begun_ is_not_refused_beside_a_culprit_that_had, failed before and passes; unit-SharedCulprits and unit-CrashLedger pass.

--- a/packages/decisions/SharedCulprits.cpp
+++ b/packages/decisions/SharedCulprits.cpp
@@ -109,9 +109,20 @@
     return candidates;
 }
 
-/// Adds the culprits of these candidates whose crashes no earlier one explains, the most suspicious first. What is
-/// narrower is looked for in `all` crashes: what also crashed without the candidate is not.
-auto addCulprits(std::vector<Candidate> candidates, const std::vector<Candidate>& all, std::vector<Culprit>& culprits,
+/// What something narrower makes unlikely as the cause, by all crashes.
+auto broadContent(const std::vector<Candidate>& candidates) -> std::set<SharedHash>
+{
+    auto broad = std::set<SharedHash>();
+    for (const auto& candidate : candidates) {
+        if (hasNarrower(candidate, candidates))
+            broad.insert(candidate.record.held);
+    }
+    return broad;
+}
+
+/// Adds the culprits of these candidates whose crashes no earlier one explains, the most suspicious first, but for
+/// `broad` content.
+auto addCulprits(std::vector<Candidate> candidates, const std::set<SharedHash>& broad, std::vector<Culprit>& culprits,
     std::set<StartHash>& explained) -> void
 {
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& left, const Candidate& right) {
@@ -120,7 +131,8 @@
     });
     for (const auto& candidate : candidates) {
         const auto own = weightOf(unexplained(candidate, explained));
-        if (!own.reaches(candidate.limit) || isAmbiguous(candidate, candidates) || hasNarrower(candidate, all))
+        if (!own.reaches(candidate.limit) || isAmbiguous(candidate, candidates)
+            || broad.contains(candidate.record.held))
             continue;
         culprits.push_back(toCulprit(candidate, candidates));
         explained.insert(candidate.starts.begin(), candidate.starts.end());
@@ -157,8 +169,9 @@
     auto culprits = std::vector<Culprit>();
     auto explained = std::set<StartHash>();
     const auto all = toCandidates(std::move(records));
-    addCulprits(toCandidates(std::move(unbegun)), all, culprits, explained);
-    addCulprits(all, all, culprits, explained);
+    const auto broad = broadContent(all);
+    addCulprits(toCandidates(std::move(unbegun)), broad, culprits, explained);
+    addCulprits(all, broad, culprits, explained);
     return culprits;
 }
 
--- a/tests/unit/CulpritsBesideKills.cpp
+++ b/tests/unit/CulpritsBesideKills.cpp
@@ -71,6 +71,23 @@
     BOOST_TEST(!refused(ledger, { popular }, now));
 }
 
+// Guards against refusing what all requests hold for runs that had not begun, as the culprit crashes after its first
+// events.
+BOOST_AUTO_TEST_CASE(common_content_of_runs_that_had_not_begun_is_not_refused_beside_a_culprit_that_had)
+{
+    auto ledger = CrashLedger();
+    auto now = begin;
+    for (auto start = std::uint64_t(1); start <= 4; ++start) {
+        now = crash(ledger, start, { common, SharedHash(20 + start) });
+        (void)ledger.apply(
+            { RequestDigest(100 + start), StartHash(start), 0, CrashEvidence::Crashed, now, { common, deadly }, true },
+            now);
+    }
+    now = crash(ledger, 5, { common });
+    BOOST_TEST(refused(ledger, { common, deadly }, now));
+    BOOST_TEST(!refused(ledger, { common }, now));
+}
+
 // Guards against a cause that is never refused as long as popular sound parts repeat in its crashes.
 BOOST_AUTO_TEST_CASE(content_that_crashes_replicas_with_any_popular_part_is_refused_by_the_sixth_crash)
 {
