What is narrower is looked for only where something could be blamed

Work at the ledger's capacity grew with the square of all that reports name. What does not reach its limit in all crashes does not in a part of them, so no verdict changes: unit-CulpritsBesideKills, unit-SharedCulprits and unit-CrashLedger pass. The time at capacity was not measured.

--- a/packages/decisions/SharedCulprits.cpp
+++ b/packages/decisions/SharedCulprits.cpp
@@ -114,7 +114,7 @@
 {
     auto broad = std::set<SharedHash>();
     for (const auto& candidate : candidates) {
-        if (hasNarrower(candidate, candidates))
+        if (candidate.reachesLimit() && hasNarrower(candidate, candidates))
             broad.insert(candidate.record.held);
     }
     return broad;
