--- a/tests/unit/CrashLedger.cpp
+++ b/tests/unit/CrashLedger.cpp
@@ -160,6 +160,20 @@
     BOOST_TEST(ledger.reports(now + 4s).size() <= CrashLedger::capacity + 2);
 }
 
+// Guards against an agent that keeps to itself a whole run which clears crashes, as other agents keep the reports on
+// them.
+BOOST_AUTO_TEST_CASE(later_whole_run_is_news_to_who_keeps_no_report_on_what_it_held)
+{
+    constexpr auto held = SharedHash(7);
+    auto keeper = CrashLedger();
+    BOOST_TEST(keeper.apply(WholeRun { held, begin }, begin));
+    const auto version = keeper.version();
+    BOOST_TEST(keeper.apply(WholeRun { held, begin + 2s }, begin + 2s));
+    BOOST_TEST(keeper.version() > version);
+    BOOST_TEST(!keeper.apply(WholeRun { held, begin + 2s }, begin + 3s));
+    BOOST_TEST(!keeper.apply(WholeRun { held, begin }, begin + 3s));
+}
+
 // Guards against processes that spend their time on taking in again what they have dropped: others publish it each
 // time.
 BOOST_AUTO_TEST_CASE(dropped_reports_are_not_taken_in_again_when_they_are_told_again)
