--- a/packages/router/entry/Relay.h
+++ b/packages/router/entry/Relay.h
@@ -67,6 +67,8 @@
     auto claimAndSend(const TargetId& target, wire::schema::TargetSession::Client session) -> kj::Promise<void>;
     auto sendStart(const TargetId& target, wire::schema::TargetSession::Client session) -> kj::Promise<void>;
     auto attemptRequest() -> AttemptRequest;
+    /// Where the target of the attempt sends the chunks of its answer.
+    auto createSink() -> wire::schema::ChunkSink::Client;
     /// Checks the target's session with frequent heartbeats while the returned promise is held.
     auto watchSession(const TargetId& target) -> kj::Own<kj::Promise<void>>;
     /// Tries another target, or passes the refusal on to the caller.
