A whole run that clears crashes is published by its keeper, whatever reports that keeps

Callers saw sound requests refused, or counted near a refusal, for up to five seconds longer at entries that had not had the whole run themselves. An agent keeps whole runs by the hash of what they held and reports by the hash of the request, so it mostly knows no crash that a run clears, and took a later run for no news unless the one before was five seconds older. Entries tell a run only where it is news to them, which bounds what is added.

--- a/packages/decisions/CrashLedgerShared.cpp
+++ b/packages/decisions/CrashLedgerShared.cpp
@@ -9,9 +9,9 @@
 {
     if (now - run.begunAt >= retention)
         return false;
+    // Whoever tells of it has found that it clears something; this process may keep no report on that.
     const auto* known = wholeRuns_.find(run.held);
-    const auto before = known ? std::optional(known->begunAt) : std::nullopt;
-    const auto news = isNews(run, before, now) || (known && !known->told);
+    const auto news = !known || !known->told || run.begunAt > known->begunAt;
     noteWholeRun(run.held, run.begunAt, true);
     if (news)
         ++version_;
