--- a/standins/ReplicaStandin.cpp
+++ b/standins/ReplicaStandin.cpp
@@ -120,7 +120,7 @@
 
 auto ReplicaStandin::Crash::isUnder(const wire::HttpRequestMessage& request) const -> bool
 {
-    if (!body.empty() && request.body == body)
+    if ((!body.empty() && request.body == body) || (!model.empty() && request.fields.get(names::model) == model))
         return true;
     const auto prompt = "," + std::string(request.fields.get(names::promptPrefix));
     const auto last = prompt.rfind(',');
--- a/standins/ReplicaStandin.h
+++ b/standins/ReplicaStandin.h
@@ -61,11 +61,13 @@
         bool runsWhileReplacing = false;
         Silence silence {};
     };
-    /// How requests with this body, or with this part of their prompts, crash the replica that runs them.
+    /// How requests with this body, this part of their prompts or this adapter crash the replica that runs them.
     struct Crash {
         std::string body;
         /// The id of a part that is not the last one; none if empty.
         std::string part {};
+        /// The model's name with the adapter's; none if empty.
+        std::string model {};
         /// Events of the stream that are sent before.
         std::uint64_t events = 0;
         /// From the begin of the run until the crash.
--- a/tests/harness/PartCrashes.cpp
+++ b/tests/harness/PartCrashes.cpp
@@ -28,7 +28,7 @@
     const auto number = std::to_string(++sent_);
     const auto same = options_.sameRequest && !sound;
     auto request = ServingWorld::Request { .attempt = (sound ? "sound-" : crashingName) + number,
-        .adapter = options_.adapter(sent_),
+        .adapter = sound || options_.crashingAdapter.empty() ? options_.adapter(sent_) : options_.crashingAdapter,
         .body = same ? options_.world.crash.body : "prompt " + number,
         .deadlineMs = options_.deadlineMs,
         .prefix = std::move(prompt) + (same ? ",ff:10" : ",f" + number + ":10"),
--- a/tests/harness/PartCrashes.h
+++ b/tests/harness/PartCrashes.h
@@ -32,6 +32,8 @@
         std::function<std::string(std::size_t)> soundPrompt
             = [](std::size_t number) { return "c0:30,e" + std::to_string(number % 7) + ":20"; };
         std::function<std::string(std::size_t)> adapter = [](std::size_t) { return "a1"; };
+        /// Of the crashing requests; as above if empty.
+        std::string crashingAdapter {};
         /// Every crashing request has the same body and prompt; sound ones share its parts.
         bool sameRequest = false;
         /// Time between two events of a sound stream, which has five.
--- a/tests/integration/CrashingParts.cpp
+++ b/tests/integration/CrashingParts.cpp
@@ -51,6 +51,15 @@
         .adapter = [](std::size_t number) { return "a" + std::to_string(number % 8); } });
 }
 
+// Guards against blaming each request by itself for what the weights of its adapter do, while sound requests for
+// another one share all of its parts.
+BOOST_AUTO_TEST_CASE(requests_for_an_adapter_that_crashes_replicas_are_refused)
+{
+    judge({ .world = { .crash = { .model = "base/faulty" }, .downFor = 1s },
+        .crashingPrompt = [](std::size_t number) { return "c0:30,e" + std::to_string(number % 7) + ":20"; },
+        .crashingAdapter = "faulty" });
+}
+
 // Guards against blaming the parts of one request that comes again and again.
 BOOST_AUTO_TEST_CASE(requests_that_share_parts_with_one_that_crashes_replicas_are_served)
 {
