--- a/tests/unit/CulpritsBesideKills.cpp
+++ b/tests/unit/CulpritsBesideKills.cpp
@@ -71,6 +71,23 @@
     BOOST_TEST(!refused(ledger, { popular }, now));
 }
 
+// Guards against refusing a popular part in place of the culprit, which has no more crashes once it is refused, while
+// replicas that are killed go on to add some to what is popular.
+BOOST_AUTO_TEST_CASE(part_that_crashed_with_the_culprit_and_without_it_later_is_not_refused)
+{
+    for (const auto popular : { SharedHash(deadly.value() - 1), SharedHash(deadly.value() + 1) }) {
+        auto ledger = CrashLedger();
+        (void)crash(ledger, 1, { deadly });
+        (void)crash(ledger, 2, { deadly, popular });
+        (void)crash(ledger, 3, { deadly, popular });
+        for (auto number = std::uint64_t(4); number <= 5; ++number) {
+            const auto now = crash(ledger, number, { popular });
+            BOOST_TEST(refused(ledger, { deadly }, now));
+            BOOST_TEST(!refused(ledger, { popular }, now));
+        }
+    }
+}
+
 // Guards against refusing what all requests hold for runs that had not begun, as the culprit crashes after its first
 // events.
 BOOST_AUTO_TEST_CASE(common_content_of_runs_that_had_not_begun_is_not_refused_beside_a_culprit_that_had)
