The first to have crashes enough is blamed, not what has more by now

Callers saw sound requests with a popular part refused for two seconds, and requests with the crashing part sent again meanwhile: a replica that was killed gave the popular part as many crashes as the culprit had, and the lower hash was blamed. What is refused has no further crashes, while those of what is popular go on, so the count favours what is popular in the long run.

--- a/packages/decisions/SharedCulprits.cpp
+++ b/packages/decisions/SharedCulprits.cpp
@@ -17,10 +17,24 @@
     std::set<RunId> runs;
     CrashWeight weight;
     CrashWeight limit;
+    /// The crash with which it had as many as it takes; the latest moment if it has fewer.
+    Moment limitReachedAt = Moment::max();
 
     [[nodiscard]] auto reachesLimit() const noexcept -> bool { return weight.reaches(limit); }
 };
 
+auto momentOfLimit(std::vector<SharedCrash> crashes, const CrashWeight& limit) -> Moment
+{
+    std::sort(crashes.begin(), crashes.end(), [](const auto& left, const auto& right) { return left.at < right.at; });
+    auto known = std::vector<SharedCrash>();
+    for (const auto& crash : crashes) {
+        known.push_back(crash);
+        if (known.size() >= limit.crashes && weightOf(known).reaches(limit))
+            return crash.at;
+    }
+    return Moment::max();
+}
+
 auto toCandidate(SharedRecord record) -> Candidate
 {
     auto candidate = Candidate { .weight = weightOf(record.crashes),
@@ -31,6 +45,8 @@
         candidate.starts.insert(crash.start);
         candidate.runs.emplace(crash.start, crash.request);
     }
+    if (candidate.reachesLimit())
+        candidate.limitReachedAt = momentOfLimit(record.crashes, candidate.limit);
     candidate.record = std::move(record);
     return candidate;
 }
@@ -121,13 +137,16 @@
 }
 
 /// Adds the culprits of these candidates whose crashes no earlier one explains, the most suspicious first, but for
-/// `broad` content.
+/// `broad` content. What is refused has no further crashes, while killed replicas add some to what is popular, so the
+/// first to reach its limit goes before what has more by now.
 auto addCulprits(std::vector<Candidate> candidates, const std::set<SharedHash>& broad, std::vector<Culprit>& culprits,
     std::set<StartHash>& explained) -> void
 {
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& left, const Candidate& right) {
-        return std::tuple(left.record.soundBefore, right.weight.crashes, right.starts.size(), left.record.held)
-            < std::tuple(right.record.soundBefore, left.weight.crashes, left.starts.size(), right.record.held);
+        return std::tuple(left.record.soundBefore, left.limitReachedAt, right.weight.crashes, right.starts.size(),
+                   left.record.held)
+            < std::tuple(right.record.soundBefore, right.limitReachedAt, left.weight.crashes, left.starts.size(),
+                right.record.held);
     });
     for (const auto& candidate : candidates) {
         const auto own = weightOf(unexplained(candidate, explained));
