A verdict in a storm of crashes costs milliseconds, not tenths of a second

An entry that knows of a thousand runs at replicas that ended worked for 86 to 143 ms on each verdict, during which it served nobody: each candidate was compared with all others, and the crashes of each pair were sorted and counted anew. What is narrower is looked for only where something would be blamed, crashes are sorted once, and counting stops at the limit; sorted vectors take the place of sets. Verdicts are the same in unit-SharedCulprits, unit-CulpritsBesideKills and unit-CrashLedger.

--- a/packages/decisions/SharedCulprits.cpp
+++ b/packages/decisions/SharedCulprits.cpp
@@ -1,9 +1,10 @@
 #include "decisions/SharedCulprits.h"
 
 #include <algorithm>
-#include <set>
+#include <optional>
 #include <tuple>
 #include <utility>
+#include <vector>
 
 namespace eelgrass::decisions {
 
@@ -11,52 +12,100 @@
 
 using RunId = std::pair<StartHash, RequestDigest>;
 
+/// Sorted vectors in place of sets: a storm leaves thousands of runs to look at with each report.
+template <typename Value> auto sortUnique(std::vector<Value>& values) -> void
+{
+    std::sort(values.begin(), values.end());
+    values.erase(std::unique(values.begin(), values.end()), values.end());
+}
+
+template <typename Value> auto insertUnique(std::vector<Value>& sorted, const Value& value) -> void
+{
+    const auto place = std::lower_bound(sorted.begin(), sorted.end(), value);
+    if (place == sorted.end() || *place != value)
+        sorted.insert(place, value);
+}
+
 struct Candidate {
     SharedRecord record;
-    std::set<StartHash> starts;
-    std::set<RunId> runs;
+    std::vector<StartHash> starts;
+    std::vector<RunId> runs;
     CrashWeight weight;
     CrashWeight limit;
-    /// The crash with which it had as many as it takes; the latest moment if it has fewer.
-    Moment limitReachedAt = Moment::max();
+    /// The crash with which it had as many as it takes.
+    std::optional<Moment> limitReachedAt {};
 
-    [[nodiscard]] auto reachesLimit() const noexcept -> bool { return weight.reaches(limit); }
+    [[nodiscard]] auto reachesLimit() const noexcept -> bool { return limitReachedAt.has_value(); }
 };
 
-auto momentOfLimit(std::vector<SharedCrash> crashes, const CrashWeight& limit) -> Moment
+auto sortByMoment(std::vector<SharedCrash>& crashes) -> void
 {
     std::sort(crashes.begin(), crashes.end(), [](const auto& left, const auto& right) { return left.at < right.at; });
-    auto known = std::vector<SharedCrash>();
-    for (const auto& crash : crashes) {
-        known.push_back(crash);
-        if (known.size() >= limit.crashes && weightOf(known).reaches(limit))
+}
+
+/// The weight of crashes that are added in the order of their moments.
+class CrashCount {
+public:
+    auto add(const SharedCrash& crash) -> void
+    {
+        if (moments_ == 0 || crash.at - momentBegan_ >= crashMomentSpan) {
+            ++moments_;
+            momentBegan_ = crash.at;
+        }
+        if (!crash.confirmed)
+            return;
+        insertUnique(starts_, crash.start);
+        insertUnique(requests_, crash.request);
+    }
+    [[nodiscard]] auto weight() const -> CrashWeight
+    {
+        return { std::min(starts_.size(), requests_.size()), moments_ };
+    }
+
+private:
+    std::size_t moments_ = 0;
+    Moment momentBegan_ {};
+    std::vector<StartHash> starts_;
+    std::vector<RequestDigest> requests_;
+};
+
+/// The crash with which those that started elsewhere than at the `explained` ones are as many as it takes.
+auto momentOfLimit(const SharedRecord& record, const CrashWeight& limit, const std::vector<StartHash>& explained)
+    -> std::optional<Moment>
+{
+    auto count = CrashCount();
+    for (const auto& crash : record.crashes) {
+        if (std::binary_search(explained.begin(), explained.end(), crash.start))
+            continue;
+        count.add(crash);
+        if (count.weight().reaches(limit))
             return crash.at;
     }
-    return Moment::max();
+    return std::nullopt;
 }
 
 auto toCandidate(SharedRecord record) -> Candidate
 {
+    sortByMoment(record.crashes);
     auto candidate = Candidate { .weight = weightOf(record.crashes),
         .limit = record.soundBefore ? soundCrashLimit : sharedCrashLimit };
+    candidate.limitReachedAt = momentOfLimit(record, candidate.limit, {});
     for (const auto& crash : record.crashes) {
         if (!crash.confirmed)
             continue;
-        candidate.starts.insert(crash.start);
-        candidate.runs.emplace(crash.start, crash.request);
+        candidate.starts.push_back(crash.start);
+        candidate.runs.emplace_back(crash.start, crash.request);
     }
-    if (candidate.reachesLimit())
-        candidate.limitReachedAt = momentOfLimit(record.crashes, candidate.limit);
+    sortUnique(candidate.starts);
+    sortUnique(candidate.runs);
     candidate.record = std::move(record);
     return candidate;
 }
 
-/// The crashes that no culprit explains.
-auto unexplained(const Candidate& candidate, const std::set<StartHash>& explained) -> std::vector<SharedCrash>
+/// Whether the crashes that no culprit explains are as many as it takes.
+auto reachesLimitBeside(const Candidate& candidate, const std::vector<StartHash>& explained) -> bool
 {
-    auto crashes = candidate.record.crashes;
-    std::erase_if(crashes, [&](const SharedCrash& crash) { return explained.contains(crash.start); });
-    return crashes;
+    return momentOfLimit(candidate.record, candidate.limit, explained).has_value();
 }
 
 /// Whether the other one explains all crashes of the candidate, and was not sound while the candidate was not.
@@ -69,11 +118,12 @@
 /// Whether some run held both, at each start that ended under the candidate.
 auto heldTogether(const Candidate& candidate, const Candidate& other) -> bool
 {
-    auto starts = std::set<StartHash>();
+    auto starts = std::vector<StartHash>();
     for (const auto& run : candidate.runs) {
-        if (other.runs.contains(run))
-            starts.insert(run.first);
+        if (std::binary_search(other.runs.begin(), other.runs.end(), run))
+            starts.push_back(run.first);
     }
+    sortUnique(starts);
     return starts.size() == candidate.starts.size();
 }
 
@@ -94,7 +144,7 @@
         || other.record.soundBefore > candidate.record.soundBefore || other.starts.size() >= candidate.starts.size())
         return false;
     return std::includes(candidate.starts.begin(), candidate.starts.end(), other.starts.begin(), other.starts.end())
-        && heldTogether(other, candidate) && !weightOf(unexplained(candidate, other.starts)).reaches(candidate.limit);
+        && heldTogether(other, candidate) && !reachesLimitBeside(candidate, other.starts);
 }
 
 /// Whether something narrower is more likely to be the cause, which the next crashes will tell.
@@ -106,7 +156,9 @@
 
 auto toCulprit(const Candidate& candidate, const std::vector<Candidate>& candidates) -> Culprit
 {
-    auto culprit = Culprit { .weight = candidate.weight, .limit = candidate.limit, .starts = candidate.starts };
+    auto culprit = Culprit { .weight = candidate.weight,
+        .limit = candidate.limit,
+        .starts = { candidate.starts.begin(), candidate.starts.end() } };
     for (const auto& crash : candidate.record.crashes)
         culprit.last = std::max(culprit.last, crash.at);
     for (const auto& other : candidates) {
@@ -125,36 +177,34 @@
     return candidates;
 }
 
-/// What something narrower makes unlikely as the cause, by all crashes.
-auto broadContent(const std::vector<Candidate>& candidates) -> std::set<SharedHash>
+/// Whether something narrower makes it unlikely as the cause, by all crashes.
+auto isBroad(SharedHash held, const std::vector<Candidate>& all) -> bool
 {
-    auto broad = std::set<SharedHash>();
-    for (const auto& candidate : candidates) {
-        if (candidate.reachesLimit() && hasNarrower(candidate, candidates))
-            broad.insert(candidate.record.held);
-    }
-    return broad;
+    const auto found = std::lower_bound(all.begin(), all.end(), held,
+        [](const Candidate& candidate, SharedHash other) { return candidate.record.held < other; });
+    return found != all.end() && found->record.held == held && found->reachesLimit() && hasNarrower(*found, all);
 }
 
-/// Adds the culprits of these candidates whose crashes no earlier one explains, the most suspicious first, but for
-/// `broad` content. What is refused has no further crashes, while killed replicas add some to what is popular, so the
-/// first to reach its limit goes before what has more by now.
-auto addCulprits(std::vector<Candidate> candidates, const std::set<SharedHash>& broad, std::vector<Culprit>& culprits,
-    std::set<StartHash>& explained) -> void
+/// Adds the culprits of these candidates whose crashes no earlier one explains, the most suspicious first, but for what
+/// is broad by `all` crashes. What is refused has no further crashes, while killed replicas add some to what is
+/// popular, so the first to reach its limit goes before what has more by now.
+auto addCulprits(std::vector<Candidate> candidates, const std::vector<Candidate>& all, std::vector<Culprit>& culprits,
+    std::vector<StartHash>& explained) -> void
 {
-    std::sort(candidates.begin(), candidates.end(), [](const Candidate& left, const Candidate& right) {
-        return std::tuple(left.record.soundBefore, left.limitReachedAt, right.weight.crashes, right.starts.size(),
+    const auto limitMoment = [](const Candidate& one) { return one.limitReachedAt.value_or(Moment::max()); };
+    std::sort(candidates.begin(), candidates.end(), [&](const Candidate& left, const Candidate& right) {
+        return std::tuple(left.record.soundBefore, limitMoment(left), right.weight.crashes, right.starts.size(),
                    left.record.held)
-            < std::tuple(right.record.soundBefore, right.limitReachedAt, left.weight.crashes, left.starts.size(),
+            < std::tuple(right.record.soundBefore, limitMoment(right), left.weight.crashes, left.starts.size(),
                 right.record.held);
     });
     for (const auto& candidate : candidates) {
-        const auto own = weightOf(unexplained(candidate, explained));
-        if (!own.reaches(candidate.limit) || isAmbiguous(candidate, candidates)
-            || broad.contains(candidate.record.held))
+        if (!reachesLimitBeside(candidate, explained) || isAmbiguous(candidate, candidates)
+            || isBroad(candidate.record.held, all))
             continue;
         culprits.push_back(toCulprit(candidate, candidates));
-        explained.insert(candidate.starts.begin(), candidate.starts.end());
+        for (const auto& start : candidate.starts)
+            insertUnique(explained, start);
     }
 }
 
@@ -162,22 +212,11 @@
 
 auto weightOf(std::vector<SharedCrash> crashes) -> CrashWeight
 {
-    std::sort(crashes.begin(), crashes.end(), [](const auto& left, const auto& right) { return left.at < right.at; });
-    auto moments = std::size_t(0);
-    auto momentBegan = Moment();
-    auto starts = std::set<StartHash>();
-    auto requests = std::set<RequestDigest>();
-    for (const auto& crash : crashes) {
-        if (moments == 0 || crash.at - momentBegan >= crashMomentSpan) {
-            ++moments;
-            momentBegan = crash.at;
-        }
-        if (!crash.confirmed)
-            continue;
-        starts.insert(crash.start);
-        requests.insert(crash.request);
-    }
-    return { std::min(starts.size(), requests.size()), moments };
+    sortByMoment(crashes);
+    auto count = CrashCount();
+    for (const auto& crash : crashes)
+        count.add(crash);
+    return count.weight();
 }
 
 auto findCulprits(std::vector<SharedRecord> records) -> std::vector<Culprit>
@@ -186,11 +225,12 @@
     for (auto& record : unbegun)
         std::erase_if(record.crashes, [](const SharedCrash& crash) { return crash.begun; });
     auto culprits = std::vector<Culprit>();
-    auto explained = std::set<StartHash>();
-    const auto all = toCandidates(std::move(records));
-    const auto broad = broadContent(all);
-    addCulprits(toCandidates(std::move(unbegun)), broad, culprits, explained);
-    addCulprits(all, broad, culprits, explained);
+    auto explained = std::vector<StartHash>();
+    auto all = toCandidates(std::move(records));
+    std::sort(all.begin(), all.end(),
+        [](const Candidate& left, const Candidate& right) { return left.record.held < right.record.held; });
+    addCulprits(toCandidates(std::move(unbegun)), all, culprits, explained);
+    addCulprits(all, all, culprits, explained);
     return culprits;
 }
 
