--- a/packages/decisions/SharedCulprits.h
+++ b/packages/decisions/SharedCulprits.h
@@ -72,11 +72,11 @@
 
 [[nodiscard]] auto weightOf(std::vector<SharedCrash> crashes) -> CrashWeight;
 
-/// Finds the fewest culprits that explain the crashes: what was never sound goes before what was, and the first that had
-/// crashes enough before others. What only ran beside a culprit has no crash left of its own. What the culprit's requests
-/// hold and others too, so that it reaches its limit first, is a culprit only together with it. Something broad is no
-/// culprit alone before it has crashes enough without any narrower thing that repeats in its crashes: a replica that
-/// was killed for another reason adds a crash to what all requests hold.
+/// Finds the fewest culprits that explain the crashes: what was never sound goes before what was, and the first that
+/// had crashes enough before others. What only ran beside a culprit has no crash left of its own. What the culprit's
+/// requests hold and others too, so that it reaches its limit first, is a culprit only together with it. Something
+/// broad is no culprit alone before it has crashes enough without any narrower thing that repeats in its crashes: a
+/// replica that was killed for another reason adds a crash to what all requests hold.
 ///
 /// Runs that had brought no event are looked at first: a replica crashes as it begins to write, and those beside the
 /// culprit are mostly under way.
