--- a/packages/decisions/SharedCulprits.cpp
+++ b/packages/decisions/SharedCulprits.cpp
@@ -12,7 +12,8 @@
 
 using RunId = std::pair<StartHash, RequestDigest>;
 
-/// Sorted vectors in place of sets: a storm leaves thousands of runs to look at with each report.
+// Starts, runs and requests stand in sorted vectors: after a storm there are thousands to look at with each report.
+
 template <typename Value> auto sortUnique(std::vector<Value>& values) -> void
 {
     std::sort(values.begin(), values.end());
@@ -32,7 +33,7 @@
     std::vector<RunId> runs;
     CrashWeight weight;
     CrashWeight limit;
-    /// The crash with which it had as many as it takes.
+    /// When it had as many crashes as it takes.
     std::optional<Moment> limitReachedAt {};
 
     [[nodiscard]] auto reachesLimit() const noexcept -> bool { return limitReachedAt.has_value(); }
@@ -69,7 +70,7 @@
     std::vector<RequestDigest> requests_;
 };
 
-/// The crash with which those that started elsewhere than at the `explained` ones are as many as it takes.
+/// When the crashes, without those of the `explained` starts, were as many as it takes. They are sorted by moment.
 auto momentOfLimit(const SharedRecord& record, const CrashWeight& limit, const std::vector<StartHash>& explained)
     -> std::optional<Moment>
 {
