A reset that a write is told of is no end in order for the reads after it

Cause: the kernel tells a reset once, to whichever call meets it first. TcpConnection wrote before it read; the write took ECONNRESET and dropped it, and the read after it returned 0, which was told as an end in order. GlibStream had the same.

Why it works: with a FIN in first the kernel's first error is EPIPE, without one it is ECONNRESET (or a time-out). sendSome tells them apart; a loss that a write was told is kept unless the peer had closed before, and reads go first, so that they meet the error themselves where they can. An answer that ended in order before its request was read stays whole.

--- a/packages/wire/GlibStream.cpp
+++ b/packages/wire/GlibStream.cpp
@@ -1,5 +1,7 @@
 #include "wire/GlibStream.h"
 
+#include "wire/SocketSend.h"
+
 #include <kj/debug.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -14,9 +16,9 @@
 
 auto own(GError* error) -> ErrorPtr { return { error, g_error_free }; }
 
-auto disconnected(const std::string& peer, const GError* error) -> kj::Exception
+auto disconnected(const std::string& peer, const char* reason) -> kj::Exception
 {
-    return { kj::Exception::Type::DISCONNECTED, __FILE__, __LINE__, kj::str(peer.c_str(), ": ", error->message) };
+    return { kj::Exception::Type::DISCONNECTED, __FILE__, __LINE__, kj::str(peer.c_str(), ": ", reason) };
 }
 
 auto describe(GSocketAddress* address) -> std::string
@@ -77,10 +79,12 @@
     if (count < 0) {
         auto error = own(raw);
         if (!g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
-            return disconnected(peer_, error.get());
+            return disconnected(peer_, error->message);
         return ready(G_IO_IN).then([=, this] { return readSome(buffer, minBytes, maxBytes, got); });
     }
     const auto size = static_cast<size_t>(count);
+    if (size == 0 && lost_)
+        return disconnected(peer_, "the connection was lost");
     heardAt_ = now();
     if (size == 0 || size >= minBytes)
         return got + size;
@@ -90,15 +94,13 @@
 auto GlibStream::write(const void* buffer, size_t size) -> kj::Promise<void>
 {
     const auto* data = static_cast<const char*>(buffer);
-    auto* raw = static_cast<GError*>(nullptr);
-    auto count = g_socket_send(socket_.get(), data, size, nullptr, &raw);
-    if (count < 0) {
-        auto error = own(raw);
-        if (!g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
-            return disconnected(peer_, error.get());
+    const auto result = sendSome(g_socket_get_fd(socket_.get()), { data, size });
+    if (result.outcome == SendOutcome::WouldBlock)
         return ready(G_IO_OUT).then([=, this] { return write(data, size); });
-    }
-    const auto sent = static_cast<size_t>(count);
+    lost_ = lost_ || result.outcome == SendOutcome::Lost;
+    if (result.outcome != SendOutcome::Sent)
+        return disconnected(peer_, g_strerror(result.error));
+    const auto sent = result.bytes;
     if (sent == size)
         return kj::READY_NOW;
     return write(data + sent, size - sent);
@@ -136,7 +138,7 @@
         auto connection
             = ObjectPtr<GSocketConnection>(g_socket_client_connect_finish(G_SOCKET_CLIENT(source), result, &raw));
         if (!connection) {
-            pending->fulfiller->reject(disconnected(pending->peer, own(raw).get()));
+            pending->fulfiller->reject(disconnected(pending->peer, own(raw)->message));
             return;
         }
         auto* socket = g_socket_connection_get_socket(connection.get());
--- a/packages/wire/GlibStream.h
+++ b/packages/wire/GlibStream.h
@@ -21,7 +21,7 @@
 /// A KJ byte stream over a non-blocking GSocket, driven by the GLib loop.
 ///
 /// A read that is dropped leaves its bytes in the socket; the end of a peer's writes reads as the end of the stream;
-/// a reset rejects with a disconnection.
+/// a reset rejects with a disconnection, also if a write has been told of it before the read.
 class GlibStream final : public kj::AsyncIoStream {
 public:
     explicit GlibStream(ObjectPtr<GSocket> socket);
@@ -49,6 +49,8 @@
     std::unique_ptr<Watch> watch_;
     std::string peer_;
     Moment heardAt_ = now();
+    /// A write was told that the connection is lost; a read would see an end in order.
+    bool lost_ = false;
 };
 
 /// Connects to an IP address; rejects with the peer named.
--- a/packages/wire/TcpConnection.cpp
+++ b/packages/wire/TcpConnection.cpp
@@ -120,22 +120,19 @@
         if (!*alive || over_)
             return;
     }
-    if ((events & EPOLLOUT) != 0) {
-        flush();
-        if (!*alive || over_)
-            return;
-    }
-    // While reading is paused only the loss of the connection is looked for.
-    if (paused_ && (events & (EPOLLERR | EPOLLHUP)) != 0)
-        return end(StreamEnd::Reset);
+    gone_ = gone_ || (events & (EPOLLERR | EPOLLHUP)) != 0;
+    peerFinished_ = peerFinished_ || ((events & EPOLLRDHUP) != 0 && !gone_);
+    // Reads go first: a read tells an end in order from a reset, as long as no write has taken the error.
     pump();
+    if (*alive && !over_ && (events & EPOLLOUT) != 0)
+        flush();
 }
 
 auto TcpConnection::pump() -> void
 {
     const auto alive = alive_;
     auto taken = std::size_t(0);
-    while (!over_ && !paused_ && connected_) {
+    while (!over_ && (!paused_ || gone_) && connected_) {
         if (taken >= maxReadPerTurn)
             return pumpNextTurn();
         const auto before = input_.size();
@@ -182,7 +179,7 @@
     const auto later = count < 0 && wouldBlock(raw);
     g_clear_error(&raw);
     if (!later)
-        end(count == 0 ? StreamEnd::Finished : StreamEnd::Reset);
+        end(count == 0 && !lost_ ? StreamEnd::Finished : StreamEnd::Reset);
     return false;
 }
 
@@ -199,21 +196,12 @@
 {
     const auto had = backlog() > 0;
     while (backlog() > 0) {
-        auto* raw = static_cast<GError*>(nullptr);
-        const auto count
-            = g_socket_send(socket_.get(), output_.data() + outputAt_, output_.size() - outputAt_, nullptr, &raw);
-        const auto later = count < 0 && wouldBlock(raw);
-        g_clear_error(&raw);
-        if (later)
+        const auto sent = sendSome(g_socket_get_fd(socket_.get()), std::string_view(output_).substr(outputAt_));
+        if (sent.outcome == SendOutcome::WouldBlock)
             return;
-        // A failed write is no end yet: an answer that the peer sent before it closed may still wait to be read, and
-        // the end itself is told by the reading side.
-        if (count < 0) {
-            output_.clear();
-            outputAt_ = 0;
-            return;
-        }
-        outputAt_ += static_cast<std::size_t>(count);
+        if (sent.outcome != SendOutcome::Sent)
+            return dropOutput(sent.outcome);
+        outputAt_ += sent.bytes;
     }
     output_.clear();
     outputAt_ = 0;
@@ -223,6 +211,16 @@
         handlers_.onDrained();
 }
 
+/// A failed write is no end yet: an answer that the peer sent before it closed may still wait to be read, and the end
+/// itself is told by the reading side.
+auto TcpConnection::dropOutput(SendOutcome outcome) -> void
+{
+    output_.clear();
+    outputAt_ = 0;
+    // After an end in order nothing was to come any more, so that a time-out of unread bytes loses none.
+    lost_ = lost_ || (outcome == SendOutcome::Lost && !peerFinished_);
+}
+
 auto TcpConnection::finishWriting() -> void
 {
     if (std::exchange(finishing_, true) || over_)
--- a/packages/wire/TcpConnection.h
+++ b/packages/wire/TcpConnection.h
@@ -2,6 +2,7 @@
 
 #include "wire/GlibStream.h"
 #include "wire/Readiness.h"
+#include "wire/SocketSend.h"
 
 #include <functional>
 #include <memory>
@@ -59,7 +60,8 @@
     auto start() -> void { pump(); }
 
     [[nodiscard]] auto input() noexcept -> std::string& { return input_; }
-    /// Stops taking bytes from the kernel, so that the peer feels it; the end of the connection is still noticed.
+    /// Stops taking bytes from the kernel, so that the peer feels it. Once the connection is gone the bytes that the
+    /// kernel still holds are taken all the same, and the end is told.
     auto pauseReading() -> void { paused_ = true; }
     auto resumeReading() -> void;
 
@@ -83,6 +85,8 @@
     auto pumpNextTurn() -> void;
     auto readSome() -> bool;
     auto flush() -> void;
+    /// Drops what is not sent after a write that failed, and keeps what its outcome tells.
+    auto dropOutput(SendOutcome) -> void;
     auto end(StreamEnd) -> void;
 
     ObjectPtr<GSocket> socket_;
@@ -96,6 +100,12 @@
     bool paused_ = false;
     bool finishing_ = false;
     bool over_ = false;
+    /// The peer has closed its side in order; bytes from before may still be unread.
+    bool peerFinished_ = false;
+    /// The kernel has reported the end of both directions.
+    bool gone_ = false;
+    /// A write was told that the connection is lost. The kernel tells that once: a read after it sees an end in order.
+    bool lost_ = false;
     /// The GLib source that reads on; 0 for none.
     unsigned nextTurn_ = 0;
     /// False once this object is destroyed; held by callbacks that may destroy it.
--- a/tests/harness/EndlessServer.cpp
+++ b/tests/harness/EndlessServer.cpp
@@ -1,10 +1,10 @@
 #include "tests/harness/EndlessServer.h"
 
 #include "platform/Names.h"
-
-#include <nlohmann/json.hpp>
+#include "tests/harness/ReplicaEntry.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace eelgrass::tests {
 
@@ -33,16 +33,7 @@
         bytes_.repeated += unit;
 }
 
-auto EndlessServer::entry(const std::string& service) const -> std::string
-{
-    auto models = nlohmann::json::array();
-    if (service == "engine")
-        models.push_back({ { "name", "base" }, { "version", 1 }, { "adapters", nlohmann::json::array() } });
-    return nlohmann::json {
-        { "service", service }, { "address", endpoint().str() }, { "zone", "zone-1" }, { "slots", 250 },
-        { "state", "ready" }, { "models", models }, { "sequence", 1 }
-    }.dump();
-}
+auto EndlessServer::entry(const std::string& service) const -> std::string { return replicaEntry(service, endpoint()); }
 
 auto EndlessServer::accept(wire::ObjectPtr<GSocket> socket) -> void
 {
