Sessions between gateways and agents notice that they have gone silent

Cause: a session had no liveness of its own. What an agent granted ended only with the session's connection, and what was granted and unread counted as prompts being read; a gateway opened another session only after the end of the one before.

Change: agents end a session whose entry has answered no update between 5 heartbeats (2 in other zones); gateways take a session as lost when no bytes came between 4 checks of 0.5 s (1.5 s), and open another. Turns are counted, not time, so that a process that was suspended ends nobody. Requests that a new session names leave the entry's earlier session, and are neither pinned nor counted twice. Heartbeats and not keep-alive, since a proxy between the two acknowledges what it drops (the soak's half-open legs).

--- a/packages/decisions/AdmissionQueue.cpp
+++ b/packages/decisions/AdmissionQueue.cpp
@@ -318,8 +318,13 @@
 
 auto AdmissionQueue::adopt(const AdmissionRequest& request) -> void
 {
-    if (run(request))
-        markStarted(running_.at(request.attempt), waitsRecordedAt_);
+    const auto granted = !run(request);
+    auto& running = running_.at(request.attempt);
+    if (running.started)
+        return;
+    markStarted(running, waitsRecordedAt_);
+    if (granted)
+        rate_.dropped();
 }
 
 auto AdmissionQueue::markStarted(Running& running, Moment now) -> void
--- a/packages/decisions/AdmissionQueue.h
+++ b/packages/decisions/AdmissionQueue.h
@@ -170,7 +170,8 @@
     /// Removes and refuses all requests, for example when the replica is gone.
     [[nodiscard]] auto drain(Duration retryAfter) -> std::vector<AdmissionRefusal>;
 
-    /// Records a running request that was granted, and whose prompt was processed, before this process started.
+    /// Records a running request whose prompt has been processed, as its entry tells: one that was granted before this
+    /// process started, or whose start was told on a connection that is lost.
     auto adopt(const AdmissionRequest& request) -> void;
     /// Records the first event of the answer, which shows that the prompt has been processed.
     auto started(const AttemptId& attempt, Moment now) -> void;
--- a/packages/decisions/PublishPolicy.cpp
+++ b/packages/decisions/PublishPolicy.cpp
@@ -70,4 +70,11 @@
     return audience == Audience::SameZone ? sameZoneHeartbeat : otherZoneHeartbeat;
 }
 
+auto PublishPolicy::maxUnansweredHeartbeats(Audience audience) noexcept -> unsigned
+{
+    constexpr auto sameZone = 5U;
+    constexpr auto otherZone = 2U;
+    return audience == Audience::SameZone ? sameZone : otherZone;
+}
+
 } // namespace eelgrass::decisions
--- a/packages/decisions/PublishPolicy.h
+++ b/packages/decisions/PublishPolicy.h
@@ -58,6 +58,9 @@
         -> bool;
     /// Longest time between two updates.
     [[nodiscard]] static auto heartbeat(Audience audience) noexcept -> Duration;
+    /// An entry that answers none of the updates between so many heartbeats in a row is gone. Counted in heartbeats,
+    /// not in time, since the agent itself may have been suspended.
+    [[nodiscard]] static auto maxUnansweredHeartbeats(Audience audience) noexcept -> unsigned;
     /// How long an entry of another zone counts as `Audience::RecentRequester` after a request.
     static constexpr auto requesterWindow = Duration(2s);
 };
--- a/packages/serving/AgentLink.cpp
+++ b/packages/serving/AgentLink.cpp
@@ -20,6 +20,12 @@
 // interval is shorter for entries in the agent's zone than for those in other zones.
 constexpr auto sameZoneSilence = Duration(1500ms);
 constexpr auto otherZoneSilence = Duration(4500ms);
+// An open session is looked at so often, and ended once no bytes have come between this many checks in a row: its
+// connection may have gone silent for good while a new one would work. Counted in checks, not in time, since this
+// process itself may have been suspended. A heartbeat interval is never longer than two checks.
+constexpr auto sameZoneCheckInterval = Duration(500ms);
+constexpr auto otherZoneCheckInterval = Duration(1500ms);
+constexpr auto maxSilentChecks = 4U;
 // An agent that restarts or was suspended is back sooner.
 constexpr auto goneTime = Duration(6s);
 // An agent sends its load figures within 400 ms of a request; the rest of this limit is a margin for slow hosts.
@@ -152,6 +158,28 @@
     for (auto& pending : std::exchange(pendingOpens_, {}))
         pending->fulfill();
     scheduleIdleClose();
+    watchSilence();
+}
+
+auto AgentLink::watchSilence() -> void
+{
+    silentChecks_ = 0;
+    heardAtLastCheck_ = {};
+    silenceTimer_ = loop_.timers().every(
+        caller_.sameZone ? sameZoneCheckInterval : otherZoneCheckInterval, [this] { checkSilence(); });
+}
+
+auto AgentLink::checkSilence() -> void
+{
+    if (phase_ != Phase::Open || !session_)
+        return silenceTimer_.cancel();
+    const auto heardAt = session_->connection.heardAt();
+    silentChecks_ = heardAt == heardAtLastCheck_ ? silentChecks_ + 1 : 0;
+    heardAtLastCheck_ = heardAt;
+    if (silentChecks_ < maxSilentChecks)
+        return;
+    silenceTimer_.cancel();
+    handleSessionLoss("silent");
 }
 
 auto AgentLink::abandonOpening() -> void
--- a/packages/serving/AgentLink.h
+++ b/packages/serving/AgentLink.h
@@ -278,6 +278,9 @@
     auto connect() -> void;
     auto attach(kj::Own<wire::GlibStream> stream) -> kj::Promise<void>;
     auto handleSessionLoss(const std::string& reason) -> void;
+    /// Begins to look whether bytes still come from the agent.
+    auto watchSilence() -> void;
+    auto checkSilence() -> void;
     auto applyState(wire::schema::ReplicaState::Reader state) -> void;
     auto applyFigures(wire::schema::ReplicaState::Reader state) -> void;
     auto applyNames(wire::schema::ReplicaState::Reader state) -> void;
@@ -317,10 +320,14 @@
     Moment lastHeardAt_ {};
     Moment openingSince_ {};
     Moment usedAt_ {};
+    /// When bytes had last come at the last check of the open session, and for how many checks none have.
+    Moment heardAtLastCheck_ {};
+    unsigned silentChecks_ = 0;
     std::vector<kj::Own<kj::PromiseFulfiller<void>>> pendingOpens_;
     Timer retryTimer_;
     Timer openingTimer_;
     Timer idleTimer_;
+    Timer silenceTimer_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -36,8 +36,9 @@
 
 class AgentRole::Door final : public wire::schema::Agent::Server {
 public:
-    explicit Door(AgentRole& role)
+    Door(AgentRole& role, wire::ConnectionSet::Id connection)
         : role_(role.self_)
+        , connection_(connection)
     {
     }
 
@@ -46,7 +47,7 @@
         const auto params = context.getParams();
         auto& role = reach(role_);
         const auto sameZone = role.settings_.host.zone.view() == params.getZone().cStr();
-        auto session = kj::heap<Session>(role, params.getEntry().cStr(), sameZone);
+        auto session = kj::heap<Session>(role, connection_, params.getEntry().cStr(), sameZone);
         for (auto running : params.getRunning())
             session->adopt(running);
         role.publisher_.add(session.get(), params.getListener(), sameZone);
@@ -57,6 +58,7 @@
 
 private:
     std::weak_ptr<AgentRole> role_;
+    wire::ConnectionSet::Id connection_;
 };
 
 AgentRole::AgentRole(wire::MainLoop& loop, AgentSettings settings)
@@ -80,7 +82,8 @@
     , publisher_(loop,
           { .figures = [this] { return figures(); },
               .namesFingerprint = [this] { return namesFingerprint(); },
-              .fillNames = [this](wire::schema::ReplicaState::Builder state) { fillNames(state); } })
+              .fillNames = [this](wire::schema::ReplicaState::Builder state) { fillNames(state); } },
+          [this](StatePublisher::Key session) { endSilentSession(*static_cast<const Session*>(session)); })
     , attachedEntries_(loop, publisher_)
     , keptRateLimits_(metrics_)
     , retryReserve_(loop.timers().now(), settings_.host.firstStart)
@@ -92,7 +95,8 @@
 {
     listener_ = std::make_unique<wire::Listener>(
         settings_.host.address, settings_.host.agentPort, [this](kj::Own<wire::GlibStream> stream) {
-            connections_.add(std::make_unique<wire::Connection>(kj::mv(stream), kj::heap<Door>(*this)));
+            auto door = kj::heap<Door>(*this, connections_.nextId());
+            connections_.add(std::make_unique<wire::Connection>(kj::mv(stream), kj::mv(door)));
         });
     metricsServer_ = serveMetrics(loop_.timers(), { settings_.host.address, settings_.host.metricsPort }, metrics_);
     agent_.start();
@@ -115,6 +119,13 @@
     loop_.quitWhenFlushed();
 }
 
+auto AgentRole::endSilentSession(const Session& session) -> void
+{
+    log::warn("entry silent", { { "peer", session.entry() } });
+    metrics_.count("eelgrass_silent_sessions_total", { { "peer", "entry" } });
+    connections_.end(session.connection());
+}
+
 auto AgentRole::reload(const AgentSettings& settings) -> void
 {
     settings_.grace = settings.grace;
--- a/packages/serving/AgentRole.h
+++ b/packages/serving/AgentRole.h
@@ -16,6 +16,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace eelgrass::serving {
@@ -36,6 +37,9 @@
 private:
     class Door;
     class Session;
+    /// Ends a session whose entry answers nothing: its machine or its connection is gone without a word, and would hold
+    /// what it was granted until the kernel gives up.
+    auto endSilentSession(const Session& session) -> void;
     struct PendingAdmission {
         Session* session;
         kj::Own<kj::PromiseFulfiller<ReplicaAgent::Decision>> fulfiller;
@@ -71,6 +75,7 @@
     hosting::Store store_;
     ReplicaAgent agent_;
     std::map<AttemptId, PendingAdmission> pendingAdmissions_;
+    std::set<Session*> sessions_;
     StatePublisher publisher_;
     /// An attached entry of this zone: its peer address and its preference as the zone's reader.
     struct SameZoneEntry {
--- a/packages/serving/AgentSession.cpp
+++ b/packages/serving/AgentSession.cpp
@@ -16,11 +16,13 @@
 
 } // namespace
 
-AgentRole::Session::Session(AgentRole& role, std::string entry, bool sameZone)
+AgentRole::Session::Session(AgentRole& role, wire::ConnectionSet::Id connection, std::string entry, bool sameZone)
     : role_(role.self_)
+    , connection_(connection)
     , entry_(std::move(entry))
     , sameZone_(sameZone)
 {
+    role.sessions_.insert(this);
 }
 
 AgentRole::Session::~Session() noexcept(false)
@@ -29,6 +31,7 @@
     const auto held = role_.lock();
     if (!held)
         return;
+    held->sessions_.erase(this);
     held->publisher_.remove(this);
     if (held->sameZoneEntries_.erase(this) > 0)
         held->publisher_.changed();
@@ -46,6 +49,8 @@
 auto AgentRole::Session::adopt(wire::schema::RunningRequest::Reader running) -> void
 {
     const auto attempt = AttemptId(running.getAttempt().cStr());
+    for (auto* session : role().sessions_)
+        session->attempts_.erase(attempt);
     attempts_.insert(attempt);
     role().agent_.adopt({ .attempt = attempt,
         .adapter = AdapterId(running.getAdapter().cStr()),
--- a/packages/serving/AgentSession.h
+++ b/packages/serving/AgentSession.h
@@ -12,12 +12,16 @@
 /// The session of one entry with an agent. When the session ends, everything granted to the entry is released.
 class AgentRole::Session final : public wire::schema::AgentSession::Server {
 public:
-    Session(AgentRole& role, std::string entry, bool sameZone);
+    /// `connection` is closed to end the session.
+    Session(AgentRole& role, wire::ConnectionSet::Id connection, std::string entry, bool sameZone);
     ~Session() noexcept(false);
     KJ_DISALLOW_COPY(Session);
 
-    /// Takes over a request that the entry has sent to the replica before this session began.
+    /// Takes over a request that the entry has sent to the replica before this session began, from the entry's earlier
+    /// session if the agent has not noticed the end of that yet.
     auto adopt(wire::schema::RunningRequest::Reader running) -> void;
+    [[nodiscard]] auto connection() const noexcept -> wire::ConnectionSet::Id { return connection_; }
+    [[nodiscard]] auto entry() const noexcept -> const std::string& { return entry_; }
 
     auto admit(AdmitContext context) -> kj::Promise<void> override;
     auto started(StartedContext context) -> kj::Promise<void> override;
@@ -42,6 +46,7 @@
     [[nodiscard]] auto requiredVersion(wire::schema::AdmitRequest::Reader request) const -> RequiredVersion;
 
     std::weak_ptr<AgentRole> role_;
+    wire::ConnectionSet::Id connection_;
     std::string entry_;
     bool sameZone_;
     std::set<AttemptId> attempts_;
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -239,8 +239,9 @@
 
 auto ReplicaAgent::adopt(const decisions::AdmissionRequest& request) -> void
 {
+    const auto known = queue_.adapterOf(request.attempt).has_value();
     queue_.adopt(request);
-    if (slots_ && slots_->ready(modelName(request.adapter)))
+    if (!known && slots_ && slots_->ready(modelName(request.adapter)))
         slots_->pin(modelName(request.adapter), loop_.timers().now());
 }
 
--- a/packages/serving/StatePublisher.cpp
+++ b/packages/serving/StatePublisher.cpp
@@ -1,6 +1,8 @@
 #include "serving/StatePublisher.h"
 
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 namespace eelgrass::serving {
 
@@ -13,17 +15,35 @@
 
 } // namespace
 
-StatePublisher::StatePublisher(wire::MainLoop& loop, Source source)
+StatePublisher::StatePublisher(wire::MainLoop& loop, Source source, OnSilent onSilent)
     : loop_(loop)
     , source_(std::move(source))
+    , onSilent_(std::move(onSilent))
 {
 }
 
 auto StatePublisher::start() -> void
 {
     for (const auto audience : audiences)
-        group(audience).heartbeat
-            = loop_.timers().every(PublishPolicy::heartbeat(audience), [this, audience] { publish(audience, true); });
+        group(audience).heartbeat = loop_.timers().every(PublishPolicy::heartbeat(audience), [this, audience] {
+            findSilent(audience);
+            publish(audience, true);
+        });
+}
+
+auto StatePublisher::findSilent(Audience audience) -> void
+{
+    auto silent = std::vector<Key>();
+    for (auto& [key, subscriber] : subscribers_) {
+        if (this->audience(subscriber) != audience)
+            continue;
+        const auto answered = std::exchange(subscriber.answered, false);
+        subscriber.unansweredHeartbeats = answered ? 0 : subscriber.unansweredHeartbeats + 1;
+        if (subscriber.unansweredHeartbeats == PublishPolicy::maxUnansweredHeartbeats(audience))
+            silent.push_back(key);
+    }
+    for (const auto& key : silent)
+        onSilent_(key);
 }
 
 auto StatePublisher::add(Key key, wire::schema::ReplicaListener::Client client, bool sameZone) -> void
@@ -112,7 +132,12 @@
     subscriber.names = names;
     subscriber.figures = figures;
     subscriber.publishedAt = loop_.timers().now();
-    subscriber.call = call.send().ignoreResult();
+    subscriber.call = call.send()
+                          .then([&subscriber](UpdateAnswer&& answer) {
+                              subscriber.answered = true;
+                              return kj::mv(answer);
+                          })
+                          .eagerlyEvaluate(nullptr);
 }
 
 auto StatePublisher::fillFigures(wire::schema::ReplicaState::Builder state) const -> void
--- a/packages/serving/StatePublisher.h
+++ b/packages/serving/StatePublisher.h
@@ -30,8 +30,10 @@
     };
     /// Identifies an entry's session.
     using Key = const void*;
+    /// Called with the session of an entry that no longer answers.
+    using OnSilent = std::function<void(Key)>;
 
-    StatePublisher(wire::MainLoop& loop, Source source);
+    StatePublisher(wire::MainLoop& loop, Source source, OnSilent onSilent);
     KJ_DISALLOW_COPY(StatePublisher);
 
     auto start() -> void;
@@ -57,6 +59,7 @@
 
 private:
     using Audience = decisions::Audience;
+    using UpdateAnswer = capnp::Response<wire::schema::ReplicaListener::ChangedResults>;
     struct Subscriber {
         wire::schema::ReplicaListener::Client client;
         bool sameZone = true;
@@ -66,7 +69,10 @@
         Moment requestedAt {};
         /// The RPC call that sent the last update. The call is kept until the next update, so that its Finish message
         /// is sent together with that update; sent alone, the message would wake the entry for nothing.
-        kj::Promise<void> call = kj::READY_NOW;
+        kj::Maybe<kj::Promise<UpdateAnswer>> call {};
+        /// Whether the entry has answered an update since the last heartbeat, and how many heartbeats it had not.
+        bool answered = true;
+        unsigned unansweredHeartbeats = 0;
     };
     struct Group {
         Timer batchTimer;
@@ -78,10 +84,13 @@
     auto schedulePublication(Audience audience) -> void;
     auto publish(Audience audience, bool heartbeat) -> void;
     auto publish(Subscriber& subscriber, const std::string& names, const decisions::ReplicaLoad& figures) -> void;
+    /// Counts a heartbeat of the audience, and reports the entries that have answered none for too long.
+    auto findSilent(Audience audience) -> void;
     auto group(Audience audience) -> Group& { return groups_.at(static_cast<std::size_t>(audience)); }
 
     wire::MainLoop& loop_;
     Source source_;
+    OnSilent onSilent_;
     std::map<Key, Subscriber> subscribers_;
     std::array<Group, 3> groups_;
 };
--- a/packages/wire/ConnectionSet.h
+++ b/packages/wire/ConnectionSet.h
@@ -9,7 +9,7 @@
 
 namespace eelgrass::wire {
 
-/// Connections that were accepted, each kept until its peer closes it.
+/// Connections that were accepted, each kept until its peer closes it or `end` is called.
 ///
 /// ```cpp
 /// connections.add(std::make_unique<Connection>(kj::mv(stream), bootstrap));
@@ -21,15 +21,23 @@
     {
     }
 
+    /// Number of a connection, in the order of acceptance.
+    using Id = std::uint64_t;
+
+    /// The number that the next connection gets.
+    [[nodiscard]] auto nextId() const noexcept -> Id { return lastId_ + 1; }
     auto add(std::unique_ptr<Connection> connection) -> void
     {
         const auto id = ++lastId_;
         auto& held = connections_[id];
         held.connection = std::move(connection);
         // A connection must not be destroyed from within its own promise.
-        held.closed = held.connection->closed()
-                          .then([this, id] { deferred_.add([this, id] { connections_.erase(id); }); })
-                          .eagerlyEvaluate([](kj::Exception&&) {});
+        held.closed = held.connection->closed().then([this, id] { end(id); }).eagerlyEvaluate([](kj::Exception&&) {});
+    }
+    /// Closes a connection once the callback at hand has returned.
+    auto end(Id id) -> void
+    {
+        deferred_.add([this, id] { connections_.erase(id); });
     }
     [[nodiscard]] auto size() const noexcept -> std::size_t { return connections_.size(); }
 
@@ -40,8 +48,8 @@
         kj::Promise<void> closed = kj::NEVER_DONE;
     };
 
-    std::uint64_t lastId_ = 0;
-    std::map<std::uint64_t, Held> connections_;
+    Id lastId_ = 0;
+    std::map<Id, Held> connections_;
     DeferredCalls deferred_;
 };
 
--- a/standins/FaultProxy.h
+++ b/standins/FaultProxy.h
@@ -36,6 +36,8 @@
     [[nodiscard]] auto port() const noexcept -> std::uint16_t { return listener_.port(); }
     /// The same as a call to the control port.
     auto apply(const nlohmann::json& faults) -> void;
+    /// Connections so far.
+    [[nodiscard]] auto accepted() const noexcept -> std::uint64_t { return accepted_; }
     [[nodiscard]] auto controlPort() const noexcept -> std::uint16_t { return server_.port(); }
 
 private:
--- a/tests/harness/ServingWorld.cpp
+++ b/tests/harness/ServingWorld.cpp
@@ -16,11 +16,14 @@
 
 auto engineAddress(std::size_t index) -> std::string { return "127.0.1." + std::to_string(index + 1); }
 
+/// Of the agent beside an engine that gateways reach through a proxy.
+auto proxiedAgentAddress(std::size_t index) -> std::string { return "127.0.2." + std::to_string(index + 1); }
+
 auto engineAddresses(std::size_t engines) -> std::vector<std::string>
 {
     auto addresses = std::vector<std::string>();
     for (auto index = std::size_t(0); index < engines; ++index)
-        addresses.push_back(engineAddress(index));
+        addresses.insert(addresses.end(), { engineAddress(index), proxiedAgentAddress(index) });
     return addresses;
 }
 
@@ -109,13 +112,27 @@
         .agentPort = agentPort_ };
 }
 
-auto ServingWorld::startAgent(std::size_t index) -> void
+auto ServingWorld::startAgent(std::size_t index) -> void { startAgent(index, engineAddress(index)); }
+
+auto ServingWorld::startProxiedAgent(std::size_t index) -> standins::FaultProxy&
+{
+    stopAgent(index);
+    startAgent(index, proxiedAgentAddress(index));
+    proxies_.push_back(std::make_unique<standins::FaultProxy>(loop_,
+        standins::FaultProxy::Options { .address = engineAddress(index),
+            .port = agentPort_,
+            .upstream = agentPort_,
+            .upstreamAddress = proxiedAgentAddress(index) }));
+    return *proxies_.back();
+}
+
+auto ServingWorld::startAgent(std::size_t index, const std::string& address) -> void
 {
     const auto firstStart = index >= agents_.size();
     agents_.resize(std::max(agents_.size(), index + 1));
     if (agentPort_ == 0)
         agentPort_ = findSharedPort(engineAddresses(engines_.size()));
-    auto host = hostSettings("agent-" + std::to_string(index), engineAddress(index));
+    auto host = hostSettings("agent-" + std::to_string(index), address);
     host.firstStart = firstStart;
     agents_[index] = std::make_unique<serving::AgentRole>(loop_,
         serving::AgentSettings { .host = std::move(host),
--- a/tests/harness/ServingWorld.h
+++ b/tests/harness/ServingWorld.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "serving/Serving.h"
+#include "standins/FaultProxy.h"
 #include "standins/ReplicaStandin.h"
 #include "standins/StoreStandin.h"
 #include "tests/harness/AvailabilityRules.h"
@@ -48,6 +49,8 @@
     /// Agent beside an engine; none after `stopAgent`.
     auto stopAgent(std::size_t index) -> void;
     auto startAgent(std::size_t index) -> void;
+    /// Starts the agent beside an engine anew, behind a proxy that gateways reach in its place.
+    auto startProxiedAgent(std::size_t index) -> standins::FaultProxy&;
     /// Of every agent.
     [[nodiscard]] auto agentPort() const noexcept -> std::uint16_t { return agentPort_; }
 
@@ -88,6 +91,7 @@
     auto configure(std::uint64_t version, const std::string& onceService = "plain") -> void;
 
 private:
+    auto startAgent(std::size_t index, const std::string& address) -> void;
     [[nodiscard]] auto callOf(const Request& request) -> wire::HttpCall;
     [[nodiscard]] auto portOf(const Request& request) const -> std::uint16_t;
     [[nodiscard]] auto hostSettings(const std::string& name, const std::string& address,
@@ -98,6 +102,7 @@
     std::vector<std::unique_ptr<standins::ReplicaStandin>> engines_;
     std::vector<std::unique_ptr<standins::ReplicaStandin>> plain_;
     std::vector<std::unique_ptr<serving::AgentRole>> agents_;
+    std::vector<std::unique_ptr<standins::FaultProxy>> proxies_;
     std::vector<std::unique_ptr<serving::GatewayRole>> gateways_;
     std::vector<std::unique_ptr<wire::HttpCaller>> callers_;
     RequestOrigins origins_;
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -384,6 +384,17 @@
     return counts;
 }
 
+auto Soak::writeLogs() -> void
+{
+    if (size_.logs.empty())
+        return;
+    std::filesystem::create_directories(size_.logs);
+    for (const auto* nodes : { &agents_, &gateways_ }) {
+        for (const auto& node : *nodes)
+            std::ofstream(size_.logs + "/" + node.name + ".log") << node.earlierLog << node.process->log();
+    }
+}
+
 auto Soak::play() -> std::vector<std::string>
 {
     lastTurn_ = loop_.timers().now();
@@ -430,6 +441,7 @@
         loop_.wait(kj::mv(asking));
     for (auto* nodes : { &agents_, &gateways_ })
         std::for_each(nodes->begin(), nodes->end(), [this](Node& node) { judgeLog(node); });
+    writeLogs();
     auto broken = broken_;
     judgeRuns(broken);
     judgeRepeats(broken);
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -68,6 +68,8 @@
     bool faultless = false;
     /// The processor cores that the processes of the system share; 0 for all.
     std::size_t cores = 0;
+    /// Where the log of each process is written at the end; nowhere if empty.
+    std::string logs {};
 };
 
 /// Whether the path leads to model replicas, which answer with streams.
@@ -251,6 +253,7 @@
     auto disturb() -> kj::Promise<void>;
     auto fault() -> void;
     auto drawFault() -> void;
+    auto writeLogs() -> void;
     /// Kills a process that runs undisturbed; another one takes its place.
     auto kill(Node& node) -> void;
     auto faultOnNode(Node& node) -> void;
--- a/tests/soak/SoakMain.cpp
+++ b/tests/soak/SoakMain.cpp
@@ -29,6 +29,7 @@
 ABSL_FLAG(bool, demand, false, "popular and rare adapters and prefixes on slow replicas, beside the faults of any run");
 ABSL_FLAG(double, prompts, 0, "long and short prompts, so many times what the replicas can read; 0 for none");
 ABSL_FLAG(bool, faultless, false, "nothing but the traffic disturbs");
+ABSL_FLAG(std::string, logs, "", "folder for the logs of all processes; none if empty");
 ABSL_FLAG(std::size_t, cores, 0, "processor cores that the processes of the system share; 0 for all");
 // NOLINTEND
 
@@ -52,6 +53,7 @@
     size.prompts = absl::GetFlag(FLAGS_prompts);
     size.faultless = absl::GetFlag(FLAGS_faultless);
     size.cores = absl::GetFlag(FLAGS_cores);
+    size.logs = absl::GetFlag(FLAGS_logs);
     size.time = std::chrono::milliseconds(absl::GetFlag(FLAGS_ms));
     const auto folder = std::filesystem::temp_directory_path() / ("eelgrass-soak-" + std::to_string(getpid()));
     auto run = soak::Soak(seed, size, folder.string());
