A name that is not UTF-8 is refused, and stops no agent

Cause: the order to load it is JSON; writing it threw within runPendingWork, whose guard stayed set.

Change: 400 at the gateway, a refusal at the agent; the guard falls whatever is thrown; orders are written before they count as under way.

--- a/packages/router/controllers/LedgerController.cpp
+++ b/packages/router/controllers/LedgerController.cpp
@@ -1,6 +1,7 @@
 #include "router/controllers/LedgerController.h"
 
 #include "base/Log.h"
+#include "base/Utf8.h"
 
 #include <kj/debug.h>
 
@@ -113,17 +114,6 @@
     return result;
 }
 
-/// Whether the bytes can be stored as a JSON string, which must be UTF-8; a service's answer need not be.
-auto isUtf8(const std::string& bytes) -> bool
-{
-    try {
-        (void)Json(bytes).dump();
-        return true;
-    } catch (const Json::exception&) {
-        return false;
-    }
-}
-
 } // namespace
 
 LedgerController::LedgerController(wire::MainLoop& loop, platform::PlatformClient& platform)
--- a/packages/serving/AgentOrders.cpp
+++ b/packages/serving/AgentOrders.cpp
@@ -138,18 +138,19 @@
 
 auto ReplicaAgent::sendOrder(hosting::ReplicaOrder order) -> void
 {
-    orderInFlight_ = true;
     order.precondition = report_->sequence;
     order.startTime = report_->startTime;
     order.holder = settings_.host.name;
     order.fence = orderFencingToken();
+    auto call = hosting::orderCall(order, instance_, orderTimeout);
+    orderInFlight_ = true;
     const auto name = modelName(order.adapter);
     if (order.kind == hosting::ReplicaOrder::Kind::Unload)
         slots_->unloadStarted(name);
     else if (!order.adapter.empty())
         slots_->loadStarted(name, loop_.timers().now());
     orderWork_
-        = replica_.call(hosting::orderCall(order, instance_, orderTimeout))
+        = replica_.call(std::move(call))
               .then([this, order](wire::HttpAnswer&& answer) { handleOrderAnswer(order, answer); },
                   [this, order](kj::Exception&& error) { handleOrderFailure(order, error.getDescription().cStr()); })
               .eagerlyEvaluate([](kj::Exception&& error) {
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -2,6 +2,7 @@
 
 #include "base/DurationText.h"
 #include "base/Log.h"
+#include "base/Utf8.h"
 #include "serving/detail/RunLimits.h"
 #include "serving/detail/SlotNames.h"
 
@@ -202,6 +203,8 @@
     std::span<const decisions::SharedPrefix> shared) -> void
 {
     const auto attempt = request.attempt;
+    if (!isUtf8(request.adapter.view()))
+        return reportDecision(attempt, { .retryAfter = retryDelay, .reason = "adapter name is no text" });
     if (!isUsable())
         return reportDecision(attempt, { .retryAfter = retryDelay, .reason = "replica not usable" });
     if (leaving_)
@@ -302,6 +305,8 @@
     // it.
     if (std::exchange(runningPendingWork_, true))
         return;
+    // Whatever is thrown: an agent that never works again would serve nobody until it is restarted.
+    const auto done = kj::defer([this] { runningPendingWork_ = false; });
     updateTurns();
     grantRequests();
     scheduleNextPermit();
@@ -314,7 +319,6 @@
         if (auto next = nextOrder())
             sendOrder(std::move(*next));
     }
-    runningPendingWork_ = false;
 }
 
 auto ReplicaAgent::grantRequests() -> void
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -91,7 +91,7 @@
         return false;
     }
     if (!metadata) {
-        fail(badRequest, "no attempt id");
+        fail(badRequest, "no attempt id, or a model name that is no text");
         return false;
     }
     if (!authenticate())
--- a/tests/integration/ServingAgents.cpp
+++ b/tests/integration/ServingAgents.cpp
@@ -190,3 +190,22 @@
         });
     }));
 }
+
+// Guards against one caller that stops an agent for all: the order for a name that is no text cannot be written.
+BOOST_AUTO_TEST_CASE(adapter_name_that_is_no_text_is_refused_and_stops_nobody)
+{
+    const auto noText = std::string("a\xff\xfe");
+    auto world = ServingWorld(1, 0);
+    world.startGateway();
+    BOOST_TEST(world.ask({ .attempt = "bad", .adapter = noText }).status == 400);
+    // Another gateway may let it pass.
+    const auto& replicas = world.gateway().directory().all();
+    auto& agent = *replicas.at(serving::InstanceId(world.engine(0).instance()))->agent();
+    const auto result = world.loop().wait(agent.admit({ .attempt = AttemptId("worse"),
+        .adapter = AdapterId(noText),
+        .promptTokens = 10,
+        .timeUntilLate = 1000ms,
+        .timeUntilGiveUp = 2000ms }));
+    BOOST_TEST(!result.granted);
+    BOOST_TEST(world.ask({ .attempt = "good" }).status == 200);
+}
--- a/tests/unit/UsersPlatform.cpp
+++ b/tests/unit/UsersPlatform.cpp
@@ -55,6 +55,19 @@
     BOOST_TEST(!readRequestMetadata(message).has_value());
 }
 
+// Guards against orders that cannot be written: they are JSON, and a client names the adapter.
+BOOST_AUTO_TEST_CASE(request_for_a_model_whose_name_is_no_text_is_rejected)
+{
+    for (const auto* name : { "base/a\xff", "base\xc3/a7", "\xed\xa0\x80/a7" }) {
+        auto message = request();
+        message.fields.set(names::model, name);
+        BOOST_TEST(!readRequestMetadata(message).has_value());
+    }
+    auto message = request();
+    message.fields.set(names::model, "base/\xc3\xa9t\xc3\xa9");
+    BOOST_TEST(readRequestMetadata(message).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(forwarded_request_keeps_client_headers_and_adds_control_headers)
 {
     auto message = request();
