What goes without service counts by the last shared part of a prompt, whatever its adapter

Cause: the key under which service is owed to a subject was made of its prefix together with the adapter, as caches need it. Clients ask about one subject through many adapters, so each pair went without too seldom to be owed anything, and its keeper was that of the adapter. The model in tests/harness/PromptFleet had the subject alone; the product had not.

Change: the key is the last shared part by route (AdmitRequest.sharedPart); one agent keeps each part for all entries; turns on slots go by adapters and sessions, since a part is served with whichever adapter is loaded.

Before: ServiceKeepers: a_shared_part_is_one_subject_whatever_adapter_and_entry_it_is_asked_through: "unserved(0) == 3U has failed [0 != 3]". After: no errors.

--- a/packages/decisions/AdmissionQueue.cpp
+++ b/packages/decisions/AdmissionQueue.cpp
@@ -401,7 +401,7 @@
             continue;
         auto& adapter = adapters[request.adapter];
         adapter.since = std::min(adapter.since, request.arrivedAt);
-        auto owed = claimOf(withoutRoute(grantedKeys_.ungranted(request.keys, request.arrivedAt)), now);
+        auto owed = claimOf(keysOfAdapter(grantedKeys_.ungranted(request.keys, request.arrivedAt)), now);
         if (owed.level > adapter.claim.level)
             adapter.claim = std::move(owed);
     }
--- a/packages/decisions/AdmissionQueue.h
+++ b/packages/decisions/AdmissionQueue.h
@@ -26,8 +26,8 @@
     AdapterId adapter;
     /// The route of the request; empty if the entry did not tell it.
     RequestClass requestClass {};
-    /// The last prefix that its prompt shares with others, together with the adapter; 0 for none.
-    std::uint64_t prefix = 0;
+    /// The last part that its prompt shares with others on the route; 0 for none.
+    std::uint64_t sharedPart = 0;
     /// The client's session, together with the adapter; 0 for none.
     std::uint64_t session = 0;
     TokenCount promptTokens = 0;
@@ -188,8 +188,8 @@
     [[nodiscard]] auto wanted(const Ready& ready, Duration loadTime, Moment now) const -> std::vector<WantedAdapter>;
     /// The queued request of this attempt; null if it is not queued.
     [[nodiscard]] auto findQueued(const AttemptId& attempt) const -> const AdmissionRequest*;
-    /// The adapters that queued requests are for, with what is owed to the adapter, or to a prefix or session with it.
-    /// A route is served with whichever adapter is loaded.
+    /// The adapters that queued requests are for, with what is owed to the adapter, or to a session with it. Routes and
+    /// shared parts are served with whichever adapter is loaded.
     [[nodiscard]] auto waitingAdapters(Moment now) const -> std::map<AdapterId, WaitingAdapter>;
     /// Whether a queued request uses the adapter.
     [[nodiscard]] auto waits(const AdapterId& adapter) const -> bool;
--- a/packages/decisions/ServiceKey.cpp
+++ b/packages/decisions/ServiceKey.cpp
@@ -2,7 +2,7 @@
 
 namespace eelgrass::decisions {
 
-auto serviceKeys(const RequestClass& route, const AdapterId& adapter, std::uint64_t prefix, std::uint64_t session)
+auto serviceKeys(const RequestClass& route, const AdapterId& adapter, std::uint64_t sharedPart, std::uint64_t session)
     -> std::vector<ServiceKey>
 {
     using Kind = ServiceKey::Kind;
@@ -12,8 +12,8 @@
         keys.push_back({ Kind::Route, route.str() });
     if (!adapter.empty())
         keys.push_back({ Kind::Adapter, adapter.str() });
-    if (prefix != 0)
-        keys.push_back({ Kind::Prefix, ofRoute(prefix) });
+    if (sharedPart != 0)
+        keys.push_back({ Kind::Prefix, ofRoute(sharedPart) });
     if (session != 0)
         keys.push_back({ Kind::Session, ofRoute(session) });
     return keys;
--- a/packages/decisions/ServiceKey.h
+++ b/packages/decisions/ServiceKey.h
@@ -14,7 +14,8 @@
     enum class Kind : std::uint8_t {
         Route,
         Adapter,
-        /// The last prefix that prompts on a route share.
+        /// The last part that prompts on a route share, with whichever adapter: clients ask about one subject through
+        /// many adapters, and by the adapter each of them would have gone without too seldom to be owed anything.
         Prefix,
         /// A client's session on a route.
         Session,
@@ -27,8 +28,8 @@
         -> std::strong_ordering = default; // NOLINT(modernize-use-nullptr)
 };
 
-/// The keys of a request; `prefix` and `session` are 0 where the request has none.
-[[nodiscard]] auto serviceKeys(const RequestClass& route, const AdapterId& adapter, std::uint64_t prefix,
+/// The keys of a request; `sharedPart` and `session` are 0 where the request has none.
+[[nodiscard]] auto serviceKeys(const RequestClass& route, const AdapterId& adapter, std::uint64_t sharedPart,
     std::uint64_t session) -> std::vector<ServiceKey>;
 
 [[nodiscard]] constexpr auto toString(ServiceKey::Kind kind) noexcept -> const char*
--- a/packages/decisions/ServiceRecord.h
+++ b/packages/decisions/ServiceRecord.h
@@ -51,9 +51,12 @@
 using RequestedKeys = std::vector<RequestedKey>;
 
 /// The keys of things that belong to one adapter.
-[[nodiscard]] inline auto withoutRoute(RequestedKeys keys) -> RequestedKeys
+[[nodiscard]] inline auto keysOfAdapter(RequestedKeys keys) -> RequestedKeys
 {
-    std::erase_if(keys, [](const RequestedKey& requested) { return requested.key.kind == ServiceKey::Kind::Route; });
+    using Kind = ServiceKey::Kind;
+    std::erase_if(keys, [](const RequestedKey& requested) {
+        return requested.key.kind == Kind::Route || requested.key.kind == Kind::Prefix;
+    });
     return keys;
 }
 
--- a/packages/serving/AgentCalls.cpp
+++ b/packages/serving/AgentCalls.cpp
@@ -57,6 +57,7 @@
         request.setElsewhere(admission.elsewhere);
         request.setRequestClass(admission.route.str());
         request.setSession(admission.session);
+        request.setSharedPart(admission.sharedPart);
         detail::fillService(request, admission.keys, loop_.timers().now());
         return call.send().then([this, admission, alive = alive_](auto&& response) {
             const auto answer = response.getAnswer();
--- a/packages/serving/AgentLink.h
+++ b/packages/serving/AgentLink.h
@@ -73,6 +73,8 @@
     RouteName route;
     /// What the request shares with others, with what this entry knows of their service.
     decisions::RequestedKeys keys {};
+    /// Identifies the last part that the prompt shares with others; 0 for none.
+    std::uint64_t sharedPart = 0;
     /// Identifies the client's session together with the adapter; 0 for none.
     std::uint64_t session = 0;
     /// The lowest version that may run, and the moment after which it was named, if that is known.
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -145,7 +145,7 @@
     log::info(event,
         { { "request", attempt.str() }, { "replica", agent_.instance().str() }, { "reason", decision.reason },
             { "class", request.requestClass.str() }, { "adapter", decision.adapter.str() },
-            { "prefix", request.prefix == 0 ? "" : std::to_string(request.prefix) },
+            { "prefix", request.sharedPart == 0 ? "" : std::to_string(request.sharedPart) },
             { "session", request.session == 0 ? "" : std::to_string(request.session) },
             { "priority", std::to_string(request.priority) }, { "unread", std::to_string(request.unreadTokens) },
             { "held", !decision.adapter.empty() && agent_.holds(decision.adapter) ? "yes" : "no" },
--- a/packages/serving/AgentSession.cpp
+++ b/packages/serving/AgentSession.cpp
@@ -73,16 +73,15 @@
     for (auto prefix : request.getShared())
         shared.push_back({ prefix.getId(), prefix.getTokens() });
     const auto route = RequestClass(request.getRequestClass().cStr());
-    const auto prefix = shared.empty() ? 0 : shared.back().id;
     auto keys = decisions::RequestedKeys();
-    for (auto& key :
-        decisions::serviceKeys(route, AdapterId(request.getAdapter().cStr()), prefix, request.getSession()))
+    for (auto& key : decisions::serviceKeys(
+             route, AdapterId(request.getAdapter().cStr()), request.getSharedPart(), request.getSession()))
         keys.push_back({ std::move(key) });
     detail::readService(request.getService(), keys, now);
     role().agent_.admit({ .attempt = attempt,
                             .adapter = AdapterId(request.getAdapter().cStr()),
                             .requestClass = route,
-                            .prefix = prefix,
+                            .sharedPart = request.getSharedPart(),
                             .session = request.getSession(),
                             .promptTokens = request.getPromptTokens(),
                             .outputTokens = request.getOutputTokens(),
--- a/packages/serving/ReplicaAgent.cpp
+++ b/packages/serving/ReplicaAgent.cpp
@@ -220,7 +220,7 @@
     const auto now = loop_.timers().now();
     const auto adapter = request.adapter;
     if (!adapter.empty() && !isLoaded(adapter)
-        && turns_.arriving(adapter, decisions::claimOf(decisions::withoutRoute(request.keys), now), now))
+        && turns_.arriving(adapter, decisions::claimOf(decisions::keysOfAdapter(request.keys), now), now))
         noteTurnBegin();
     const auto load = timeUntilReady(adapter);
     if (const auto refusal = queue_.offer(std::move(request), readinessPredicate(), load, now)) {
--- a/packages/serving/RequestEnd.cpp
+++ b/packages/serving/RequestEnd.cpp
@@ -180,13 +180,12 @@
 
 auto RequestRun::prefixText() const -> std::string
 {
-    return sharedPrefixes_.empty() ? "" : std::to_string(sharedPrefixes_.back().id);
+    return lastSharedPart_ == 0 ? "" : std::to_string(lastSharedPart_);
 }
 
 auto RequestRun::serviceKeys() const -> std::vector<decisions::ServiceKey>
 {
-    const auto prefix = sharedPrefixes_.empty() ? 0 : sharedPrefixes_.back().id;
-    return decisions::serviceKeys(RequestClass(route_->name.str()), metadata_.adapter, prefix, session_);
+    return decisions::serviceKeys(RequestClass(route_->name.str()), metadata_.adapter, lastSharedPart_, session_);
 }
 
 auto RequestRun::noteServed() -> void
--- a/packages/serving/RequestPlacing.cpp
+++ b/packages/serving/RequestPlacing.cpp
@@ -207,6 +207,7 @@
         .adapter = metadata_.adapter,
         .route = route_->name,
         .keys = knownService_.value_or(gateway_.serviceKeepers.own(serviceKeys())),
+        .sharedPart = lastSharedPart_,
         .session = session_,
         .version = knownVersion().version,
         .versionNamedAfter = knownVersion().namedAfter,
--- a/packages/serving/RequestRun.cpp
+++ b/packages/serving/RequestRun.cpp
@@ -26,6 +26,13 @@
     return prefixes;
 }
 
+/// The same with every adapter, and whatever comes before it; 0 if the prompt shares none.
+auto lastSharedPart(const RequestMetadata& metadata) -> std::uint64_t
+{
+    const auto parts = metadata.prompt.size();
+    return parts < 2 ? 0 : hashText(0, metadata.prompt[parts - 2].id);
+}
+
 /// The session that the last part of the prompt names, together with the adapter; 0 if the route has none.
 auto sessionOf(const RequestMetadata& metadata, const RouteRecord& route) -> std::uint64_t
 {
@@ -110,6 +117,7 @@
     }
     limitToStop();
     sharedPrefixes_ = sharedPrefixes(metadata_);
+    lastSharedPart_ = lastSharedPart(metadata_);
     session_ = sessionOf(metadata_, *route_);
     setContent(knownVersion().version);
     if (gateway_.suspects.refusesNew(*content_, metadata_.attempt)) {
--- a/packages/serving/RequestRun.h
+++ b/packages/serving/RequestRun.h
@@ -297,6 +297,8 @@
     /// Prefixes of the prompt that other requests may share, each ending with one more part.
     std::vector<decisions::SharedPrefix> sharedPrefixes_;
     /// Identifies the client's session together with the adapter; 0 for none.
+    /// The last part of the prompt that others on the route share; 0 for none.
+    std::uint64_t lastSharedPart_ = 0;
     std::uint64_t session_ = 0;
     /// What all entries know of the service of the request's keys; empty if nobody was asked.
     std::optional<decisions::RequestedKeys> knownService_;
--- a/packages/serving/ServiceKeepers.cpp
+++ b/packages/serving/ServiceKeepers.cpp
@@ -11,29 +11,43 @@
 // How often the service of a key is told while others go without.
 constexpr auto tellInterval = Duration(1s);
 
-/// The keys that are kept for all entries.
-auto shared(std::vector<decisions::ServiceKey> keys) -> std::vector<decisions::ServiceKey>
+auto add(decisions::RequestedKeys& known, const decisions::RequestedKeys& told) -> void
 {
-    std::erase_if(
-        keys, [](const decisions::ServiceKey& key) { return key.kind == decisions::ServiceKey::Kind::Route; });
-    return keys;
+    for (const auto& [key, service] : told) {
+        const auto found = std::find_if(
+            known.begin(), known.end(), [&](const decisions::RequestedKey& own) { return own.key == key; });
+        if (found != known.end())
+            found->known = combined(found->known, service);
+    }
 }
 
 } // namespace
 
-auto ServiceKeepers::keeperOf(const AdapterName& adapter) const -> AgentLink*
+auto ServiceKeepers::keeperOf(const AdapterName& adapter, const decisions::ServiceKey& key) const -> AgentLink*
 {
-    const auto first = agents_.first(hashText(0, adapter.view()), 1,
-        [this](const AgentLink& agent) { return agent.isHub() && agent.alive() && !agents_.avoided(agent); });
+    const auto hash
+        = key.kind == decisions::ServiceKey::Kind::Prefix ? hashText(0, key.name) : hashText(0, adapter.view());
+    const auto first = agents_.first(
+        hash, 1, [this](const AgentLink& agent) { return agent.isHub() && agent.alive() && !agents_.avoided(agent); });
     return first.empty() ? nullptr : first.front();
 }
 
-auto ServiceKeepers::tell(const AdapterName& adapter, const std::vector<decisions::ServiceKey>& keys, bool served) const
-    -> void
+auto ServiceKeepers::byKeeper(const AdapterName& adapter, const Keys& keys) const -> std::map<AgentLink*, Keys>
+{
+    auto kept = std::map<AgentLink*, Keys>();
+    for (const auto& key : keys) {
+        if (key.kind == decisions::ServiceKey::Kind::Route)
+            continue;
+        if (auto* keeper = keeperOf(adapter, key))
+            kept[keeper].push_back(key);
+    }
+    return kept;
+}
+
+auto ServiceKeepers::tell(const AdapterName& adapter, const Keys& keys, bool served) const -> void
 {
-    const auto told = shared(keys);
-    if (auto* keeper = told.empty() ? nullptr : keeperOf(adapter))
-        keeper->noteService(told, served);
+    for (const auto& [keeper, kept] : byKeeper(adapter, keys))
+        keeper->noteService(kept, served);
 }
 
 auto ServiceKeepers::served(const AdapterName& adapter, const decisions::RequestedKeys& known) -> void
@@ -69,23 +83,18 @@
 auto ServiceKeepers::find(const AdapterName& adapter, const std::vector<decisions::ServiceKey>& keys)
     -> kj::Promise<decisions::RequestedKeys>
 {
+    using Answer = kj::Maybe<decisions::RequestedKeys>;
     auto known = own(keys);
-    const auto asked = shared(keys);
-    auto* keeper = asked.empty() ? nullptr : keeperOf(adapter);
-    if (!keeper)
-        return known;
-    return agents_.answerOf(*keeper, keeper->findService(asked))
-        .then([known](kj::Maybe<decisions::RequestedKeys>&& kept) mutable {
-            KJ_IF_MAYBE (answer, kept) {
-                for (const auto& told : *answer) {
-                    const auto found = std::find_if(known.begin(), known.end(),
-                        [&](const decisions::RequestedKey& own) { return own.key == told.key; });
-                    if (found != known.end())
-                        found->known = combined(found->known, told.known);
-                }
-            }
-            return kj::mv(known);
-        });
+    auto answers = kj::Vector<kj::Promise<Answer>>();
+    for (const auto& [keeper, kept] : byKeeper(adapter, keys))
+        answers.add(agents_.answerOf(*keeper, keeper->findService(kept)));
+    return kj::joinPromises(answers.releaseAsArray()).then([known](kj::Array<Answer>&& told) mutable {
+        for (const auto& answer : told) {
+            KJ_IF_MAYBE (keys, answer)
+                add(known, *keys);
+        }
+        return kj::mv(known);
+    });
 }
 
 } // namespace eelgrass::serving
--- a/packages/serving/ServiceKeepers.h
+++ b/packages/serving/ServiceKeepers.h
@@ -3,6 +3,7 @@
 #include "decisions/ServiceRecord.h"
 #include "serving/CountingAgents.h"
 
+#include <map>
 #include <vector>
 
 namespace eelgrass::serving {
@@ -10,9 +11,9 @@
 /// Shares with all entries which adapters, prefixes and sessions go without service.
 ///
 /// A rare adapter's requests come to different entries, of which each has seen too few to know that nobody serves it.
-/// One agent for each adapter, the same at every entry, keeps what all entries tell; prefixes and sessions belong to
-/// one adapter and are kept with it. Routes are requested often enough for each entry to know by itself. If the agent
-/// goes, what it kept is forgotten, and each entry still has its own record.
+/// One agent for each adapter, the same at every entry, keeps what all entries tell, also of sessions, which belong to
+/// one adapter; one agent for each shared part, which comes with many. Routes are requested often enough for each entry
+/// to know by itself. If an agent goes, what it kept is forgotten, and each entry still has its own record.
 ///
 /// Without refusals nothing is told and nothing asked.
 ///
@@ -43,9 +44,12 @@
     [[nodiscard]] auto own(const std::vector<decisions::ServiceKey>& keys) const -> decisions::RequestedKeys;
 
 private:
-    [[nodiscard]] auto keeperOf(const AdapterName& adapter) const -> AgentLink*;
+    using Keys = std::vector<decisions::ServiceKey>;
+    [[nodiscard]] auto keeperOf(const AdapterName& adapter, const decisions::ServiceKey& key) const -> AgentLink*;
+    /// The keys that are kept for all entries, by their keepers.
+    [[nodiscard]] auto byKeeper(const AdapterName& adapter, const Keys& keys) const -> std::map<AgentLink*, Keys>;
 
-    auto tell(const AdapterName& adapter, const std::vector<decisions::ServiceKey>& keys, bool served) const -> void;
+    auto tell(const AdapterName& adapter, const Keys& keys, bool served) const -> void;
 
     TimerService& timers_;
     CountingAgents agents_;
--- a/packages/wire/Agent.capnp
+++ b/packages/wire/Agent.capnp
@@ -144,11 +144,14 @@
   session @14 :UInt64;
   # What the entry knows of the service of the request's keys.
   service @15 :List(KeyService);
+  # The last part of the prompt that requests on the route share, whatever their adapter; 0 for none.
+  sharedPart @16 :UInt64;
 }
 
 enum ServiceKeyKind {
   route @0;
   adapter @1;
+  # Its name is the last shared part, whatever comes before it.
   prefix @2;
   session @3;
 }
