Service that is owed is not refused for want of permits that it need not wait for

Where a replica limits its requests, whoever service was due to was refused on arrival, "over the replica's rate limit" and "hopeless here", by idle replicas with one or two waiting.

Cause: the wait for a permit was estimated by the order of the queue alone, behind all that is more urgent, although a due request goes first for a share of the permits; and the wait for reading counted the tokens that others have before in the share, which at a limited replica they never take: after one long prompt 27,570 tokens were owed to others that took some 800 a second.

Change: both waits are estimated by the share as well, each part of it only where the replica is short of that; with nobody left who waits, nothing is owed to others.

Before: AdmissionRateLimit: a_request_to_which_service_is_due_gets_a_permit_beside_more_urgent_ones: "served >= 4 has failed [0 < 4]". After: no errors.

--- a/packages/decisions/AdmissionQueue.cpp
+++ b/packages/decisions/AdmissionQueue.cpp
@@ -122,12 +122,13 @@
     return request.claim.due() && request.claim.level > other.claim.level;
 }
 
-auto AdmissionQueue::workAhead(const AdmissionRequest& request, Ahead ahead, const Ready& ready, Moment now) const
-    -> Duration
+auto AdmissionQueue::waitsOf(const AdmissionRequest& request, Ahead ahead, const Ready& ready, Moment now) const
+    -> Waits
 {
-    const auto work = prefillTime(ahead.tokens, request.priority, now);
+    const auto byOrder = Waits { .work = prefillTime(ahead.tokens, request.priority, now),
+        .permit = arrivals_.timeUntilPermit(ahead.requests, now) };
     if (!request.claim.due())
-        return work;
+        return byOrder;
     auto overdue = TokenCount(0);
     // One request of each key goes first.
     auto keys = std::set<ServiceKey>();
@@ -135,7 +136,13 @@
         if (isMoreOverdue(other, request) && ready(other.adapter) && keys.insert(other.claim.key).second)
             overdue += other.unreadTokens;
     }
-    return std::min(work, prefillTime(unstartedTokens_ + owedShare_.tokensUntil(overdue)));
+    // What the others have before in the share counts only where the replica is short of it: where permits are short,
+    // they take too few tokens to have had their part while anybody waits.
+    const auto shortOfReading = obstacle_ == WaitReason::Reading;
+    const auto tokens = shortOfReading ? owedShare_.tokensUntil(overdue) : overdue;
+    const auto requests = shortOfReading ? keys.size() : owedShare_.requestsUntil(keys.size());
+    return { .work = std::min(byOrder.work, prefillTime(unstartedTokens_ + tokens)),
+        .permit = std::min(byOrder.permit, arrivals_.timeUntilPermit(requests, now)) };
 }
 
 auto AdmissionQueue::offer(AdmissionRequest request, const Ready& ready, Duration loadTime, Moment now)
@@ -150,27 +157,25 @@
         ahead.tokens += other.unreadTokens;
         ++ahead.requests;
     }
-    const auto work = std::max(workAhead(request, ahead, ready, now), loadTime);
-    const auto permitWait = arrivals_.timeUntilPermit(ahead.requests, now);
-    const auto wait = std::max(work, permitWait);
-    const auto firstEventAt = now + wait + prefillTime(request.unreadTokens);
+    auto wait = waitsOf(request, ahead, ready, now);
+    wait.work = std::max(wait.work, loadTime);
+    const auto firstEventAt = now + wait.longest() + prefillTime(request.unreadTokens);
     // A request that is already late loses nothing by waiting in this queue.
     if (request.elsewhere && now < request.firstEventDeadline && firstEventAt > request.firstEventDeadline)
-        return AdmissionRefusal { request.attempt, request.adapter, request.arrivedAt, wait, true, permitWait > work,
-            request };
+        return AdmissionRefusal { request.attempt, request.adapter, request.arrivedAt, wait.longest(), true,
+            wait.permit > wait.work, request };
     recordInflow(request, now);
     if (firstEventAt >= request.callerDeadline)
-        return refuse(request, work, permitWait, now);
+        return refuse(request, wait, now);
     request.wait = { .grantedBefore = granted_ };
     waiting_.push_back(std::move(request));
     return std::nullopt;
 }
 
-auto AdmissionQueue::refuse(const AdmissionRequest& request, Duration work, Duration permitWait, Moment now)
-    -> AdmissionRefusal
+auto AdmissionQueue::refuse(const AdmissionRequest& request, const Waits& waits, Moment now) -> AdmissionRefusal
 {
-    const auto rateLimited = permitWait > work;
-    const auto retry = rateLimited ? permitWait + arrivals_.permits().refuse(now) : work;
+    const auto rateLimited = waits.permit > waits.work;
+    const auto retry = rateLimited ? waits.permit + arrivals_.permits().refuse(now) : waits.work;
     return { request.attempt, request.adapter, request.arrivedAt, std::max(retry, minRetry), false, rateLimited,
         request };
 }
@@ -234,8 +239,11 @@
     updateClaims(now);
     while (granted.size() < limit) {
         const auto request = nextGrant(ready);
-        if (request == waiting_.end())
+        if (request == waiting_.end()) {
+            // Nobody is left to whom a part of the replica is owed.
+            owedShare_ = {};
             break;
+        }
         // A request that does not fit blocks the requests behind it; otherwise short requests could overtake a long one
         // forever.
         if (const auto found = obstacle(*request)) {
@@ -270,17 +278,15 @@
     updateClaims(now);
     auto ahead = Ahead { .tokens = unstartedTokens_ };
     for (auto request = waiting_.begin(); request != waiting_.end();) {
-        const auto work = workAhead(*request, ahead, ready, now);
-        const auto permitWait = arrivals_.timeUntilPermit(ahead.requests, now);
-        const auto wait = std::max(work, permitWait);
-        if (now + wait + prefillTime(request->unreadTokens) < request->callerDeadline) {
+        const auto wait = waitsOf(*request, ahead, ready, now);
+        if (now + wait.longest() + prefillTime(request->unreadTokens) < request->callerDeadline) {
             const auto isReady = ready(request->adapter);
             ahead.tokens += isReady ? request->unreadTokens : 0;
             ahead.requests += isReady ? 1 : 0;
             ++request;
             continue;
         }
-        refused.push_back(refuse(*request, work, permitWait, now));
+        refused.push_back(refuse(*request, wait, now));
         request = waiting_.erase(request);
     }
     return refused;
--- a/packages/decisions/AdmissionQueue.h
+++ b/packages/decisions/AdmissionQueue.h
@@ -248,13 +248,19 @@
         TokenCount tokens = 0;
         std::size_t requests = 0;
     };
-    /// Time until the work ahead of the request is done, by the order of the queue or as service is due to it.
-    [[nodiscard]] auto workAhead(const AdmissionRequest& request, Ahead ahead, const Ready& ready, Moment now) const
-        -> Duration;
+    /// How long a request waits for the work ahead of it, and for its permit.
+    struct Waits {
+        Duration work {};
+        Duration permit {};
+
+        [[nodiscard]] auto longest() const noexcept -> Duration { return std::max(work, permit); }
+    };
+    /// By the order of the queue, or as service is due to the request, whichever is sooner.
+    [[nodiscard]] auto waitsOf(const AdmissionRequest& request, Ahead ahead, const Ready& ready, Moment now) const
+        -> Waits;
     auto recordInflow(const AdmissionRequest& request, Moment now) -> void;
-    /// Refuses a request that would wait for `work` ahead of it and `permitWait` for its permit, whichever is longer.
-    [[nodiscard]] auto refuse(const AdmissionRequest& request, Duration work, Duration permitWait, Moment now)
-        -> AdmissionRefusal;
+    /// Refuses a request that would wait for so long.
+    [[nodiscard]] auto refuse(const AdmissionRequest& request, const Waits& waits, Moment now) -> AdmissionRefusal;
     /// What keeps a request whose adapter is ready from being granted; empty if nothing does.
     [[nodiscard]] auto obstacle(const AdmissionRequest& request) const -> std::optional<WaitReason>;
     /// Adds the time since the last call to what queued requests have waited for.
--- a/packages/decisions/OwedShare.h
+++ b/packages/decisions/OwedShare.h
@@ -40,6 +40,11 @@
     {
         return tokensOwedToOthers_ + (othersPerOwed + 1) * owedTokens;
     }
+    /// Requests that are granted before one to which service is due, if so many go before it in the share.
+    [[nodiscard]] auto requestsUntil(std::uint64_t owedRequests) const noexcept -> std::uint64_t
+    {
+        return requestsOwedToOthers_ + (othersPerOwed + 1) * owedRequests;
+    }
 
 private:
     std::uint64_t tokensOwedToOthers_ = 0;
--- a/tests/unit/AdmissionRateLimit.cpp
+++ b/tests/unit/AdmissionRateLimit.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <utility>
 #include <vector>
 
 using namespace eelgrass;
@@ -135,3 +137,44 @@
     queue.withdraw(AttemptId("third"), now + 100ms);
     BOOST_TEST(queue.grant(ready, now + 100ms).empty());
 }
+
+// Guards against subjects that a limited replica never serves: more urgent requests hold all permits of the time that
+// their callers wait, so that they were refused on arrival however long they had gone without.
+BOOST_AUTO_TEST_CASE(a_request_to_which_service_is_due_gets_a_permit_beside_more_urgent_ones)
+{
+    // Half a second of reading: what others read beside it is far less.
+    constexpr auto longPrompt = TokenCount(20000);
+    const auto key = ServiceKey { ServiceKey::Kind::Prefix, "rare" };
+    auto queue = limitedQueue();
+    auto record = ServiceRecord();
+    auto served = 0;
+    auto longest = Duration(0);
+    auto lastAt = start;
+    for (auto step = 0; step < 1600; ++step) {
+        const auto now = start + step * 25ms;
+        if (step % 12 == 0)
+            (void)queue.offer(request("urgent-" + std::to_string(step), now, 800ms, 4s, 0), ready, Duration(0), now);
+        if (step % 40 == 0) {
+            auto rare = request("rare-" + std::to_string(step), now, 300ms, 2500ms);
+            rare.promptTokens = rare.unreadTokens = longPrompt;
+            rare.keys = { { key, record.of(key) } };
+            if (queue.offer(rare, ready, Duration(0), now))
+                record.unserved(key, now);
+        }
+        for (const auto& refusal : queue.expire(ready, now)) {
+            if (refusal.attempt.str().starts_with("rare"))
+                record.unserved(key, now);
+        }
+        for (const auto& item : queue.grant(ready, now)) {
+            queue.started(item.attempt, now);
+            queue.release(item.attempt);
+            if (!item.attempt.str().starts_with("rare"))
+                continue;
+            ++served;
+            record.served(key, now);
+            longest = std::max(longest, now - std::exchange(lastAt, now));
+        }
+    }
+    BOOST_TEST(served >= 4);
+    BOOST_TEST(longest / 1ms <= 12000);
+}
