A granted prompt that is never read does not hold up its replica

Cause: a granted prompt counted as being read until its first event or its end.

Change: a prompt whose first event is overdue (twice the time that its reading takes by the measured rate, and 250 ms) no longer counts; its keys are settled, and a first event that comes after all counts for the measured rate with its own time.

Before: StarvedPrompts: a_prompt_that_is_never_read_does_not_hold_up_the_replica: "grantedAt < start + most has failed", "[6000 != 0]". After: no errors.

What is owed is in the log lines of admissions (owed, owed_to).

--- a/packages/decisions/AdmissionQueue.cpp
+++ b/packages/decisions/AdmissionQueue.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <set>
 #include <tuple>
+#include <utility>
 
 namespace eelgrass::decisions {
 
@@ -12,6 +13,10 @@
 // Most prompt processing that is granted in advance: a few engine steps longer than a grant takes to arrive, so that
 // the engine is never idle.
 constexpr auto maxOutstandingPrefill = Duration(250ms);
+// A prompt that has not been read after this many times the time that it should take, and this much longer, is not
+// waited for: the replica may be several times slower than was measured.
+constexpr auto overdueFactor = 2;
+constexpr auto overdueMargin = Duration(250ms);
 // Share of the memory that is granted to requests; the rest is for answers longer than announced and for prompt
 // prefixes worth caching.
 constexpr auto memoryShare = 0.9;
@@ -234,6 +239,7 @@
 auto AdmissionQueue::grant(const Ready& ready, Moment now, std::size_t limit) -> std::vector<AdmissionRequest>
 {
     auto granted = std::vector<AdmissionRequest>();
+    endOverdueReading(now);
     recordWaits(ready, now);
     sortWaiting(now);
     updateClaims(now);
@@ -255,7 +261,9 @@
             break;
         }
         if (run(*request)) {
-            running_.at(request->attempt).grantedAt = now;
+            auto& running = running_.at(request->attempt);
+            running.grantedAt = now;
+            running.readBy = now + overdueFactor * prefillTime(unstartedTokens_) + overdueMargin;
             rate_.granted(now);
             grantedKeys_.granted(request->keys, now);
         }
@@ -328,16 +336,33 @@
     auto& running = running_.at(request.attempt);
     if (running.started)
         return;
+    const auto wasUnread = running.unread;
     markStarted(running, waitsRecordedAt_);
-    if (granted)
+    if (granted && wasUnread)
         rate_.dropped();
 }
 
 auto AdmissionQueue::markStarted(Running& running, Moment now) -> void
 {
     running.started = true;
+    endReading(running, now);
+}
+
+auto AdmissionQueue::endReading(Running& running, Moment now) -> bool
+{
+    if (!std::exchange(running.unread, false))
+        return false;
     grantedKeys_.settled(running.request.keys, now);
     unstartedTokens_ -= running.request.unreadTokens;
+    return true;
+}
+
+auto AdmissionQueue::endOverdueReading(Moment now) -> void
+{
+    for (auto& [attempt, running] : running_) {
+        if (now >= running.readBy && endReading(running, now))
+            rate_.dropped();
+    }
 }
 
 auto AdmissionQueue::started(const AttemptId& attempt, Moment now) -> void
@@ -345,8 +370,13 @@
     const auto found = running_.find(attempt);
     if (found == running_.end() || found->second.started)
         return;
-    markStarted(found->second, now);
-    rate_.started(found->second.request.unreadTokens, now);
+    auto& running = found->second;
+    const auto wasUnread = running.unread;
+    markStarted(running, now);
+    if (wasUnread)
+        rate_.started(running.request.unreadTokens, now);
+    else if (running.grantedAt)
+        rate_.readLate(running.request.unreadTokens, now - *running.grantedAt);
 }
 
 auto AdmissionQueue::release(const AttemptId& attempt) -> void
@@ -356,10 +386,8 @@
         std::erase_if(waiting_, [&](const AdmissionRequest& request) { return request.attempt == attempt; });
         return;
     }
-    if (!found->second.started) {
-        markStarted(found->second, waitsRecordedAt_);
+    if (endReading(found->second, waitsRecordedAt_))
         rate_.dropped();
-    }
     memoryUsed_ -= memoryOf(found->second.request);
     running_.erase(found);
 }
--- a/packages/decisions/AdmissionQueue.h
+++ b/packages/decisions/AdmissionQueue.h
@@ -111,7 +111,8 @@
 ///
 /// At most `batch` requests are granted, using at most `memoryShare` of the memory, and with at most
 /// `maxOutstandingPrefill` of prompt processing outstanding. Less outstanding processing would leave the engine idle
-/// between grants; more would leave the order of the requests to the engine.
+/// between grants; more would leave the order of the requests to the engine. A prompt counts as outstanding until its
+/// first event, or until that is overdue by far.
 ///
 /// Requests that can still be on time come first, by priority and then by the deadline of their first event. Requests
 /// that will be late follow, by priority and then in order of arrival. Under overload, earliest deadline first without
@@ -216,7 +217,11 @@
     struct Running {
         AdmissionRequest request;
         bool started = false;
+        /// Whether its prompt counts as being read.
+        bool unread = true;
         std::optional<Moment> grantedAt {};
+        /// When its first event is overdue.
+        Moment readBy = Moment::max();
     };
     /// Decaying rate at which prompt tokens of one priority arrive, in tokens per millisecond, as of `at`.
     struct Inflow {
@@ -268,6 +273,11 @@
     auto recordGrant(const AdmissionRequest& request) -> void;
     auto run(const AdmissionRequest& request) -> bool;
     auto markStarted(Running& running, Moment now) -> void;
+    /// Its prompt no longer counts as being read; returns whether it did.
+    auto endReading(Running& running, Moment now) -> bool;
+    /// Ends the reading of prompts whose first events are overdue: a run whose connection or entry is lost, or whose
+    /// replica forgot it, would hold up all that waits for as long as its caller does.
+    auto endOverdueReading(Moment now) -> void;
     ReplicaLimits limits_;
     LimitedArrivals arrivals_;
     PrefillRate rate_ { ReplicaLimits().readRate };
--- a/packages/decisions/PrefillRate.cpp
+++ b/packages/decisions/PrefillRate.cpp
@@ -29,10 +29,16 @@
     if (inPrefill_ == 0)
         return;
     --inPrefill_;
-    const auto took = std::chrono::duration<double, std::milli>(now - measuredUntil_).count();
+    add(tokens, now - measuredUntil_);
     measuredUntil_ = now;
+}
+
+auto PrefillRate::readLate(std::uint64_t tokens, Duration took) noexcept -> void { add(tokens, took); }
+
+auto PrefillRate::add(std::uint64_t tokens, Duration took) noexcept -> void
+{
     tokens_ += static_cast<double>(tokens);
-    milliseconds_ += took;
+    milliseconds_ += std::chrono::duration<double, std::milli>(took).count();
     if (tokens_ <= coveredTokens)
         return;
     milliseconds_ *= coveredTokens / tokens_;
--- a/packages/decisions/PrefillRate.h
+++ b/packages/decisions/PrefillRate.h
@@ -36,11 +36,15 @@
     auto granted(Moment now) noexcept -> void;
     /// Records that a request started to answer after `tokens` prompt tokens were processed for it.
     auto started(std::uint64_t tokens, Moment now) noexcept -> void;
-    /// Records that a granted request ended before it started to answer.
+    /// Records that a granted request ended before it started to answer, or that it is not waited for any more.
     auto dropped() noexcept -> void;
+    /// Records that a request started to answer after all, `took` after it was granted.
+    auto readLate(std::uint64_t tokens, Duration took) noexcept -> void;
     [[nodiscard]] auto perMillisecond() const noexcept -> double;
 
 private:
+    auto add(std::uint64_t tokens, Duration took) noexcept -> void;
+
     double expected_;
     std::size_t inPrefill_ = 0;
     Moment measuredUntil_ {};
--- a/packages/serving/AgentRole.cpp
+++ b/packages/serving/AgentRole.cpp
@@ -10,6 +10,8 @@
 #include "serving/detail/NewsAge.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 #include <tuple>
 
 namespace eelgrass::serving {
@@ -23,6 +25,14 @@
 constexpr auto limitsWait = Duration(8s);
 constexpr auto crashExpiryInterval = Duration(5s);
 
+/// How overdue service is, in tenths of what makes it due.
+auto levelText(double level) -> std::string
+{
+    auto text = std::array<char, 32>();
+    std::snprintf(text.data(), text.size(), "%.1f", level);
+    return text.data();
+}
+
 } // namespace
 
 /// A call that waits for its turn, or is being cancelled, keeps its session or door beyond the end of the role.
@@ -147,7 +157,9 @@
             { "class", request.requestClass.str() }, { "adapter", decision.adapter.str() },
             { "prefix", request.sharedPart == 0 ? "" : std::to_string(request.sharedPart) },
             { "session", request.session == 0 ? "" : std::to_string(request.session) },
-            { "priority", std::to_string(request.priority) }, { "unread", std::to_string(request.unreadTokens) },
+            { "priority", std::to_string(request.priority) },
+            { "owed_to", request.claim.due() ? decisions::toString(request.claim.key.kind) : "" },
+            { "owed", levelText(request.claim.level) }, { "unread", std::to_string(request.unreadTokens) },
             { "held", !decision.adapter.empty() && agent_.holds(decision.adapter) ? "yes" : "no" },
             { "version", decision.granted ? std::to_string(decision.version.value()) : "" },
             { "waited_ms", millisecondsText(decision.waited) },
--- a/tests/unit/StarvedPrompts.cpp
+++ b/tests/unit/StarvedPrompts.cpp
@@ -148,3 +148,39 @@
     for (const auto& kind : { "chat", "summary", "draft" })
         BOOST_TEST(fleet.kinds().servedShare(kind) > 0.99);
 }
+
+// Guards against a replica that admits nobody while one granted prompt has no first event: its entry or its connection
+// is lost, or the replica has forgotten it.
+BOOST_AUTO_TEST_CASE(a_prompt_that_is_never_read_does_not_hold_up_the_replica)
+{
+    constexpr auto start = Moment(100s);
+    constexpr auto most = Duration(2s);
+    const auto ready = [](const AdapterId&) { return true; };
+    auto queue = decisions::AdmissionQueue();
+    queue.setLimits({ .readRate = PromptFleet::readRate });
+    const auto offer = [&](const std::string& attempt, Moment now) {
+        (void)queue.offer({ .attempt = AttemptId(attempt),
+                              .promptTokens = coldPrompt,
+                              .unreadTokens = coldPrompt,
+                              .arrivedAt = now,
+                              .firstEventDeadline = now + 800ms,
+                              .callerDeadline = now + 4s },
+            ready, Duration(0), now);
+    };
+    offer("lost", start);
+    BOOST_REQUIRE(queue.grant(ready, start).size() == 1U);
+    offer("next", start);
+    auto grantedAt = Moment::max();
+    for (auto now = start; now < start + most; now += 10ms) {
+        if (!queue.grant(ready, now).empty())
+            grantedAt = std::min(grantedAt, now);
+    }
+    BOOST_TEST((grantedAt < start + most));
+    // The start that is told after all does not count twice.
+    queue.started(AttemptId("lost"), start + most);
+    queue.started(AttemptId("next"), start + most);
+    BOOST_TEST(queue.tokensAhead(ready) == 0U);
+    queue.release(AttemptId("lost"));
+    queue.release(AttemptId("next"));
+    BOOST_TEST(queue.running() == 0U);
+}
