--- a/tests/integration/StopEnds.cpp
+++ b/tests/integration/StopEnds.cpp
@@ -188,3 +188,22 @@
     BOOST_TEST(answer.status == 504);
     BOOST_TEST(world.awaitEnd() == 0);
 }
+
+// Guards against a stop that is killed with all that it holds, because its last steps take as long as they may: a
+// client that closes late, and a log that nobody reads.
+BOOST_AUTO_TEST_CASE(a_stop_ends_in_its_grace_period_though_its_last_steps_are_slow)
+{
+    constexpr auto linesOfLog = 300;
+    constexpr auto graceTime = std::chrono::milliseconds(1510);
+    auto world = World(graceTime);
+    auto kept = ByteCaller(world.port());
+    kept.send(RawCall { .path = "/once/x", .attempt = "kept" }.text());
+    BOOST_TEST(world.answerOf(kept).status == 200);
+    world.process().pauseReading();
+    for (auto count = 0; count < linesOfLog; ++count)
+        BOOST_REQUIRE(world.ask({ .path = "/once/x", .attempt = "fill-" + std::to_string(count) }).status == 200);
+    world.process().signal(SIGTERM);
+    const auto killer = world.loop().timers().after(Duration(graceTime), [&world] { world.process().signal(SIGKILL); });
+    world.until([&] { return !world.process().running(); });
+    BOOST_TEST(world.process().exitCode() == 0);
+}
