An agent that was suspended takes no entry of another zone for silent

After a pause of the process two beats of a timer may follow at once, which was the whole bound in other zones.

--- a/packages/decisions/PublishPolicy.cpp
+++ b/packages/decisions/PublishPolicy.cpp
@@ -73,7 +73,8 @@
 auto PublishPolicy::maxUnansweredHeartbeats(Audience audience) noexcept -> unsigned
 {
     constexpr auto sameZone = 5U;
-    constexpr auto otherZone = 2U;
+    // Two beats may follow at once when the agent itself was suspended.
+    constexpr auto otherZone = 3U;
     return audience == Audience::SameZone ? sameZone : otherZone;
 }
 
