--- a/packages/serving/ServiceKeepers.cpp
+++ b/packages/serving/ServiceKeepers.cpp
@@ -11,13 +11,14 @@
 // How often the service of a key is told while others go without.
 constexpr auto tellInterval = Duration(1s);
 
+/// Adds what a keeper told of the keys.
 auto add(decisions::RequestedKeys& known, const decisions::RequestedKeys& told) -> void
 {
-    for (const auto& [key, service] : told) {
+    for (const auto& item : told) {
         const auto found = std::find_if(
-            known.begin(), known.end(), [&](const decisions::RequestedKey& own) { return own.key == key; });
+            known.begin(), known.end(), [&](const decisions::RequestedKey& own) { return own.key == item.key; });
         if (found != known.end())
-            found->known = combined(found->known, service);
+            found->known = combined(found->known, item.known);
     }
 }
 
--- a/packages/serving/StatePublisher.cpp
+++ b/packages/serving/StatePublisher.cpp
@@ -24,11 +24,12 @@
 
 auto StatePublisher::start() -> void
 {
-    for (const auto audience : audiences)
+    for (const auto audience : audiences) {
         group(audience).heartbeat = loop_.timers().every(PublishPolicy::heartbeat(audience), [this, audience] {
             findSilent(audience);
             publish(audience, true);
         });
+    }
 }
 
 auto StatePublisher::findSilent(Audience audience) -> void
--- a/tests/integration/SilentSessions.cpp
+++ b/tests/integration/SilentSessions.cpp
@@ -13,7 +13,7 @@
 
 /// One engine, whose agent gateways reach through a proxy.
 struct ProxiedWorld : ServingWorld {
-    explicit ProxiedWorld()
+    ProxiedWorld()
         : ServingWorld(1, 0)
         , proxy(startProxiedAgent(0))
     {
@@ -50,11 +50,12 @@
     BOOST_TEST(world.ask({ .attempt = "before" }).status == 200);
     world.engine(0).behave({ .sent = 0, .then = Behaviour::Then::Silence });
     auto lost = std::vector<kj::Promise<wire::HttpAnswer>>();
-    for (auto index = 0; index < 6; ++index)
+    for (auto index = 0; index < 6; ++index) {
         lost.push_back(world.begin({ .path = "/whole/x",
             .attempt = "lost-" + std::to_string(index),
             .body = std::to_string(index),
             .tokenCount = "12000,20" }));
+    }
     BOOST_REQUIRE(world.until([&] { return world.engine(0).runs().size() >= 2U; }));
     world.silence();
     world.stopGateway(0);
