What others have before in the share counts unless permits are short

Both estimates and the end of the debt now go by permits where the replica limits its requests, and as before elsewhere.

--- a/packages/decisions/AdmissionQueue.cpp
+++ b/packages/decisions/AdmissionQueue.cpp
@@ -143,9 +143,9 @@
     }
     // What the others have before in the share counts only where the replica is short of it: where permits are short,
     // they take too few tokens to have had their part while anybody waits.
-    const auto shortOfReading = obstacle_ == WaitReason::Reading;
-    const auto tokens = shortOfReading ? owedShare_.tokensUntil(overdue) : overdue;
-    const auto requests = shortOfReading ? keys.size() : owedShare_.requestsUntil(keys.size());
+    const auto shortOfPermits = arrivals_.limited() && obstacle_ != WaitReason::Reading;
+    const auto tokens = shortOfPermits ? overdue : owedShare_.tokensUntil(overdue);
+    const auto requests = shortOfPermits ? owedShare_.requestsUntil(keys.size()) : keys.size();
     return { .work = std::min(byOrder.work, prefillTime(unstartedTokens_ + tokens)),
         .permit = std::min(byOrder.permit, arrivals_.timeUntilPermit(requests, now)) };
 }
@@ -247,7 +247,8 @@
         const auto request = nextGrant(ready);
         if (request == waiting_.end()) {
             // Nobody is left to whom a part of the replica is owed.
-            owedShare_ = {};
+            if (arrivals_.limited())
+                owedShare_ = {};
             break;
         }
         // A request that does not fit blocks the requests behind it; otherwise short requests could overtake a long one
