--- a/packages/decisions/AdmissionQueue.cpp
+++ b/packages/decisions/AdmissionQueue.cpp
@@ -15,8 +15,8 @@
 constexpr auto maxOutstandingPrefill = Duration(250ms);
 // A prompt that has not been read after this many times the time that it should take, and this much longer, is not
 // waited for: the replica may be several times slower than was measured.
-constexpr auto overdueFactor = 2;
-constexpr auto overdueMargin = Duration(250ms);
+constexpr auto overdueFactor = 3;
+constexpr auto overdueMargin = Duration(500ms);
 // Share of the memory that is granted to requests; the rest is for answers longer than announced and for prompt
 // prefixes worth caching.
 constexpr auto memoryShare = 0.9;
