--- a/tests/unit/AdmissionQueue.cpp
+++ b/tests/unit/AdmissionQueue.cpp
@@ -267,3 +267,38 @@
     BOOST_REQUIRE(granted.size() == 2U);
     BOOST_TEST(granted[0].attempt.str() == "owed");
 }
+
+// Guards against a full batch of which requests to which service is due get more than their share: what others have
+// before them counts in the estimate, unless a rate limit is what is short.
+BOOST_AUTO_TEST_CASE(the_part_of_others_counts_for_a_request_to_which_service_is_due)
+{
+    constexpr auto start = Moment(1000s);
+    const auto ready = [](const AdapterId&) { return true; };
+    const auto request = [&](const std::string& name, std::uint64_t tokens, Duration patience) {
+        return AdmissionRequest { .attempt = AttemptId(name),
+            .promptTokens = tokens,
+            .unreadTokens = tokens,
+            .arrivedAt = start,
+            .firstEventDeadline = start,
+            .callerDeadline = start + patience };
+    };
+    const auto due = [&](const std::string& name, std::uint64_t tokens) {
+        auto owed = request(name, tokens, 4s);
+        owed.keys = { { { ServiceKey::Kind::Prefix, name }, { .unserved = { start - 3s, start - 1s, 3 } } } };
+        return owed;
+    };
+    auto queue = AdmissionQueue();
+    queue.setLimits({ .batch = 2, .memory = 10'000'000, .readRate = 10 });
+    BOOST_REQUIRE(!queue.offer(request("running", 10, 60s), ready, Duration(0), start));
+    BOOST_REQUIRE(queue.grant(ready, start).size() == 1U);
+    queue.started(AttemptId("running"), start);
+    BOOST_REQUIRE(!queue.offer(request("other", 100000, 60s), ready, Duration(0), start));
+    BOOST_REQUIRE(!queue.offer(due("first", 20000), ready, Duration(0), start));
+    const auto granted = queue.grant(ready, start);
+    BOOST_REQUIRE(granted.size() == 1U);
+    BOOST_REQUIRE(granted.front().attempt == AttemptId("first"));
+    queue.started(AttemptId("first"), start);
+    const auto refusal = queue.offer(due("second", 5000), ready, Duration(0), start);
+    BOOST_REQUIRE(refusal);
+    BOOST_TEST(!refusal->rateLimited);
+}
--- a/tests/unit/PublishPolicy.cpp
+++ b/tests/unit/PublishPolicy.cpp
@@ -117,3 +117,11 @@
     BOOST_TEST(published([](auto& now) { now.failures = 0.3; }));
     BOOST_TEST(!published([](auto& now) { now.spareSlots = 1; }));
 }
+
+// Guards against sessions that end because the agent itself was suspended: two beats of a timer may follow at once
+// then.
+BOOST_AUTO_TEST_CASE(two_beats_at_once_make_no_entry_silent)
+{
+    for (const auto audience : { Audience::SameZone, Audience::RecentRequester, Audience::OtherZone })
+        BOOST_TEST(PublishPolicy::maxUnansweredHeartbeats(audience) > 2U);
+}
--- a/tests/unit/StarvedPrompts.cpp
+++ b/tests/unit/StarvedPrompts.cpp
@@ -184,3 +184,25 @@
     queue.release(AttemptId("next"));
     BOOST_TEST(queue.running() == 0U);
 }
+
+// Guards against prompts that a sound replica gets too early: one that is read half as fast as was measured is waited
+// for.
+BOOST_AUTO_TEST_CASE(a_prompt_that_takes_twice_its_time_is_waited_for)
+{
+    constexpr auto start = Moment(100s);
+    const auto reading = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(static_cast<double>(coldPrompt) / PromptFleet::readRate));
+    const auto ready = [](const AdapterId&) { return true; };
+    auto queue = decisions::AdmissionQueue();
+    queue.setLimits({ .readRate = PromptFleet::readRate });
+    for (const auto* attempt : { "slow", "next" }) {
+        (void)queue.offer({ .attempt = AttemptId(attempt),
+                              .promptTokens = coldPrompt,
+                              .unreadTokens = coldPrompt,
+                              .arrivedAt = start,
+                              .callerDeadline = start + 4s },
+            ready, Duration(0), start);
+    }
+    BOOST_REQUIRE(queue.grant(ready, start).size() == 1U);
+    BOOST_TEST(queue.grant(ready, start + 2 * reading + 300ms).empty());
+}
